--- /dev/null
+++ b/contrib/demo/main.go
@@ -0,0 +1,92 @@
+// Command demo drives a whole system on loopback that contrib/demo/run.sh has
+// started: it sets the tree, sends traffic, changes a setting, stops one entry
+// box as planned, kills another and prints one table.
+//
+//	demo plan LAYOUT FOLDER   prints the processes to start, one a line
+//	demo targets LAYOUT       serves the stand-in targets
+//	demo drive LAYOUT FOLDER  drives the running system
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"ledgesill.dev/ledgesill/contrib/layout"
+	"ledgesill.dev/ledgesill/contrib/standin"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, args []string) error {
+	if len(args) < 2 {
+		return fmt.Errorf("usage: demo plan|targets|drive LAYOUT [FOLDER]")
+	}
+	l, err := layout.ByName(args[1])
+	if err != nil {
+		return err
+	}
+	switch args[0] {
+	case "plan":
+		printPlan(l, args[2])
+		return nil
+	case "targets":
+		return serveTargets(ctx, l)
+	case "drive":
+		return drive(ctx, l, args[2])
+	}
+	return fmt.Errorf("there is no demo %q", args[0])
+}
+
+// printPlan prints a line for each process: its name and its arguments.
+func printPlan(l layout.Layout, folder string) {
+	for _, c := range l.Controls {
+		fmt.Println(c.Name, strings.Join(l.ControlArguments(c, folder), " "))
+	}
+	for _, b := range l.Boxes {
+		fmt.Println(b.Name, strings.Join(l.EntryArguments(b), " "))
+	}
+}
+
+const (
+	adminAddress      = "127.0.0.1:8999"
+	targetConnections = 330
+)
+
+// serveTargets serves all targets of a layout, and their runs on adminAddress.
+func serveTargets(ctx context.Context, l layout.Layout) error {
+	var targets []*standin.Target
+	ended := make(chan error, len(l.Targets))
+	for _, g := range l.Targets {
+		t := standin.NewTarget(standin.TargetConfig{
+			Name: g.Name, Slots: g.Slots, Connections: targetConnections, ServiceTime: g.ServiceTime,
+		})
+		listener, err := net.Listen("tcp", g.Address)
+		if err != nil {
+			return err
+		}
+		targets = append(targets, t)
+		go func() { ended <- t.Serve(ctx, listener) }()
+	}
+	admin := &http.Server{Addr: adminAddress, Handler: runsHandler(targets), ReadHeaderTimeout: time.Second}
+	go func() { ended <- admin.ListenAndServe() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+		return admin.Close()
+	}
+}
--- /dev/null
+++ b/contrib/standin/platform.go
@@ -0,0 +1,58 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Platform is a list of live and leaving boxes that lags.
+type Platform struct {
+	lag time.Duration
+	now func() time.Time
+
+	mu      sync.Mutex
+	changes []platformChange
+}
+
+type platformChange struct {
+	at      time.Time
+	address string
+	state   string
+}
+
+// NewPlatform returns an empty list that shows changes after lag.
+func NewPlatform(lag time.Duration, now func() time.Time) *Platform {
+	return &Platform{lag: lag, now: now}
+}
+
+// Set notes the state of a box, live or leaving.
+func (p *Platform) Set(address, state string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.changes = append(p.changes, platformChange{p.now(), address, state})
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	type box struct {
+		Address string `json:"address"`
+		State   string `json:"state"`
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := make(map[string]string)
+	for _, c := range p.changes {
+		if p.now().Sub(c.at) >= p.lag {
+			state[c.address] = c.state
+		}
+	}
+	list := struct {
+		Boxes []box `json:"boxes"`
+	}{Boxes: []box{}}
+	for a, s := range state {
+		list.Boxes = append(list.Boxes, box{a, s})
+	}
+	_ = json.NewEncoder(w).Encode(list) // a reader sees a broken answer
+}
--- /dev/null
+++ b/contrib/standin/target.go
@@ -0,0 +1,232 @@
+// Package standin has stand-ins for what the system meets: targets and the
+// platform's list of boxes.
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// TargetConfig sizes a target.
+type TargetConfig struct {
+	Name        string
+	Slots       int
+	Connections int
+	ServiceTime time.Duration
+	// ColdFor is how long after its start a target needs ColdFactor times as
+	// long for a request.
+	ColdFor    time.Duration
+	ColdFactor int
+}
+
+// Target is a back end with slots, a load report, health and drain answers,
+// shedding and a large download.
+type Target struct {
+	config   TargetConfig
+	started  time.Time
+	busy     atomic.Int64
+	draining atomic.Bool
+	broken   atomic.Bool
+	slow     atomic.Int64
+
+	mu   sync.Mutex
+	runs map[string]int
+	most int
+}
+
+// NewTarget returns a target that starts cold now.
+func NewTarget(c TargetConfig) *Target {
+	return &Target{config: c, started: time.Now(), runs: make(map[string]int)}
+}
+
+// SetDraining makes the target's health say that it is leaving.
+func (t *Target) SetDraining(v bool) { t.draining.Store(v) }
+
+// SetBroken makes requests fail while the health still says ready.
+func (t *Target) SetBroken(v bool) { t.broken.Store(v) }
+
+// SetSlow makes every request take longer.
+func (t *Target) SetSlow(extra time.Duration) { t.slow.Store(int64(extra)) }
+
+// Runs returns how often each named request ran, and the most that ran at once.
+func (t *Target) Runs() (runs map[string]int, most int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]int, len(t.runs))
+	for id, n := range t.runs {
+		out[id] = n
+	}
+	return out, t.most
+}
+
+// Handler returns the target's HTTP interface: /healthz, /flag, /toggle,
+// /webhook and /export.
+func (t *Target) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/healthz", t.health)
+	mux.HandleFunc("/export", t.slotted(t.export))
+	mux.HandleFunc("/", t.slotted(t.work))
+	return mux
+}
+
+func (t *Target) health(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(map[string]any{ // a prober sees a broken answer
+		"ready":    true,
+		"draining": t.draining.Load(),
+		"cold":     t.cold(),
+		"busy":     t.busy.Load(),
+	})
+}
+
+func (t *Target) cold() bool { return time.Since(t.started) < t.config.ColdFor }
+
+// slotted runs a request in a slot, or sheds it.
+func (t *Target) slotted(run http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n := t.busy.Add(1)
+		defer t.busy.Add(-1)
+		t.mu.Lock()
+		t.most = max(t.most, int(n))
+		t.mu.Unlock()
+		if int(n) > t.config.Slots {
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "no slot is free", http.StatusServiceUnavailable)
+			return
+		}
+		if t.broken.Load() {
+			http.Error(w, "broken", http.StatusInternalServerError)
+			return
+		}
+		run(w, r)
+	}
+}
+
+func (t *Target) serviceTime() time.Duration {
+	d := t.config.ServiceTime
+	if t.cold() {
+		d *= time.Duration(max(t.config.ColdFactor, 1))
+	}
+	return d + time.Duration(t.slow.Load())
+}
+
+// work takes its time and counts the run of a request that may not be
+// repeated, named by its body.
+func (t *Target) work(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if r.Method == http.MethodPost {
+		t.mu.Lock()
+		t.runs[string(body)]++
+		t.mu.Unlock()
+	}
+	select {
+	case <-r.Context().Done():
+		return
+	case <-time.After(t.serviceTime()):
+	}
+	fmt.Fprintf(w, "%s %s", r.URL.Path, body)
+}
+
+const (
+	defaultExport = 1 << 20
+	exportChunks  = 20
+)
+
+// export serves a download of ?size= bytes, with ETag and Range. The content
+// is the same at every target.
+func (t *Target) export(w http.ResponseWriter, r *http.Request) {
+	size, err := strconv.Atoi(r.URL.Query().Get("size"))
+	if err != nil {
+		size = defaultExport
+	}
+	w.Header().Set("Etag", fmt.Sprintf(`"export-%d"`, size))
+	paced := &pacedWriter{ResponseWriter: w, ctx: r.Context(), pause: t.serviceTime() / exportChunks}
+	http.ServeContent(paced, r, "export.bin", time.Time{}, bytes.NewReader(ExportContent(size)))
+}
+
+// ExportContent returns the content of a download.
+func ExportContent(size int) []byte {
+	out := make([]byte, size)
+	for i := range out {
+		out[i] = byte(i * 31 >> 3)
+	}
+	return out
+}
+
+// pacedWriter waits a little with each piece.
+type pacedWriter struct {
+	http.ResponseWriter
+	ctx   context.Context
+	pause time.Duration
+}
+
+// Write implements io.Writer.
+func (p *pacedWriter) Write(b []byte) (int, error) {
+	select {
+	case <-p.ctx.Done():
+		return 0, p.ctx.Err()
+	case <-time.After(p.pause):
+	}
+	return p.ResponseWriter.Write(b)
+}
+
+// Serve serves a target on a listener until the context ends.
+func (t *Target) Serve(ctx context.Context, l net.Listener) error {
+	limited := &limitedListener{Listener: l, free: make(chan struct{}, max(t.config.Connections, 1))}
+	server := &http.Server{Handler: t.Handler(), ReadHeaderTimeout: time.Second}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(limited) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+		err := server.Close()
+		<-ended
+		return err
+	}
+}
+
+// limitedListener closes connections beyond a number.
+type limitedListener struct {
+	net.Listener
+	free chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.free <- struct{}{}:
+			return &limitedConn{Conn: c, free: l.free}, nil
+		default:
+			_ = c.Close()
+		}
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	once sync.Once
+	free chan struct{}
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { <-c.free })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,260 @@
+// Package config reads the settings of a daemon from flags and environment
+// variables and checks them before anything starts. The flag -peer-address is
+// the variable LEDGESILL_PEER_ADDRESS.
+package config
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/rs/zerolog"
+)
+
+// Prefix begins the names of the environment variables.
+const Prefix = "LEDGESILL"
+
+// ValueError names a setting whose value is not allowed.
+type ValueError struct {
+	Flag    string
+	Value   string
+	Allowed string
+}
+
+// Error implements error.
+func (e *ValueError) Error() string {
+	return fmt.Sprintf("flag -%s (variable %s): value %q is not allowed; allowed is %s", e.Flag, Variable(e.Flag), e.Value, e.Allowed)
+}
+
+// Variable returns the environment variable of a flag.
+func Variable(flag string) string {
+	return Prefix + "_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+// Common are the settings of every daemon.
+type Common struct {
+	Name            string
+	PeerAddress     string
+	OperatorAddress string
+	LogLevel        string
+	Certificate     string
+	CertificateKey  string
+	Authority       string
+}
+
+func (c *Common) register(fs *flag.FlagSet) {
+	fs.StringVar(&c.Name, "name", "", "name of this process, unique in the system")
+	fs.StringVar(&c.PeerAddress, "peer-address", "", "IP number and port for the other processes")
+	fs.StringVar(&c.OperatorAddress, "operator-address", "", "IP number and port for operators and metrics")
+	fs.StringVar(&c.LogLevel, "log-level", "info", "least level that is logged: debug, info, warn or error")
+	fs.StringVar(&c.Certificate, "certificate", "", "file of this process's certificate; empty for links without TLS")
+	fs.StringVar(&c.CertificateKey, "certificate-key", "", "file of the certificate's key")
+	fs.StringVar(&c.Authority, "authority", "", "file of the authority that signs all certificates")
+}
+
+func (c *Common) check() error {
+	return errors.Join(
+		checkName("name", c.Name),
+		CheckAddress("peer-address", c.PeerAddress),
+		CheckAddress("operator-address", c.OperatorAddress),
+		checkChoice("log-level", c.LogLevel, "debug", "info", "warn", "error"),
+		c.checkTLS(),
+	)
+}
+
+func (c *Common) checkTLS() error {
+	files := map[string]string{"certificate": c.Certificate, "certificate-key": c.CertificateKey, "authority": c.Authority}
+	set := 0
+	for _, f := range files {
+		if f != "" {
+			set++
+		}
+	}
+	if set != 0 && set != len(files) {
+		return &ValueError{"certificate", c.Certificate, "a file, together with -certificate-key and -authority, or none of the three"}
+	}
+	return nil
+}
+
+// Level returns the log level.
+func (c *Common) Level() zerolog.Level {
+	l, err := zerolog.ParseLevel(c.LogLevel)
+	if err != nil {
+		return zerolog.InfoLevel
+	}
+	return l
+}
+
+// Control are the settings of a control replica.
+type Control struct {
+	Common
+	Folder          string
+	Peers           []string
+	Token           string
+	ElectionTimeout time.Duration
+	SnapshotEvery   int
+}
+
+// Entry are the settings of an entry box's daemon.
+type Entry struct {
+	Common
+	CallerAddress string
+	Region        string
+	Zone          string
+	Controls      []string
+	PlatformList  string
+}
+
+// Parsed is what reading the settings gave: an error, or a request for help
+// that has been answered.
+type Parsed struct{ Help bool }
+
+// ReadControl reads and checks the settings of a control replica.
+func ReadControl(args []string, out io.Writer) (Control, Parsed, error) {
+	var c Control
+	fs := newFlagSet("ledgesill control", out)
+	c.register(fs)
+	fs.StringVar(&c.Folder, "folder", "", "data folder on a disk")
+	peers := fs.String("peers", "", "peer addresses of all control replicas, this one included, separated by commas")
+	fs.StringVar(&c.Token, "token", "", "token that operators must send to change something; empty for none")
+	fs.DurationVar(&c.ElectionTimeout, "election-timeout", time.Second, "how long a replica waits for a leader, 100ms to 30s")
+	fs.IntVar(&c.SnapshotEvery, "snapshot-every", defaultSnapshotEvery, "log entries between snapshots, 16 to 100000")
+	help, err := parse(fs, args)
+	if help || err != nil {
+		return c, Parsed{help}, err
+	}
+	c.Peers = SplitList(*peers)
+	return c, Parsed{}, c.check()
+}
+
+const (
+	defaultSnapshotEvery = 512
+	minSnapshotEvery     = 16
+	maxSnapshotEvery     = 100_000
+	minElectionTimeout   = 100 * time.Millisecond
+	maxElectionTimeout   = 30 * time.Second
+	maxControls          = 8
+)
+
+func (c *Control) check() error {
+	err := errors.Join(c.Common.check(), checkAddresses("peers", c.Peers))
+	if c.Folder == "" {
+		err = errors.Join(err, &ValueError{"folder", "", "the path of a folder"})
+	}
+	if len(c.Peers) > maxControls {
+		err = errors.Join(err, &ValueError{"peers", strings.Join(c.Peers, ","), fmt.Sprintf("at most %d addresses", maxControls)})
+	}
+	if !slices.Contains(c.Peers, c.PeerAddress) {
+		err = errors.Join(err, &ValueError{"peers", strings.Join(c.Peers, ","), "a list that has the address of -peer-address"})
+	}
+	if c.ElectionTimeout < minElectionTimeout || c.ElectionTimeout > maxElectionTimeout {
+		err = errors.Join(err, &ValueError{"election-timeout", c.ElectionTimeout.String(), "100ms to 30s"})
+	}
+	if c.SnapshotEvery < minSnapshotEvery || c.SnapshotEvery > maxSnapshotEvery {
+		err = errors.Join(err, &ValueError{"snapshot-every", fmt.Sprint(c.SnapshotEvery), "16 to 100000"})
+	}
+	return err
+}
+
+// ReadEntry reads and checks the settings of an entry box's daemon.
+func ReadEntry(args []string, out io.Writer) (Entry, Parsed, error) {
+	var c Entry
+	fs := newFlagSet("ledgesill entry", out)
+	c.register(fs)
+	fs.StringVar(&c.CallerAddress, "caller-address", "", "IP number and port for callers")
+	fs.StringVar(&c.Region, "region", "", "region of this entry box")
+	fs.StringVar(&c.Zone, "zone", "", "availability zone of this entry box")
+	controls := fs.String("controls", "", "peer addresses of the control replicas, separated by commas")
+	fs.StringVar(&c.PlatformList, "platform-list", "", "http address of the platform's list of boxes; empty for none")
+	help, err := parse(fs, args)
+	if help || err != nil {
+		return c, Parsed{help}, err
+	}
+	c.Controls = SplitList(*controls)
+	return c, Parsed{}, errors.Join(
+		c.check(),
+		CheckAddress("caller-address", c.CallerAddress),
+		checkName("region", c.Region),
+		checkName("zone", c.Zone),
+		checkAddresses("controls", c.Controls),
+	)
+}
+
+func newFlagSet(name string, out io.Writer) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(out)
+	return fs
+}
+
+// Parse reads flags and environment variables into a flag set.
+func Parse(fs *flag.FlagSet, args []string) (help bool, err error) { return parse(fs, args) }
+
+func parse(fs *flag.FlagSet, args []string) (help bool, err error) {
+	err = ff.Parse(fs, args, ff.WithEnvVarPrefix(Prefix))
+	if errors.Is(err, flag.ErrHelp) {
+		return true, nil
+	}
+	if err != nil {
+		return false, fmt.Errorf("reading the settings: %w", err)
+	}
+	return false, nil
+}
+
+// SplitList splits a list separated by commas.
+func SplitList(text string) []string {
+	var out []string
+	for _, item := range strings.Split(text, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			out = append(out, item)
+		}
+	}
+	return out
+}
+
+func checkName(flag, value string) error {
+	if value == "" || strings.ContainsAny(value, "~,=+:/ ") {
+		return &ValueError{flag, value, "a name of letters, digits, - and _"}
+	}
+	return nil
+}
+
+// CheckAddress checks that a value is an IP number and a port.
+func CheckAddress(flag, value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return &ValueError{flag, value, "an IP number and a port, as in 127.0.0.1:7000"}
+	}
+	return nil
+}
+
+func checkAddresses(flag string, values []string) error {
+	if len(values) == 0 {
+		return &ValueError{flag, "", "at least one IP number and port"}
+	}
+	var err error
+	for _, v := range values {
+		err = errors.Join(err, CheckAddress(flag, v))
+	}
+	return err
+}
+
+func checkChoice(flag, value string, choices ...string) error {
+	if slices.Contains(choices, value) {
+		return nil
+	}
+	return &ValueError{flag, value, strings.Join(choices, ", ")}
+}
+
+// CheckFile reports a file that can't be read.
+func CheckFile(flag, path string) error {
+	if _, err := os.Stat(path); err != nil {
+		return &ValueError{flag, path, "a file that can be read (" + err.Error() + ")"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/daemon.go
@@ -0,0 +1,334 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ledgesill.dev/ledgesill/internal/config"
+	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/internal/process"
+	"ledgesill.dev/ledgesill/internal/relay"
+	"ledgesill.dev/ledgesill/pkg/consensus"
+	"ledgesill.dev/ledgesill/pkg/journal"
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// Daemon is one control replica.
+type Daemon struct {
+	config     config.Control
+	process    *process.Process
+	journal    *journal.Journal
+	replica    *replica
+	node       *link.Node
+	transport  *transport
+	publishing *relay.Publishing
+	operators  net.Listener
+
+	heard atomic.Int64 // wall clock of the last word of a leader
+
+	mu        sync.Mutex
+	addresses map[string]string
+	joining   map[string]*wire.Replica
+	repairs   map[string]consensus.RepairStep
+	lagging   map[string]time.Time
+	shifts    map[string]string // why a shift waits
+}
+
+// Open recovers the replica and listens. Run must follow.
+func Open(c config.Control, log io.Writer) (*Daemon, error) {
+	if err := journal.MakeFolder(c.Folder); err != nil {
+		return nil, fmt.Errorf("making the data folder: %w", err)
+	}
+	p, err := process.New(c.Name, log, c.Level(), c.Folder)
+	if err != nil {
+		return nil, err
+	}
+	j, found, err := journal.Open(c.Folder, c.Name, journal.OSFiles())
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("opening the data folder: %w", err), p.Close())
+	}
+	d := &Daemon{
+		config:    c,
+		process:   p,
+		journal:   j,
+		addresses: make(map[string]string),
+		joining:   make(map[string]*wire.Replica),
+		repairs:   make(map[string]consensus.RepairStep),
+		lagging:   make(map[string]time.Time),
+		shifts:    make(map[string]string),
+	}
+	if err := d.open(found); err != nil {
+		return nil, errors.Join(err, j.Close(), p.Close())
+	}
+	return d, nil
+}
+
+func (d *Daemon) open(found *journal.Recovered) error {
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(found.ID + d.process.Incarnation)) // a hash takes every write
+	cc := consensus.Config{ElectionTimeout: d.config.ElectionTimeout, Seed: seed.Sum64()}
+	r, err := openReplica(time.Now(), cc, d.journal, found, d.config.SnapshotEvery)
+	if err != nil {
+		return err
+	}
+	d.replica = r
+	if found.CutBytes > 0 {
+		detail := fmt.Sprintf("cut %d bytes of an unfinished write off the journal", found.CutBytes)
+		d.process.StateChange(&wire.TimelineEvent{Kind: "journalCut", Detail: detail})
+	}
+	d.publishing = relay.NewPublishing(r.state, d.age, d.process.Clock.Stamp)
+	secure, err := d.config.TLS()
+	if err != nil {
+		return err
+	}
+	id := link.Identity{Name: d.config.Name, Incarnation: d.process.Incarnation}
+	handlers := link.Handlers{Consensus: d.serveConsensus, Subscribe: d.serveSubscriber, Call: d.serveCall}
+	if d.node, err = link.Listen(d.config.PeerAddress, id, d.process.Clock, handlers, secure); err != nil {
+		return err
+	}
+	if d.operators, err = net.Listen("tcp", d.config.OperatorAddress); err != nil {
+		return errors.Join(fmt.Errorf("listening for operators: %w", err), d.node.Close())
+	}
+	d.transport = newTransport(d.node)
+	d.connect(found.ID)
+	return nil
+}
+
+// connect gives the replica's loop its ways out.
+func (d *Daemon) connect(id string) {
+	syncs := d.process.Counter("journal_syncs_total", "Syncs of the journal.").WithLabelValues()
+	syncTime := d.process.Counter("journal_sync_seconds_total", "Time spent in syncs of the journal.").WithLabelValues()
+	settled := d.process.Counter("changes_settled_total", "Changes that got a verdict, by verdict.", "verdict")
+	d.replica.send = func(m *wire.ConsensusMessage) {
+		m.FromAddress = d.config.PeerAddress
+		d.transport.send(d.addressOf(m.To), m)
+	}
+	d.replica.publish = d.publishing.Put
+	d.replica.synced = func(took time.Duration) {
+		syncs.Inc()
+		syncTime.Add(took.Seconds())
+	}
+	d.replica.noticed = func(n consensus.Notice) {
+		detail := fmt.Sprintf("%s in term %d: %s", n.Role, n.Term, n.Reason)
+		d.process.StateChange(&wire.TimelineEvent{Kind: "role", Box: id, Detail: detail})
+	}
+	d.replica.settled = func(c *wire.Command, result steering.Result) {
+		d.noteSettled(c, result)
+		if v := result.Verdict; v != nil {
+			settled.WithLabelValues(verdictName(v.Kind)).Inc()
+		}
+	}
+	d.process.Gauge("control_bytes_sent", "Bytes sent to other processes.", func() float64 { return float64(d.node.Control.Sent.Load()) })
+	d.process.Gauge("control_bytes_received", "Bytes received from other processes.", func() float64 { return float64(d.node.Control.Received.Load()) })
+	d.process.Gauge("control_age_seconds", "Age of the word of a leader with a quorum; a replica that is cut off shows it growing.", func() float64 { return d.age().Seconds() })
+}
+
+func (d *Daemon) noteSettled(c *wire.Command, result steering.Result) {
+	switch {
+	case c.Change != nil:
+		detail := fmt.Sprintf("%s at version %d", verdictName(result.Verdict.Kind), result.Verdict.Version)
+		d.process.Event(&wire.TimelineEvent{Kind: "changeSettled", Change: c.Change.Id, Detail: detail})
+	case c.Shift != nil && result.Changed:
+		detail := c.Shift.Action.String()
+		if c.Shift.Step != nil {
+			detail = fmt.Sprintf("step %d moves %d points", c.Shift.Step.Number, c.Shift.Step.Points)
+		}
+		d.process.Event(&wire.TimelineEvent{Kind: "shift", Shift: c.Shift.Shift.Id, Detail: detail})
+	}
+}
+
+// Run serves until the context ends or the disk fails, and then closes.
+func (d *Daemon) Run(ctx context.Context) error {
+	loop, stopLoop := context.WithCancel(context.Background())
+	failed := make(chan error, 1)
+	go func() { failed <- d.replica.run(loop) }()
+
+	root := d.process.Supervisor()
+	root.Add(process.Service{Name: "forming", Run: d.form})
+	root.Add(process.Service{Name: "repair", Run: d.every(repairInterval, d.repair)})
+	root.Add(process.Service{Name: "shifts", Run: d.planShifts})
+	root.Add(process.Service{Name: "view", Run: d.every(viewInterval, d.watch)})
+	root.Add(process.Service{Name: "operators", Run: d.serveOperators})
+	tree, stopTree := context.WithCancel(ctx)
+	ended := root.ServeBackground(tree)
+
+	var err error
+	select {
+	case <-ctx.Done():
+		d.handOver(failed)
+	case err = <-failed:
+		failed <- err
+	}
+	stopTree()
+	<-ended
+	stopLoop()
+	<-failed
+	return errors.Join(err, d.close())
+}
+
+const handoverTime = time.Second
+
+// handOver gives leadership away before a planned stop.
+func (d *Daemon) handOver(failed chan error) {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTime)
+	defer cancel()
+	v, err := d.replica.view(ctx)
+	if err != nil || v.status.Role != consensus.Leader {
+		return
+	}
+	d.replica.inbox <- handover{}
+	for ctx.Err() == nil {
+		v, err := d.replica.view(ctx)
+		if err != nil || v.status.Role != consensus.Leader {
+			return
+		}
+		select {
+		case err := <-failed:
+			failed <- err
+			return
+		case <-time.After(d.config.ElectionTimeout / 20):
+		}
+	}
+}
+
+func (d *Daemon) close() error {
+	err := d.node.Close()
+	d.transport.close()
+	return errors.Join(err, d.journal.Close(), d.process.Close())
+}
+
+// every runs a function at an interval until the context ends.
+func (d *Daemon) every(interval time.Duration, f func(ctx context.Context)) func(context.Context) error {
+	return func(ctx context.Context) error {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-ticker.C:
+				f(ctx)
+			}
+		}
+	}
+}
+
+// age returns how long ago a leader with a quorum was heard of.
+func (d *Daemon) age() time.Duration {
+	at := d.heard.Load()
+	if at == 0 {
+		return time.Hour
+	}
+	return max(time.Since(time.UnixMilli(at)), 0)
+}
+
+func (d *Daemon) serveConsensus(ctx context.Context, _ string, m *link.Messages) {
+	stop := context.AfterFunc(ctx, func() { _ = m.Close() })
+	defer stop()
+	for {
+		message := &wire.ConsensusMessage{}
+		if err := m.Read(message); err != nil {
+			return
+		}
+		d.learnAddress(message.From, message.FromAddress)
+		d.replica.deliver(message)
+	}
+}
+
+func (d *Daemon) serveSubscriber(ctx context.Context, _ string, m *link.Messages) {
+	d.publishing.Serve(ctx, m)
+}
+
+func (d *Daemon) learnAddress(id, address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.addresses[id] = address
+}
+
+func (d *Daemon) addressOf(id string) string {
+	if a := addressOf(d.replica.machine.Membership(), id); a != "" {
+		return a
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.addresses[id]
+}
+
+func (d *Daemon) serveCall(ctx context.Context, _ string, request *wire.CallRequest) *wire.CallAnswer {
+	switch {
+	case request.Hello != nil:
+		return d.serveHello(ctx)
+	case request.Timeline != nil:
+		return &wire.CallAnswer{Timeline: d.process.Ring.Events(request.Timeline)}
+	case request.Join != nil:
+		d.noteJoining(request.Join.Replica)
+		return &wire.CallAnswer{Join: &wire.JoinAnswer{Noted: true}}
+	case request.Report != nil:
+		d.publishing.Collect(request.Report)
+		return &wire.CallAnswer{}
+	}
+	return &wire.CallAnswer{Error: "a control replica does not answer this"}
+}
+
+func (d *Daemon) serveHello(ctx context.Context) *wire.CallAnswer {
+	v, err := d.replica.view(ctx)
+	if err != nil {
+		return &wire.CallAnswer{Error: err.Error()}
+	}
+	return &wire.CallAnswer{Hello: &wire.HelloAnswer{
+		Id:          d.replica.id,
+		Incarnation: d.process.Incarnation,
+		Version:     v.state.Version(),
+		Formed:      len(v.membership.Voters) > 0,
+		Membership:  v.membership,
+		Leader:      v.status.Leader,
+	}}
+}
+
+func (d *Daemon) noteJoining(r *wire.Replica) {
+	if r == nil || !slices.Contains(d.config.Peers, r.Address) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.joining[r.Address].GetId() != r.Id {
+		d.process.StateChange(&wire.TimelineEvent{Kind: "replicaJoining", Box: r.Id, Detail: "a replica on a new disk asks to be taken in at " + r.Address})
+	}
+	d.joining[r.Address] = r
+}
+
+const viewInterval = 200 * time.Millisecond
+
+// watch keeps the age of the leader's word and passes reports to the leader.
+func (d *Daemon) watch(ctx context.Context) {
+	v, err := d.replica.view(ctx)
+	if err != nil {
+		return
+	}
+	if v.status.Role == consensus.Leader {
+		d.heard.Store(time.Now().UnixMilli())
+		return
+	}
+	if v.status.Leader == "" {
+		return
+	}
+	d.heard.Store(time.Now().Add(-v.status.LeaderSilence).UnixMilli())
+	report := &wire.Report{Boxes: d.publishing.Reports()}
+	if len(report.Boxes) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	address := addressOf(v.membership, v.status.Leader)
+	// A report that is lost is followed by the next one.
+	_, _ = d.node.Call(ctx, address, &wire.CallRequest{Report: report})
+}
--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/caller"
+	"ledgesill.dev/ledgesill/pkg/settings"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+const copyBuffer = 64 << 10
+
+// handler serves callers and what other entry boxes forward.
+func (d *Daemon) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+caller.LookupPath, d.serveLookup)
+	mux.HandleFunc(caller.ServicePrefix, d.serveRequest)
+	return mux
+}
+
+func (d *Daemon) serveLookup(w http.ResponseWriter, h *http.Request) {
+	f := d.current.Load()
+	query := h.URL.Query()
+	service := query.Get("service")
+	if !f.table.Knows(service) {
+		a := &answer{outcome: caller.NotRun, status: http.StatusNotFound, reason: fmt.Sprintf("there is no service %q", service)}
+		a.writeHead(w)
+		return
+	}
+	home := query.Get("home")
+	if home == "" {
+		home = d.config.Region
+	}
+	out := caller.LookupAnswer{Service: service, Version: f.state.Version(), KeyScope: d.keys.scope()}
+	ttl := time.Duration(0)
+	for _, c := range f.table.Choose(service, home, query.Get("block"), d.usable) {
+		for _, b := range d.holderFirst(service, c.Boxes) {
+			out.Boxes = append(out.Boxes, caller.Box{Name: b.Name, Address: b.CallerAddress, Region: b.Region, Zone: b.Zone})
+		}
+		if ttl == 0 {
+			ttl = f.tree.Service(c.Region, c.Zone, service).Values.AnswerTTL
+		}
+	}
+	if len(out.Boxes) == 0 {
+		refusal("no entry box is in service", retryWithoutPool).writeHead(w)
+		return
+	}
+	if len(out.Boxes) > maxLookupBoxes {
+		out.Boxes = out.Boxes[:maxLookupBoxes]
+	}
+	out.TTLMillis = ttl.Milliseconds()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out) // the caller sees a broken answer
+}
+
+// maxLookupBoxes bounds the boxes of one answer.
+const maxLookupBoxes = 6
+
+// holderFirst puts the box that holds the pool before the others of its zone,
+// which spares a hop.
+func (d *Daemon) holderFirst(service string, boxes []settings.Box) []settings.Box {
+	if len(boxes) < 2 || boxes[0].Zone != d.config.Zone {
+		return boxes
+	}
+	b, ok := d.holder(service)
+	if !ok || b.Name == boxes[0].Name || !d.usable(b) {
+		return boxes
+	}
+	out := []settings.Box{b}
+	for _, other := range boxes {
+		if other.Name != b.Name {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
+func (d *Daemon) defaultTimeout(service string) time.Duration {
+	f := d.current.Load()
+	return f.tree.Service(d.config.Region, d.config.Zone, service).Values.RequestTimeout
+}
+
+func (d *Daemon) serveRequest(w http.ResponseWriter, h *http.Request) {
+	if !d.stop.enter(&d.inFlight) {
+		w.Header().Set("Connection", "close")
+		refusal("this entry box is stopping", minRetryAfter).writeHead(w)
+		return
+	}
+	defer d.inFlight.Add(-1)
+	began := time.Now()
+	r, err := readRequest(began, h, d.defaultTimeout)
+	if err != nil {
+		d.finishRequest(w, h, nil, invalid(err))
+		return
+	}
+	if r.id == "" {
+		r.id = d.config.Name + "-" + strconv.FormatUint(d.nextID.Add(1), 10)
+	}
+	a := d.serve(h.Context(), r)
+	d.finishRequest(w, h, r, a)
+	d.latency.WithLabelValues(r.service).Observe(time.Since(began).Seconds())
+}
+
+func (d *Daemon) serve(ctx context.Context, r *request) *answer {
+	if r.key != "" && !r.repeatable {
+		return d.keys.serve(ctx, r)
+	}
+	return d.dispatch(ctx, r)
+}
+
+// finishRequest writes the answer. A large one that breaks off is continued
+// from another place; if that can't be done the connection is broken, so that a
+// short answer can't pass for a whole one.
+func (d *Daemon) finishRequest(w http.ResponseWriter, h *http.Request, r *request, a *answer) {
+	service := ""
+	if r != nil {
+		service = r.service
+		d.noteOutcome(r, a)
+	}
+	d.requests.WithLabelValues(service, string(a.outcome)).Inc()
+	a.writeHead(w)
+	n, err := w.Write(a.body)
+	if err != nil || a.stream == nil {
+		a.discard()
+		return
+	}
+	if err := d.copyRest(h.Context(), w, r, a, int64(n)); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// noteOutcome adds requests that may not be repeated, and all that did not run
+// well, to the time line.
+func (d *Daemon) noteOutcome(r *request, a *answer) {
+	if a.outcome == caller.Ran && r.repeatable {
+		return
+	}
+	detail := fmt.Sprintf("%s %s %s", r.service, a.outcome, a.reason)
+	d.process.Event(&wire.TimelineEvent{Kind: "request", Request: r.id, Detail: detail})
+}
+
+// copyRest copies the rest of an answer of which some bytes are written.
+func (d *Daemon) copyRest(ctx context.Context, w io.Writer, r *request, a *answer, written int64) error {
+	etag := a.resumable(r)
+	buffer := make([]byte, copyBuffer)
+	for attempt := 1; ; attempt++ {
+		n, err := io.CopyBuffer(onlyWriter{w}, a.stream, buffer)
+		written += n
+		_ = a.stream.Close()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		if etag == "" || attempt >= maxResumes {
+			return err
+		}
+		next, resumeErr := d.resume(ctx, r, written, etag)
+		if resumeErr != nil {
+			return errors.Join(err, resumeErr)
+		}
+		n2, err := w.Write(next.body)
+		written += int64(n2)
+		if err != nil || next.stream == nil {
+			next.discard()
+			return err
+		}
+		a = next
+	}
+}
+
+// maxResumes bounds how often one answer is continued.
+const maxResumes = 4
+
+// onlyWriter hides the other methods of a response writer, so that io.Copy
+// uses the given buffer and tells a failed read by its error.
+type onlyWriter struct{ io.Writer }
+
+func (d *Daemon) resume(ctx context.Context, r *request, offset int64, etag string) (*answer, error) {
+	next := d.dispatch(ctx, r.withRange(offset, etag))
+	if next.outcome != caller.Ran || !next.continues(offset, etag) {
+		next.discard()
+		return nil, fmt.Errorf("the rest from byte %d can't be had: %s %s", offset, next.outcome, next.reason)
+	}
+	d.retries.WithLabelValues(r.service).Inc()
+	d.process.Event(&wire.TimelineEvent{Kind: "resumed", Request: r.id, Detail: fmt.Sprintf("from byte %d", offset)})
+	return next, nil
+}
--- /dev/null
+++ b/internal/entry/keys.go
@@ -0,0 +1,261 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/caller"
+	"ledgesill.dev/ledgesill/pkg/requestkey"
+	"ledgesill.dev/ledgesill/pkg/settings"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+const (
+	maxKeys        = 200_000
+	witnessTimeout = 500 * time.Millisecond
+	// resultTries is how often the end of a key is sent to the witness.
+	resultTries = 3
+)
+
+// keys hosts the owner of this box's request keys and the witness of others.
+type keys struct {
+	box *Daemon
+
+	mu      sync.Mutex
+	owner   *requestkey.Owner
+	witness *requestkey.Witness
+	token   uint64
+	waiting map[uint64]chan requestkey.Reply
+	begun   map[uint64]*request
+}
+
+func newKeys(d *Daemon) *keys {
+	keep := settings.Tree{}.Values(settings.Path{}).KeyKeep
+	return &keys{
+		box: d,
+		owner: requestkey.NewOwner(requestkey.OwnerConfig{
+			Name:        d.config.Name,
+			Incarnation: d.process.Incarnation,
+			Keep:        keep,
+			MaxKeys:     maxKeys,
+		}),
+		witness: requestkey.NewWitness(d.config.Name, d.process.Incarnation, keep, maxKeys),
+		waiting: make(map[uint64]chan requestkey.Reply),
+		begun:   make(map[uint64]*request),
+	}
+}
+
+func (k *keys) len() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.owner.Len()
+}
+
+// scope issues a scope for request keys.
+func (k *keys) scope() string {
+	s := requestkey.Scope{Owner: k.box.config.Name, OwnerIncarnation: k.box.process.Incarnation, IssuedAt: time.Now()}
+	if w, ok := k.box.peers.witness(); ok {
+		s.Witness = w.name
+		s.WitnessIncarnation = w.incarnation
+	}
+	return s.String()
+}
+
+// testify answers another box's questions as its witness.
+func (k *keys) testify(m *wire.WitnessRequest) *wire.WitnessAnswer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.witness.Handle(time.Now(), m)
+}
+
+// serve runs a request that carries a key, or returns what became of it.
+func (k *keys) serve(ctx context.Context, r *request) *answer {
+	key, err := requestkey.Parse(r.key)
+	if err != nil {
+		return invalid(err)
+	}
+	if key.Scope.Owner != k.box.config.Name {
+		return k.atOwner(ctx, key, r)
+	}
+	if key.Scope.OwnerIncarnation != k.box.process.Incarnation {
+		return k.askWitness(ctx, key, r)
+	}
+	return k.begin(ctx, key, r)
+}
+
+// atOwner passes a request to the owner of its key. If the owner can't be
+// reached, or its answer is lost, the witness is asked.
+func (k *keys) atOwner(ctx context.Context, key requestkey.Key, r *request) *answer {
+	b, ok := k.box.current.Load().boxes[key.Scope.Owner]
+	if !ok || r.hops >= maxHops {
+		return k.askWitness(ctx, key, r)
+	}
+	a := k.box.forward(ctx, b, r)
+	if a.outcome == caller.Ran || a.header != nil {
+		return a
+	}
+	return k.askWitness(ctx, key, r)
+}
+
+// begin hands a request to the owner machine and waits for its answer.
+func (k *keys) begin(ctx context.Context, key requestkey.Key, r *request) *answer {
+	reply := make(chan requestkey.Reply, 1)
+	k.mu.Lock()
+	k.token++
+	e := requestkey.Begin{Token: k.token, Key: key, Digest: r.digest()}
+	k.waiting[e.Token] = reply
+	k.begun[e.Token] = r
+	k.handle(e)
+	k.mu.Unlock()
+	defer k.leave(e)
+	select {
+	case got := <-reply:
+		return k.answer(got)
+	case <-ctx.Done():
+		return unknown("the caller left while the request may run")
+	}
+}
+
+func (k *keys) leave(e requestkey.Begin) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.waiting, e.Token)
+	k.handle(requestkey.Leave{Key: e.Key, Token: e.Token})
+}
+
+func (k *keys) answer(r requestkey.Reply) *answer {
+	switch r.State {
+	case wire.KeyState_KEY_STATE_RAN:
+		return fromStored(r.Answer)
+	case wire.KeyState_KEY_STATE_NOT_RUN:
+		return refusal(r.Reason, minRetryAfter)
+	}
+	return unknown(r.Reason)
+}
+
+// handle gives an event to the owner machine and carries out what it asks for.
+// The lock is held.
+func (k *keys) handle(e requestkey.Event) {
+	out := k.owner.Handle(time.Now(), e)
+	for _, r := range out.Reply {
+		if reply, ok := k.waiting[r.Token]; ok {
+			delete(k.waiting, r.Token)
+			reply <- r
+		}
+	}
+	if out.Record != nil {
+		go k.record(out.Record)
+	}
+	if out.Run != nil {
+		r := k.begun[out.Run.Token]
+		go k.run(out.Run.Key, r)
+	}
+	if b, ok := e.(requestkey.Leave); ok {
+		delete(k.begun, b.Token)
+	}
+}
+
+// run makes the one attempt of a key. It goes on if the caller leaves.
+func (k *keys) run(key requestkey.Key, r *request) {
+	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
+	defer cancel()
+	a := k.box.dispatch(ctx, r)
+	if a.stream != nil {
+		a = readWhole(a)
+	}
+	f := requestkey.Finished{Key: key}
+	switch a.outcome {
+	case caller.Ran:
+		f.State = wire.KeyState_KEY_STATE_RAN
+		f.Answer = a.stored()
+	case caller.NotRun:
+		f.State = wire.KeyState_KEY_STATE_NOT_RUN
+	default:
+		f.State = wire.KeyState_KEY_STATE_UNKNOWN
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.handle(f)
+}
+
+// readWhole reads the rest of a large answer, since an answer under a key is
+// given whole to every arrival that waits for it.
+func readWhole(a *answer) *answer {
+	defer a.discard()
+	rest, err := io.ReadAll(io.LimitReader(a.stream, maxBody))
+	if err != nil {
+		return unknown("the answer broke off")
+	}
+	whole := *a
+	whole.stream = nil
+	whole.body = append(whole.body, rest...)
+	return &whole
+}
+
+// record tells the witness of a key and, if it is about the start, the owner
+// machine what the witness said.
+func (k *keys) record(m *wire.WitnessRequest) {
+	key, err := requestkey.Parse(m.Key)
+	if err != nil {
+		return
+	}
+	starts := m.State == wire.KeyState_KEY_STATE_STARTED
+	tries := resultTries
+	if starts {
+		tries = 1
+	}
+	var a *wire.WitnessAnswer
+	for range tries {
+		if a, err = k.ask(context.Background(), key, m); err == nil {
+			break
+		}
+	}
+	if !starts {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.handle(requestkey.Witnessed{Key: key, Failed: err != nil, Refused: err == nil && a.Refused})
+}
+
+func (k *keys) ask(ctx context.Context, key requestkey.Key, m *wire.WitnessRequest) (*wire.WitnessAnswer, error) {
+	if key.Scope.Witness == k.box.config.Name {
+		return k.testify(m), nil
+	}
+	b, ok := k.box.current.Load().boxes[key.Scope.Witness]
+	if !ok {
+		return nil, errNoAddress
+	}
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	a, err := k.box.node.Call(ctx, b.PeerAddress, &wire.CallRequest{Witness: m})
+	if err != nil {
+		return nil, err
+	}
+	if a.Witness == nil {
+		return nil, errors.New("the witness gave no answer")
+	}
+	return a.Witness, nil
+}
+
+// askWitness answers a resend whose owner has died or can't be reached.
+func (k *keys) askWitness(ctx context.Context, key requestkey.Key, r *request) *answer {
+	if key.Scope.Witness == "" {
+		return unknown("the entry box of the key is gone and no other knew of the request")
+	}
+	m := &wire.WitnessRequest{Action: wire.WitnessRequest_ACTION_ASK, Key: r.key, Digest: r.digest()}
+	a, err := k.ask(ctx, key, m)
+	if err != nil {
+		return unknown("neither the entry box of the key nor its witness can be reached")
+	}
+	switch a.State {
+	case wire.KeyState_KEY_STATE_RAN:
+		return fromStored(a.Answer)
+	case wire.KeyState_KEY_STATE_ABSENT, wire.KeyState_KEY_STATE_NOT_RUN:
+		return refusal("it did not run; look up again for a new key scope", minRetryAfter)
+	}
+	return unknown("the entry box of the key is gone and the request may have run")
+}
--- /dev/null
+++ b/internal/entry/pool.go
@@ -0,0 +1,307 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/admission"
+	"ledgesill.dev/ledgesill/pkg/lease"
+	"ledgesill.dev/ledgesill/pkg/lookup"
+	"ledgesill.dev/ledgesill/pkg/settings"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// poolMessage is one input of a pool's loop.
+type poolMessage interface{ pool() }
+
+type poolEvent struct{ event admission.Event }
+
+type poolArrival struct {
+	arrive admission.Arrive
+	reply  chan<- admitted
+}
+
+type poolSettings struct {
+	service settings.Service
+	zone    settings.Zone
+	leaving map[string]bool
+}
+
+type poolLeaseAnswer struct{ answer *wire.LeaseAnswer }
+
+type poolLook struct{ reply chan<- poolView }
+
+type poolRelease struct{ done chan<- struct{} }
+
+func (poolEvent) pool()       {}
+func (poolArrival) pool()     {}
+func (poolSettings) pool()    {}
+func (poolLeaseAnswer) pool() {}
+func (poolLook) pool()        {}
+func (poolRelease) pool()     {}
+
+// admitted is the answer to an arrival: a grant or a refusal.
+type admitted struct {
+	target  string
+	address string
+	refused *admission.Refusal
+}
+
+type poolView struct {
+	load     admission.Load
+	held     bool
+	draining int
+	// targets maps names to addresses.
+	targets map[string]string
+	values  settings.Values
+}
+
+// pool hosts the admission and the lease of one service in the box's zone. Its
+// loop owns the machines.
+type pool struct {
+	service   string
+	box       string
+	admission *admission.Pool
+	lease     *lease.Holder
+	holderID  string
+	seed      uint64
+
+	inbox    chan poolMessage
+	waiting  map[uint64]chan<- admitted
+	targets  map[string]string
+	draining int
+	values   settings.Values
+	held     bool
+	resting  bool
+
+	ask     func([]lease.Request)
+	changed func(held bool)
+	refused func(admission.Reason)
+}
+
+const poolInbox = 4096
+
+func newPool(service, box, incarnation string, seed uint64) *pool {
+	return &pool{
+		service:   service,
+		box:       box,
+		holderID:  incarnation,
+		seed:      seed,
+		admission: admission.NewPool(seed),
+		inbox:     make(chan poolMessage, poolInbox),
+		waiting:   make(map[uint64]chan<- admitted),
+	}
+}
+
+// run is the loop. It returns when the context ends.
+func (p *pool) run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var wake time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			wake = p.handle(poolEvent{admission.Tick{}})
+		case m := <-p.inbox:
+			wake = p.handle(m)
+		}
+		timer.Reset(max(time.Until(wake), 0))
+	}
+}
+
+// handle takes one message and returns when the loop must wake.
+func (p *pool) handle(m poolMessage) time.Time {
+	now := time.Now()
+	switch m := m.(type) {
+	case poolEvent:
+		if c, ok := m.event.(admission.Cancel); ok {
+			delete(p.waiting, c.ID)
+		}
+		return p.carryOut(now, p.admission.Handle(now, m.event))
+	case poolArrival:
+		p.waiting[m.arrive.ID] = m.reply
+		return p.carryOut(now, p.admission.Handle(now, m.arrive))
+	case poolSettings:
+		return p.carryOut(now, p.configure(now, m))
+	case poolLeaseAnswer:
+		p.lease.Answer(now, m.answer)
+		return p.carryOut(now, p.admission.Handle(now, p.hold()))
+	case poolRelease:
+		p.release(m.done)
+	case poolLook:
+		m.reply <- poolView{load: p.admission.Load(now), held: p.held, draining: p.draining, targets: p.targets, values: p.values}
+	}
+	return p.carryOut(now, p.admission.Handle(now, admission.Tick{}))
+}
+
+func (p *pool) hold() admission.Hold {
+	if p.lease == nil || p.resting {
+		return admission.Hold{}
+	}
+	return admission.Hold{Until: p.lease.Until()}
+}
+
+// release stops granting and, when nothing runs any more, gives the lease up.
+func (p *pool) release(done chan<- struct{}) {
+	p.resting = true
+	now := time.Now()
+	p.carryOut(now, p.admission.Handle(now, admission.Hold{}))
+	if p.admission.Load(now).Busy > 0 {
+		return
+	}
+	if p.lease != nil {
+		p.ask(p.lease.Release())
+	}
+	close(done)
+}
+
+func (p *pool) carryOut(now time.Time, out admission.Output) time.Time {
+	for _, g := range out.Grants {
+		p.reply(g.ID, admitted{target: g.Target, address: p.targets[g.Target]})
+	}
+	for _, r := range out.Refusals {
+		p.refused(r.Reason)
+		p.reply(r.ID, admitted{refused: &r})
+	}
+	wake := now.Add(time.Second)
+	if p.lease != nil && !p.resting {
+		if requests := p.lease.Tick(now); len(requests) > 0 {
+			p.ask(requests)
+		}
+		wake = p.lease.Wake()
+	}
+	if held := p.lease != nil && !p.resting && p.lease.Held(now); held != p.held {
+		p.held = held
+		p.changed(held)
+	}
+	if !out.Wake.IsZero() && out.Wake.Before(wake) {
+		wake = out.Wake
+	}
+	return wake
+}
+
+func (p *pool) reply(id uint64, a admitted) {
+	reply, ok := p.waiting[id]
+	if !ok {
+		return
+	}
+	delete(p.waiting, id)
+	reply <- a
+}
+
+// configure puts settings in force and follows changes of the lease's voters.
+func (p *pool) configure(now time.Time, m poolSettings) admission.Output {
+	s := m.service
+	p.values = s.Values
+	p.targets = make(map[string]string, len(s.Targets))
+	p.draining = 0
+	e := admission.Configure{Config: admissionConfig(s, p.seed)}
+	for _, g := range s.Targets {
+		p.targets[g.Name] = g.Address
+		draining := g.Draining || m.leaving[g.Address]
+		if draining {
+			p.draining++
+		}
+		e.Targets = append(e.Targets, admission.Target{Name: g.Name, Draining: draining})
+	}
+	p.configureLease(now, s, m.zone)
+	out := p.admission.Handle(now, e)
+	return out
+}
+
+func (p *pool) configureLease(now time.Time, s settings.Service, z settings.Zone) {
+	rank := 0
+	for i, b := range lookup.Candidates(s.Name, z) {
+		if b.Name == p.box {
+			rank = i
+		}
+	}
+	if p.lease != nil {
+		p.lease.Reconfigure(z.Voters(), rank, s.Values.Lease)
+		return
+	}
+	p.lease = lease.NewHolder(now, lease.Config{
+		Pool:        poolName(s.Name, z.Name),
+		Name:        p.box,
+		Incarnation: p.holderID,
+		Voters:      z.Voters(),
+		Rank:        rank,
+		Duration:    s.Values.Lease,
+		Seed:        p.seed,
+	})
+}
+
+func poolName(service, zone string) string { return service + "@" + zone }
+
+func admissionConfig(s settings.Service, seed uint64) admission.Config {
+	v := s.Values
+	c := admission.Config{
+		RoundRobin:         v.Policy == settings.RoundRobin,
+		Slots:              min(s.Slots, s.Connections),
+		ReserveShare:       v.ReserveShare,
+		QueueLimit:         v.QueueLimit,
+		QueueWait:          v.QueueWait,
+		ForeignShare:       v.ShiftCapShare,
+		Ramp:               v.Ramp,
+		EjectAfterFailures: v.EjectAfterFailures,
+		EjectShare:         v.EjectShare,
+		EjectFor:           v.EjectFor,
+		LongestRequest:     v.RequestTimeout,
+		Seed:               seed,
+	}
+	class := admission.Repeatable
+	switch v.RefuseFirst {
+	case settings.Unrepeatable:
+		class = admission.Unrepeatable
+		c.RefuseFirst = &class
+	case settings.Repeatable:
+		c.RefuseFirst = &class
+	}
+	if c.RoundRobin {
+		c.ReserveShare = 0
+	}
+	return c
+}
+
+// admit waits for a slot or a refusal.
+func (p *pool) admit(ctx context.Context, a admission.Arrive) (admitted, error) {
+	reply := make(chan admitted, 1)
+	select {
+	case p.inbox <- poolArrival{a, reply}:
+	case <-ctx.Done():
+		return admitted{}, ctx.Err()
+	}
+	select {
+	case got := <-reply:
+		return got, nil
+	case <-ctx.Done():
+	}
+	// The caller left: take the arrival back, or end the grant that was on its
+	// way.
+	p.inbox <- poolEvent{admission.Cancel{ID: a.ID}}
+	p.inbox <- poolEvent{admission.Finish{ID: a.ID, Result: admission.Canceled}}
+	return admitted{}, ctx.Err()
+}
+
+func (p *pool) finish(f admission.Finish) { p.inbox <- poolEvent{f} }
+
+func (p *pool) look(ctx context.Context) (poolView, error) {
+	reply := make(chan poolView, 1)
+	select {
+	case p.inbox <- poolLook{reply}:
+	case <-ctx.Done():
+		return poolView{}, ctx.Err()
+	}
+	select {
+	case v := <-reply:
+		return v, nil
+	case <-ctx.Done():
+		return poolView{}, ctx.Err()
+	}
+}
+
+// admissionIsBaseline reports whether the pool runs the baseline policy, which
+// has no retries.
+func admissionIsBaseline(v poolView) bool { return v.values.Policy == settings.RoundRobin }
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ledgesill.dev/ledgesill/pkg/admission"
+	"ledgesill.dev/ledgesill/pkg/caller"
+)
+
+// Headers between entry boxes.
+const (
+	headerHops    = "Ledgesill-Hops"
+	headerForeign = "Ledgesill-Foreign"
+)
+
+const (
+	maxBody = 8 << 20
+	// maxHops bounds how often a request goes from box to box: to the owner of
+	// its key, to another zone, and to the holder of the pool there.
+	maxHops = 3
+)
+
+// request is one request of a caller, as read from HTTP.
+type request struct {
+	id         string
+	service    string
+	method     string
+	path       string // path and query at the target
+	header     http.Header
+	body       []byte
+	repeatable bool
+	deadline   time.Time
+	home       string
+	block      string
+	key        string
+	hops       int
+	// foreign is set by the box that took the request from its caller.
+	foreign    bool
+	foreignSet bool
+}
+
+// requestError says what is wrong with a request; it did not run.
+type requestError struct {
+	status int
+	text   string
+}
+
+// Error implements error.
+func (e *requestError) Error() string { return e.text }
+
+func badRequest(format string, args ...any) *requestError {
+	return &requestError{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+}
+
+// readRequest reads a request and its whole body.
+func readRequest(now time.Time, h *http.Request, defaultTimeout func(service string) time.Duration) (*request, error) {
+	rest := strings.TrimPrefix(h.URL.Path, caller.ServicePrefix)
+	service, _, _ := strings.Cut(rest, "/")
+	if service == "" {
+		return nil, badRequest("the path must be %sservice/path", caller.ServicePrefix)
+	}
+	r := &request{
+		id:      h.Header.Get(caller.HeaderRequestID),
+		service: service,
+		method:  h.Method,
+		path:    strings.TrimPrefix(h.URL.RequestURI(), caller.ServicePrefix+service),
+		header:  h.Header.Clone(),
+		home:    h.Header.Get(caller.HeaderHome),
+		block:   h.Header.Get(caller.HeaderBlock),
+		key:     h.Header.Get(caller.HeaderKey),
+	}
+	if r.path == "" || r.path[0] != '/' {
+		r.path = "/" + r.path
+	}
+	var err error
+	if r.repeatable, err = readRepeatable(h); err != nil {
+		return nil, err
+	}
+	timeout, err := readMillis(h, caller.HeaderDeadline, defaultTimeout(service))
+	if err != nil {
+		return nil, err
+	}
+	r.deadline = now.Add(timeout)
+	if hops := h.Header.Get(headerHops); hops != "" {
+		if r.hops, err = strconv.Atoi(hops); err != nil {
+			return nil, badRequest("header %s: %q is not a number", headerHops, hops)
+		}
+	}
+	if foreign := h.Header.Get(headerForeign); foreign != "" {
+		r.foreign = foreign == "true"
+		r.foreignSet = true
+	}
+	return r, r.readBody(h)
+}
+
+func (r *request) readBody(h *http.Request) error {
+	body, err := io.ReadAll(io.LimitReader(h.Body, maxBody+1))
+	if err != nil {
+		return badRequest("the body is cut short: %v", err)
+	}
+	if len(body) > maxBody {
+		return &requestError{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body has more than %d bytes", maxBody)}
+	}
+	r.body = body
+	return nil
+}
+
+func readRepeatable(h *http.Request) (bool, error) {
+	switch v := h.Header.Get(caller.HeaderRepeatable); v {
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	case "":
+		return h.Method == http.MethodGet || h.Method == http.MethodHead || h.Method == http.MethodOptions, nil
+	default:
+		return false, badRequest("header %s: %q is not true or false", caller.HeaderRepeatable, v)
+	}
+}
+
+func readMillis(h *http.Request, header string, otherwise time.Duration) (time.Duration, error) {
+	text := h.Header.Get(header)
+	if text == "" {
+		return otherwise, nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || millis <= 0 {
+		return 0, badRequest("header %s: %q is not a positive number of milliseconds", header, text)
+	}
+	return time.Duration(millis) * time.Millisecond, nil
+}
+
+func (r *request) class() admission.Class {
+	if r.repeatable {
+		return admission.Repeatable
+	}
+	return admission.Unrepeatable
+}
+
+// digest tells a resend from another request under the same key.
+func (r *request) digest() uint64 {
+	d := xxhash.New()
+	fmt.Fprintf(d, "%s\n%s\n%s\n%d\n", r.service, r.method, r.path, len(r.body))
+	_, _ = d.Write(r.body) // a hash takes every write
+	return d.Sum64()
+}
+
+// withRange returns the request for the rest of an answer from an offset.
+func (r *request) withRange(offset int64, etag string) *request {
+	next := *r
+	next.header = r.header.Clone()
+	next.header.Set("Range", fmt.Sprintf("bytes=%d-", offset))
+	next.header.Set("If-Range", etag)
+	return &next
+}
+
+// own are the headers of the system, which do not go to targets.
+var own = []string{
+	caller.HeaderKey, caller.HeaderRepeatable, caller.HeaderHome, caller.HeaderBlock, headerHops, headerForeign,
+}
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// replayTriggers are headers that make the transport send a request again by
+// itself; they go out in lower case, which the transport does not look at.
+var replayTriggers = []string{"Idempotency-Key", "X-Idempotency-Key"}
+
+// toTarget returns the HTTP request for a target.
+func (r *request) toTarget(address string) (*http.Request, error) {
+	h, err := http.NewRequest(r.method, "http://"+address+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return nil, fmt.Errorf("making the request for the target: %w", err)
+	}
+	h.Header = r.header.Clone()
+	for _, name := range own {
+		h.Header.Del(name)
+	}
+	for _, name := range hopByHop {
+		h.Header.Del(name)
+	}
+	r.finish(h)
+	return h, nil
+}
+
+// toPeer returns the HTTP request for another entry box.
+func (r *request) toPeer() (*http.Request, error) {
+	h, err := http.NewRequest(r.method, "http://peer"+caller.ServicePrefix+r.service+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return nil, fmt.Errorf("making the request for another entry box: %w", err)
+	}
+	h.Header = r.header.Clone()
+	for _, name := range hopByHop {
+		h.Header.Del(name)
+	}
+	h.Header.Set(headerHops, strconv.Itoa(r.hops+1))
+	h.Header.Set(headerForeign, strconv.FormatBool(r.foreign))
+	h.Header.Set(caller.HeaderRepeatable, strconv.FormatBool(r.repeatable))
+	r.finish(h)
+	return h, nil
+}
+
+func (r *request) finish(h *http.Request) {
+	h.ContentLength = int64(len(r.body))
+	if len(r.body) == 0 {
+		h.Body = http.NoBody
+	}
+	h.Header.Set(caller.HeaderDeadline, strconv.FormatInt(max(time.Until(r.deadline).Milliseconds(), 1), 10))
+	h.Header.Set(caller.HeaderRequestID, r.id)
+	if r.repeatable {
+		return
+	}
+	h.GetBody = nil
+	for _, name := range replayTriggers {
+		if v, ok := h.Header[name]; ok {
+			delete(h.Header, name)
+			h.Header[strings.ToLower(name)] = v
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/stopping.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"ledgesill.dev/ledgesill/pkg/drain"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+const (
+	stopPoll = 20 * time.Millisecond
+	// ttlMargin is added to the time for which callers may use old answers.
+	ttlMargin = 500 * time.Millisecond
+)
+
+// stopping hosts the planned stop of this box.
+type stopping struct {
+	mu   sync.Mutex
+	stop drain.Stop
+}
+
+func (s *stopping) begun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stop.Phase() != drain.Serving
+}
+
+// enter counts a request in unless new ones are refused.
+func (s *stopping) enter(inFlight *atomic.Int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stop.Phase() >= drain.Refusing {
+		return false
+	}
+	inFlight.Add(1)
+	return true
+}
+
+func (s *stopping) begin(ttl, longest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stop.Begin(time.Now(), ttl, longest)
+}
+
+func (s *stopping) update(inFlight *atomic.Int64) drain.Phase {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	phase, _ := s.stop.Update(time.Now(), int(inFlight.Load()))
+	return phase
+}
+
+func (s *stopping) progress() drain.Progress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stop.Progress(time.Now())
+}
+
+// stopAsPlanned leaves the look-ups, serves until cached answers have run out,
+// refuses new requests and waits for those in flight.
+func (d *Daemon) stopAsPlanned() {
+	f := d.current.Load()
+	var ttl, longest time.Duration
+	for _, service := range f.tree.Services() {
+		for _, z := range f.tree.Zones() {
+			v := f.tree.Service(z.Region, z.Name, service).Values
+			ttl = max(ttl, v.AnswerTTL)
+			longest = max(longest, v.RequestTimeout)
+		}
+	}
+	d.stop.begin(ttl+ttlMargin, longest)
+	last := drain.Serving
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for {
+		phase := d.stop.update(&d.inFlight)
+		if phase != last {
+			last = phase
+			p := d.stop.progress()
+			detail := fmt.Sprintf("%s after %s with %d in flight, at most %s left", phase, p.Since.Round(time.Millisecond), p.InFlight, p.Remaining.Round(time.Millisecond))
+			d.process.StateChange(&wire.TimelineEvent{Kind: "stop", Box: d.config.Name, Detail: detail})
+		}
+		if phase == drain.Ended {
+			return
+		}
+		<-ticker.C
+	}
+}
+
+// releasePools gives up the leases once nothing runs under them.
+func (d *Daemon) releasePools() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	for _, p := range d.poolList() {
+		for ctx.Err() == nil && !released(ctx, p) {
+			time.Sleep(stopPoll)
+		}
+	}
+	// The releases are sent by workers of their own; give them a moment.
+	time.Sleep(releaseGrace)
+}
+
+const releaseGrace = 100 * time.Millisecond
+
+func released(ctx context.Context, p *pool) bool {
+	done := make(chan struct{})
+	select {
+	case p.inbox <- poolRelease{done}:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-time.After(stopPoll):
+		return false
+	}
+}
+
+// serveOperators serves metrics and the progress of a stop.
+func (d *Daemon) serveOperators(ctx context.Context) error {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithoutBanner, iris.WithoutStartupLog)
+	app.Get("/metrics", iris.FromStd(promhttp.HandlerFor(d.process.Metrics, promhttp.HandlerOpts{})))
+	app.Get("/v1/status", d.getStatus)
+	if err := app.Build(); err != nil {
+		return fmt.Errorf("building the operators' interface: %w", err)
+	}
+	server := &http.Server{Handler: app, ReadHeaderTimeout: readHeaderTimeout}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(d.operators) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	err := server.Shutdown(shutdown)
+	<-ended
+	return err
+}
+
+// boxStatus is what an entry box says of itself to operators.
+type boxStatus struct {
+	Name            string `json:"name"`
+	Zone            string `json:"zone"`
+	Version         uint64 `json:"version"`
+	AgeMillis       int64  `json:"ageMillis"`
+	Phase           string `json:"phase"`
+	InFlight        int    `json:"inFlight"`
+	RemainingMillis int64  `json:"remainingMillis"`
+}
+
+func (d *Daemon) getStatus(c iris.Context) {
+	p := d.stop.progress()
+	_ = c.JSON(boxStatus{ // the client sees a broken answer
+		Name:            d.config.Name,
+		Zone:            d.config.Zone,
+		Version:         d.current.Load().state.Version(),
+		AgeMillis:       d.following.age().Milliseconds(),
+		Phase:           p.Phase.String(),
+		InFlight:        int(d.inFlight.Load()),
+		RemainingMillis: p.Remaining.Milliseconds(),
+	})
+}
--- /dev/null
+++ b/internal/link/node.go
@@ -0,0 +1,428 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"ledgesill.dev/ledgesill/pkg/timeline"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+const (
+	dialTimeout       = 500 * time.Millisecond
+	writeTimeout      = 2 * time.Second
+	keepAliveInterval = 2 * time.Second
+	helloTimeout      = 2 * time.Second
+	// maxStreams bounds the streams that one peer may have open.
+	maxStreams = 4096
+)
+
+// Identity is who this process says it is.
+type Identity struct {
+	Name        string
+	Incarnation string
+}
+
+// Handlers serve the streams that other processes open. Each returns when its
+// stream has ended; a nil handler refuses.
+type Handlers struct {
+	Consensus func(ctx context.Context, from string, m *Messages)
+	Subscribe func(ctx context.Context, from string, m *Messages)
+	Call      func(ctx context.Context, from string, request *wire.CallRequest) *wire.CallAnswer
+	// Forward takes over a stream that carries HTTP.
+	Forward func(c net.Conn)
+}
+
+// Traffic counts the bytes of all streams of a node.
+type Traffic struct {
+	Sent     atomic.Uint64
+	Received atomic.Uint64
+}
+
+// Node is the end of all links of one process.
+type Node struct {
+	identity Identity
+	clock    *timeline.Clock
+	handlers Handlers
+	tls      func() (*tls.Config, error)
+	listener net.Listener
+
+	// Control counts the bytes between processes, less forwarded requests,
+	// which have sessions of their own and are counted by Forwarded.
+	Control   Traffic
+	Forwarded Traffic
+
+	mu       sync.Mutex
+	sessions map[sessionKey]*dialled
+	accepted map[*yamux.Session]bool
+	closed   bool
+	running  sync.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// sessionKey names a session that this node dials.
+type sessionKey struct {
+	address string
+	use     sessionUse
+}
+
+// sessionUse is the first byte of a connection.
+type sessionUse byte
+
+const (
+	useControl sessionUse = 'c'
+	useForward sessionUse = 'f'
+)
+
+func (n *Node) traffic(use sessionUse) *Traffic {
+	if use == useForward {
+		return &n.Forwarded
+	}
+	return &n.Control
+}
+
+// dialled is one session that this node opens; its lock keeps two callers from
+// dialling at once.
+type dialled struct {
+	mu      sync.Mutex
+	session *yamux.Session
+}
+
+// ErrClosed is returned by a closed node.
+var ErrClosed = errors.New("the node is closed")
+
+// Listen returns a node that listens on an address. If tls is not nil, its
+// configuration is fetched for every connection, so that keys can be renewed.
+func Listen(address string, id Identity, clock *timeline.Clock, h Handlers, tls func() (*tls.Config, error)) (*Node, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listening for other processes: %w", err)
+	}
+	n := newNode(id, clock, h, tls)
+	n.listener = l
+	n.running.Add(1)
+	go n.accept()
+	return n, nil
+}
+
+// Dialer returns a node that only dials, for operators' commands.
+func Dialer(id Identity, clock *timeline.Clock, tls func() (*tls.Config, error)) *Node {
+	return newNode(id, clock, Handlers{}, tls)
+}
+
+func newNode(id Identity, clock *timeline.Clock, h Handlers, tls func() (*tls.Config, error)) *Node {
+	n := &Node{
+		identity: id,
+		clock:    clock,
+		handlers: h,
+		tls:      tls,
+		sessions: make(map[sessionKey]*dialled),
+		accepted: make(map[*yamux.Session]bool),
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	return n
+}
+
+func sessionConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.LogOutput = io.Discard
+	c.KeepAliveInterval = keepAliveInterval
+	c.ConnectionWriteTimeout = writeTimeout
+	c.AcceptBacklog = maxStreams
+	return c
+}
+
+func (n *Node) accept() {
+	defer n.running.Done()
+	for {
+		c, err := n.listener.Accept()
+		if err != nil {
+			return
+		}
+		n.running.Add(1)
+		go n.serve(c)
+	}
+}
+
+func (n *Node) serve(c net.Conn) {
+	defer n.running.Done()
+	c, err := n.secureServer(c)
+	if err != nil {
+		return
+	}
+	use := make([]byte, 1)
+	_ = c.SetReadDeadline(time.Now().Add(helloTimeout))
+	if _, err := io.ReadFull(c, use); err != nil {
+		_ = c.Close()
+		return
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	s, err := yamux.Server(&counted{Conn: c, traffic: n.traffic(sessionUse(use[0]))}, sessionConfig())
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	if !n.keep(s) {
+		return
+	}
+	defer n.forget(s)
+	for {
+		stream, err := s.Accept()
+		if err != nil {
+			return
+		}
+		n.running.Add(1)
+		go n.serveStream(stream)
+	}
+}
+
+func (n *Node) secureServer(c net.Conn) (net.Conn, error) {
+	if n.tls == nil {
+		return c, nil
+	}
+	config, err := n.tls()
+	if err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	secured := tls.Server(c, config)
+	ctx, cancel := context.WithTimeout(n.ctx, helloTimeout)
+	defer cancel()
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	return secured, nil
+}
+
+func (n *Node) keep(s *yamux.Session) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		_ = s.Close()
+		return false
+	}
+	n.accepted[s] = true
+	return true
+}
+
+func (n *Node) forget(s *yamux.Session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.accepted, s)
+	_ = s.Close()
+}
+
+func (n *Node) serveStream(stream net.Conn) {
+	defer n.running.Done()
+	m := newMessages(stream)
+	hello := &wire.StreamHello{}
+	_ = stream.SetReadDeadline(time.Now().Add(helloTimeout))
+	if err := m.Read(hello); err != nil {
+		_ = stream.Close()
+		return
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	n.clock.Observe(hello.Clock)
+	switch {
+	case hello.Kind == wire.StreamHello_KIND_CONSENSUS && n.handlers.Consensus != nil:
+		n.handlers.Consensus(n.ctx, hello.From, m)
+	case hello.Kind == wire.StreamHello_KIND_SUBSCRIBE && n.handlers.Subscribe != nil:
+		n.handlers.Subscribe(n.ctx, hello.From, m)
+	case hello.Kind == wire.StreamHello_KIND_CALL && n.handlers.Call != nil:
+		n.serveCall(hello.From, m)
+	case hello.Kind == wire.StreamHello_KIND_FORWARD && n.handlers.Forward != nil:
+		n.handlers.Forward(&readAhead{Conn: stream, reader: m.reader})
+		return
+	}
+	_ = stream.Close()
+}
+
+func (n *Node) serveCall(from string, m *Messages) {
+	request := &wire.CallRequest{}
+	if err := m.Read(request); err != nil {
+		return
+	}
+	n.clock.Observe(request.Clock)
+	answer := n.handlers.Call(n.ctx, from, request)
+	answer.Clock = n.clock.Stamp()
+	_ = m.Write(answer) // the caller sees a broken stream
+}
+
+// open opens a stream of a kind to the process at an address.
+func (n *Node) open(ctx context.Context, address string, kind wire.StreamHello_Kind) (net.Conn, *Messages, error) {
+	use := useControl
+	if kind == wire.StreamHello_KIND_FORWARD {
+		use = useForward
+	}
+	s, err := n.session(ctx, sessionKey{address, use})
+	if err != nil {
+		return nil, nil, err
+	}
+	stream, err := s.Open()
+	if err != nil {
+		return nil, nil, fmt.Errorf("opening a stream to %s: %w", address, err)
+	}
+	m := newMessages(stream)
+	hello := &wire.StreamHello{Kind: kind, From: n.identity.Name, Incarnation: n.identity.Incarnation, Clock: n.clock.Stamp()}
+	if err := m.Write(hello); err != nil {
+		return nil, nil, errors.Join(err, stream.Close())
+	}
+	return stream, m, nil
+}
+
+func (n *Node) session(ctx context.Context, key sessionKey) (*yamux.Session, error) {
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return nil, ErrClosed
+	}
+	d := n.sessions[key]
+	if d == nil {
+		d = &dialled{}
+		n.sessions[key] = d
+	}
+	n.mu.Unlock()
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.session != nil && !d.session.IsClosed() {
+		return d.session, nil
+	}
+	c, err := n.dial(ctx, key.address)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := c.Write([]byte{byte(key.use)}); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	s, err := yamux.Client(&counted{Conn: c, traffic: n.traffic(key.use)}, sessionConfig())
+	if err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	if n.ctx.Err() != nil {
+		return nil, errors.Join(ErrClosed, s.Close())
+	}
+	d.session = s
+	return s, nil
+}
+
+func (n *Node) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("reaching %s: %w", address, err)
+	}
+	if n.tls == nil {
+		return c, nil
+	}
+	config, err := n.tls()
+	if err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	config.ServerName, _, _ = net.SplitHostPort(address)
+	secured := tls.Client(c, config)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(fmt.Errorf("securing the link to %s: %w", address, err), c.Close())
+	}
+	return secured, nil
+}
+
+// Consensus opens a stream of consensus messages.
+func (n *Node) Consensus(ctx context.Context, address string) (*Messages, error) {
+	_, m, err := n.open(ctx, address, wire.StreamHello_KIND_CONSENSUS)
+	return m, err
+}
+
+// Subscribe opens a stream of updates and reports.
+func (n *Node) Subscribe(ctx context.Context, address string, s *wire.Subscribe) (*Messages, error) {
+	_, m, err := n.open(ctx, address, wire.StreamHello_KIND_SUBSCRIBE)
+	if err != nil {
+		return nil, err
+	}
+	if err := m.Write(s); err != nil {
+		return nil, errors.Join(err, m.Close())
+	}
+	return m, nil
+}
+
+// Call asks the process at an address one question.
+func (n *Node) Call(ctx context.Context, address string, request *wire.CallRequest) (*wire.CallAnswer, error) {
+	stream, m, err := n.open(ctx, address, wire.StreamHello_KIND_CALL)
+	if err != nil {
+		return nil, err
+	}
+	defer m.Close()
+	if at, ok := ctx.Deadline(); ok {
+		_ = stream.SetDeadline(at)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	request.Clock = n.clock.Stamp()
+	if err := m.Write(request); err != nil {
+		return nil, err
+	}
+	answer := &wire.CallAnswer{}
+	if err := m.Read(answer); err != nil {
+		return nil, err
+	}
+	n.clock.Observe(answer.Clock)
+	if answer.Error != "" {
+		return nil, &RemoteError{Address: address, Text: answer.Error}
+	}
+	return answer, nil
+}
+
+// RemoteError is an error that another process answered with.
+type RemoteError struct {
+	Address string
+	Text    string
+}
+
+// Error implements error.
+func (e *RemoteError) Error() string { return e.Address + " answers: " + e.Text }
+
+// Forward opens a stream that carries HTTP to the process at an address.
+func (n *Node) Forward(ctx context.Context, address string) (net.Conn, error) {
+	c, _, err := n.open(ctx, address, wire.StreamHello_KIND_FORWARD)
+	return c, err
+}
+
+// Close ends all links and waits for the handlers.
+func (n *Node) Close() error {
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return nil
+	}
+	n.closed = true
+	n.cancel()
+	var err error
+	if n.listener != nil {
+		err = n.listener.Close()
+	}
+	for s := range n.accepted {
+		_ = s.Close()
+	}
+	dialled := n.sessions
+	n.mu.Unlock()
+	for _, d := range dialled {
+		d.mu.Lock()
+		if d.session != nil {
+			_ = d.session.Close()
+		}
+		d.mu.Unlock()
+	}
+	n.running.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/operator/types.go
@@ -0,0 +1,197 @@
+// Package operator is the operators' HTTP interface of the control replicas:
+// the bodies that travel and the client of the commands.
+package operator
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Edit sets or unsets one key at one path.
+type Edit struct {
+	Path  string `json:"path"`
+	Key   string `json:"key"`
+	Value string `json:"value,omitempty"`
+	Unset bool   `json:"unset,omitempty"`
+}
+
+// Change is a change of the settings tree.
+type Change struct {
+	ID          string `json:"id"`
+	BaseVersion uint64 `json:"baseVersion"`
+	Edits       []Edit `json:"edits"`
+	Author      string `json:"author,omitempty"`
+}
+
+// Verdicts on a change.
+const (
+	Accepted  = "accepted"
+	Conflict  = "conflict"
+	Invalid   = "invalid"
+	Reused    = "reused"
+	Forgotten = "forgotten"
+)
+
+// Verdict is the answer to a change.
+type Verdict struct {
+	ID      string   `json:"id"`
+	Verdict string   `json:"verdict"`
+	Version uint64   `json:"version"`
+	Clashes []string `json:"clashes,omitempty"`
+	Detail  string   `json:"detail,omitempty"`
+}
+
+// Setting is one key set at one path.
+type Setting struct {
+	Path  string `json:"path"`
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+// Settings is the tree with its version. Fresh is false if the replica could
+// not confirm with a quorum that nothing newer is accepted.
+type Settings struct {
+	Version   uint64    `json:"version"`
+	Fresh     bool      `json:"fresh"`
+	AgeMillis int64     `json:"ageMillis"`
+	Settings  []Setting `json:"settings"`
+}
+
+// HistoryEntry is one accepted change.
+type HistoryEntry struct {
+	ID            string `json:"id"`
+	Version       uint64 `json:"version"`
+	BaseVersion   uint64 `json:"baseVersion"`
+	Author        string `json:"author,omitempty"`
+	TimeUnixMilli int64  `json:"timeUnixMilli"`
+	Edits         []Edit `json:"edits"`
+	Inverse       []Edit `json:"inverse"`
+}
+
+// Replica is one control replica as the leader sees it.
+type Replica struct {
+	ID            string `json:"id"`
+	Address       string `json:"address"`
+	Voter         bool   `json:"voter"`
+	Match         uint64 `json:"match"`
+	SilenceMillis int64  `json:"silenceMillis"`
+}
+
+// Repair is the admission of a replica that came with a new disk.
+type Repair struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Step    string `json:"step"`
+}
+
+// Box is one entry box as control knows it.
+type Box struct {
+	Name         string `json:"name"`
+	Zone         string `json:"zone"`
+	Version      uint64 `json:"version"`
+	Behind       uint64 `json:"behind"`
+	SilentMillis int64  `json:"silentMillis"`
+	// LagMillis is for how long the box has lacked the present version.
+	LagMillis int64  `json:"lagMillis"`
+	Seen      bool   `json:"seen"`
+	Stopping  bool   `json:"stopping,omitempty"`
+	Pools     []Pool `json:"pools,omitempty"`
+}
+
+// Pool is the load of one pool as its lease holder counts it.
+type Pool struct {
+	Service  string `json:"service"`
+	Capacity uint32 `json:"capacity"`
+	Busy     uint32 `json:"busy"`
+	Targets  uint32 `json:"targets"`
+	Draining uint32 `json:"draining"`
+}
+
+// Status is what a control replica knows of the system. NeedsAttention lists
+// what a person should look at, worst first; it is empty when all is well.
+type Status struct {
+	NeedsAttention []string  `json:"needsAttention"`
+	Process        string    `json:"process"`
+	Role           string    `json:"role"`
+	Leader         string    `json:"leader"`
+	CutOff         bool      `json:"cutOff"`
+	Term           uint64    `json:"term"`
+	Commit         uint64    `json:"commit"`
+	Version        uint64    `json:"version"`
+	SettingsAt     uint64    `json:"settingsVersion"`
+	Replicas       []Replica `json:"replicas,omitempty"`
+	Repairs        []Repair  `json:"repairs,omitempty"`
+	Boxes          []Box     `json:"boxes"`
+}
+
+// Shift is a shift of traffic.
+type Shift struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Home    string `json:"home"`
+	From    string `json:"from"`
+	To      string `json:"to"`
+	Points  uint32 `json:"points"`
+	Moved   uint32 `json:"moved"`
+	Steps   int    `json:"steps"`
+	Phase   string `json:"phase"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// Event is one event of the time line.
+type Event struct {
+	TimeUnixMilli int64  `json:"timeUnixMilli"`
+	Logical       uint32 `json:"logical"`
+	Process       string `json:"process"`
+	Sequence      uint64 `json:"sequence"`
+	Kind          string `json:"kind"`
+	Request       string `json:"request,omitempty"`
+	Change        string `json:"change,omitempty"`
+	Shift         string `json:"shift,omitempty"`
+	Box           string `json:"box,omitempty"`
+	Detail        string `json:"detail,omitempty"`
+}
+
+// Timeline is the merged time line. Missing names the processes that did not
+// answer.
+type Timeline struct {
+	Events  []Event  `json:"events"`
+	Missing []string `json:"missing,omitempty"`
+}
+
+// Failure is the body of every error answer.
+type Failure struct {
+	// Code is a short name of the error that does not change.
+	Code string `json:"code"`
+	// Message says what is wrong in words.
+	Message string `json:"message"`
+	// Leader is the operator address to ask instead, if known.
+	Leader string `json:"leader,omitempty"`
+}
+
+// Codes of failures.
+const (
+	CodeNotLeader    = "notLeader"
+	CodeNoQuorum     = "noQuorum"
+	CodeBadRequest   = "badRequest"
+	CodeUnauthorized = "unauthorized"
+	CodeNotKnown     = "outcomeNotKnown"
+	CodeNotFound     = "notFound"
+)
+
+// ParseEdit reads an edit in the form "path key=value" or "path key" for one
+// that unsets the key.
+func ParseEdit(path, assignment string) (Edit, error) {
+	key, value, set := strings.Cut(assignment, "=")
+	if !strings.HasPrefix(path, "/") || key == "" {
+		return Edit{}, fmt.Errorf("edit %q %q: it must be a path that begins with / and key=value, or key- to unset", path, assignment)
+	}
+	if set {
+		return Edit{Path: path, Key: key, Value: value}, nil
+	}
+	name, unset := strings.CutSuffix(key, "-")
+	if !unset {
+		return Edit{}, fmt.Errorf("edit %q %q: it must be key=value, or key- to unset", path, assignment)
+	}
+	return Edit{Path: path, Key: name, Unset: true}, nil
+}
--- /dev/null
+++ b/internal/relay/publishing.go
@@ -0,0 +1,168 @@
+// Package relay serves subscribers with updates of the steering state and
+// collects their reports; control replicas and entry boxes both host it.
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/pkg/distribution"
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// Publishing serves subscribers from a publisher and collects their reports.
+type Publishing struct {
+	mu          sync.Mutex
+	publisher   *distribution.Publisher
+	subscribers map[*subscriber]bool
+	reports     map[string]boxReport
+	age         func() time.Duration
+	stamp       func() *wire.Clock
+}
+
+type subscriber struct{ changed chan struct{} }
+
+type boxReport struct {
+	report *wire.BoxReport
+	at     time.Time
+}
+
+const (
+	// heartbeatInterval is how often a subscriber gets an update that only
+	// tells the age of the word of control.
+	heartbeatInterval = time.Second
+	// forgetReports is when a box that no longer reports is let go.
+	forgetReports = 10 * time.Minute
+)
+
+// NewPublishing returns a publishing of a state. The function age tells how
+// old the word of control is.
+func NewPublishing(s steering.State, age func() time.Duration, stamp func() *wire.Clock) *Publishing {
+	return &Publishing{
+		publisher:   distribution.NewPublisher(s),
+		subscribers: make(map[*subscriber]bool),
+		reports:     make(map[string]boxReport),
+		age:         age,
+		stamp:       stamp,
+	}
+}
+
+// Put publishes the next state.
+func (p *Publishing) Put(s steering.State, commands []*wire.Command) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.publisher.Put(s, commands)
+	for s := range p.subscribers {
+		select {
+		case s.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Serve sends updates to one subscriber until its stream ends.
+func (p *Publishing) Serve(ctx context.Context, m *link.Messages) {
+	request := &wire.Subscribe{}
+	if err := m.Read(request); err != nil {
+		return
+	}
+	s := p.add()
+	defer p.remove(s)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.readReports(m)
+	}()
+	defer func() {
+		_ = m.Close()
+		<-ended
+	}()
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	version := request.Version
+	for {
+		u := p.update(version)
+		if err := m.Write(u); err != nil {
+			return
+		}
+		version = max(version, u.Version)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ended:
+			return
+		case <-s.changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *Publishing) add() *subscriber {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := &subscriber{changed: make(chan struct{}, 1)}
+	p.subscribers[s] = true
+	return s
+}
+
+func (p *Publishing) remove(s *subscriber) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.subscribers, s)
+}
+
+func (p *Publishing) update(version uint64) *wire.Update {
+	age := p.age()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := p.publisher.Update(version, age)
+	u.Clock = p.stamp()
+	return u
+}
+
+func (p *Publishing) readReports(m *link.Messages) {
+	for {
+		r := &wire.Report{}
+		if err := m.Read(r); err != nil {
+			return
+		}
+		p.Collect(r)
+	}
+}
+
+// Collect takes the reports of a subtree. The newest report of a box counts.
+func (p *Publishing) Collect(r *wire.Report) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, b := range r.Boxes {
+		at := now.Add(-time.Duration(b.AgeMilli) * time.Millisecond)
+		if old, ok := p.reports[b.Box]; ok && old.at.After(at) {
+			continue
+		}
+		p.reports[b.Box] = boxReport{b, at}
+	}
+}
+
+// Reports returns the collected reports with their present age.
+func (p *Publishing) Reports() []*wire.BoxReport {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]*wire.BoxReport, 0, len(p.reports))
+	for name, r := range p.reports {
+		if now.Sub(r.at) > forgetReports {
+			delete(p.reports, name)
+			continue
+		}
+		b := proto.CloneOf(r.report)
+		b.AgeMilli = now.Sub(r.at).Milliseconds()
+		out = append(out, b)
+	}
+	return out
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,18 @@
+// Command ledgesill is the traffic steering system: the daemons of control
+// replicas and entry boxes and the commands of operators.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"ledgesill.dev/ledgesill/internal/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(command.Main(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/pkg/distribution/follower.go
@@ -0,0 +1,291 @@
+// Package distribution carries the steering state from the control replicas to
+// every entry box and the boxes' reports back, through relays of bounded
+// degree. Follower and Publisher are state machines without I/O.
+//
+// A Follower has one upstream at a time: its parent in the tree of its zone's
+// boxes or, for the first box, a control replica. When its upstream is lost or
+// has not heard of control for too long it tries the next candidate, last of
+// all the other boxes of its zone, so that a zone that is cut off still agrees
+// on the latest state that any of its boxes has. The state at a box never goes
+// back to a lower version.
+package distribution
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// Degree is the number of children of a relay.
+const Degree = 4
+
+const (
+	// staleAfter is how old the word of control may be before a follower looks
+	// for another upstream.
+	staleAfter = 3 * time.Second
+	// reconsiderAfter is how long a follower stays with an upstream that is
+	// not its first choice.
+	reconsiderAfter = 5 * time.Second
+	minBackOff      = 100 * time.Millisecond
+	maxBackOff      = 2 * time.Second
+	connectTimeout  = time.Second
+)
+
+// Source is a process to subscribe to.
+type Source struct {
+	Name    string
+	Address string
+	Control bool
+}
+
+// Event is one input of a Follower.
+type Event interface{ event() }
+
+// SetSources gives the candidates, best first.
+type SetSources struct{ Sources []Source }
+
+// Opened tells that the subscription asked for is open; Lost that it ended or
+// could not be opened. Attempt is that of the Subscribe.
+type Opened struct{ Attempt uint64 }
+
+// Lost tells that the subscription of an attempt has ended.
+type Lost struct{ Attempt uint64 }
+
+// Received is an update that came by a subscription.
+type Received struct {
+	Attempt uint64
+	Update  *wire.Update
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (SetSources) event() {}
+func (Opened) event()     {}
+func (Lost) event()       {}
+func (Received) event()   {}
+func (Tick) event()       {}
+
+// Subscribe asks the host to end any subscription and open a new one.
+type Subscribe struct {
+	Attempt uint64
+	Source  Source
+	Version uint64
+}
+
+// Output is what to carry out after an event.
+type Output struct {
+	Subscribe *Subscribe
+	// State is to be put in force.
+	State *steering.State
+	// Commands are those that led to State, if all are known.
+	Commands []*wire.Command
+	// Notice is a change of the upstream for the time line.
+	Notice string
+}
+
+// Follower keeps the steering state of one entry box current.
+type Follower struct {
+	random   *rand.Rand
+	state    steering.State
+	sources  []Source
+	current  int
+	attempt  uint64
+	open     bool
+	pending  bool
+	openedAt time.Time
+	deadline time.Time
+	retryAt  time.Time
+	backOff  time.Duration
+	heardAt  time.Time
+	out      Output
+}
+
+// NewFollower returns a follower with the empty state.
+func NewFollower(now time.Time, seed uint64) *Follower {
+	return &Follower{random: rand.New(rand.NewPCG(seed, 2)), backOff: minBackOff, retryAt: now, heardAt: now}
+}
+
+// State returns the state in force.
+func (f *Follower) State() steering.State { return f.state }
+
+// Age returns how long ago control was last heard of.
+func (f *Follower) Age(now time.Time) time.Duration { return now.Sub(f.heardAt) }
+
+// Upstream returns the present upstream; ok is false if there is none.
+func (f *Follower) Upstream() (s Source, ok bool) {
+	if !f.open || f.current >= len(f.sources) {
+		return Source{}, false
+	}
+	return f.sources[f.current], true
+}
+
+// Handle takes one event at now and returns what to carry out.
+func (f *Follower) Handle(now time.Time, e Event) Output {
+	f.out = Output{}
+	switch e := e.(type) {
+	case SetSources:
+		f.setSources(now, e.Sources)
+	case Opened:
+		if e.Attempt == f.attempt {
+			f.open = true
+			f.pending = false
+			f.openedAt = now
+			f.out.Notice = "subscribed to " + f.sources[f.current].Name
+		}
+	case Lost:
+		if e.Attempt == f.attempt {
+			f.lost(now)
+		}
+	case Received:
+		f.received(now, e)
+	case Tick:
+	}
+	f.tick(now)
+	return f.out
+}
+
+func (f *Follower) setSources(now time.Time, sources []Source) {
+	var current Source
+	if f.current < len(f.sources) {
+		current = f.sources[f.current]
+	}
+	f.sources = sources
+	for i, s := range sources {
+		if s == current {
+			f.current = i
+			return
+		}
+	}
+	f.current = 0
+	f.open = false
+	f.pending = false
+	f.retryAt = now
+}
+
+func (f *Follower) lost(now time.Time) {
+	if f.open {
+		f.out.Notice = "lost " + f.sources[f.current].Name
+	}
+	f.open = false
+	f.pending = false
+	f.next(now)
+}
+
+// next goes on to the following candidate. After a whole round it waits a
+// while, spread at random so that boxes do not return all at once.
+func (f *Follower) next(now time.Time) {
+	f.current++
+	f.retryAt = now
+	if f.current < len(f.sources) {
+		return
+	}
+	f.current = 0
+	f.retryAt = now.Add(f.backOff/2 + time.Duration(f.random.Int64N(int64(f.backOff))))
+	f.backOff = min(2*f.backOff, maxBackOff)
+}
+
+func (f *Follower) tick(now time.Time) {
+	if len(f.sources) == 0 {
+		return
+	}
+	if f.pending && !now.Before(f.deadline) {
+		f.pending = false
+		f.next(now)
+	}
+	if f.open && f.shouldLeave(now) {
+		f.open = false
+		f.out.Notice = "leaves " + f.sources[f.current].Name
+		if f.Age(now) <= staleAfter {
+			f.current = 0
+			f.retryAt = now
+		} else {
+			f.next(now)
+		}
+	}
+	if f.open || f.pending || now.Before(f.retryAt) {
+		return
+	}
+	f.attempt++
+	f.pending = true
+	f.deadline = now.Add(connectTimeout)
+	f.out.Subscribe = &Subscribe{Attempt: f.attempt, Source: f.sources[f.current], Version: f.state.Version()}
+}
+
+// shouldLeave reports whether another upstream may be better: this one has not
+// heard of control, or it is not the first choice.
+func (f *Follower) shouldLeave(now time.Time) bool {
+	since := now.Sub(f.openedAt)
+	if f.Age(now) > staleAfter && since > staleAfter {
+		return true
+	}
+	return f.current > 0 && since > reconsiderAfter
+}
+
+// received puts an update in force if it leads to a higher version.
+func (f *Follower) received(now time.Time, e Received) {
+	if e.Attempt != f.attempt {
+		return
+	}
+	f.heard(now, e.Update)
+	if e.Update.Version <= f.state.Version() {
+		return
+	}
+	next, commands, err := Advance(f.state, e.Update)
+	if err != nil {
+		f.out.Notice = err.Error()
+		f.lost(now)
+		return
+	}
+	f.state = next
+	f.out.State = &next
+	f.out.Commands = commands
+}
+
+func (f *Follower) heard(now time.Time, u *wire.Update) {
+	at := now.Add(-time.Duration(u.AgeMilli) * time.Millisecond)
+	if at.After(f.heardAt) {
+		f.heardAt = at
+	}
+	if f.Age(now) <= staleAfter {
+		f.backOff = minBackOff
+	}
+}
+
+// GapError says that an update does not follow the state at hand.
+type GapError struct{ Have, From, To uint64 }
+
+// Error implements error.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("an update from version %d to %d does not follow version %d", e.From, e.To, e.Have)
+}
+
+// Advance returns the state after an update. It never returns a lower version.
+func Advance(s steering.State, u *wire.Update) (steering.State, []*wire.Command, error) {
+	if u.State != nil {
+		next, err := steering.Decode(u.State)
+		if err != nil {
+			return s, nil, err
+		}
+		if next.Version() < s.Version() {
+			return s, nil, &GapError{s.Version(), u.FromVersion, next.Version()}
+		}
+		return next, nil, nil
+	}
+	if u.FromVersion > s.Version() || u.Version != u.FromVersion+uint64(len(u.Commands)) {
+		return s, nil, &GapError{s.Version(), u.FromVersion, u.Version}
+	}
+	commands := u.Commands[s.Version()-u.FromVersion:]
+	next := s
+	for _, c := range commands {
+		var result steering.Result
+		next, result = next.Apply(c)
+		if !result.Changed {
+			return s, nil, &GapError{s.Version(), u.FromVersion, u.Version}
+		}
+	}
+	return next, commands, nil
+}
--- /dev/null
+++ b/pkg/steering/state.go
@@ -0,0 +1,167 @@
+// Package steering is the replicated state of the system: the settings tree,
+// the verdicts on changes, the assignments of callers to regions and the
+// shifts between them. Control replicas and entry boxes apply the same
+// commands in the same order and so hold the same state.
+package steering
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"ledgesill.dev/ledgesill/pkg/lookup"
+	"ledgesill.dev/ledgesill/pkg/settings"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// Bounds of what the state remembers.
+const (
+	// MaxVerdicts is how many change ids are remembered.
+	MaxVerdicts = 4096
+	// MaxHistory is how many accepted changes are kept with their inverse.
+	MaxHistory = 256
+	// MaxEndedShifts is how many finished or aborted shifts are kept.
+	MaxEndedShifts = 64
+)
+
+// Home names the callers of a service with one home region.
+type Home struct{ Service, Region string }
+
+// State is an immutable value; Apply returns the next one.
+type State struct {
+	version         uint64
+	settingsVersion uint64
+	forgotten       uint64
+	tree            settings.Tree
+	verdicts        []*wire.Verdict
+	history         []*wire.Applied
+	assignments     map[Home]lookup.Assignment
+	shifts          []*wire.Shift
+}
+
+// Version grows by one with every command that changed the state.
+func (s State) Version() uint64 { return s.version }
+
+// SettingsVersion is the version of the last accepted change.
+func (s State) SettingsVersion() uint64 { return s.settingsVersion }
+
+// Tree returns the settings in force.
+func (s State) Tree() settings.Tree { return s.tree }
+
+// History returns the latest accepted changes, oldest first.
+func (s State) History() []*wire.Applied { return slices.Clone(s.history) }
+
+// Shifts returns the shifts that run and the latest that have ended.
+func (s State) Shifts() []*wire.Shift { return slices.Clone(s.shifts) }
+
+// Assignment returns where the callers of a service and home region go.
+func (s State) Assignment(service, home string) lookup.Assignment {
+	if a, ok := s.assignments[Home{service, home}]; ok {
+		return a
+	}
+	return lookup.Whole(home)
+}
+
+// Table returns the look-up table of the state.
+func (s State) Table() *lookup.Table { return lookup.NewTable(s.tree, s.Assignment) }
+
+// Result is what applying a command gave. Verdict is set for a change, Err for
+// a shift command that was refused.
+type Result struct {
+	Verdict *wire.Verdict
+	Err     error
+	// Changed tells whether the version grew.
+	Changed bool
+}
+
+// Apply returns the state after a command.
+func (s State) Apply(c *wire.Command) (State, Result) {
+	switch {
+	case c.Change != nil:
+		return s.applyChange(c.Change)
+	case c.Shift != nil:
+		return s.applyShift(c.Shift)
+	}
+	return s, Result{Err: fmt.Errorf("a command without content")}
+}
+
+// Encode returns the state as a message.
+func (s State) Encode() *wire.State {
+	out := &wire.State{
+		Version:          s.version,
+		SettingsVersion:  s.settingsVersion,
+		ForgottenVersion: s.forgotten,
+		Settings:         s.tree.Settings(),
+		Verdicts:         s.verdicts,
+		History:          s.history,
+		Shifts:           s.shifts,
+	}
+	for h, a := range s.assignments {
+		out.Assignments = append(out.Assignments, &wire.Assignment{Service: h.Service, Home: h.Region, Intervals: a.Intervals()})
+	}
+	slices.SortFunc(out.Assignments, func(a, b *wire.Assignment) int {
+		if a.Service+"\x00"+a.Home < b.Service+"\x00"+b.Home {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// EncodeForBoxes returns the state without what only control needs.
+func (s State) EncodeForBoxes() *wire.State {
+	s.verdicts = nil
+	s.history = nil
+	return s.Encode()
+}
+
+// Decode builds and checks a state.
+func Decode(m *wire.State) (State, error) {
+	tree, err := settings.FromSettings(m.Settings)
+	if err != nil {
+		return State{}, fmt.Errorf("decoding the state: %w", err)
+	}
+	s := State{
+		version:         m.Version,
+		settingsVersion: m.SettingsVersion,
+		forgotten:       m.ForgottenVersion,
+		tree:            tree,
+		verdicts:        m.Verdicts,
+		history:         m.History,
+		shifts:          m.Shifts,
+		assignments:     make(map[Home]lookup.Assignment, len(m.Assignments)),
+	}
+	for _, a := range m.Assignments {
+		decoded, err := lookup.FromIntervals(a.Intervals)
+		if err != nil {
+			return State{}, fmt.Errorf("decoding the assignment of %s from %s: %w", a.Service, a.Home, err)
+		}
+		s.assignments[Home{a.Service, a.Home}] = decoded
+	}
+	return s, nil
+}
+
+// Marshal returns the state in bytes that are the same for equal states.
+func (s State) Marshal() ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(s.Encode())
+}
+
+// Unmarshal reads what Marshal wrote.
+func Unmarshal(data []byte) (State, error) {
+	m := &wire.State{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return State{}, fmt.Errorf("decoding the state: %w", err)
+	}
+	return Decode(m)
+}
+
+func (s State) withAssignment(h Home, a lookup.Assignment) State {
+	s.assignments = maps.Clone(s.assignments)
+	if s.assignments == nil {
+		s.assignments = make(map[Home]lookup.Assignment)
+	}
+	s.assignments[h] = a
+	return s
+}
