control: run every fault at every step against the real replica

Test harness in virtual time: three control replicas with fake disks that keep only what was synced, a network with one-way cuts, six entry boxes and operators who race and resend. 165 cells, each asserts the invariants (one leader in a term, same command at an index, one verdict for an id, fresh reads, nothing acknowledged lost, versions at boxes only grow, in force at every box within 3 s of the heal).

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -76,7 +76,7 @@
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(found.ID + d.process.Incarnation)) // a hash takes every write
 	cc := consensus.Config{ElectionTimeout: d.config.ElectionTimeout, Seed: seed.Sum64()}
-	r, err := openReplica(time.Now(), cc, d.journal, found, d.config.SnapshotEvery)
+	r, err := openReplica(time.Now, cc, d.journal, found, d.config.SnapshotEvery)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/control/faults_test.go
@@ -0,0 +1,314 @@
+package control
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+var (
+	faultSeeds = flag.Int("fault-seeds", 1, "seeds that each cell of the fault matrix is run with")
+	faultPairs = flag.Bool("fault-pairs", false, "also run every pair of faults")
+)
+
+// fault is one row of the matrix: what is done to the node or box at which the
+// step is reached.
+type fault struct {
+	name  string
+	onBox func(w *world, b *box)
+	on    func(w *world, n *node)
+	// prepare runs before the traffic begins.
+	prepare func(w *world, o *operators)
+}
+
+func killFault(down time.Duration, torn bool) fault {
+	return fault{
+		on: func(w *world, n *node) {
+			w.kill(n, torn, down)
+			panic(crashed{n})
+		},
+		onBox: func(w *world, b *box) { w.killBox(b, down) },
+	}
+}
+
+func named(name string, f fault) fault {
+	f.name = name
+	return f
+}
+
+// diskFault makes the next operation of a kind fail.
+func diskFault(operation string) fault {
+	return fault{on: func(_ *world, n *node) {
+		before := n.disk.before
+		failed := false
+		n.disk.before = func(op, name string) error {
+			if op == operation && !failed {
+				failed = true
+				return errDisk
+			}
+			return before(op, name)
+		}
+	}}
+}
+
+func cutFault(out, in bool, length time.Duration) fault {
+	return fault{
+		on:    func(w *world, n *node) { w.cutZone(n.zone, out, in, length) },
+		onBox: func(w *world, b *box) { w.cutZone(b.zone, out, in, length) },
+	}
+}
+
+func faults() []fault {
+	return []fault{
+		named("kill", killFault(3*time.Second, false)),
+		named("restart", killFault(0, false)),
+		named("torn write", killFault(time.Second, true)),
+		named("failed sync", diskFault("sync")),
+		named("full disk", diskFault("write")),
+		named("disk lost", fault{on: func(w *world, n *node) {
+			w.loseDisk(n, time.Second)
+			panic(crashed{n})
+		}, onBox: func(w *world, b *box) { w.killBox(b, time.Second) }}),
+		named("freeze and thaw", fault{on: func(w *world, n *node) {
+			n.frozen = true
+			n.downTo = w.now.Add(2500 * time.Millisecond)
+		}}),
+		named("zone cut", cutFault(true, true, 4*time.Second)),
+		named("zone cut, out only", cutFault(true, false, 4*time.Second)),
+		named("zone cut, in only", cutFault(false, true, 4*time.Second)),
+		named("control box cut for long", cutFault(true, true, 45*time.Second)),
+		named("second loss after repair", fault{on: secondLoss, onBox: func(w *world, b *box) { w.killBox(b, time.Second) }}),
+		named("operators racing", fault{prepare: func(_ *world, o *operators) { o.pause = worldStep }, on: func(w *world, n *node) {
+			w.kill(n, false, time.Second)
+			panic(crashed{n})
+		}}),
+		named("operators resending", fault{prepare: func(_ *world, o *operators) { o.doubles = true }, on: func(w *world, n *node) {
+			w.kill(n, false, time.Second)
+			panic(crashed{n})
+		}}),
+		named("restart after 500 changes", fault{on: func(w *world, n *node) {
+			w.kill(n, false, 25*time.Second)
+			panic(crashed{n})
+		}, prepare: func(_ *world, o *operators) { o.pause = 2 * worldStep }}),
+	}
+}
+
+// secondLoss takes a node's disk and, as soon as its repair is finished,
+// another node's.
+func secondLoss(w *world, n *node) {
+	w.loseDisk(n, 500*time.Millisecond)
+	id := n.id()
+	hook := w.hook
+	w.hook = func(step string, at *node) {
+		hook(step, at)
+		if w.finished[id] && at != n && at.alive {
+			w.hook = hook
+			w.loseDisk(at, 500*time.Millisecond)
+			panic(crashed{at})
+		}
+	}
+	panic(crashed{n})
+}
+
+// step is one column of the matrix: when the fault strikes.
+type step struct {
+	name  string
+	onBox bool
+	// provoke brings the step about if plain traffic does not.
+	provoke func(w *world)
+}
+
+func steps() []step {
+	return []step{
+		{name: "propose"},
+		{name: "append"},
+		{name: "sync"},
+		{name: "vote", provoke: func(w *world) { w.kill(w.leader(), false, 2*time.Second) }},
+		{name: "commit"},
+		{name: "answer"},
+		{name: "apply"},
+		{name: "snapshot"},
+		{name: "addReplica", provoke: func(w *world) {
+			for _, n := range w.nodes {
+				if n != w.leader() {
+					w.loseDisk(n, 200*time.Millisecond)
+					return
+				}
+			}
+		}},
+		{name: "distribute", onBox: true},
+		{name: "inForce", onBox: true},
+	}
+}
+
+// runCell runs one or two faults at a step and returns what went wrong.
+func runCell(t *testing.T, seed uint64, s step, first fault, second *fault) []string {
+	w := newWorld(t, seed)
+	o := newOperators(w)
+	if !o.run(10*time.Second, func() bool { return len(o.accepted) >= 20 && w.allAt(10) }) {
+		return []string{"the system does not start"}
+	}
+	if first.prepare != nil {
+		first.prepare(w, o)
+	}
+	struck := strike(w, s, first, second)
+	if s.provoke != nil && w.leader() != nil {
+		s.provoke(w)
+	}
+	o.run(8*time.Second, nil)
+	o.run(60*time.Second, func() bool { return calm(w) })
+	if !*struck {
+		return []string{"the step was not reached"}
+	}
+	o.settle()
+	return w.problems
+}
+
+// calm reports whether nothing is left to come from the faults.
+func calm(w *world) bool {
+	for _, n := range w.nodes {
+		if !n.alive || n.frozen || n.asking {
+			return false
+		}
+	}
+	for _, until := range w.blocked {
+		if w.now.Before(until) {
+			return false
+		}
+	}
+	return len(w.joining) == 0
+}
+
+// strike arms the faults: the first when the step is next reached, the second
+// when it is reached again elsewhere.
+func strike(w *world, s step, first fault, second *fault) *bool {
+	struck := false
+	left := []fault{first}
+	if second != nil {
+		left = append(left, *second)
+	}
+	var last *node
+	w.hook = func(name string, n *node) {
+		if name != s.name || len(left) == 0 || n == last {
+			return
+		}
+		f := left[0]
+		left = left[1:]
+		last = n
+		struck = true
+		if f.on != nil {
+			f.on(w, n)
+		}
+	}
+	w.boxHook = func(name string, b *box) {
+		if name != s.name || len(left) == 0 {
+			return
+		}
+		f := left[0]
+		left = left[1:]
+		struck = true
+		if f.onBox != nil {
+			f.onBox(w, b)
+			return
+		}
+		// A fault of control strikes the leader while the box takes an update.
+		if n := w.leader(); n != nil && f.on != nil {
+			guarded(n, func() { f.on(w, n) })
+		}
+	}
+	return &struck
+}
+
+// cell is one place of the table.
+type cell struct {
+	row, step string
+	run       func(seed uint64) []string
+	problems  []string
+	seed      uint64
+}
+
+func (c *cell) work() {
+	for seed := range uint64(*faultSeeds) {
+		c.seed = seed + 1
+		if c.problems = c.run(c.seed); len(c.problems) > 0 {
+			return
+		}
+	}
+}
+
+// cells lists the matrix row by row.
+func cells(t *testing.T) []*cell {
+	var out []*cell
+	add := func(row string, first fault, second *fault) {
+		for _, s := range steps() {
+			out = append(out, &cell{row: row, step: s.name, run: func(seed uint64) []string {
+				return runCell(t, seed, s, first, second)
+			}})
+		}
+	}
+	for _, f := range faults() {
+		add(f.name, f, nil)
+	}
+	if !*faultPairs {
+		return out
+	}
+	for _, f := range faults() {
+		for _, g := range faults() {
+			add(f.name+" + "+g.name, f, &g)
+		}
+	}
+	return out
+}
+
+// runAll runs the cells on all processors; the order has no influence on them.
+func runAll(list []*cell) {
+	work := make(chan *cell)
+	var running sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		running.Go(func() {
+			for c := range work {
+				c.work()
+			}
+		})
+	}
+	for _, c := range list {
+		work <- c
+	}
+	close(work)
+	running.Wait()
+}
+
+// TestFaultMatrix runs every fault at every step and compares the table with
+// the golden file. With -fault-pairs every pair of faults is run as well.
+func TestFaultMatrix(t *testing.T) {
+	list := cells(t)
+	runAll(list)
+	var out strings.Builder
+	passed, failed := 0, 0
+	for i, c := range list {
+		if i == 0 || list[i-1].row != c.row {
+			fmt.Fprintf(&out, "\n%-40s", c.row)
+		}
+		if len(c.problems) > 0 {
+			failed++
+			fmt.Fprintf(&out, " %s:FAILED", c.step)
+			t.Errorf("%s at %s, seed %d:\n  %s", c.row, c.step, c.seed, strings.Join(c.problems, "\n  "))
+			continue
+		}
+		passed++
+		fmt.Fprintf(&out, " %s:ok", c.step)
+	}
+	out.WriteString("\n")
+	if *faultPairs || *faultSeeds > 1 {
+		fmt.Print(out.String())
+	} else {
+		goldie.New(t).Assert(t, "faults", []byte(out.String()))
+	}
+	fmt.Printf("control fault matrix: %d passed, %d failed\n", passed, failed)
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -94,6 +94,7 @@
 	snapshot  uint64
 	every     uint64
 
+	now     func() time.Time
 	inbox   chan message
 	token   uint64
 	tokens  map[uint64]chan<- outcome
@@ -113,19 +114,20 @@
 )
 
 // openReplica recovers a replica from its data folder.
-func openReplica(now time.Time, c consensus.Config, j *journal.Journal, found *journal.Recovered, every int) (*replica, error) {
+func openReplica(now func() time.Time, c consensus.Config, j *journal.Journal, found *journal.Recovered, every int) (*replica, error) {
 	r := &replica{
 		id:      found.ID,
 		config:  c,
 		journal: j,
 		every:   uint64(every),
+		now:     now,
 		inbox:   make(chan message, inboxSize),
 		tokens:  make(map[uint64]chan<- outcome),
 		waiting: make(map[uint64]waitingProposal),
 		reads:   make(map[uint64]chan<- readOutcome),
 	}
 	r.config.ID = found.ID
-	return r, r.restore(now, consensus.Stored{HardState: found.HardState, Snapshot: found.Snapshot, Entries: found.Entries})
+	return r, r.restore(now(), consensus.Stored{HardState: found.HardState, Snapshot: found.Snapshot, Entries: found.Entries})
 }
 
 func (r *replica) restore(now time.Time, stored consensus.Stored) error {
@@ -162,7 +164,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			if err := r.carryOut(r.machine.Handle(time.Now(), consensus.Tick{})); err != nil {
+			if err := r.carryOut(r.machine.Handle(r.now(), consensus.Tick{})); err != nil {
 				return err
 			}
 		case m := <-r.inbox:
@@ -199,7 +201,7 @@
 }
 
 func (r *replica) handle(m message) consensus.Output {
-	now := time.Now()
+	now := r.now()
 	switch m := m.(type) {
 	case received:
 		return r.machine.Handle(now, consensus.Receive{Message: m.message})
@@ -370,7 +372,7 @@
 	if err != nil {
 		return fmt.Errorf("encoding the state: %w", err)
 	}
-	status := r.machine.Status(time.Now())
+	status := r.machine.Status(r.now())
 	s := &wire.Snapshot{
 		Index:      r.applied,
 		Term:       r.machine.TermAt(r.applied),
@@ -385,7 +387,7 @@
 		return fmt.Errorf("replica stops, its disk failed: %w", err)
 	}
 	r.snapshot = s.Index
-	r.machine.Handle(time.Now(), consensus.Compact{Snapshot: s})
+	r.machine.Handle(r.now(), consensus.Compact{Snapshot: s})
 	return nil
 }
 
