consensus: tell followers of a commit at once

Cause: a follower whose acknowledgement came after the commit learned of it with the next heartbeat (200 ms), and so did the boxes below it. Ruled out: relays (they pass on at once) and the sync (under 1 ms here). Change: the leader remembers what commit index it told each follower and sends one empty append when that is behind. The test saw a follower one heartbeat late before the change.

--- a/contrib/demo/run.sh
+++ b/contrib/demo/run.sh
@@ -39,6 +39,7 @@
 
 "$bin/demo" drive "$layout" "$folder"
 verdict=$?
+[ -n "${DEMO_LOGS:-}" ] && cp "$folder"/*.log "$DEMO_LOGS"
 if [ $verdict != 0 ]; then
   tail -n 5 "$folder"/*.log
 fi
--- /dev/null
+++ b/pkg/consensus/cluster_test.go
@@ -0,0 +1,334 @@
+package consensus
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// member is a replica with what it has stored; all that is in an Output counts
+// as synced when it is taken.
+type member struct {
+	id       string
+	replica  *Replica
+	stored   Stored
+	applied  []*wire.Entry
+	base     uint64
+	inbox    []*wire.ConsensusMessage
+	alive    bool
+	commitAt time.Time
+}
+
+type cluster struct {
+	now     time.Time
+	members []*member
+	leaders map[uint64]string
+	cut     map[string]bool
+	seed    uint64
+	err     error
+}
+
+const tick = 20 * time.Millisecond
+
+func newCluster(n int, seed uint64) *cluster {
+	c := &cluster{now: time.Unix(1000, 0), leaders: make(map[uint64]string), cut: make(map[string]bool), seed: seed}
+	first := &wire.Membership{}
+	for i := range n {
+		first.Voters = append(first.Voters, &wire.Replica{Id: fmt.Sprintf("r%d", i), Address: fmt.Sprintf("a%d", i)})
+	}
+	for _, v := range first.Voters {
+		m := &member{id: v.Id, base: 1}
+		m.stored.Snapshot = &wire.Snapshot{Index: 1, Term: 1, Membership: first}
+		c.members = append(c.members, m)
+		c.start(m)
+	}
+	return c
+}
+
+func (c *cluster) start(m *member) {
+	c.seed++
+	r, err := New(c.now, Config{ID: m.id, ElectionTimeout: 200 * time.Millisecond, Seed: c.seed, Trailing: 4, MaxBatch: 4}, m.stored)
+	if err != nil {
+		c.err = err
+		return
+	}
+	m.replica, m.alive, m.inbox = r, true, nil
+	m.base = m.stored.Snapshot.GetIndex()
+	m.applied = nil
+}
+
+func (c *cluster) do(m *member, e Event) Output {
+	out := m.replica.Handle(c.now, e)
+	if out.HardState != nil {
+		m.stored.HardState = out.HardState
+	}
+	if out.Snapshot != nil {
+		m.stored.Snapshot, m.stored.Entries = out.Snapshot, nil
+		m.base, m.applied = out.Snapshot.Index, nil
+	}
+	for _, e := range out.Entries {
+		at := slices.IndexFunc(m.stored.Entries, func(o *wire.Entry) bool { return o.Index >= e.Index })
+		if at >= 0 {
+			m.stored.Entries = m.stored.Entries[:at]
+		}
+		m.stored.Entries = append(m.stored.Entries, e)
+	}
+	if len(out.Committed) > 0 {
+		m.applied = append(m.applied, out.Committed...)
+		m.commitAt = c.now
+	}
+	for _, n := range out.Notices {
+		if n.Role != Leader {
+			continue
+		}
+		if other, ok := c.leaders[n.Term]; ok && other != m.id {
+			c.err = fmt.Errorf("term %d has the leaders %s and %s", n.Term, other, m.id)
+		}
+		c.leaders[n.Term] = m.id
+	}
+	for _, message := range out.Messages {
+		for _, to := range c.members {
+			if to.id == message.To && !c.cut[m.id] && !c.cut[to.id] {
+				to.inbox = append(to.inbox, proto.CloneOf(message))
+			}
+		}
+	}
+	return out
+}
+
+// round lets a tick pass and delivers what was sent before it.
+func (c *cluster) round() {
+	c.now = c.now.Add(tick)
+	for _, m := range c.members {
+		if !m.alive {
+			m.inbox = nil
+			continue
+		}
+		inbox := m.inbox
+		m.inbox = nil
+		for _, message := range inbox {
+			c.do(m, Receive{message})
+		}
+		c.do(m, Tick{})
+	}
+}
+
+func (c *cluster) leader() *member {
+	for _, m := range c.members {
+		if m.alive && !c.cut[m.id] && m.replica.role == Leader {
+			return m
+		}
+	}
+	return nil
+}
+
+func (c *cluster) elect(t testing.TB) *member {
+	for range 200 {
+		c.round()
+		if m := c.leader(); m != nil && m.replica.commit > 1 {
+			return m
+		}
+	}
+	t.Fatal("no leader")
+	return nil
+}
+
+// check compares what the members have applied.
+func (c *cluster) check() error {
+	if c.err != nil {
+		return c.err
+	}
+	seen := make(map[uint64]*wire.Entry)
+	for _, m := range c.members {
+		at := m.base
+		for _, e := range m.applied {
+			at++
+			if e.Index != at {
+				return fmt.Errorf("%s applies entry %d after %d", m.id, e.Index, at-1)
+			}
+			if other := seen[e.Index]; other != nil && !proto.Equal(other, e) {
+				return fmt.Errorf("entry %d differs at %s", e.Index, m.id)
+			}
+			seen[e.Index] = e
+		}
+	}
+	return nil
+}
+
+// TestProperties runs random crashes, cuts, proposals, snapshots and transfers.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(rapid.SampledFrom([]int{3, 5}).Draw(t, "members"), rapid.Uint64Range(1, 1<<40).Draw(t, "seed"))
+		acked := make(map[uint64]uint64) // index to term of entries a leader committed
+		pick := func(label string) *member {
+			return c.members[rapid.IntRange(0, len(c.members)-1).Draw(t, label)]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"pass": func(t *rapid.T) {
+				for range rapid.IntRange(1, 15).Draw(t, "rounds") {
+					c.round()
+				}
+			},
+			"propose": func(*rapid.T) { c.do(pick("to"), Propose{Data: []byte("x")}) },
+			"crash":   func(*rapid.T) { pick("dies").alive = false },
+			"start": func(*rapid.T) {
+				if m := pick("starts"); !m.alive {
+					c.start(m)
+				}
+			},
+			"cut":      func(*rapid.T) { c.cut[pick("cut").id] = true },
+			"heal":     func(*rapid.T) { delete(c.cut, pick("healed").id) },
+			"transfer": func(*rapid.T) { c.do(pick("from"), Transfer{}) },
+			"snapshot": func(*rapid.T) {
+				m := pick("of")
+				if !m.alive || m.replica.commit <= m.stored.Snapshot.GetIndex() {
+					return
+				}
+				at := m.replica.commit
+				s := &wire.Snapshot{Index: at, Term: m.replica.TermAt(at), Membership: m.replica.MembershipAt(at)}
+				m.stored.Snapshot, m.stored.Entries = s, m.replica.EntriesAfter(at)
+				c.do(m, Compact{s})
+			},
+			"": func(t *rapid.T) {
+				if err := c.check(); err != nil {
+					t.Fatal(err)
+				}
+				for _, m := range c.members {
+					for _, e := range m.applied {
+						if term, ok := acked[e.Index]; ok && term != e.Term {
+							t.Fatalf("entry %d of term %d was committed and is now of term %d", e.Index, term, e.Term)
+						}
+						acked[e.Index] = e.Term
+					}
+				}
+			},
+		})
+		clear(c.cut)
+		for _, m := range c.members {
+			if !m.alive {
+				c.start(m)
+			}
+		}
+		for range 200 {
+			c.round()
+		}
+		if c.leader() == nil {
+			t.Fatal("no leader after all is healed")
+		}
+		if err := c.check(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestFollowersCommitWithoutWaitingForAHeartbeat guards against a follower
+// whose acknowledgement comes after the commit learning of it a heartbeat late.
+func TestFollowersCommitWithoutWaitingForAHeartbeat(t *testing.T) {
+	c := newCluster(3, 1)
+	leader := c.elect(t)
+	leader.replica.heartbeatAt = c.now.Add(time.Hour)
+	began := c.now
+	c.do(leader, Propose{Data: []byte("x")})
+	for range 6 {
+		c.round()
+	}
+	for _, m := range c.members {
+		if m.replica.commit != leader.replica.commit || !m.commitAt.After(began) {
+			t.Errorf("%s commits up to %d, the leader up to %d", m.id, m.replica.commit, leader.replica.commit)
+		}
+	}
+}
+
+func TestCutOffLeaderAnswersNoRead(t *testing.T) {
+	c := newCluster(3, 1)
+	old := c.elect(t)
+	c.cut[old.id] = true
+	c.do(old, Read{Token: 7})
+	for range 60 {
+		c.round()
+		out := c.do(old, Tick{})
+		for _, r := range out.Reads {
+			if r.Err == nil {
+				t.Fatal("a leader without a quorum answered a read")
+			}
+		}
+	}
+	if !old.replica.Status(c.now).CutOff {
+		t.Error("a replica that is cut off does not say so")
+	}
+}
+
+func TestTransferGoesToTheFurthest(t *testing.T) {
+	c := newCluster(3, 2)
+	old := c.elect(t)
+	for range 5 {
+		c.round()
+	}
+	c.do(old, Transfer{})
+	for range 5 {
+		c.round()
+	}
+	if m := c.leader(); m == nil || m == old {
+		t.Error("leadership was not handed over")
+	}
+}
+
+func TestMembershipRules(t *testing.T) {
+	c := newCluster(3, 3)
+	leader := c.elect(t)
+	m := leader.replica.Membership()
+	two := proto.CloneOf(m)
+	two.Voters = two.Voters[:1]
+	stranger := proto.CloneOf(m)
+	stranger.Voters = append(stranger.Voters, &wire.Replica{Id: "new"})
+	for name, next := range map[string]*wire.Membership{
+		"two voters at a time":       two,
+		"a voter that never learned": stranger,
+		"no voter":                   {},
+	} {
+		out := c.do(leader, ChangeMembership{Membership: next})
+		if out.Proposals[0].Err == nil {
+			t.Errorf("%s: allowed", name)
+		}
+	}
+}
+
+func TestNewDiskIsTakenIn(t *testing.T) {
+	c := newCluster(3, 4)
+	leader := c.elect(t)
+	lost := ""
+	for i, m := range c.members {
+		if m == leader {
+			continue
+		}
+		lost = leader.replica.voters()[i].Address
+		m.alive = false
+		fresh := &member{id: "new", alive: true}
+		c.members = append(c.members[:i:i], append([]*member{fresh}, c.members[i+1:]...)...)
+		fresh.stored = Stored{}
+		c.start(fresh)
+		break
+	}
+	joining := &wire.Replica{Id: "new", Address: lost}
+	var steps []RepairStep
+	for range 100 {
+		leader = c.leader()
+		step, next := NextRepair(leader.replica.Membership(), leader.replica.Status(c.now), joining)
+		if len(steps) == 0 || steps[len(steps)-1] != step {
+			steps = append(steps, step)
+		}
+		if next != nil {
+			c.do(leader, ChangeMembership{Membership: next})
+		}
+		c.round()
+	}
+	if got := steps[len(steps)-1]; got != RepairFinished {
+		t.Errorf("the repair went %v and is not finished", steps)
+	}
+}
--- a/pkg/consensus/replication.go
+++ b/pkg/consensus/replication.go
@@ -15,6 +15,8 @@
 	sentAt   time.Time
 	round    uint64
 	snapshot uint64
+	// told is the commit index that the replica was last told.
+	told uint64
 }
 
 type pendingRead struct {
@@ -126,6 +128,7 @@
 		p.next += uint64(len(m.Entries))
 		p.sentAt = r.now
 	}
+	p.told = r.commit
 	r.send(m)
 }
 
@@ -269,7 +272,7 @@
 	if r.role != Leader {
 		return
 	}
-	if p.next <= r.log.lastIndex() {
+	if p.next <= r.log.lastIndex() || p.told < min(r.commit, p.match) {
 		r.sendAppend(m.From)
 	}
 	r.continueTransfer(m.From, p)
@@ -302,7 +305,7 @@
 		return
 	}
 	for _, id := range r.others() {
-		if r.progress[id].match == r.log.lastIndex() {
+		if p := r.progress[id]; p.match == r.log.lastIndex() && p.told < r.commit {
 			r.sendAppend(id)
 		}
 	}
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -94,6 +94,9 @@
 	if j.file, err = j.files.Open(j.path(journalName)); err != nil {
 		return nil, fmt.Errorf("opening the journal: %w", err)
 	}
+	if err := j.files.SyncFolder(j.folder); err != nil {
+		return nil, fmt.Errorf("syncing the data folder: %w", err)
+	}
 	if out.CutBytes == 0 {
 		return out, nil
 	}
--- /dev/null
+++ b/pkg/journal/journal_test.go
@@ -0,0 +1,248 @@
+package journal
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/testing/protocmp"
+
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+func entry(index, term uint64, data string) *wire.Entry {
+	return &wire.Entry{Index: index, Term: term, Data: []byte(data)}
+}
+
+func mustOpen(t *testing.T, folder string) (*Journal, *Recovered) {
+	t.Helper()
+	j, found, err := Open(folder, "c", OSFiles())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j, found
+}
+
+// written returns a folder with three batches and the length of the journal
+// after each.
+func written(t *testing.T) (folder string, sizes []int64) {
+	t.Helper()
+	folder = t.TempDir()
+	j, _ := mustOpen(t, folder)
+	for i := range uint64(3) {
+		if err := j.Append(&wire.HardState{Term: i + 1}, []*wire.Entry{entry(i+1, i+1, "data")}); err != nil {
+			t.Fatal(err)
+		}
+		sizes = append(sizes, j.Size())
+	}
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return folder, sizes
+}
+
+func TestIdentityStays(t *testing.T) {
+	folder, _ := written(t)
+	j, first := mustOpen(t, folder)
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	j, second := mustOpen(t, folder)
+	defer j.Close()
+	if first.ID != second.ID || second.Fresh {
+		t.Errorf("identity %s became %s, fresh %t", first.ID, second.ID, second.Fresh)
+	}
+}
+
+func TestLockedFolder(t *testing.T) {
+	folder, _ := written(t)
+	j, _ := mustOpen(t, folder)
+	defer j.Close()
+	if _, _, err := Open(folder, "c", OSFiles()); err == nil {
+		t.Error("a folder that is in use was opened again")
+	}
+}
+
+func TestTornTailIsCut(t *testing.T) {
+	folder, sizes := written(t)
+	path := filepath.Join(folder, journalName)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := sizes[1] + 1; cut < sizes[2]; cut++ {
+		if err := os.WriteFile(path, whole[:cut], filePermissions); err != nil {
+			t.Fatal(err)
+		}
+		j, found := mustOpen(t, folder)
+		if len(found.Entries) != 2 || found.CutBytes != cut-sizes[1] || found.HardState.Term != 2 {
+			t.Fatalf("cut at %d: got %d entries, cut %d bytes", cut, len(found.Entries), found.CutBytes)
+		}
+		if err := j.Append(nil, []*wire.Entry{entry(3, 9, "new")}); err != nil {
+			t.Fatal(err)
+		}
+		if err := j.Close(); err != nil {
+			t.Fatal(err)
+		}
+		j, found = mustOpen(t, folder)
+		if len(found.Entries) != 3 || found.Entries[2].Term != 9 {
+			t.Fatalf("cut at %d: what was appended after the cut is not there", cut)
+		}
+		if err := j.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestDamageStops(t *testing.T) {
+	folder, sizes := written(t)
+	path := filepath.Join(folder, journalName)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at := range sizes[1] {
+		damaged := append([]byte(nil), whole...)
+		damaged[at] ^= 0x10
+		if err := os.WriteFile(path, damaged, filePermissions); err != nil {
+			t.Fatal(err)
+		}
+		_, _, err := Open(folder, "c", OSFiles())
+		var damage *DamageError
+		if !errors.As(err, &damage) {
+			t.Fatalf("byte %d damaged: got %v, want a DamageError", at, err)
+		}
+		after, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(damaged, after); diff != "" {
+			t.Fatal("a damaged journal was changed")
+		}
+	}
+}
+
+func TestSnapshotThenEntries(t *testing.T) {
+	folder, _ := written(t)
+	j, _ := mustOpen(t, folder)
+	s := &wire.Snapshot{Index: 2, Term: 2, Data: []byte("state")}
+	if err := j.SaveSnapshot(s, &wire.HardState{Term: 3, Vote: "x"}, []*wire.Entry{entry(3, 3, "data")}); err != nil {
+		t.Fatal(err)
+	}
+	if err := j.Append(nil, []*wire.Entry{entry(4, 3, "more")}); err != nil {
+		t.Fatal(err)
+	}
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	j, found := mustOpen(t, folder)
+	defer j.Close()
+	want := &Recovered{
+		ID: found.ID, HardState: &wire.HardState{Term: 3, Vote: "x"}, Snapshot: s,
+		Entries: []*wire.Entry{entry(3, 3, "data"), entry(4, 3, "more")},
+	}
+	if diff := cmp.Diff(want, found, protocmp.Transform()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestInstalledSnapshotDropsAnotherBranch(t *testing.T) {
+	found := &Recovered{
+		Snapshot: &wire.Snapshot{Index: 2, Term: 5},
+		Entries:  []*wire.Entry{entry(1, 1, ""), entry(2, 1, ""), entry(3, 1, "")},
+	}
+	dropCovered(found)
+	if len(found.Entries) != 0 {
+		t.Errorf("entries of another branch were kept: %v", found.Entries)
+	}
+}
+
+func TestFailedSyncBreaksForGood(t *testing.T) {
+	folder := t.TempDir()
+	files := OSFiles()
+	failing := false
+	open := files.Open
+	files.Open = func(path string) (File, error) {
+		f, err := open(path)
+		sync := f.Sync
+		f.Sync = func() error {
+			if failing {
+				return errors.New("no sync")
+			}
+			return sync()
+		}
+		return f, err
+	}
+	j, _, err := Open(folder, "c", files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer j.Close()
+	failing = true
+	if err := j.Append(nil, []*wire.Entry{entry(1, 1, "")}); err == nil {
+		t.Fatal("a failed sync was acknowledged")
+	}
+	failing = false
+	if err := j.Append(nil, []*wire.Entry{entry(1, 1, "")}); !errors.Is(err, ErrBroken) {
+		t.Errorf("after a failed sync: got %v, want ErrBroken", err)
+	}
+}
+
+// TestNewJournalIsInTheFolder checks that the name of a journal that was just
+// made is durable before anything is acknowledged.
+func TestNewJournalIsInTheFolder(t *testing.T) {
+	files := OSFiles()
+	made, synced := false, false
+	open, sync := files.Open, files.SyncFolder
+	files.Open = func(path string) (File, error) {
+		if filepath.Base(path) == journalName {
+			made, synced = true, false
+		}
+		return open(path)
+	}
+	files.SyncFolder = func(path string) error {
+		synced = true
+		return sync(path)
+	}
+	j, _, err := Open(t.TempDir(), "c", files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer j.Close()
+	if !made || !synced {
+		t.Error("the folder was not synced after the journal was made")
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	f.Add([]byte{})
+	f.Add(appendFrame(nil, 1, nil))
+	f.Add(append(appendFrame(nil, 1, []byte{0x0a, 2, 8, 1}), 1, 2, 3))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		folder := t.TempDir()
+		for name, content := range map[string][]byte{journalName: data, identityName: []byte("c-1")} {
+			if err := os.WriteFile(filepath.Join(folder, name), content, filePermissions); err != nil {
+				t.Fatal(err)
+			}
+		}
+		j, found, err := Open(folder, "c", OSFiles())
+		if err != nil {
+			var damage *DamageError
+			if !errors.As(err, &damage) {
+				t.Fatalf("got %v, want a DamageError", err)
+			}
+			return
+		}
+		if err := j.Close(); err != nil {
+			t.Fatal(err)
+		}
+		j, again := mustOpen(t, folder)
+		defer j.Close()
+		again.CutBytes = found.CutBytes
+		if diff := cmp.Diff(found, again, protocmp.Transform()); diff != "" {
+			t.Errorf("opened twice: %s", diff)
+		}
+	})
+}
