entry: run every fault at every step of a request

Cause: a mutex was held while a link was dialled, which also made callers wait that had given up; it is now a token that a caller stops waiting for.

control: the matrix compares the log's history with what operators were told, loses what a failed sync left behind, and checks that a replica that is alone says so.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(CURDIR)/bin
 export GOFLAGS := -buildvcs=false
 
-.PHONY: build demo demo-portal test faults measure generate lint
+.PHONY: build demo demo-portal test faults measure generate
 
 build:
 	go build -o $(GOBIN)/ledgesill .
@@ -14,5 +14,24 @@
 demo-portal: build
 	contrib/demo/run.sh $(GOBIN) portal
 
+# Fixed seeds, so that the verdict is the same every time.
 test:
 	RAPID_SEED=1 RAPID_NOFAILFILE=1 go test ./...
+
+# The whole fault matrix: several seeds of every fault at every step.
+faults:
+	go test ./internal/control -run TestFaultMatrix -count=1 -v -timeout 60m -fault-seeds 3
+	go test ./internal/entry -run TestFaultMatrix -count=1 -v -timeout 60m
+
+# Every pair of faults as well; this takes long.
+fault-pairs:
+	go test ./internal/control -run TestFaultMatrix -count=1 -v -timeout 120m -fault-pairs
+	go test ./internal/entry -run TestFaultMatrix -count=1 -v -timeout 120m -fault-pairs
+
+# The policy against its baseline, in virtual time: SEEDS=1,2,3 make measure
+SEEDS ?= 1,2,3
+measure:
+	go run ./contrib/measure -seeds $(SEEDS)
+
+generate:
+	buf generate
--- a/contrib/standin/target.go
+++ b/contrib/standin/target.go
@@ -26,6 +26,8 @@
 	// long for a request.
 	ColdFor    time.Duration
 	ColdFactor int
+	// OnRun is called when a request has got its slot, if it is not nil.
+	OnRun func()
 }
 
 // Target is a back end with slots, a load report, health and drain answers,
@@ -36,6 +38,8 @@
 	busy     atomic.Int64
 	draining atomic.Bool
 	broken   atomic.Bool
+	shedding atomic.Bool
+	mute     atomic.Bool
 	slow     atomic.Int64
 
 	mu   sync.Mutex
@@ -54,6 +58,12 @@
 // SetBroken makes requests fail while the health still says ready.
 func (t *Target) SetBroken(v bool) { t.broken.Store(v) }
 
+// SetShedding makes the target refuse all work.
+func (t *Target) SetShedding(v bool) { t.shedding.Store(v) }
+
+// SetMute makes the target's health give no usable answer.
+func (t *Target) SetMute(v bool) { t.mute.Store(v) }
+
 // SetSlow makes every request take longer.
 func (t *Target) SetSlow(extra time.Duration) { t.slow.Store(int64(extra)) }
 
@@ -79,6 +89,10 @@
 }
 
 func (t *Target) health(w http.ResponseWriter, _ *http.Request) {
+	if t.mute.Load() {
+		http.Error(w, "no report", http.StatusInternalServerError)
+		return
+	}
 	_ = json.NewEncoder(w).Encode(map[string]any{ // a prober sees a broken answer
 		"ready":    true,
 		"draining": t.draining.Load(),
@@ -97,7 +111,7 @@
 		t.mu.Lock()
 		t.most = max(t.most, int(n))
 		t.mu.Unlock()
-		if int(n) > t.config.Slots {
+		if int(n) > t.config.Slots || t.shedding.Load() {
 			w.Header().Set("Retry-After", "1")
 			http.Error(w, "no slot is free", http.StatusServiceUnavailable)
 			return
@@ -106,6 +120,9 @@
 			http.Error(w, "broken", http.StatusInternalServerError)
 			return
 		}
+		if t.config.OnRun != nil {
+			t.config.OnRun()
+		}
 		run(w, r)
 	}
 }
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -6,6 +6,7 @@
 
 	"ledgesill.dev/ledgesill/internal/config"
 	"ledgesill.dev/ledgesill/internal/entry"
+	"ledgesill.dev/ledgesill/internal/link"
 )
 
 func init() {
@@ -24,7 +25,7 @@
 	if err != nil {
 		return &ExitError{ExitUsage, err}
 	}
-	d, err := entry.Open(c, in.Err)
+	d, err := entry.Open(c, in.Err, link.TCP())
 	if err != nil {
 		return err
 	}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -92,7 +92,7 @@
 	}
 	id := link.Identity{Name: d.config.Name, Incarnation: d.process.Incarnation}
 	handlers := link.Handlers{Consensus: d.serveConsensus, Subscribe: d.serveSubscriber, Call: d.serveCall}
-	if d.node, err = link.Listen(d.config.PeerAddress, id, d.process.Clock, handlers, secure); err != nil {
+	if d.node, err = link.Listen(link.TCP(), d.config.PeerAddress, id, d.process.Clock, handlers, secure); err != nil {
 		return err
 	}
 	if d.operators, err = net.Listen("tcp", d.config.OperatorAddress); err != nil {
--- a/internal/control/disk_test.go
+++ b/internal/control/disk_test.go
@@ -14,6 +14,10 @@
 type fakeFile struct {
 	data   []byte
 	synced int
+	// lost is set after a failed sync: as on a real machine, what was not
+	// synced then is gone, whatever is synced later.
+	lost     bool
+	lostFrom int
 }
 
 // fakeDisk is a folder on a disk that keeps only what was synced: bytes by
@@ -97,6 +101,9 @@
 		},
 		Sync: func() error {
 			if err := d.before("sync", name); err != nil {
+				if !f.lost {
+					f.lost, f.lostFrom = true, f.synced
+				}
 				return err
 			}
 			f.synced = len(f.data)
@@ -117,6 +124,9 @@
 	d.names = make(map[string]*fakeFile, len(d.durable))
 	for name, f := range d.durable {
 		kept := f.synced
+		if f.lost {
+			kept = f.lostFrom
+		}
 		if rest := len(f.data) - f.synced; torn && rest > 0 {
 			kept += d.random.IntN(rest + 1)
 		}
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -42,9 +42,11 @@
 	return f
 }
 
-// diskFault makes the next operation of a kind fail.
+// diskFault makes the next operation of a kind fail. If the replica goes on in
+// spite of it, it crashes a moment later.
 func diskFault(operation string) fault {
-	return fault{on: func(_ *world, n *node) {
+	return fault{on: func(w *world, n *node) {
+		w.crashAt[n] = w.now.Add(500 * time.Millisecond)
 		before := n.disk.before
 		failed := false
 		n.disk.before = func(op, name string) error {
--- a/internal/control/operators_test.go
+++ b/internal/control/operators_test.go
@@ -35,9 +35,16 @@
 	change *wire.Change
 	node   *node
 	reply  chan outcome
+	again  chan outcome
 	sentAt time.Time
 }
 
+// reply2 is where the answer to a doubled change comes.
+func (c *openChange) reply2() chan outcome {
+	c.again = make(chan outcome, 1)
+	return c.again
+}
+
 type openRead struct {
 	reply chan readOutcome
 	floor uint64
@@ -88,7 +95,11 @@
 	c.reply = make(chan outcome, 1)
 	o.propose(n, c.change, c.reply)
 	if o.doubles {
+		// The same change again, to another node and to the same one.
 		o.propose(o.w.nodes[o.w.random.IntN(len(o.w.nodes))], c.change, make(chan outcome, 1))
+		if n.alive {
+			o.propose(n, c.change, c.reply2())
+		}
 	}
 }
 
@@ -125,6 +136,7 @@
 			return false
 		}
 		o.verdict(got.result.Verdict)
+		o.takeAgain(c)
 		return true
 	default:
 	}
@@ -134,6 +146,17 @@
 	return false
 }
 
+// takeAgain takes the answer to a doubled change, which must be the same.
+func (o *operators) takeAgain(c *openChange) {
+	select {
+	case got := <-c.again:
+		if got.err == nil {
+			o.verdict(got.result.Verdict)
+		}
+	default:
+	}
+}
+
 // verdict checks that each id has one verdict and each version one change.
 func (o *operators) verdict(v *wire.Verdict) {
 	if before, ok := o.verdicts[v.Id]; ok && (before.Kind != v.Kind || before.Version != v.Version) {
@@ -239,6 +262,7 @@
 // checkKept checks that every acknowledged change is still known, unless so
 // many came after it that the memory of verdicts has let it go.
 func (o *operators) checkKept(s steering.State) {
+	o.checkHistory(s)
 	forgotten := s.Encode().ForgottenVersion
 	for version, id := range o.accepted {
 		if version <= forgotten {
@@ -251,6 +275,22 @@
 	}
 }
 
+// checkHistory checks that each accepted change was made against the one before
+// it, and that no operator was told another verdict than the one in the log.
+func (o *operators) checkHistory(s steering.State) {
+	var last uint64
+	for _, a := range s.History() {
+		if last != 0 && a.Change.BaseVersion != last {
+			o.w.problem("change %s made against %d was accepted after %d", a.Change.Id, a.Change.BaseVersion, last)
+		}
+		last = a.Version
+		v := o.verdicts[a.Change.Id]
+		if v != nil && (v.Kind != wire.VerdictKind_VERDICT_KIND_ACCEPTED || v.Version != a.Version) {
+			o.w.problem("change %s was accepted at %d and its operator was told %s at %d", a.Change.Id, a.Version, v.Kind, v.Version)
+		}
+	}
+}
+
 // checkInForce makes one more change and waits for it at every box.
 func (o *operators) checkInForce() {
 	w := o.w
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -46,6 +46,8 @@
 	nextAt  time.Time
 	asking  bool // not yet part of the membership
 	heardAt time.Time
+	// aloneSince is when the node was last in touch with another.
+	aloneSince time.Time
 }
 
 // box is one entry box.
@@ -91,6 +93,7 @@
 	problems []string
 	// quorumLost: two disks of three were lost before a repair was finished.
 	quorumLost bool
+	crashAt    map[*node]time.Time
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -106,6 +109,7 @@
 		finished: make(map[string]bool),
 		leaders:  make(map[uint64]string),
 		applied:  make(map[uint64]uint64),
+		crashAt:  make(map[*node]time.Time),
 	}
 	for i := 1; i <= 3; i++ {
 		n := &node{world: w, name: fmt.Sprintf("c%d", i), zone: fmt.Sprintf("z%d", i)}
@@ -164,6 +168,7 @@
 	n.alive, n.frozen, n.journal, n.replica, n.inbox = true, false, j, r, nil
 	n.pub = distribution.NewPublisher(r.state)
 	n.nextAt = w.now
+	n.aloneSince = w.now
 	r.send = func(m *wire.ConsensusMessage) { w.send(n, m) }
 	r.publish = func(s steering.State, c []*wire.Command) { n.pub.Put(s, c) }
 	r.noticed = func(notice consensus.Notice) { w.noticed(n, notice) }
@@ -346,6 +351,10 @@
 }
 
 func (w *world) stepNode(n *node) {
+	if at, ok := w.crashAt[n]; ok && n.alive && !w.now.Before(at) {
+		delete(w.crashAt, n)
+		w.kill(n, false, time.Second)
+	}
 	if !n.alive {
 		if !w.now.Before(n.downTo) {
 			w.start(n)
@@ -374,6 +383,7 @@
 		return
 	}
 	s := n.replica.machine.Status(w.now)
+	w.checkCutOff(n, s)
 	if s.Role == consensus.Leader {
 		n.heardAt = w.now
 	} else if s.Leader != "" {
@@ -381,6 +391,19 @@
 	}
 }
 
+// checkCutOff checks that a node that is alone for two seconds says so.
+func (w *world) checkCutOff(n *node, s consensus.Status) {
+	for _, other := range w.nodes {
+		if other != n && (w.open(n.zone, other.zone) || w.open(other.zone, n.zone)) {
+			n.aloneSince = w.now
+		}
+	}
+	if w.now.Sub(n.aloneSince) > 2*time.Second && !s.CutOff {
+		w.problem("%s is cut off and does not say so", n.name)
+		n.aloneSince = w.now
+	}
+}
+
 // repair does what the daemon's workers do: a node on a new disk asks to join,
 // and the leader takes it in step by step.
 func (w *world) repair(n *node) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -282,7 +282,7 @@
 		_ = response.Body.Close()
 		a.body = buffer.Bytes()
 		if a.status >= http.StatusInternalServerError {
-			return a, endOfError(repeatable), admission.Failed
+			return serverError(a, repeatable)
 		}
 		return a, retry.Answered, admission.Succeeded
 	case err != nil:
@@ -294,13 +294,16 @@
 	return a, retry.Answered, admission.Succeeded
 }
 
-// endOfError lets a repeatable request that met a server error be tried
-// elsewhere; if it is not, the error is the answer.
-func endOfError(repeatable bool) retry.End {
+// serverError lets a repeatable request that met a server error be tried
+// elsewhere; if it is not, the error is the answer. Of one that may not be
+// repeated nobody knows what it has done.
+func serverError(a *answer, repeatable bool) (*answer, retry.End, admission.Result) {
 	if repeatable {
-		return retry.Failed
+		return a, retry.Failed, admission.Failed
 	}
-	return retry.Answered
+	a.outcome = caller.Unknown
+	a.reason = "the target answered with an error"
+	return a, retry.Answered, admission.Failed
 }
 
 type readCloser struct {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -45,6 +45,7 @@
 	config     config.Entry
 	process    *process.Process
 	seed       uint64
+	network    link.Network
 	node       *link.Node
 	publishing *relay.Publishing
 	following  *following
@@ -97,15 +98,16 @@
 	readHeaderTimeout = 5 * time.Second
 )
 
-// Open listens. Run must follow.
-func Open(c config.Entry, log io.Writer) (*Daemon, error) {
+// Open listens on a network. Run must follow. Without an operator address
+// nothing is served to operators.
+func Open(c config.Entry, log io.Writer, network link.Network) (*Daemon, error) {
 	p, err := process.New(c.Name, log, c.Level(), "")
 	if err != nil {
 		return nil, err
 	}
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(c.Name + p.Incarnation)) // a hash takes every write
-	d := &Daemon{config: c, process: p, seed: seed.Sum64()}
+	d := &Daemon{config: c, process: p, seed: seed.Sum64(), network: network}
 	d.votes.voter = lease.NewVoter(time.Now(), c.Name, longestLease)
 	d.budgets.byService = make(map[string]*retry.Budget)
 	d.pools.byService = make(map[string]*runningPool)
@@ -131,24 +133,25 @@
 	}
 	id := link.Identity{Name: d.config.Name, Incarnation: d.process.Incarnation}
 	handlers := link.Handlers{Subscribe: d.serveSubscriber, Call: d.serveCall, Forward: d.serveForward}
-	if d.callers, err = net.Listen("tcp", d.config.CallerAddress); err != nil {
+	if d.callers, err = d.network.Listen(d.config.CallerAddress); err != nil {
 		return fmt.Errorf("listening for callers: %w", err)
 	}
-	if d.operators, err = net.Listen("tcp", d.config.OperatorAddress); err != nil {
-		return errors.Join(fmt.Errorf("listening for operators: %w", err), d.callers.Close())
+	if d.config.OperatorAddress != "" {
+		if d.operators, err = d.network.Listen(d.config.OperatorAddress); err != nil {
+			return errors.Join(fmt.Errorf("listening for operators: %w", err), d.callers.Close())
+		}
 	}
 	d.forwarded = link.NewStreamListener(d.callers.Addr())
-	if d.node, err = link.Listen(d.config.PeerAddress, id, d.process.Clock, handlers, secure); err != nil {
-		return errors.Join(err, d.callers.Close(), d.operators.Close())
+	if d.node, err = link.Listen(d.network, d.config.PeerAddress, id, d.process.Clock, handlers, secure); err != nil {
+		return errors.Join(err, d.callers.Close())
 	}
-	dialer := &net.Dialer{Timeout: dialTargetTimeout}
 	d.toTargets = &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         d.dialTarget,
 		MaxIdleConnsPerHost: idlePerTarget,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	d.probes = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}, Timeout: probeTimeout}
+	d.probes = &http.Client{Transport: &http.Transport{DialContext: d.dialTarget}, Timeout: probeTimeout}
 	d.toPeers = &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return d.node.Forward(ctx, address)
@@ -162,6 +165,12 @@
 	return nil
 }
 
+func (d *Daemon) dialTarget(ctx context.Context, _, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTargetTimeout)
+	defer cancel()
+	return d.network.Dial(ctx, address)
+}
+
 func (d *Daemon) registerMetrics() {
 	d.requests = d.process.Counter("requests_total", "Requests answered, by service and outcome.", "service", "outcome")
 	d.refusals = d.process.Counter("refusals_total", "Requests that got no slot, by service and reason.", "service", "reason")
@@ -200,7 +209,9 @@
 	root.Add(process.Service{Name: "peers", Run: d.peers.run})
 	root.Add(process.Service{Name: "health", Run: d.probeTargets})
 	root.Add(process.Service{Name: "platform", Run: d.watchPlatform})
-	root.Add(process.Service{Name: "operators", Run: d.serveOperators})
+	if d.operators != nil {
+		root.Add(process.Service{Name: "operators", Run: d.serveOperators})
+	}
 	tree, stopTree := context.WithCancel(context.Background())
 	ended := root.ServeBackground(tree)
 
@@ -239,6 +250,7 @@
 func (d *Daemon) close() error {
 	d.toTargets.CloseIdleConnections()
 	d.toPeers.CloseIdleConnections()
+	d.probes.CloseIdleConnections()
 	return errors.Join(d.node.Close(), d.process.Close())
 }
 
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -133,6 +133,11 @@
 	case wire.KeyState_KEY_STATE_NOT_RUN:
 		return refusal(r.Reason, minRetryAfter)
 	}
+	if r.Answer != nil {
+		a := fromStored(r.Answer)
+		a.outcome = caller.Unknown
+		return a
+	}
 	return unknown(r.Reason)
 }
 
@@ -162,7 +167,7 @@
 func (k *keys) run(key requestkey.Key, r *request) {
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
 	defer cancel()
-	a := k.box.dispatch(ctx, r)
+	a := k.box.dispatch(ctx, r.withoutKey())
 	if a.stream != nil {
 		a = readWhole(a)
 	}
@@ -175,6 +180,9 @@
 		f.State = wire.KeyState_KEY_STATE_NOT_RUN
 	default:
 		f.State = wire.KeyState_KEY_STATE_UNKNOWN
+		if a.header != nil {
+			f.Answer = a.stored()
+		}
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- /dev/null
+++ b/internal/entry/network_test.go
@@ -0,0 +1,362 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+// fakeNetwork connects hosts in the memory of a synctest bubble. A host is the
+// part of an address before the port; hosts stand in zones, between which
+// messages take time and can be cut.
+type fakeNetwork struct {
+	mu        sync.Mutex
+	listeners map[string]*fakeListener
+	conns     []*fakeConn
+	zones     map[string]string
+	cuts      map[[2]string]bool
+	stalled   map[string]bool
+	dead      map[string]bool
+	delay     time.Duration
+	// onDial and onWrite see every dial and write before it takes effect.
+	onDial  func(from, to string)
+	onWrite func(from, to string, data []byte)
+}
+
+func newFakeNetwork() *fakeNetwork {
+	return &fakeNetwork{
+		listeners: make(map[string]*fakeListener),
+		zones:     make(map[string]string),
+		cuts:      make(map[[2]string]bool),
+		stalled:   make(map[string]bool),
+		dead:      make(map[string]bool),
+		delay:     time.Millisecond,
+		onDial:    func(string, string) {},
+		onWrite:   func(string, string, []byte) {},
+	}
+}
+
+var (
+	errRefused = errors.New("connection refused")
+	errReset   = errors.New("connection reset")
+)
+
+func hostOf(address string) string {
+	host, _, _ := strings.Cut(address, ":")
+	return host
+}
+
+// open reports whether messages pass from one host to another now.
+func (n *fakeNetwork) open(from, to string) bool {
+	if n.stalled[from] || n.stalled[to] {
+		return false
+	}
+	a, b := n.zones[from], n.zones[to]
+	return a == b || !n.cuts[[2]string{a, b}]
+}
+
+func (n *fakeNetwork) cut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{a, b}] = cut
+	n.cuts[[2]string{b, a}] = cut
+	n.wake()
+}
+
+// stall holds back all messages of a host, as if it were frozen.
+func (n *fakeNetwork) stall(host string, stalled bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stalled[host] = stalled
+	n.wake()
+}
+
+// kill resets all connections of a host and refuses new ones.
+func (n *fakeNetwork) kill(host string) {
+	n.mu.Lock()
+	n.dead[host] = true
+	var hit []*fakeConn
+	for _, c := range n.conns {
+		if c.host == host || c.peer.host == host {
+			hit = append(hit, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range hit {
+		c.fail(errReset)
+	}
+}
+
+func (n *fakeNetwork) revive(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.dead, host)
+	for address := range n.listeners {
+		if hostOf(address) == host {
+			delete(n.listeners, address)
+		}
+	}
+}
+
+func (n *fakeNetwork) place(host, zone string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.zones[host] = zone
+}
+
+// hooks sets what sees dials and writes.
+func (n *fakeNetwork) hooks(onDial func(from, to string), onWrite func(from, to string, data []byte)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.onDial, n.onWrite = onDial, onWrite
+}
+
+func (n *fakeNetwork) see() (onDial func(from, to string), onWrite func(from, to string, data []byte)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.onDial, n.onWrite
+}
+
+func (n *fakeNetwork) setDelay(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = d
+}
+
+func (n *fakeNetwork) delayNow() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay
+}
+
+func (n *fakeNetwork) wake() {
+	for _, c := range n.conns {
+		c.signal()
+	}
+}
+
+func (n *fakeNetwork) listen(address string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[address] != nil {
+		return nil, fmt.Errorf("address %s is in use", address)
+	}
+	l := &fakeListener{network: n, address: address, conns: make(chan net.Conn, 64), done: make(chan struct{})}
+	n.listeners[address] = l
+	return l, nil
+}
+
+func (n *fakeNetwork) dial(ctx context.Context, from, address string) (net.Conn, error) {
+	onDial, _ := n.see()
+	onDial(from, hostOf(address))
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(2 * n.delayNow()):
+	}
+	n.mu.Lock()
+	to := hostOf(address)
+	if !n.open(from, to) && !n.dead[from] {
+		n.mu.Unlock()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	l := n.listeners[address]
+	if l == nil || n.dead[to] || n.dead[from] {
+		n.mu.Unlock()
+		return nil, errRefused
+	}
+	near, far := &fakeConn{network: n, host: from, address: from + ":0"}, &fakeConn{network: n, host: to, address: address}
+	near.peer, far.peer = far, near
+	near.notify, far.notify = make(chan struct{}, 1), make(chan struct{}, 1)
+	n.conns = append(n.conns, near, far)
+	n.mu.Unlock()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.done:
+		return nil, errRefused
+	}
+}
+
+type fakeListener struct {
+	network *fakeNetwork
+	address string
+	conns   chan net.Conn
+	done    chan struct{}
+	once    sync.Once
+}
+
+func (l *fakeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *fakeListener) Close() error {
+	l.once.Do(func() {
+		close(l.done)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		if l.network.listeners[l.address] == l {
+			delete(l.network.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+func (l *fakeListener) Addr() net.Addr { return fakeAddr(l.address) }
+
+type fakeAddr string
+
+func (a fakeAddr) Network() string { return "fake" }
+func (a fakeAddr) String() string  { return string(a) }
+
+type chunk struct {
+	at   time.Time
+	data []byte
+	end  bool
+}
+
+// fakeConn is one end of a connection.
+type fakeConn struct {
+	network  *fakeNetwork
+	host     string
+	address  string
+	peer     *fakeConn
+	notify   chan struct{}
+	mu       sync.Mutex
+	incoming []chunk
+	err      error
+	closed   bool
+	deadline time.Time
+}
+
+func (c *fakeConn) signal() {
+	select {
+	case c.notify <- struct{}{}:
+	default:
+	}
+}
+
+func (c *fakeConn) fail(err error) {
+	c.mu.Lock()
+	if c.err == nil {
+		c.err = err
+	}
+	c.mu.Unlock()
+	c.signal()
+}
+
+func (c *fakeConn) Read(b []byte) (int, error) {
+	for {
+		n, wait, err := c.tryRead(b)
+		if n > 0 || err != nil {
+			return n, err
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-c.notify:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+const longWait = time.Hour
+
+func (c *fakeConn) tryRead(b []byte) (n int, wait time.Duration, err error) {
+	c.network.mu.Lock()
+	open := c.network.open(c.peer.host, c.host)
+	c.network.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.err != nil {
+		return 0, 0, c.err
+	}
+	if c.closed {
+		return 0, 0, net.ErrClosed
+	}
+	wait = longWait
+	if !c.deadline.IsZero() {
+		if !now.Before(c.deadline) {
+			return 0, 0, os.ErrDeadlineExceeded
+		}
+		wait = c.deadline.Sub(now)
+	}
+	if !open || len(c.incoming) == 0 {
+		return 0, wait, nil
+	}
+	first := &c.incoming[0]
+	if now.Before(first.at) {
+		return 0, min(wait, first.at.Sub(now)), nil
+	}
+	if first.end {
+		return 0, 0, io.EOF
+	}
+	n = copy(b, first.data)
+	first.data = first.data[n:]
+	if len(first.data) == 0 {
+		c.incoming = c.incoming[1:]
+	}
+	return n, 0, nil
+}
+
+func (c *fakeConn) Write(b []byte) (int, error) {
+	_, onWrite := c.network.see()
+	onWrite(c.host, c.peer.host, b)
+	c.mu.Lock()
+	err, closed := c.err, c.closed
+	c.mu.Unlock()
+	if closed {
+		return 0, net.ErrClosed
+	}
+	if err != nil {
+		return 0, err
+	}
+	c.peer.push(chunk{at: time.Now().Add(c.network.delayNow()), data: append([]byte(nil), b...)})
+	return len(b), nil
+}
+
+func (c *fakeConn) push(k chunk) {
+	c.mu.Lock()
+	c.incoming = append(c.incoming, k)
+	c.mu.Unlock()
+	c.signal()
+}
+
+func (c *fakeConn) Close() error {
+	c.mu.Lock()
+	was := c.closed
+	c.closed = true
+	c.mu.Unlock()
+	c.signal()
+	if !was {
+		c.peer.push(chunk{at: time.Now().Add(c.network.delayNow()), end: true})
+	}
+	return nil
+}
+
+func (c *fakeConn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+func (c *fakeConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.deadline = t
+	c.mu.Unlock()
+	c.signal()
+	return nil
+}
+
+func (c *fakeConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *fakeConn) LocalAddr() net.Addr              { return fakeAddr(c.address) }
+func (c *fakeConn) RemoteAddr() net.Addr             { return fakeAddr(c.peer.address) }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -162,6 +162,16 @@
 	return &next
 }
 
+// withoutKey returns the request as its owner runs it: another box that it is
+// passed to must not send it back to the owner.
+func (r *request) withoutKey() *request {
+	next := *r
+	next.key = ""
+	next.header = r.header.Clone()
+	next.header.Del(caller.HeaderKey)
+	return &next
+}
+
 // own are the headers of the system, which do not go to targets.
 var own = []string{
 	caller.HeaderKey, caller.HeaderRepeatable, caller.HeaderHome, caller.HeaderBlock, headerHops, headerForeign,
--- /dev/null
+++ b/internal/entry/system_basic_test.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/caller"
+)
+
+func report(t *testing.T, s *system) {
+	t.Helper()
+	for _, p := range s.problems {
+		t.Error(p)
+	}
+}
+
+// TestKeyedRequestThroughAnyBox guards against a request under a key going
+// round between its owner and the box that holds the pool.
+func TestKeyedRequestThroughAnyBox(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSystem(t, 2)
+		for name, host := range boxHosts {
+			c := s.client("flags")
+			c.Pin(host + ":1")
+			began := time.Now()
+			a := s.toggle(c, "through "+name, 3*time.Second)
+			if a.Outcome != caller.Ran || time.Since(began) > time.Second {
+				t.Errorf("through %s: %s after %s", name, a.Outcome, time.Since(began))
+			}
+		}
+		s.close(2)
+		report(t, s)
+	})
+}
+
+func TestTraffic(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSystem(t, 2)
+		c := s.client("flags")
+		for i := range 20 {
+			if a := s.read(c, time.Second); a.Outcome != caller.Ran {
+				t.Errorf("read %d: %s", i, a.Outcome)
+			}
+			if a := s.toggle(c, fmt.Sprintf("toggle-%d", i), time.Second); a.Outcome != caller.Ran {
+				t.Errorf("toggle %d: %s", i, a.Outcome)
+			}
+		}
+		if a := s.export(c, 3*time.Second); a.Outcome != caller.Ran {
+			t.Errorf("export: %s", a.Outcome)
+		}
+		s.close(2)
+		report(t, s)
+	})
+}
--- /dev/null
+++ b/internal/entry/system_test.go
@@ -0,0 +1,349 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ledgesill.dev/ledgesill/contrib/standin"
+	"ledgesill.dev/ledgesill/internal/config"
+	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/internal/relay"
+	"ledgesill.dev/ledgesill/pkg/caller"
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/timeline"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+const (
+	controlHost = "10.0.9.1"
+	callerHost  = "10.0.8.1"
+	serviceTime = 10 * time.Millisecond
+	exportBytes = 300_000
+)
+
+// system runs three real entry boxes, two in zone a and one in zone b, with two
+// targets in each zone, a control that only publishes, and callers, all in the
+// memory of a synctest bubble.
+type system struct {
+	t       *testing.T
+	network *fakeNetwork
+	state   steering.State
+	publish *relay.Publishing
+	control *link.Node
+	boxes   map[string]*runningBox
+	targets map[string]*runningTarget
+	runs    map[string]int
+	over    int
+	ended   []chan error
+	clients []*http.Client
+	nonce   int
+
+	mu       sync.Mutex
+	problems []string
+	sent     map[string]caller.Outcome
+}
+
+type runningBox struct {
+	name, host, zone string
+	daemon           *Daemon
+	cancel           context.CancelFunc
+	done             chan error
+}
+
+type runningTarget struct {
+	host   string
+	zone   string
+	target *standin.Target
+	cancel context.CancelFunc
+	done   chan error
+	onRun  func()
+}
+
+var boxHosts = map[string]string{"b1": "10.0.0.1", "b2": "10.0.0.2", "b3": "10.0.0.3"}
+
+func zoneOfBox(name string) string {
+	if name == "b3" {
+		return "zb"
+	}
+	return "za"
+}
+
+func newSystem(t *testing.T, slots int) *system {
+	s := &system{
+		t: t, network: newFakeNetwork(), boxes: make(map[string]*runningBox), targets: make(map[string]*runningTarget),
+		runs: make(map[string]int), sent: make(map[string]caller.Outcome),
+	}
+	for name, host := range boxHosts {
+		s.network.place(host, zoneOfBox(name))
+	}
+	s.network.place(controlHost, "zc")
+	s.startControl()
+	for _, name := range []string{"a1", "a2", "b1", "b2"} {
+		s.startTarget(name, slots, nil)
+	}
+	s.change(s.edits(slots)...)
+	for name := range boxHosts {
+		s.startBox(name)
+	}
+	time.Sleep(4 * time.Second)
+	return s
+}
+
+// bubble runs a test in virtual time. Channels that a library keeps in a pool
+// must not go from one bubble to the next; two collections empty all pools.
+func bubble(t *testing.T, run func(t *testing.T)) {
+	t.Helper()
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, run)
+}
+
+func (s *system) problem(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.problems) < 6 {
+		s.problems = append(s.problems, fmt.Sprintf(format, args...))
+	}
+}
+
+func (s *system) edits(slots int) []*wire.Edit {
+	set := func(path, key, value string) *wire.Edit { return &wire.Edit{Path: path, Key: key, Value: value} }
+	return []*wire.Edit{
+		set("/", "slots", fmt.Sprint(slots)),
+		set("/", "requestTimeoutMillis", "4000"),
+		set("/", "queueWaitMillis", "300"),
+		set("/", "rampMillis", "0"),
+		set("/east/za", "entryBoxes", "b1=10.0.0.1:1+10.0.0.1:2,b2=10.0.0.2:1+10.0.0.2:2"),
+		set("/east/za", "leaseWitness", "b3"),
+		set("/east/zb", "entryBoxes", "b3=10.0.0.3:1+10.0.0.3:2"),
+		set("/east/za:flags", "targets", "a1=10.0.1.1:1,a2=10.0.1.2:1"),
+		set("/east/zb:flags", "targets", "b1=10.0.2.1:1,b2=10.0.2.2:1"),
+	}
+}
+
+// change puts a change in force at control.
+func (s *system) change(edits ...*wire.Edit) {
+	c := &wire.Command{Change: &wire.Change{Id: fmt.Sprint(s.state.Version()), BaseVersion: s.state.SettingsVersion(), Edits: edits}}
+	next, result := s.state.Apply(c)
+	if !result.Changed {
+		s.t.Fatalf("the change is refused: %v", result.Verdict)
+	}
+	s.state = next
+	s.publish.Put(next, []*wire.Command{c})
+}
+
+func (s *system) startControl() {
+	clock := timeline.NewClock(time.Now)
+	s.publish = relay.NewPublishing(steering.State{}, func() time.Duration { return 0 }, clock.Stamp)
+	handlers := link.Handlers{Subscribe: func(ctx context.Context, _ string, m *link.Messages) { s.publish.Serve(ctx, m) }}
+	node, err := link.Listen(s.networkOf(controlHost), controlHost+":1", link.Identity{Name: "control"}, clock, handlers, nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.control = node
+}
+
+func (s *system) networkOf(host string) link.Network {
+	return link.Network{
+		Listen: s.network.listen,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return s.network.dial(ctx, host, address)
+		},
+	}
+}
+
+func targetHost(name string) string {
+	zone := map[byte]string{'a': "1", 'b': "2"}[name[0]]
+	return "10.0." + zone + "." + name[1:]
+}
+
+func (s *system) startTarget(name string, slots int, onRun func()) {
+	r := &runningTarget{host: targetHost(name), zone: "z" + name[:1], done: make(chan error, 1), onRun: onRun}
+	r.target = standin.NewTarget(standin.TargetConfig{
+		Name: name, Slots: slots, Connections: 330, ServiceTime: serviceTime,
+		OnRun: func() {
+			if r.onRun != nil {
+				r.onRun()
+			}
+		},
+	})
+	s.network.place(r.host, r.zone)
+	s.network.revive(r.host)
+	l, err := s.network.listen(r.host + ":1")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	go func() { r.done <- r.target.Serve(ctx, l) }()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets[name] = r
+}
+
+func (s *system) target(name string) *runningTarget {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets[name]
+}
+
+func (s *system) box(name string) *runningBox {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.boxes[name]
+}
+
+func (s *system) allTargets() map[string]*runningTarget {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.targets)
+}
+
+func (s *system) allBoxes() map[string]*runningBox {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.boxes)
+}
+
+// endTarget ends a target and keeps what it has run.
+func (s *system) endTarget(name string, slots int) {
+	r := s.target(name)
+	r.cancel()
+	<-r.done
+	runs, most := r.target.Runs()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, n := range runs {
+		s.runs[id] += n
+	}
+	if most > slots {
+		s.over++
+	}
+	delete(s.targets, name)
+}
+
+func (s *system) startBox(name string) {
+	host := boxHosts[name]
+	s.network.revive(host)
+	c := config.Entry{
+		Common:        config.Common{Name: name, PeerAddress: host + ":2", LogLevel: "error"},
+		CallerAddress: host + ":1",
+		Region:        "east",
+		Zone:          zoneOfBox(name),
+		Controls:      []string{controlHost + ":1"},
+	}
+	d, err := Open(c, io.Discard, s.networkOf(host))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &runningBox{name: name, host: host, zone: c.Zone, daemon: d, cancel: cancel, done: make(chan error, 1)}
+	go func() { b.done <- d.Run(ctx) }()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.boxes[name] = b
+}
+
+// killBox cuts a box off for good and lets its goroutines end by themselves.
+func (s *system) killBox(name string) {
+	b := s.box(name)
+	s.network.kill(b.host)
+	b.cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = append(s.ended, b.done)
+}
+
+func (s *system) client(service string) *caller.Client {
+	h := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return s.network.dial(ctx, callerHost, address)
+	}}}
+	s.mu.Lock()
+	s.clients = append(s.clients, h)
+	s.mu.Unlock()
+	return caller.NewClient(caller.Config{
+		Boxes: []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}, Service: service, Home: "east", Block: "block-1", HTTP: h,
+		Nonce: func() string {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.nonce++
+			return fmt.Sprint(s.nonce)
+		},
+	})
+}
+
+// toggle sends a request that may not be repeated and notes its outcome.
+func (s *system) toggle(c *caller.Client, name string, timeout time.Duration) caller.Answer {
+	a, err := c.Do(context.Background(), caller.Request{Method: http.MethodPost, Path: "/toggle", Body: []byte(name), Timeout: timeout})
+	if err == nil && a.Outcome == caller.Ran && a.Status == http.StatusOK && !strings.HasPrefix(string(a.Body), "/toggle "+name[:min(len(name), 20)]) {
+		s.problem("toggle %.20s got the answer %.40q", name, a.Body)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent[name] = a.Outcome
+	return a
+}
+
+func (s *system) read(c *caller.Client, timeout time.Duration) caller.Answer {
+	a, _ := c.Do(context.Background(), caller.Request{Method: http.MethodGet, Path: "/flag", Timeout: timeout, Repeatable: true})
+	if a.Outcome == caller.Ran && a.Status == http.StatusOK && string(a.Body) != "/flag " {
+		s.problem("a read got the answer %.40q", a.Body)
+	}
+	return a
+}
+
+func (s *system) export(c *caller.Client, timeout time.Duration) caller.Answer {
+	path := fmt.Sprintf("/export?size=%d", exportBytes)
+	a, _ := c.Do(context.Background(), caller.Request{Method: http.MethodGet, Path: path, Timeout: timeout, Repeatable: true})
+	if a.Outcome == caller.Ran && a.Status == http.StatusOK && !bytes.Equal(a.Body, standin.ExportContent(exportBytes)) {
+		s.problem("an export of %d bytes came as %d others", exportBytes, len(a.Body))
+	}
+	return a
+}
+
+// close ends everything and checks what ran.
+func (s *system) close(slots int) {
+	boxes := s.allBoxes()
+	for _, b := range boxes {
+		b.cancel()
+	}
+	for _, b := range boxes {
+		<-b.done
+	}
+	for _, done := range s.ended {
+		<-done
+	}
+	for name := range s.allTargets() {
+		s.endTarget(name, slots)
+	}
+	_ = s.control.Close()
+	for _, h := range s.clients {
+		h.CloseIdleConnections()
+	}
+	for name, outcome := range s.sent {
+		n := s.runs[name]
+		if n > 1 {
+			s.problem("toggle %.20s ran %d times", name, n)
+		}
+		if n > 0 && outcome == caller.NotRun {
+			s.problem("toggle %.20s ran and its caller was told that it did not", name)
+		}
+		if n == 0 && outcome == caller.Ran {
+			s.problem("toggle %.20s did not run and its caller was told that it did", name)
+		}
+	}
+	if s.over > 0 {
+		s.problem("%d targets had more requests at once than slots", s.over)
+	}
+}
--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"sync"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -20,11 +19,12 @@
 type Messages struct {
 	stream io.ReadWriteCloser
 	reader *bufio.Reader
-	mu     sync.Mutex
+	// writing holds one token while a message is written.
+	writing chan struct{}
 }
 
 func newMessages(stream io.ReadWriteCloser) *Messages {
-	return &Messages{stream: stream, reader: bufio.NewReader(stream)}
+	return &Messages{stream: stream, reader: bufio.NewReader(stream), writing: make(chan struct{}, 1)}
 }
 
 // Read reads the next message.
@@ -37,8 +37,8 @@
 
 // Write writes one message.
 func (m *Messages) Write(message proto.Message) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	m.writing <- struct{}{}
+	defer func() { <-m.writing }()
 	w := bufio.NewWriter(m.stream)
 	if _, err := protodelim.MarshalTo(w, message); err != nil {
 		return fmt.Errorf("writing a message: %w", err)
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -50,6 +50,7 @@
 
 // Node is the end of all links of one process.
 type Node struct {
+	network  Network
 	identity Identity
 	clock    *timeline.Clock
 	handlers Handlers
@@ -91,24 +92,27 @@
 	return &n.Control
 }
 
-// dialled is one session that this node opens; its lock keeps two callers from
-// dialling at once.
+// dialled is one session that this node opens. Its lock, a channel that holds
+// one token, keeps two callers from dialling at once; a caller that gives up
+// need not wait for it.
 type dialled struct {
-	mu      sync.Mutex
+	lock    chan struct{}
 	session *yamux.Session
 }
 
+func newDialled() *dialled { return &dialled{lock: make(chan struct{}, 1)} }
+
 // ErrClosed is returned by a closed node.
 var ErrClosed = errors.New("the node is closed")
 
 // Listen returns a node that listens on an address. If tls is not nil, its
 // configuration is fetched for every connection, so that keys can be renewed.
-func Listen(address string, id Identity, clock *timeline.Clock, h Handlers, tls func() (*tls.Config, error)) (*Node, error) {
-	l, err := net.Listen("tcp", address)
+func Listen(network Network, address string, id Identity, clock *timeline.Clock, h Handlers, tls func() (*tls.Config, error)) (*Node, error) {
+	l, err := network.Listen(address)
 	if err != nil {
 		return nil, fmt.Errorf("listening for other processes: %w", err)
 	}
-	n := newNode(id, clock, h, tls)
+	n := newNode(network, id, clock, h, tls)
 	n.listener = l
 	n.running.Add(1)
 	go n.accept()
@@ -117,11 +121,12 @@
 
 // Dialer returns a node that only dials, for operators' commands.
 func Dialer(id Identity, clock *timeline.Clock, tls func() (*tls.Config, error)) *Node {
-	return newNode(id, clock, Handlers{}, tls)
+	return newNode(TCP(), id, clock, Handlers{}, tls)
 }
 
-func newNode(id Identity, clock *timeline.Clock, h Handlers, tls func() (*tls.Config, error)) *Node {
+func newNode(network Network, id Identity, clock *timeline.Clock, h Handlers, tls func() (*tls.Config, error)) *Node {
 	n := &Node{
+		network:  network,
 		identity: id,
 		clock:    clock,
 		handlers: h,
@@ -287,13 +292,17 @@
 	}
 	d := n.sessions[key]
 	if d == nil {
-		d = &dialled{}
+		d = newDialled()
 		n.sessions[key] = d
 	}
 	n.mu.Unlock()
 
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	select {
+	case d.lock <- struct{}{}:
+	case <-ctx.Done():
+		return nil, fmt.Errorf("reaching %s: %w", key.address, ctx.Err())
+	}
+	defer func() { <-d.lock }()
 	if d.session != nil && !d.session.IsClosed() {
 		return d.session, nil
 	}
@@ -318,8 +327,7 @@
 func (n *Node) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := n.network.Dial(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("reaching %s: %w", address, err)
 	}
@@ -417,11 +425,11 @@
 	dialled := n.sessions
 	n.mu.Unlock()
 	for _, d := range dialled {
-		d.mu.Lock()
+		d.lock <- struct{}{}
 		if d.session != nil {
 			_ = d.session.Close()
 		}
-		d.mu.Unlock()
+		<-d.lock
 	}
 	n.running.Wait()
 	return err
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -35,6 +35,7 @@
 	answer  LookupAnswer
 	expires time.Time
 	first   int
+	pinned  string
 }
 
 // NewClient returns a client that has not looked up anything yet.
@@ -99,6 +100,9 @@
 			last = err
 			continue
 		}
+		if address == c.pinned {
+			a.Boxes = []Box{{Address: address}}
+		}
 		c.answer = a
 		c.expires = time.Now().Add(a.TTL())
 		return a, nil
@@ -110,6 +114,9 @@
 // configured ones, from another place each time.
 func (c *Client) known() []string {
 	var out []string
+	if c.pinned != "" {
+		out = append(out, c.pinned)
+	}
 	for _, b := range c.answer.Boxes {
 		out = append(out, b.Address)
 	}
@@ -277,3 +284,12 @@
 	}
 	return a, nil
 }
+
+// Pin makes the client use one entry box until its next look-up fails: it looks
+// up there and sends its requests there.
+func (c *Client) Pin(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pinned = address
+	c.expires = time.Time{}
+}
--- /dev/null
+++ b/pkg/consensus/vote_test.go
@@ -0,0 +1,133 @@
+package consensus
+
+import (
+	"testing"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+func voteRequest(from, to string, term, index, logTerm uint64) Receive {
+	return Receive{&wire.ConsensusMessage{
+		Kind: wire.MessageKind_MESSAGE_KIND_VOTE, From: from, To: to, Term: term, LogIndex: index, LogTerm: logTerm,
+	}}
+}
+
+// granted reports whether an output grants a vote.
+func granted(out Output) bool {
+	for _, m := range out.Messages {
+		if m.Kind == wire.MessageKind_MESSAGE_KIND_VOTE_ANSWER && !m.Reject {
+			return true
+		}
+	}
+	return false
+}
+
+func TestVoteSurvivesARestart(t *testing.T) {
+	c := newCluster(3, 1)
+	m := c.members[0]
+	if !granted(c.do(m, voteRequest("r1", "r0", 5, 1, 1))) {
+		t.Fatal("the first vote was not granted")
+	}
+	c.start(m)
+	if granted(c.do(m, voteRequest("r2", "r0", 5, 1, 1))) {
+		t.Error("a second vote was granted in the same term after a restart")
+	}
+}
+
+func TestVoteForAShorterLogIsRefused(t *testing.T) {
+	c := newCluster(3, 1)
+	leader := c.elect(t)
+	c.do(leader, Propose{Data: []byte("x")})
+	for range 5 {
+		c.round()
+	}
+	c.now = c.now.Add(time.Minute) // the leader is no longer heard
+	for _, m := range c.members {
+		if m != leader && granted(c.do(m, voteRequest(leader.id, m.id, 50, 1, 1))) {
+			t.Errorf("%s votes for a log that lacks what is committed", m.id)
+		}
+	}
+}
+
+func TestNewDiskDoesNotVote(t *testing.T) {
+	c := newCluster(3, 1)
+	fresh := &member{id: "new"}
+	c.start(fresh)
+	if granted(c.do(fresh, voteRequest("r1", "new", 5, 9, 9))) {
+		t.Error("a replica without a membership votes")
+	}
+	for range 100 {
+		c.now = c.now.Add(tick)
+		if out := c.do(fresh, Tick{}); len(out.Messages) > 0 || out.HardState != nil {
+			t.Fatal("a replica without a membership stands for election")
+		}
+	}
+}
+
+func TestCutOffReplicaDoesNotDepose(t *testing.T) {
+	c := newCluster(3, 1)
+	leader := c.elect(t)
+	for range 5 {
+		c.round()
+	}
+	for _, m := range c.members {
+		out := c.do(m, voteRequest("r9", m.id, 50, 99, 99))
+		if granted(out) || out.HardState != nil {
+			t.Errorf("%s follows a candidate though it hears the leader", m.id)
+		}
+	}
+	if c.leader() != leader {
+		t.Error("the leader was deposed")
+	}
+}
+
+func TestLeaderWithoutQuorumStepsDown(t *testing.T) {
+	c := newCluster(3, 1)
+	leader := c.elect(t)
+	c.cut[leader.id] = true
+	for range 30 {
+		c.round()
+	}
+	if leader.replica.role == Leader {
+		t.Error("a leader without a quorum keeps its office")
+	}
+}
+
+// TestEarlierTermIsNotCommittedByCount is the case of figure 8 of the paper by
+// Ongaro and Ousterhout.
+func TestEarlierTermIsNotCommittedByCount(t *testing.T) {
+	c := newCluster(3, 1)
+	m := c.members[0]
+	m.stored.HardState = &wire.HardState{Term: 4}
+	m.stored.Entries = []*wire.Entry{{Index: 2, Term: 2}}
+	c.start(m)
+	m.replica.setHardState(5, "r0")
+	m.replica.becomeLeader()
+	m.replica.out = Output{}
+	out := c.do(m, Receive{&wire.ConsensusMessage{
+		Kind: wire.MessageKind_MESSAGE_KIND_APPEND_ANSWER, From: "r1", To: "r0", Term: 5, LogIndex: 2,
+	}})
+	if len(out.Committed) > 0 {
+		t.Error("an entry of an earlier term was committed by counting its copies")
+	}
+}
+
+func TestLearnerMustCatchUpBeforeItVotes(t *testing.T) {
+	c := newCluster(3, 1)
+	leader := c.elect(t)
+	learner := &wire.Replica{Id: "new", Address: "a9"}
+	m := leader.replica.Membership()
+	c.do(leader, ChangeMembership{Membership: &wire.Membership{Voters: m.Voters, Learners: []*wire.Replica{learner}}})
+	for range 5 {
+		c.round()
+	}
+	status := leader.replica.Status(c.now)
+	if step, next := NextRepair(leader.replica.Membership(), status, learner); step != RepairCatchUp || next != nil {
+		t.Errorf("the next step of the repair is %s", step)
+	}
+	out := c.do(leader, ChangeMembership{Membership: &wire.Membership{Voters: append(m.Voters[:3:3], learner)}})
+	if out.Proposals[0].Err == nil {
+		t.Error("a learner that holds nothing was made a voter")
+	}
+}
