--- /dev/null
+++ b/pkg/admission/pool_test.go
@@ -0,0 +1,264 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func repeatableFirst() *Class {
+	c := Repeatable
+	return &c
+}
+
+func config(slots int) Config {
+	return Config{
+		Slots: slots, ReserveShare: 20, RefuseFirst: repeatableFirst(), QueueLimit: 4, QueueWait: 100 * time.Millisecond,
+		ForeignShare: 30, Ramp: time.Second, EjectAfterFailures: 2, EjectShare: 50, EjectFor: time.Second, LongestRequest: 10 * time.Second,
+	}
+}
+
+func targets(n int) []Target {
+	var out []Target
+	for i := range n {
+		out = append(out, Target{Name: fmt.Sprintf("t%d", i)})
+	}
+	return out
+}
+
+// TestNeverMoreThanSlots is the invariant of the package, over any order of
+// events and any settings, lies of targets and changes of the list included.
+func TestNeverMoreThanSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewPool(rapid.Uint64().Draw(t, "seed"))
+		now := start
+		slots := rapid.IntRange(1, 5).Draw(t, "slots")
+		n := rapid.IntRange(1, 4).Draw(t, "targets")
+		draining := make(map[string]bool)
+		held := now
+		until := func(d time.Duration) { held = now.Add(d) }
+		until(time.Hour)
+		p.Handle(now, Configure{config(slots), targets(n)})
+		p.Handle(now, Hold{held})
+		onTarget := make(map[string]int)
+		at := make(map[uint64]string)
+		foreign := make(map[uint64]bool)
+		open := make(map[uint64]bool)
+		var id uint64
+		check := func(out Output) {
+			for _, g := range out.Grants {
+				if !open[g.ID] {
+					t.Fatalf("request %d was answered before", g.ID)
+				}
+				delete(open, g.ID)
+				at[g.ID] = g.Target
+				onTarget[g.Target]++
+				if onTarget[g.Target] > slots {
+					t.Fatalf("%s runs %d requests in %d slots", g.Target, onTarget[g.Target], slots)
+				}
+				if draining[g.Target] {
+					t.Fatalf("%s drains and got new work", g.Target)
+				}
+				if !now.Before(held) {
+					t.Fatal("granted without the lease")
+				}
+			}
+			for _, r := range out.Refusals {
+				if !open[r.ID] || r.RetryAfter <= 0 {
+					t.Fatalf("request %d: a refusal after an answer, or without a time to come back", r.ID)
+				}
+				delete(open, r.ID)
+			}
+		}
+		name := func() string { return fmt.Sprintf("t%d", rapid.IntRange(0, n-1).Draw(t, "target")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				id++
+				open[id] = true
+				foreign[id] = rapid.Bool().Draw(t, "foreign")
+				check(p.Handle(now, Arrive{
+					ID: id, Class: Class(rapid.IntRange(0, 1).Draw(t, "class")), Foreign: foreign[id],
+					Deadline: now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "deadline")) * time.Millisecond),
+				}))
+			},
+			"finish": func(t *rapid.T) {
+				for done, target := range at {
+					delete(at, done)
+					onTarget[target]--
+					check(p.Handle(now, Finish{ID: done, Result: Result(rapid.IntRange(0, 3).Draw(t, "result")), Latency: time.Millisecond}))
+					return
+				}
+			},
+			"cancel": func(*rapid.T) {
+				for waits := range open {
+					delete(open, waits)
+					check(p.Handle(now, Cancel{waits}))
+					return
+				}
+			},
+			"measure": func(t *rapid.T) {
+				check(p.Handle(now, Measure{
+					Target: name(), Ready: rapid.Bool().Draw(t, "ready"), Cold: rapid.Bool().Draw(t, "cold"),
+					Busy: rapid.IntRange(-1, 9).Draw(t, "busy"),
+				}))
+			},
+			"drain": func(t *rapid.T) {
+				list := targets(n)
+				clear(draining)
+				for i := range list {
+					list[i].Draining = rapid.Bool().Draw(t, "draining")
+					draining[list[i].Name] = list[i].Draining
+				}
+				check(p.Handle(now, Configure{config(slots), list}))
+			},
+			"lose": func(*rapid.T) {
+				until(0)
+				check(p.Handle(now, Hold{held}))
+			},
+			"hold": func(*rapid.T) {
+				until(time.Minute)
+				check(p.Handle(now, Hold{held}))
+			},
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+				check(p.Handle(now, Tick{}))
+			},
+			"": func(t *rapid.T) {
+				load := p.Load(now)
+				if load.Busy != len(at) || load.Waiting != len(open) {
+					t.Fatalf("busy %d and waiting %d, not %d and %d", load.Busy, load.Waiting, len(at), len(open))
+				}
+			},
+		})
+	})
+}
+
+func held(slots, n int) *Pool {
+	p := NewPool(1)
+	p.Handle(start, Configure{config(slots), targets(n)})
+	p.Handle(start, Hold{start.Add(time.Hour)})
+	return p
+}
+
+func arrive(p *Pool, now time.Time, id uint64, c Class) Output {
+	return p.Handle(now, Arrive{ID: id, Class: c, Deadline: now.Add(time.Second)})
+}
+
+func TestReserveIsForTheClassRefusedLast(t *testing.T) {
+	p := held(5, 1)
+	for id := uint64(1); id <= 4; id++ {
+		if len(arrive(p, start, id, Repeatable).Grants) != 1 {
+			t.Fatalf("read %d got no slot", id)
+		}
+	}
+	if len(arrive(p, start, 5, Repeatable).Grants) != 0 {
+		t.Error("a read took the reserve")
+	}
+	if len(arrive(p, start, 6, Unrepeatable).Grants) != 1 {
+		t.Error("a booking did not get the reserve")
+	}
+}
+
+func TestFullQueueDisplacesReads(t *testing.T) {
+	p := held(1, 1)
+	arrive(p, start, 1, Unrepeatable)
+	for id := uint64(2); id <= 5; id++ {
+		arrive(p, start, id, Repeatable)
+	}
+	out := arrive(p, start, 6, Unrepeatable)
+	if len(out.Refusals) != 1 || out.Refusals[0].Reason != Displaced || out.Refusals[0].ID != 5 {
+		t.Fatalf("got %+v, want read 5 displaced", out.Refusals)
+	}
+	out = p.Handle(start, Finish{ID: 1, Result: Succeeded, Latency: time.Millisecond})
+	if len(out.Grants) != 1 || out.Grants[0].ID != 6 {
+		t.Errorf("got %+v, want the booking first", out.Grants)
+	}
+}
+
+func TestFailingTargetIsLeftOutAndComesBack(t *testing.T) {
+	p := held(2, 2)
+	now := start
+	var id uint64
+	for range 40 {
+		if p.Load(now).InService < 2 {
+			break
+		}
+		now = now.Add(100 * time.Millisecond)
+		id++
+		g := arrive(p, now, id, Unrepeatable).Grants[0]
+		result := Succeeded
+		if g.Target == "t0" {
+			result = Failed
+		}
+		p.Handle(now, Finish{ID: id, Result: result, Latency: time.Millisecond})
+	}
+	if load := p.Load(now); load.InService != 1 {
+		t.Fatalf("%d targets in service, want 1", load.InService)
+	}
+	now = now.Add(1100 * time.Millisecond)
+	if load := p.Load(now); load.Capacity != 3 {
+		t.Errorf("capacity %d after the ejection, want 3: one slot to try the target with", load.Capacity)
+	}
+}
+
+func TestEjectionHasACeiling(t *testing.T) {
+	p := held(1, 3)
+	now := start
+	for id := uint64(1); id <= 30; id++ {
+		out := arrive(p, now, id, Unrepeatable)
+		if len(out.Grants) == 0 {
+			t.Fatal("no target is left")
+		}
+		p.Handle(now, Finish{ID: id, Result: Failed, Latency: time.Millisecond})
+	}
+	if load := p.Load(now); load.InService < 2 {
+		t.Errorf("%d of 3 targets in service with a ceiling of half", load.InService)
+	}
+}
+
+func TestReportLowersAndNeverRaises(t *testing.T) {
+	p := held(3, 1)
+	p.Handle(start, Measure{Target: "t0", Ready: true, Busy: 2})
+	if load := p.Load(start); load.Capacity != 1 {
+		t.Errorf("capacity %d with two requests of an earlier holder, want 1", load.Capacity)
+	}
+	p.Handle(start, Measure{Target: "t0", Ready: true, Busy: -5})
+	if load := p.Load(start); load.Capacity != 1 {
+		t.Errorf("capacity %d after a report without a number, want 1", load.Capacity)
+	}
+	p.Handle(start, Measure{Target: "t0", Ready: true, Busy: 0})
+	if load := p.Load(start); load.Capacity != 3 {
+		t.Errorf("capacity %d after the earlier requests have ended, want 3", load.Capacity)
+	}
+}
+
+func TestRoundRobinHasNoQueue(t *testing.T) {
+	p := NewPool(1)
+	c := config(1)
+	c.RoundRobin, c.ReserveShare = true, 0
+	p.Handle(start, Configure{c, targets(2)})
+	p.Handle(start, Hold{start.Add(time.Hour)})
+	first, second, third := arrive(p, start, 1, Repeatable), arrive(p, start, 2, Repeatable), arrive(p, start, 3, Repeatable)
+	if first.Grants[0].Target == second.Grants[0].Target || len(third.Refusals) != 1 {
+		t.Errorf("got %+v, %+v, %+v", first, second, third)
+	}
+}
+
+// ExamplePool admits a request and ends it.
+func ExamplePool() {
+	p := NewPool(1)
+	now := time.Unix(0, 0)
+	p.Handle(now, Configure{Config{Slots: 1, QueueWait: time.Second}, []Target{{Name: "t"}}})
+	p.Handle(now, Hold{Until: now.Add(time.Minute)})
+	out := p.Handle(now, Arrive{ID: 7, Deadline: now.Add(time.Second)})
+	fmt.Println(out.Grants)
+	p.Handle(now, Finish{ID: 7, Result: Succeeded, Latency: time.Millisecond})
+	fmt.Println(p.Load(now).Busy)
+	// Output:
+	// [{7 t}]
+	// 0
+}
--- a/pkg/admission/target.go
+++ b/pkg/admission/target.go
@@ -34,6 +34,7 @@
 	shedAt time.Time
 
 	failures     int
+	failedAt     time.Time
 	ejections    int
 	ejectedUntil time.Time
 	probing      bool
@@ -121,6 +122,7 @@
 		t.shedAt = now
 	case Failed:
 		t.failures++
+		t.failedAt = now
 	case Canceled:
 	}
 }
@@ -145,10 +147,15 @@
 }
 
 // score orders targets: the lower, the sooner a request is likely to be
-// answered there. A target that is failing comes after all others.
+// answered there. A target that has just failed comes after all others for as
+// long as it would be left out.
 func (t *target) score(now time.Time, c Config) float64 {
 	load := float64(t.inFlight+1) / float64(max(t.limit(now, c), 1))
-	return load * max(t.latency, minLatency) * float64(1+failurePenalty*t.failures)
+	score := load * max(t.latency, minLatency)
+	if t.failures > 0 && now.Sub(t.failedAt) < c.EjectFor {
+		score *= failurePenalty
+	}
+	return score
 }
 
 const failurePenalty = 100
--- /dev/null
+++ b/pkg/drain/stop_test.go
@@ -0,0 +1,59 @@
+package drain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestStop checks that a stop serves for the whole time of cached answers and
+// ends only when nothing is in flight or its limit has passed.
+func TestStop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		ttl := time.Duration(rapid.IntRange(0, 3000).Draw(t, "ttl")) * time.Millisecond
+		longest := time.Duration(rapid.IntRange(0, 3000).Draw(t, "longest")) * time.Millisecond
+		var s Stop
+		s.Begin(now, ttl, longest)
+		began := now
+		last := Leaving
+		for range 100 {
+			now = now.Add(100 * time.Millisecond)
+			inFlight := rapid.IntRange(0, 2).Draw(t, "in flight")
+			phase, _ := s.Update(now, inFlight)
+			if phase < last {
+				t.Fatalf("went from %s back to %s", last, phase)
+			}
+			if phase >= Refusing && now.Sub(began) < ttl {
+				t.Fatal("refuses while callers may still come by cached answers")
+			}
+			if phase == Ended && last != Ended && inFlight > 0 && now.Sub(began) < ttl+longest {
+				t.Fatal("ended with a request in flight")
+			}
+			last = phase
+		}
+		if last != Ended {
+			t.Fatalf("is %s long after its limit", last)
+		}
+	})
+}
+
+// ExampleStop goes through a stop with one request in flight.
+func ExampleStop() {
+	var s Stop
+	now := time.Unix(0, 0)
+	s.Begin(now, time.Second, time.Minute)
+	for _, step := range []struct {
+		after    time.Duration
+		inFlight int
+	}{{0, 1}, {time.Second, 1}, {2 * time.Second, 0}} {
+		phase, _ := s.Update(now.Add(step.after), step.inFlight)
+		fmt.Println(phase)
+	}
+	// Output:
+	// leaving
+	// refusing
+	// ended
+}
--- /dev/null
+++ b/pkg/lease/lease_test.go
@@ -0,0 +1,135 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+const duration = 2 * time.Second
+
+type flying struct {
+	at      time.Time
+	to      int
+	request *wire.LeaseRequest
+	answer  *wire.LeaseAnswer
+}
+
+// TestOneHolder lets three boxes compete over a network that delays, doubles
+// and loses messages, with clocks that run up to five percent off and with
+// restarts, and checks that no two hold the pool at once.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		names := []string{"b0", "b1", "b2"}
+		speed := make([]float64, len(names))
+		voters, holders := make([]*Voter, len(names)), make([]*Holder, len(names))
+		local := func(i int) time.Time {
+			return time.Unix(0, 0).Add(time.Duration(float64(now.Sub(time.Unix(0, 0))) * speed[i]))
+		}
+		incarnations := 0
+		boot := func(i int) {
+			incarnations++
+			voters[i] = NewVoter(local(i), names[i], duration)
+			holders[i] = NewHolder(local(i), Config{
+				Pool: "p", Name: names[i], Incarnation: fmt.Sprint(incarnations), Voters: names, Rank: i, Duration: duration, Seed: uint64(incarnations),
+			})
+		}
+		for i := range names {
+			speed[i] = 1 + float64(rapid.IntRange(-40, 40).Draw(t, "speed"))/1000
+			boot(i)
+		}
+		var network []flying
+		send := func(f flying) {
+			copies := rapid.SampledFrom([]int{1, 1, 1, 1, 0, 2}).Draw(t, "copies")
+			for range copies {
+				f.at = now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "delay")) * time.Millisecond)
+				network = append(network, f)
+			}
+		}
+		ever := false
+		for range 400 {
+			now = now.Add(50 * time.Millisecond)
+			if rapid.IntRange(0, 60).Draw(t, "restart") == 0 {
+				boot(rapid.IntRange(0, len(names)-1).Draw(t, "which"))
+			}
+			due := network
+			network = nil
+			for _, f := range due {
+				switch {
+				case now.Before(f.at):
+					network = append(network, f)
+				case f.request != nil:
+					a := voters[f.to].Handle(local(f.to), proto.CloneOf(f.request))
+					for i, name := range names {
+						if name == f.request.Holder {
+							send(flying{to: i, answer: a})
+						}
+					}
+				default:
+					holders[f.to].Answer(local(f.to), f.answer)
+				}
+			}
+			for i, h := range holders {
+				for _, r := range h.Tick(local(i)) {
+					for j, name := range names {
+						if name == r.To {
+							send(flying{to: j, request: r.Message})
+						}
+					}
+				}
+			}
+			count := 0
+			for i, h := range holders {
+				if h.Held(local(i)) {
+					count++
+				}
+			}
+			if count > 1 {
+				t.Fatal("two boxes hold the pool")
+			}
+			ever = ever || count == 1
+		}
+		_ = ever
+	})
+}
+
+func TestAloneHoldsAfterTheQuietTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := NewVoter(now, "b", duration)
+	h := NewHolder(now, Config{Pool: "p", Name: "b", Incarnation: "1", Voters: []string{"b"}, Duration: duration})
+	for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		for _, r := range h.Tick(now) {
+			h.Answer(now, v.Handle(now, r.Message))
+		}
+		if h.Held(now) && now.Before(time.Unix(1002, 0)) {
+			t.Fatal("held before the quiet time was over")
+		}
+	}
+	if !h.Held(now) {
+		t.Error("a box alone in its zone does not hold its pool")
+	}
+}
+
+func TestReleaseFreesAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := NewVoter(now.Add(-duration), "b", duration)
+	ask := &wire.LeaseRequest{Pool: "p", Holder: "a", Incarnation: "1", Ballot: 3, DurationMilli: duration.Milliseconds()}
+	if !v.Handle(now, ask).Granted {
+		t.Fatal("not granted")
+	}
+	v.Handle(now, &wire.LeaseRequest{Pool: "p", Holder: "a", Incarnation: "1", Ballot: 2, Release: true})
+	other := &wire.LeaseRequest{Pool: "p", Holder: "c", Incarnation: "2", Ballot: 1, DurationMilli: duration.Milliseconds()}
+	if v.Handle(now, other).Granted {
+		t.Error("a late release of an earlier round freed the pool")
+	}
+	v.Handle(now, &wire.LeaseRequest{Pool: "p", Holder: "a", Incarnation: "1", Ballot: 3, Release: true})
+	if !v.Handle(now, other).Granted {
+		t.Error("the release did not free the pool")
+	}
+}
--- /dev/null
+++ b/pkg/requestkey/key_test.go
@@ -0,0 +1,195 @@
+package requestkey
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+var start = time.Unix(10_000, 0)
+
+func newKey(nonce, witness string) Key {
+	s := Scope{Owner: "a", OwnerIncarnation: "1", IssuedAt: start}
+	if witness != "" {
+		s.Witness, s.WitnessIncarnation = witness, "9"
+	}
+	return Key{s, nonce}
+}
+
+// TestAtMostOneRun resends a few keys to the owner and, as if the owner had
+// died, to the witness, with messages between the two that are late, doubled
+// or lost, and attempts that end in any way.
+func TestAtMostOneRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		owner := NewOwner(OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 100})
+		witness := NewWitness("w", "9", time.Minute, 100)
+		ran := make(map[string]int)     // ended as ran or unknown
+		running := make(map[string]Key) // attempts that go on
+		told := make(map[string]bool)   // callers told "not run" for good
+		var late []*wire.WitnessRequest
+		var token uint64
+		waits := make(map[uint64]string)
+		var carry func(out Output)
+		carry = func(out Output) {
+			for _, r := range out.Reply {
+				name := waits[r.Token]
+				delete(waits, r.Token)
+				_, goesOn := running[name]
+				if r.State == wire.KeyState_KEY_STATE_NOT_RUN && (ran[name] > 0 || goesOn) {
+					t.Fatalf("key %s is told not run, but it ran", name)
+				}
+			}
+			if out.Run != nil {
+				name := out.Run.Key.Nonce
+				if _, ok := running[name]; ok || ran[name] > 0 {
+					t.Fatalf("key %s runs twice", name)
+				}
+				if told[name] {
+					t.Fatalf("key %s runs after the witness said it never would", name)
+				}
+				running[name] = out.Run.Key
+			}
+			if m := out.Record; m != nil {
+				if m.State != wire.KeyState_KEY_STATE_STARTED {
+					late = append(late, m)
+					return
+				}
+				key, _ := Parse(m.Key)
+				switch rapid.IntRange(0, 4).Draw(t, "fate") {
+				case 0: // lost on the way there
+					carry(owner.Handle(now, Witnessed{Key: key, Failed: true}))
+				case 1: // the answer is lost, and the message comes again later
+					late = append(late, proto.CloneOf(m))
+					witness.Handle(now, m)
+					carry(owner.Handle(now, Witnessed{Key: key, Failed: true}))
+				default:
+					a := witness.Handle(now, m)
+					if rapid.Bool().Draw(t, "doubled") {
+						late = append(late, proto.CloneOf(m))
+					}
+					carry(owner.Handle(now, Witnessed{Key: key, Refused: a.Refused}))
+				}
+			}
+		}
+		names := []string{"x", "y", "z"}
+		pick := func() Key { return newKey(rapid.SampledFrom(names).Draw(t, "key"), "w") }
+		t.Repeat(map[string]func(*rapid.T){
+			"send": func(*rapid.T) {
+				token++
+				k := pick()
+				waits[token] = k.Nonce
+				carry(owner.Handle(now, Begin{Token: token, Key: k, Digest: 5}))
+			},
+			"end": func(t *rapid.T) {
+				for _, name := range names {
+					k, ok := running[name]
+					if !ok {
+						continue
+					}
+					delete(running, name)
+					state := rapid.SampledFrom([]wire.KeyState{
+						wire.KeyState_KEY_STATE_RAN, wire.KeyState_KEY_STATE_NOT_RUN, wire.KeyState_KEY_STATE_UNKNOWN,
+					}).Draw(t, "state")
+					if state != wire.KeyState_KEY_STATE_NOT_RUN {
+						ran[name]++
+					}
+					carry(owner.Handle(now, Finished{Key: k, State: state}))
+					return
+				}
+			},
+			"late": func(t *rapid.T) {
+				if len(late) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(late)-1).Draw(t, "which")
+				witness.Handle(now, late[i])
+				if rapid.Bool().Draw(t, "gone") {
+					late = append(late[:i], late[i+1:]...)
+				}
+			},
+			"ask": func(t *rapid.T) {
+				k := pick()
+				a := witness.Handle(now, &wire.WitnessRequest{Action: wire.WitnessRequest_ACTION_ASK, Key: k.String(), Digest: 5})
+				_, goesOn := running[k.Nonce]
+				notRun := a.State == wire.KeyState_KEY_STATE_ABSENT || a.State == wire.KeyState_KEY_STATE_NOT_RUN
+				if notRun && (goesOn || ran[k.Nonce] > 0) {
+					t.Fatalf("the witness says that key %s did not run", k.Nonce)
+				}
+				told[k.Nonce] = told[k.Nonce] || notRun
+			},
+			"leave": func(*rapid.T) { carry(owner.Handle(now, Leave{Key: pick(), Token: token})) },
+			"pass":  func(*rapid.T) { now = now.Add(20 * time.Second) },
+		})
+	})
+}
+
+func TestForeignIncarnationIsUnknown(t *testing.T) {
+	o := NewOwner(OwnerConfig{Name: "a", Incarnation: "2", Keep: time.Minute, MaxKeys: 9})
+	out := o.Handle(start, Begin{Token: 1, Key: newKey("x", ""), Digest: 1})
+	if out.Run != nil || out.Reply[0].State != wire.KeyState_KEY_STATE_UNKNOWN {
+		t.Errorf("got %+v, want unknown", out)
+	}
+}
+
+func TestOldKeyIsUnknown(t *testing.T) {
+	o := NewOwner(OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 9})
+	out := o.Handle(start.Add(2*time.Minute), Begin{Token: 1, Key: newKey("x", ""), Digest: 1})
+	if out.Run != nil || out.Reply[0].State != wire.KeyState_KEY_STATE_UNKNOWN {
+		t.Errorf("got %+v, want unknown", out)
+	}
+}
+
+func TestOtherContentIsRefused(t *testing.T) {
+	o := NewOwner(OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 9})
+	k := newKey("x", "")
+	o.Handle(start, Begin{Token: 1, Key: k, Digest: 1})
+	out := o.Handle(start, Begin{Token: 2, Key: k, Digest: 2})
+	if out.Run != nil || len(out.Reply) != 1 || out.Reply[0].State != wire.KeyState_KEY_STATE_NOT_RUN {
+		t.Errorf("got %+v, want a refusal", out)
+	}
+}
+
+func TestFullMemoryRefusesNewKeys(t *testing.T) {
+	o := NewOwner(OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 1})
+	o.Handle(start, Begin{Token: 1, Key: newKey("x", ""), Digest: 1})
+	out := o.Handle(start, Begin{Token: 2, Key: newKey("y", ""), Digest: 1})
+	if out.Run != nil || out.Reply[0].State != wire.KeyState_KEY_STATE_NOT_RUN {
+		t.Errorf("got %+v, want a refusal", out)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(newKey("x", "w").String())
+	f.Add("a~b~c")
+	f.Fuzz(func(t *testing.T, text string) {
+		k, err := Parse(text)
+		if err != nil {
+			return
+		}
+		again, err := Parse(k.String())
+		if err != nil || again != k {
+			t.Errorf("%q became %q: %v", text, k, err)
+		}
+	})
+}
+
+// ExampleOwner runs a request once and gives its resend the same answer.
+func ExampleOwner() {
+	o := NewOwner(OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 10})
+	k := newKey("order-7", "")
+	now := start
+	out := o.Handle(now, Begin{Token: 1, Key: k, Digest: 1})
+	fmt.Println("run:", out.Run != nil)
+	o.Handle(now, Finished{Key: k, State: wire.KeyState_KEY_STATE_RAN, Answer: &wire.StoredAnswer{Status: 200}})
+	out = o.Handle(now, Begin{Token: 2, Key: k, Digest: 1})
+	fmt.Println("run:", out.Run != nil, "answer:", out.Reply[0].Answer.Status)
+	// Output:
+	// run: true
+	// run: false answer: 200
+}
