--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -12,14 +12,13 @@
 
 	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/caller"
+	"ledgesill.dev/ledgesill/pkg/retry"
+	"ledgesill.dev/ledgesill/pkg/routing"
 	"ledgesill.dev/ledgesill/pkg/settings"
 )
 
 type admissionReason = admission.Reason
 
-// maxPlaces bounds the places that one request is offered to.
-const maxPlaces = 3
-
 // dispatch runs a request where it can run: on this box if it holds the pool
 // of the service in its zone, else on the box that does, else in another zone.
 // A place that surely did not run it lets the next one have it.
@@ -29,48 +28,50 @@
 		return &answer{outcome: caller.NotRun, status: http.StatusNotFound, reason: "there is no service " + r.service}
 	}
 	d.markForeign(f, r)
-	last := refusal(string(admission.NoTarget), retryWithoutPool)
-	for i, place := range d.places(f, r) {
-		if i >= maxPlaces {
-			break
-		}
+	places := d.places(f, r)
+	if len(places) == 0 {
+		return refusal(string(admission.NoTarget), retryWithoutPool)
+	}
+	d.budgets.Lock()
+	budget := d.budgets.byService[r.service]
+	d.budgets.Unlock()
+	course := routing.NewCourse(routing.Config{
+		Places:     len(places),
+		Origin:     r.hops == 0,
+		Repeatable: r.repeatable,
+		Deadline:   r.deadline,
+	}, budget)
+	var kept *answer
+	for _, place := range places {
 		a := place(ctx)
-		last = soonest(last, a, i)
-		if !d.tryNext(r, a) {
-			return last
+		d.budgets.Lock()
+		decision := course.Ended(time.Now(), a.result())
+		d.budgets.Unlock()
+		if decision.Keep {
+			kept.discard()
+			kept = a
+		}
+		if !decision.Next {
+			break
 		}
 	}
-	return last
+	return kept
 }
 
 const retryWithoutPool = 500 * time.Millisecond
 
-// soonest returns the answer to give after one more place has answered: the
-// newest, but of several refusals the one that lets the caller come back first.
-func soonest(last, a *answer, place int) *answer {
-	bothRefused := last.outcome == caller.NotRun && a.outcome == caller.NotRun
-	if place > 0 && bothRefused && last.retryAfter > 0 && last.retryAfter < a.retryAfter {
-		return last
-	}
-	return a
-}
-
-// tryNext reports whether another place may still run the request. Only the
-// box that took the request from its caller goes on to another zone.
-func (d *Daemon) tryNext(r *request, a *answer) bool {
-	if r.hops > 0 || !time.Now().Before(r.deadline) {
-		return false
-	}
-	if a.outcome == caller.NotRun {
-		return a.status == http.StatusServiceUnavailable
-	}
-	if a.outcome == caller.Unknown && r.repeatable {
-		d.budgets.Lock()
-		defer d.budgets.Unlock()
-		b := d.budgets.byService[r.service]
-		return b != nil && b.Take()
-	}
-	return false
+// result is what the answer of a place means for the course of the request.
+func (a *answer) result() routing.Result {
+	r := routing.Result{RetryAfter: a.retryAfter, Final: a.status != http.StatusServiceUnavailable}
+	switch a.outcome {
+	case caller.Ran:
+		r.Verdict = retry.Ran
+	case caller.NotRun:
+		r.Verdict = retry.DidNotRun
+	default:
+		r.Verdict = retry.Unknown
+	}
+	return r
 }
 
 type place func(ctx context.Context) *answer
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -197,7 +197,7 @@
 	p.values = s.Values
 	p.targets = make(map[string]string, len(s.Targets))
 	p.draining = 0
-	e := admission.Configure{Config: admissionConfig(s, p.seed)}
+	e := admission.Configure{Config: admission.FromSettings(s)}
 	for _, g := range s.Targets {
 		p.targets[g.Name] = g.Address
 		draining := g.Draining || m.leaving[g.Address]
@@ -235,36 +235,6 @@
 
 func poolName(service, zone string) string { return service + "@" + zone }
 
-func admissionConfig(s settings.Service, seed uint64) admission.Config {
-	v := s.Values
-	c := admission.Config{
-		RoundRobin:         v.Policy == settings.RoundRobin,
-		Slots:              min(s.Slots, s.Connections),
-		ReserveShare:       v.ReserveShare,
-		QueueLimit:         v.QueueLimit,
-		QueueWait:          v.QueueWait,
-		ForeignShare:       v.ShiftCapShare,
-		Ramp:               v.Ramp,
-		EjectAfterFailures: v.EjectAfterFailures,
-		EjectShare:         v.EjectShare,
-		EjectFor:           v.EjectFor,
-		LongestRequest:     v.RequestTimeout,
-		Seed:               seed,
-	}
-	class := admission.Repeatable
-	switch v.RefuseFirst {
-	case settings.Unrepeatable:
-		class = admission.Unrepeatable
-		c.RefuseFirst = &class
-	case settings.Repeatable:
-		c.RefuseFirst = &class
-	}
-	if c.RoundRobin {
-		c.ReserveShare = 0
-	}
-	return c
-}
-
 // admit waits for a slot or a refusal.
 func (p *pool) admit(ctx context.Context, a admission.Arrive) (admitted, error) {
 	reply := make(chan admitted, 1)
--- a/pkg/admission/event.go
+++ b/pkg/admission/event.go
@@ -45,7 +45,6 @@
 	// LongestRequest is after how long a request of an earlier lease holder
 	// has surely ended.
 	LongestRequest time.Duration
-	Seed           uint64
 }
 
 // Target is one target of the pool's settings.
--- /dev/null
+++ b/pkg/admission/settings.go
@@ -0,0 +1,34 @@
+package admission
+
+import "ledgesill.dev/ledgesill/pkg/settings"
+
+// FromSettings returns the configuration that the settings give a pool. The
+// baseline policy has no reserve.
+func FromSettings(s settings.Service) Config {
+	v := s.Values
+	c := Config{
+		RoundRobin:         v.Policy == settings.RoundRobin,
+		Slots:              min(s.Slots, s.Connections),
+		ReserveShare:       v.ReserveShare,
+		QueueLimit:         v.QueueLimit,
+		QueueWait:          v.QueueWait,
+		ForeignShare:       v.ShiftCapShare,
+		Ramp:               v.Ramp,
+		EjectAfterFailures: v.EjectAfterFailures,
+		EjectShare:         v.EjectShare,
+		EjectFor:           v.EjectFor,
+		LongestRequest:     v.RequestTimeout,
+	}
+	class := Repeatable
+	switch v.RefuseFirst {
+	case settings.Unrepeatable:
+		class = Unrepeatable
+		c.RefuseFirst = &class
+	case settings.Repeatable:
+		c.RefuseFirst = &class
+	}
+	if c.RoundRobin {
+		c.ReserveShare = 0
+	}
+	return c
+}
--- a/pkg/consensus/cluster_test.go
+++ b/pkg/consensus/cluster_test.go
@@ -249,15 +249,15 @@
 	c := newCluster(3, 1)
 	old := c.elect(t)
 	c.cut[old.id] = true
-	c.do(old, Read{Token: 7})
+	out := c.do(old, Read{Token: 7})
 	for range 60 {
-		c.round()
-		out := c.do(old, Tick{})
 		for _, r := range out.Reads {
 			if r.Err == nil {
 				t.Fatal("a leader without a quorum answered a read")
 			}
 		}
+		c.round()
+		out = c.do(old, Tick{})
 	}
 	if !old.replica.Status(c.now).CutOff {
 		t.Error("a replica that is cut off does not say so")
--- /dev/null
+++ b/pkg/routing/course.go
@@ -0,0 +1,89 @@
+// Package routing decides how a request goes from place to place: the pool of
+// its own availability zone, then other zones, best first. A Course is a state
+// machine without I/O.
+package routing
+
+import (
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/retry"
+)
+
+// MaxPlaces bounds the places that one request is offered to.
+const MaxPlaces = 3
+
+// Config is what is known of a request when it begins.
+type Config struct {
+	// Places is how many places there are.
+	Places int
+	// Origin is true at the box that took the request from its caller; only
+	// there does it go on to another place.
+	Origin     bool
+	Repeatable bool
+	Deadline   time.Time
+}
+
+// Result is what a place made of the request.
+type Result struct {
+	Verdict retry.Verdict
+	// RetryAfter is when the place would have the caller come back.
+	RetryAfter time.Duration
+	// Final marks a refusal that every other place would repeat.
+	Final bool
+}
+
+// Decision is what to do after a place has answered.
+type Decision struct {
+	// Next is true if the following place is to be tried.
+	Next bool
+	// Keep is true if the new answer takes the place of the one before.
+	Keep bool
+}
+
+// Course is the way of one request.
+type Course struct {
+	config Config
+	budget *retry.Budget
+	tried  int
+	last   Result
+}
+
+// NewCourse returns the course of a request that is sent to its first place.
+func NewCourse(c Config, b *retry.Budget) *Course { return &Course{config: c, budget: b} }
+
+// Ended takes the answer of the present place. A place that surely did not run
+// the request lets the next one have it; one that may have run it does so only
+// if the request is repeatable and the retry budget allows it.
+func (c *Course) Ended(now time.Time, r Result) Decision {
+	first := c.tried == 0
+	c.tried++
+	keep := first || !c.worse(r)
+	if keep {
+		c.last = r
+	}
+	return Decision{Next: c.mayGoOn(now, r), Keep: keep}
+}
+
+// worse reports whether the answer before is to be kept: one that says that the
+// request may have run, which a later refusal can't undo, or of two refusals
+// the one that lets the caller come back sooner.
+func (c *Course) worse(r Result) bool {
+	if c.last.Verdict == retry.Unknown && r.Verdict == retry.DidNotRun {
+		return true
+	}
+	bothRefused := c.last.Verdict == retry.DidNotRun && r.Verdict == retry.DidNotRun
+	return bothRefused && c.last.RetryAfter > 0 && c.last.RetryAfter < r.RetryAfter
+}
+
+func (c *Course) mayGoOn(now time.Time, r Result) bool {
+	if !c.config.Origin || c.tried >= min(c.config.Places, MaxPlaces) || !now.Before(c.config.Deadline) {
+		return false
+	}
+	switch r.Verdict {
+	case retry.DidNotRun:
+		return !r.Final
+	case retry.Unknown:
+		return c.config.Repeatable && c.budget != nil && c.budget.Take()
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/routing/course_test.go
@@ -0,0 +1,53 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ledgesill.dev/ledgesill/pkg/retry"
+)
+
+// TestCourse checks that only a request that may be repeated goes on after a
+// place that may have run it, and that a course ends.
+func TestCourse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		c := Config{
+			Places: rapid.IntRange(1, 9).Draw(t, "places"), Origin: rapid.Bool().Draw(t, "origin"),
+			Repeatable: rapid.Bool().Draw(t, "repeatable"), Deadline: now.Add(time.Second),
+		}
+		course := NewCourse(c, retry.NewBudget(50))
+		mayRun := 0
+		var kept retry.Verdict
+		for tried := 1; ; tried++ {
+			r := Result{
+				Verdict:    rapid.SampledFrom([]retry.Verdict{retry.Ran, retry.DidNotRun, retry.Unknown}).Draw(t, "verdict"),
+				RetryAfter: time.Duration(rapid.IntRange(0, 100).Draw(t, "after")) * time.Millisecond,
+			}
+			if r.Verdict != retry.DidNotRun {
+				mayRun++
+			}
+			d := course.Ended(now, r)
+			if d.Keep {
+				kept = r.Verdict
+			}
+			if r.Verdict == retry.Ran && (d.Next || !d.Keep) {
+				t.Fatal("goes on after an answer")
+			}
+			if !d.Next {
+				break
+			}
+			if tried >= MaxPlaces || tried >= c.Places || !c.Origin {
+				t.Fatal("goes on for too long")
+			}
+		}
+		if kept == retry.DidNotRun && mayRun > 0 {
+			t.Fatal("called not run though a place may have run it")
+		}
+		if mayRun > 1 && !c.Repeatable {
+			t.Fatal("a request that may not be repeated may have run twice")
+		}
+	})
+}
