--- /dev/null
+++ b/contrib/demo/cost.go
@@ -0,0 +1,211 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"ledgesill.dev/ledgesill/contrib/layout"
+	"ledgesill.dev/ledgesill/pkg/caller"
+)
+
+const (
+	settleTime  = 5 * time.Second
+	restTime    = 10 * time.Second
+	changes     = 10
+	loadTime    = 4 * time.Second
+	loadWorkers = 8
+)
+
+// sample is what a process says of its own cost.
+type sample struct{ sent, received, cpu, memory float64 }
+
+// scrape reads the metrics of a process.
+func (d *driver) scrape(ctx context.Context, operator string) (sample, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operator+"/metrics", nil)
+	if err != nil {
+		return sample{}, err
+	}
+	response, err := d.http.Do(request)
+	if err != nil {
+		return sample{}, err
+	}
+	defer response.Body.Close()
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(response.Body)
+	if err != nil {
+		return sample{}, err
+	}
+	value := func(name string) float64 {
+		f := families[name]
+		if f == nil || len(f.Metric) == 0 {
+			return 0
+		}
+		m := f.Metric[0]
+		return m.GetGauge().GetValue() + m.GetCounter().GetValue()
+	}
+	return sample{
+		sent:     value("ledgesill_control_bytes_sent"),
+		received: value("ledgesill_control_bytes_received"),
+		cpu:      value("process_cpu_seconds_total"),
+		memory:   value("process_resident_memory_bytes"),
+	}, nil
+}
+
+// places names the processes whose cost is shown: the control replicas, the
+// first box of the first zone, which relays, and the last box, which does not.
+func (d *driver) places() map[string]string {
+	out := make(map[string]string)
+	for _, c := range d.layout.Controls {
+		out[c.Name] = c.Operator
+	}
+	first, last := d.layout.Boxes[0], d.layout.Boxes[len(d.layout.Boxes)-1]
+	out["first box "+first.Name] = first.Operator
+	out["last box "+last.Name] = last.Operator
+	return out
+}
+
+func (d *driver) scrapeAll(ctx context.Context) (map[string]sample, error) {
+	out := make(map[string]sample)
+	for name, address := range d.places() {
+		s, err := d.scrape(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		out[name] = s
+	}
+	return out, nil
+}
+
+// measureRest prints what control costs each role, at rest and with one change
+// a second.
+func measureRest(ctx context.Context, l layout.Layout, folder string) error {
+	d := newDriver(l, folder)
+	if err := d.setUp(ctx); err != nil {
+		return err
+	}
+	wait(ctx, settleTime)
+	before, err := d.scrapeAll(ctx)
+	if err != nil {
+		return err
+	}
+	wait(ctx, restTime)
+	rest, err := d.scrapeAll(ctx)
+	if err != nil {
+		return err
+	}
+	var slowest time.Duration
+	began := time.Now()
+	for i := range changes {
+		took, err := d.changeSetting(ctx, fmt.Sprint("change-", i), fmt.Sprint(1000+i))
+		if err != nil {
+			return err
+		}
+		slowest = max(slowest, took)
+		wait(ctx, time.Until(began.Add(time.Duration(i+1)*time.Second)))
+	}
+	changed, err := d.scrapeAll(ctx)
+	if err != nil {
+		return err
+	}
+	length := time.Since(began).Seconds()
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "%s: %d boxes\tsent B/s\treceived B/s\tcpu %%\tmemory MB\tB per change\t\n", l.Name, len(l.Boxes))
+	for name := range rest {
+		b, r, c := before[name], rest[name], changed[name]
+		restSent, restReceived := (r.sent-b.sent)/restTime.Seconds(), (r.received-b.received)/restTime.Seconds()
+		extra := (c.sent - r.sent + c.received - r.received - (restSent+restReceived)*length) / changes
+		fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.2f\t%.0f\t%.0f\t\n", name, restSent, restReceived, 100*(r.cpu-b.cpu)/restTime.Seconds(), r.memory/1e6, extra)
+	}
+	fmt.Fprintf(w, "slowest change in force at all boxes: %d ms\n", slowest.Milliseconds())
+	return w.Flush()
+}
+
+// measureLoad prints how many look-ups and requests a second one entry box
+// serves for each second of processor time, and a target asked directly.
+func measureLoad(ctx context.Context, l layout.Layout, folder string) error {
+	d := newDriver(l, folder)
+	if err := d.setUp(ctx); err != nil {
+		return err
+	}
+	wait(ctx, settleTime)
+	b := l.Boxes[len(l.Boxes)-1]
+	service := l.Services[0].Name
+	target := ""
+	for _, t := range l.Targets {
+		if t.Zone == b.Zone && t.Service == service {
+			target = t.Address
+		}
+	}
+	for _, c := range []struct{ name, url string }{
+		{"look-ups", "http://" + b.Caller + caller.LookupPath + "?service=" + service + "&block=x"},
+		{"requests through the box", "http://" + b.Caller + caller.ServicePrefix + service + "/flag"},
+		{"requests to a target", "http://" + target + "/flag"},
+	} {
+		if err := d.load(ctx, c.name, c.url, b.Operator); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *driver) load(ctx context.Context, name, url, operator string) error {
+	before, err := d.scrape(ctx, operator)
+	if err != nil {
+		return err
+	}
+	var done, failed atomic.Int64
+	var took atomic.Int64
+	end := time.Now().Add(loadTime)
+	var running sync.WaitGroup
+	for range loadWorkers {
+		running.Go(func() {
+			for time.Now().Before(end) {
+				began := time.Now()
+				if err := d.get(ctx, url); err != nil {
+					failed.Add(1)
+					continue
+				}
+				took.Add(int64(time.Since(began)))
+				done.Add(1)
+			}
+		})
+	}
+	running.Wait()
+	after, err := d.scrape(ctx, operator)
+	if err != nil {
+		return err
+	}
+	cpu := after.cpu - before.cpu
+	fmt.Printf("%-26s %8.0f/s, %6.0f for a second of the box's processor time, mean %.2f ms, %d failed, memory %.0f MB\n", name,
+		float64(done.Load())/loadTime.Seconds(), float64(done.Load())/max(cpu, 0.001), float64(took.Load())/float64(max(done.Load(), 1))/1e6, failed.Load(), after.memory/1e6)
+	return nil
+}
+
+func (d *driver) get(ctx context.Context, url string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := d.http.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", url, response.Status)
+	}
+	return nil
+}
--- a/contrib/demo/drive.go
+++ b/contrib/demo/drive.go
@@ -56,17 +56,21 @@
 	http     *http.Client
 }
 
-func drive(ctx context.Context, l layout.Layout, folder string) error {
+func newDriver(l layout.Layout, folder string) *driver {
 	var addresses []string
 	for _, c := range l.Controls {
 		addresses = append(addresses, c.Operator)
 	}
-	d := &driver{
+	return &driver{
 		layout:   l,
 		folder:   folder,
 		operator: operator.NewClient(addresses, "", &http.Transport{}),
 		http:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
 	}
+}
+
+func drive(ctx context.Context, l layout.Layout, folder string) error {
+	d := newDriver(l, folder)
 	if err := d.setUp(ctx); err != nil {
 		return err
 	}
@@ -80,7 +84,7 @@
 	began := time.Now()
 	var err error
 	wait(ctx, changeAfter)
-	if r.inForce, err = d.changeSetting(ctx); err != nil {
+	if r.inForce, err = d.changeSetting(ctx, "demo-change", "800"); err != nil {
 		return err
 	}
 	wait(ctx, stopAfter-time.Since(began))
@@ -144,21 +148,24 @@
 			}
 		}
 	}
-	zones := len(d.layout.Regions) * 2
-	return held == zones*len(d.layout.Services)
+	pools := make(map[string]bool)
+	for _, t := range d.layout.Targets {
+		pools[t.Service+t.Zone] = true
+	}
+	return held == len(pools)
 }
 
 // changeSetting changes a setting and returns how long it took until it was in
 // force at every box, counted from the call.
-func (d *driver) changeSetting(ctx context.Context) (time.Duration, error) {
+func (d *driver) changeSetting(ctx context.Context, id, ttl string) (time.Duration, error) {
 	var present operator.Settings
 	if err := d.operator.Do(ctx, http.MethodGet, "/v1/settings", nil, &present); err != nil {
 		return 0, err
 	}
 	change := operator.Change{
-		ID:          "demo-change",
+		ID:          id,
 		BaseVersion: present.Version,
-		Edits:       []operator.Edit{{Path: "/:" + d.layout.Services[0].Name, Key: "answerTtlMillis", Value: "800"}},
+		Edits:       []operator.Edit{{Path: "/:" + d.layout.Services[0].Name, Key: "answerTtlMillis", Value: ttl}},
 	}
 	began := time.Now()
 	var v operator.Verdict
--- a/contrib/demo/main.go
+++ b/contrib/demo/main.go
@@ -5,6 +5,8 @@
 //	demo plan LAYOUT FOLDER   prints the processes to start, one a line
 //	demo targets LAYOUT       serves the stand-in targets
 //	demo drive LAYOUT FOLDER  drives the running system
+//	demo rest LAYOUT FOLDER   measures the cost of control at rest and per change
+//	demo load LAYOUT FOLDER   measures look-ups and requests of one entry box
 package main
 
 import (
@@ -33,7 +35,7 @@
 
 func run(ctx context.Context, args []string) error {
 	if len(args) < 2 {
-		return fmt.Errorf("usage: demo plan|targets|drive LAYOUT [FOLDER]")
+		return fmt.Errorf("usage: demo plan|targets|drive|rest|load LAYOUT [FOLDER]")
 	}
 	l, err := layout.ByName(args[1])
 	if err != nil {
@@ -47,6 +49,10 @@
 		return serveTargets(ctx, l)
 	case "drive":
 		return drive(ctx, l, args[2])
+	case "rest":
+		return measureRest(ctx, l, args[2])
+	case "load":
+		return measureLoad(ctx, l, args[2])
 	}
 	return fmt.Errorf("there is no demo %q", args[0])
 }
--- a/contrib/demo/run.sh
+++ b/contrib/demo/run.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
 # Starts the processes of a layout on loopback, drives them and ends them all.
-# usage: run.sh BIN-FOLDER [LAYOUT]
+# usage: run.sh BIN-FOLDER [LAYOUT [drive|rest|load]]
 set -u
 bin=$1
 layout=${2:-flagpost}
+what=${3:-drive}
 folder=$(mktemp -d)
 pids=()
 
@@ -37,7 +38,7 @@
 sleep 0.5
 for file in "$folder"/*.pid; do pids+=("$(cat "$file")"); done
 
-"$bin/demo" drive "$layout" "$folder"
+"$bin/demo" "$what" "$layout" "$folder"
 verdict=$?
 [ -n "${DEMO_LOGS:-}" ] && cp "$folder"/*.log "$DEMO_LOGS"
 if [ $verdict != 0 ]; then
--- a/contrib/layout/layout.go
+++ b/contrib/layout/layout.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -56,6 +57,8 @@
 	entryPort   = 8100
 	portBlock   = 100
 	targetPort  = 9000
+	scalePort   = 10_000
+	scaleBlock  = 2_000
 )
 
 // Flagpost runs feature flags: latency first.
@@ -92,17 +95,44 @@
 	})
 }
 
-// ByName returns a layout by its name.
+// Scale is one region with a number of zones of so many entry boxes each, to
+// measure how the cost of control grows. Its targets are not served.
+func Scale(zones, boxesPerZone int) Layout {
+	l := Layout{
+		Name:     fmt.Sprintf("scale-%dx%d", zones, boxesPerZone),
+		Regions:  []string{"scale"},
+		Services: []Service{{Name: "work", Slots: 1}},
+		Defaults: map[string]string{"reportIntervalMillis": "60000"},
+	}
+	for z := range zones {
+		zone := fmt.Sprintf("scale-%d", z)
+		for range boxesPerZone {
+			i := len(l.Boxes)
+			l.Boxes = append(l.Boxes, Box{
+				Name: fmt.Sprintf("entry-%d", i+1), Region: "scale", Zone: zone,
+				Caller: address(scalePort + i), Peer: address(scalePort + scaleBlock + i), Operator: address(scalePort + 2*scaleBlock + i),
+			})
+		}
+		l.Targets = append(l.Targets, Target{Name: "work-" + zone, Service: "work", Region: "scale", Zone: zone, Address: address(targetPort + z), Slots: 1})
+	}
+	return withControls(l)
+}
+
+// ByName returns a layout by its name: flagpost, portal or scale-ZONESxBOXES.
 func ByName(name string) (Layout, error) {
+	var zones, boxes int
+	if n, err := fmt.Sscanf(name, "scale-%dx%d", &zones, &boxes); n == 2 && err == nil {
+		return Scale(zones, boxes), nil
+	}
 	for _, l := range []Layout{Flagpost(), Portal()} {
 		if l.Name == name {
 			return l, nil
 		}
 	}
-	return Layout{}, fmt.Errorf("layout %q: allowed is flagpost or portal", name)
+	return Layout{}, fmt.Errorf("layout %q: allowed is flagpost, portal or scale-ZONESxBOXES", name)
 }
 
-func build(l Layout) Layout {
+func withControls(l Layout) Layout {
 	for i := range controls {
 		l.Controls = append(l.Controls, Control{
 			Name:     fmt.Sprintf("control-%d", i+1),
@@ -110,6 +140,11 @@
 			Operator: address(controlPort + portBlock + i),
 		})
 	}
+	return l
+}
+
+func build(l Layout) Layout {
+	l = withControls(l)
 	for _, region := range l.Regions {
 		for zone, boxes := range []int{2, 1} {
 			for range boxes {
@@ -162,9 +197,18 @@
 	for _, s := range l.Services {
 		add("/:"+s.Name, "slots", fmt.Sprint(s.Slots))
 	}
-	for _, region := range l.Regions {
-		for i := range zoneNames {
-			l.zoneEdits(region, zoneName(region, i), add)
+	for _, zone := range l.zones() {
+		l.zoneEdits(zone[0], zone[1], add)
+	}
+	return out
+}
+
+// zones returns region and name of each availability zone.
+func (l Layout) zones() [][2]string {
+	var out [][2]string
+	for _, b := range l.Boxes {
+		if zone := [2]string{b.Region, b.Zone}; !slices.Contains(out, zone) {
+			out = append(out, zone)
 		}
 	}
 	return out
@@ -182,7 +226,7 @@
 		}
 	}
 	add(path, "entryBoxes", strings.Join(boxes, ","))
-	if len(boxes)%2 == 0 {
+	if len(boxes)%2 == 0 && witness != "" {
 		add(path, "leaseWitness", witness)
 	}
 	for _, s := range l.Services {
--- a/contrib/measure/main.go
+++ b/contrib/measure/main.go
@@ -115,14 +115,14 @@
 // row is the mean of a cell's figures over its seeds, the worst for headroom
 // and steps over the cap.
 type row struct {
-	p50, p99, p999         float64
-	goodReads, goodWrites  float64
-	notRun, unknown        float64
-	headroom               float64
-	overloads              float64
-	overCap, doubled       int
-	drain, shift           time.Duration
-	foreign, full, timeout int
+	p50, p99, p999        float64
+	goodReads, goodWrites float64
+	notRun, unknown       float64
+	headroom              float64
+	overloads             float64
+	overCap, doubled      int
+	drain, shift          time.Duration
+	foreign               int
 }
 
 func (c *cell) row() row {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -176,7 +176,7 @@
 
 // connection are the flags of commands that ask the control replicas.
 type connection struct {
-	Controls  string
+	Servers   string
 	Token     string
 	JSON      bool
 	Cert      string
@@ -185,7 +185,7 @@
 }
 
 func (c *connection) register(fs *flag.FlagSet) {
-	fs.StringVar(&c.Controls, "controls", "127.0.0.1:7200,127.0.0.1:7201,127.0.0.1:7202", "operator addresses of the control replicas, separated by commas")
+	fs.StringVar(&c.Servers, "servers", "127.0.0.1:7200,127.0.0.1:7201,127.0.0.1:7202", "operator addresses of the control replicas, separated by commas")
 	fs.StringVar(&c.Token, "token", "", "operators' token")
 	fs.BoolVar(&c.JSON, "json", false, "print JSON")
 	fs.StringVar(&c.Cert, "certificate", "", "file of the operator's certificate")
@@ -194,12 +194,12 @@
 }
 
 func (c *connection) client() (*operator.Client, error) {
-	addresses := config.SplitList(c.Controls)
+	addresses := config.SplitList(c.Servers)
 	if len(addresses) == 0 {
-		return nil, &config.ValueError{Flag: "controls", Value: c.Controls, Allowed: "at least one IP number and port"}
+		return nil, &config.ValueError{Flag: "servers", Value: c.Servers, Allowed: "at least one IP number and port"}
 	}
 	for _, a := range addresses {
-		if err := config.CheckAddress("controls", a); err != nil {
+		if err := config.CheckAddress("servers", a); err != nil {
 			return nil, err
 		}
 	}
--- /dev/null
+++ b/internal/command/command_test.go
@@ -0,0 +1,127 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"ledgesill.dev/ledgesill/internal/operator"
+)
+
+func runMain(t *testing.T, args ...string) (code int, out, errOut string) {
+	t.Helper()
+	var o, e bytes.Buffer
+	code = Main(t.Context(), args, strings.NewReader(""), &o, &e)
+	return code, o.String(), e.String()
+}
+
+func TestWrongUseIsNamed(t *testing.T) {
+	entry := []string{
+		"entry", "-name", "e", "-peer-address", "127.0.0.1:1", "-operator-address", "127.0.0.1:2",
+		"-caller-address", "127.0.0.1:3", "-region", "r", "-zone", "z", "-controls", "127.0.0.1:4",
+	}
+	with := func(more ...string) []string { return append(append([]string{"check"}, entry...), more...) }
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	if err := os.WriteFile(bad, []byte(`{"/": {"slots": 0}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		args []string
+		want string
+	}{
+		{[]string{"nosuch"}, `no command "nosuch"`},
+		{with("-zone", "a b"), `flag -zone (variable LEDGESILL_ZONE): value "a b" is not allowed`},
+		{with("-controls", ""), "flag -controls"},
+		{with("-caller-address", "localhost:1"), "an IP number and a port"},
+		{with("-log-level", "loud"), "debug, info, warn, error"},
+		{with("-certificate", "x"), "together with -certificate-key and -authority"},
+		{with("-nosuch"), "nosuch"},
+		{[]string{"check", "control", "-name", "c", "-peer-address", "127.0.0.1:1", "-operator-address", "127.0.0.1:2", "-peers", "127.0.0.1:9", "-folder", "x"}, "a list that has the address of -peer-address"},
+		{[]string{"check", "control", "-election-timeout", "1ms"}, "100ms to 30s"},
+		{[]string{"check", bad}, "key slots with value \"0\": allowed is 1 to 10000 slots"},
+		{[]string{"check", "nosuch.json"}, "nosuch.json"},
+		{[]string{"set"}, "nothing to set"},
+		{[]string{"set", "/"}, "edits come in pairs"},
+		{[]string{"set", "east", "slots=1"}, "begins with /"},
+		{[]string{"set", "/", "slots"}, "key- to unset"},
+		{[]string{"get", "-servers", "here"}, "flag -servers"},
+		{[]string{"rollback"}, "-to"},
+		{[]string{"shift"}, "-percent"},
+		{[]string{"abort"}, "the id of one shift"},
+	}
+	for _, test := range tests {
+		code, _, errOut := runMain(t, test.args...)
+		if code != ExitUsage || !strings.Contains(errOut, test.want) {
+			t.Errorf("%v: exit %d, %q; want exit 2 and %q", test.args, code, errOut, test.want)
+		}
+	}
+}
+
+func TestVariablesAreRead(t *testing.T) {
+	t.Setenv("LEDGESILL_LOG_LEVEL", "loud")
+	code, _, errOut := runMain(t, "check", "entry")
+	if code != ExitUsage || !strings.Contains(errOut, "LEDGESILL_LOG_LEVEL") {
+		t.Errorf("exit %d, %q", code, errOut)
+	}
+}
+
+func TestSampleIsValid(t *testing.T) {
+	code, out, errOut := runMain(t, "check", "../../docs/tree.sample.json")
+	if code != ExitOK || !strings.Contains(out, "6 availability zones") {
+		t.Errorf("exit %d, %q, %q", code, out, errOut)
+	}
+}
+
+// TestManualsAreComplete keeps the manual page and the page of keys in step
+// with the code.
+func TestManualsAreComplete(t *testing.T) {
+	manual, err := os.ReadFile("ledgesill.1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range commands {
+		if !strings.Contains(string(manual), ".It Cm "+c.Name+"\n") {
+			t.Errorf("the manual page lacks the command %s", c.Name)
+		}
+		if code, out, _ := runMain(t, c.Name, "-help"); code != ExitOK || (out == "" && !isDaemon(c)) {
+			t.Errorf("%s -help: exit %d, %q", c.Name, code, out)
+		}
+	}
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, table, _ := runMain(t, "keys", "-markdown")
+	if !strings.Contains(string(page), table) {
+		t.Error("docs/SETTINGS.md lacks the present table of ledgesill keys -markdown")
+	}
+}
+
+func TestRollbackJoinsInverses(t *testing.T) {
+	list := []operator.HistoryEntry{
+		{Version: 5, BaseVersion: 4, Inverse: []operator.Edit{{Path: "/", Key: "slots", Value: "1"}}},
+		{Version: 6, BaseVersion: 5, Inverse: []operator.Edit{{Path: "/", Key: "slots", Value: "2"}}},
+	}
+	c, err := rollbackChange(list, 4)
+	if err != nil || c.BaseVersion != 6 || len(c.Edits) != 2 || c.Edits[1].Value != "1" {
+		t.Errorf("got %+v, %v", c, err)
+	}
+	if _, err := rollbackChange(list, 3); err == nil {
+		t.Error("went back to before the history")
+	}
+	if _, err := rollbackChange(list, 6); err == nil {
+		t.Error("went back to the present")
+	}
+}
+
+func TestUnreachableServersAreNamed(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	var o, e bytes.Buffer
+	if code := Main(ctx, []string{"status", "-servers", "127.0.0.1:1"}, nil, &o, &e); code != ExitFailed || !strings.Contains(e.String(), "127.0.0.1:1") {
+		t.Errorf("exit %d, %q", code, e.String())
+	}
+}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -24,7 +24,7 @@
 func statusOptions(fs *flag.FlagSet) func(context.Context, Invocation) error {
 	var c connection
 	c.register(fs)
-	local := fs.Bool("local", false, "show what the first replica of -controls knows, even if it is cut off")
+	local := fs.Bool("local", false, "show what the first replica of -servers knows, even if it is cut off")
 	return func(ctx context.Context, in Invocation) error {
 		client, err := c.client()
 		if err != nil {
--- /dev/null
+++ b/pkg/distribution/distribution_test.go
@@ -0,0 +1,134 @@
+package distribution
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ledgesill.dev/ledgesill/pkg/settings"
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// states returns the states of versions 0 to n and the commands between them.
+func states(n int) (list []steering.State, commands []*wire.Command) {
+	s := steering.State{}
+	list = append(list, s)
+	for i := range n {
+		c := &wire.Command{Change: &wire.Change{Id: fmt.Sprint(i), BaseVersion: s.SettingsVersion(), Edits: []*wire.Edit{
+			{Path: "/", Key: "slots", Value: fmt.Sprint(i + 1)},
+		}}}
+		s, _ = s.Apply(c)
+		list = append(list, s)
+		commands = append(commands, c)
+	}
+	return list, commands
+}
+
+// TestVersionsOnlyGrow feeds a follower late, doubled and partial updates of
+// several sources and checks that it only goes up and always holds a true
+// state.
+func TestVersionsOnlyGrow(t *testing.T) {
+	list, commands := states(20)
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		f := NewFollower(now, 1)
+		f.Handle(now, SetSources{[]Source{{Name: "a"}, {Name: "b"}}})
+		p := NewPublisher(list[0])
+		at, last := 0, uint64(0)
+		var old []*wire.Update
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(*rapid.T) {
+				if at < 20 {
+					p.Put(list[at+1], commands[at:at+1])
+					at++
+				}
+			},
+			"jump": func(t *rapid.T) {
+				if n := min(at+rapid.IntRange(1, 4).Draw(t, "by"), 20); n > at {
+					p.Put(list[n], nil)
+					at = n
+				}
+			},
+			"update": func(t *rapid.T) {
+				u := p.Update(uint64(rapid.IntRange(0, at).Draw(t, "from")), 0)
+				old = append(old, u)
+				f.Handle(now, Received{Attempt: f.attempt, Update: u})
+			},
+			"late": func(t *rapid.T) {
+				if len(old) > 0 {
+					f.Handle(now, Received{Attempt: f.attempt, Update: rapid.SampledFrom(old).Draw(t, "update")})
+				}
+			},
+			"lost": func(*rapid.T) { f.Handle(now, Lost{f.attempt}) },
+			"pass": func(*rapid.T) {
+				now = now.Add(700 * time.Millisecond)
+				f.Handle(now, Tick{})
+			},
+			"": func(t *rapid.T) {
+				v := f.State().Version()
+				if v < last {
+					t.Fatalf("went from version %d back to %d", last, v)
+				}
+				last = v
+				want, _ := list[v].Marshal()
+				got, _ := f.State().Marshal()
+				fresh, _ := steering.Decode(list[v].EncodeForBoxes())
+				other, _ := fresh.Marshal()
+				if string(got) != string(want) && string(got) != string(other) && f.State().Tree().Get(settings.Path{}, "slots") != list[v].Tree().Get(settings.Path{}, "slots") {
+					t.Fatalf("holds another state than version %d", v)
+				}
+			},
+		})
+	})
+}
+
+// TestRestartInACutOffZone checks that a box that restarts while no source has
+// word of control takes the highest state of all that it can reach.
+func TestRestartInACutOffZone(t *testing.T) {
+	list, _ := states(9)
+	now := time.Unix(1000, 0)
+	f := NewFollower(now, 1)
+	have := map[string]int{"stale control": 3, "peer 1": 9, "peer 2": 7}
+	out := f.Handle(now, SetSources{[]Source{{Name: "stale control"}, {Name: "peer 1"}, {Name: "peer 2"}}})
+	first := uint64(0)
+	for range 200 {
+		if s := out.Subscribe; s != nil {
+			f.Handle(now, Opened{s.Attempt})
+			u := NewPublisher(list[have[s.Source.Name]]).Update(s.Version, time.Minute)
+			out = f.Handle(now, Received{Attempt: s.Attempt, Update: u})
+		} else {
+			now = now.Add(50 * time.Millisecond)
+			out = f.Handle(now, Tick{})
+		}
+		if out.State != nil && first == 0 {
+			first = out.State.Version()
+		}
+	}
+	if first != 9 || f.State().Version() != 9 {
+		t.Errorf("came into force at version %d, then %d; a peer has 9", first, f.State().Version())
+	}
+}
+
+func TestSourcesOfALargeZoneFormATree(t *testing.T) {
+	zone := settings.Zone{Name: "z"}
+	for i := range 97 {
+		name := fmt.Sprintf("b%d", i)
+		zone.Boxes = append(zone.Boxes, settings.Box{Name: name, PeerAddress: name})
+	}
+	children := make(map[string]int)
+	controls := []Source{{Name: "c1", Control: true}, {Name: "c2", Control: true}}
+	for _, b := range zone.Boxes {
+		children[Sources(b.Name, zone, controls)[0].Name]++
+	}
+	for name, n := range children {
+		if n > Degree {
+			t.Errorf("%s has %d children, the degree is %d", name, n, Degree)
+		}
+	}
+	if children["c1"]+children["c2"] != 1 {
+		t.Errorf("%d boxes of the zone follow control itself, want 1", children["c1"]+children["c2"])
+	}
+}
--- a/pkg/distribution/follower.go
+++ b/pkg/distribution/follower.go
@@ -101,7 +101,10 @@
 	retryAt  time.Time
 	backOff  time.Duration
 	heardAt  time.Time
-	out      Output
+	// held is the highest state of a source that has not heard of control,
+	// kept back by a follower that has none until it has asked all sources.
+	held *wire.Update
+	out  Output
 }
 
 // NewFollower returns a follower with the empty state.
@@ -184,6 +187,7 @@
 		return
 	}
 	f.current = 0
+	f.takeHeld(now)
 	f.retryAt = now.Add(f.backOff/2 + time.Duration(f.random.Int64N(int64(f.backOff))))
 	f.backOff = min(2*f.backOff, maxBackOff)
 }
@@ -225,7 +229,7 @@
 	return f.current > 0 && since > reconsiderAfter
 }
 
-// received puts an update in force if it leads to a higher version.
+// received takes an update that leads to a higher version.
 func (f *Follower) received(now time.Time, e Received) {
 	if e.Attempt != f.attempt {
 		return
@@ -234,7 +238,40 @@
 	if e.Update.Version <= f.state.Version() {
 		return
 	}
-	next, commands, err := Advance(f.state, e.Update)
+	if f.holdsBack(now, e.Update) {
+		return
+	}
+	f.putInForce(now, e.Update)
+}
+
+// holdsBack keeps back what a source without word of control gives to a
+// follower that has just started, so that a box does not restart into an older
+// state than others of its zone still have.
+func (f *Follower) holdsBack(now time.Time, u *wire.Update) bool {
+	if f.state.Version() > 0 || time.Duration(u.AgeMilli)*time.Millisecond <= staleAfter {
+		return false
+	}
+	if f.held == nil || u.Version > f.held.Version {
+		f.held = u
+	}
+	f.open = false
+	f.next(now)
+	return true
+}
+
+// takeHeld puts the highest state that was kept back in force.
+func (f *Follower) takeHeld(now time.Time) {
+	u := f.held
+	f.held = nil
+	if u != nil && f.state.Version() == 0 {
+		f.out.Notice = "no source has word of control, takes the latest state of all"
+		f.putInForce(now, u)
+	}
+}
+
+// putInForce takes an update that leads to a higher version.
+func (f *Follower) putInForce(now time.Time, u *wire.Update) {
+	next, commands, err := Advance(f.state, u)
 	if err != nil {
 		f.out.Notice = err.Error()
 		f.lost(now)
