entry, relay: bound what control costs a box as a zone grows

Causes, found with demo rest at 4 to 64 boxes: every box of a region watched the same box of another zone; a pool's lease was asked of all boxes of a zone; reports went up every second, and from followers to the leader every 200 ms, whether or not they said anything new; a look-up ranked every box of every zone. Changes: boxes watch different ones; leaseVoters names the few that vote, and a box without a vote learns the holder from their refusals; reports are sent with news or after 5 s, and every second while a shift runs; a table ranks candidates when it is built and a look-up only the zones it needs.

A failed try: all boxes fell back on the holder they were told of.

--- a/contrib/layout/layout.go
+++ b/contrib/layout/layout.go
@@ -59,6 +59,7 @@
 	targetPort  = 9000
 	scalePort   = 10_000
 	scaleBlock  = 2_000
+	maxVoters   = 5
 )
 
 // Flagpost runs feature flags: latency first.
@@ -216,17 +217,21 @@
 
 func (l Layout) zoneEdits(region, zone string, add func(path, key, value string)) {
 	path := "/" + region + "/" + zone
-	var boxes []string
+	var boxes, names []string
 	witness := ""
 	for _, b := range l.Boxes {
 		if b.Zone == zone {
+			names = append(names, b.Name)
 			boxes = append(boxes, fmt.Sprintf("%s=%s+%s", b.Name, b.Caller, b.Peer))
 		} else if b.Region == region {
 			witness = b.Name
 		}
 	}
 	add(path, "entryBoxes", strings.Join(boxes, ","))
-	if len(boxes)%2 == 0 && witness != "" {
+	switch {
+	case len(boxes) > maxVoters:
+		add(path, "leaseVoters", strings.Join(names[:maxVoters], ","))
+	case len(boxes)%2 == 0 && witness != "":
 		add(path, "leaseWitness", witness)
 	}
 	for _, s := range l.Services {
--- a/contrib/measure/request.go
+++ b/contrib/measure/request.go
@@ -83,7 +83,7 @@
 	if c, ok := s.caches[r.block]; ok && s.now.Before(c.until) {
 		return c.choices
 	}
-	choices := s.table.Choose(s.service.Name, r.home, r.block, func(b settings.Box) bool { return !s.pools[b.Zone].dead })
+	choices := s.table.Choose(s.service.Name, r.home, r.block, routing.MaxPlaces, func(b settings.Box) bool { return !s.pools[b.Zone].dead })
 	ttl := s.state.Tree().Values(settings.Path{Service: s.service.Name}).AnswerTTL
 	s.caches[r.block] = cached{choices, s.now.Add(ttl)}
 	return choices
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -35,6 +35,10 @@
 
 	heard atomic.Int64 // wall clock of the last word of a leader
 
+	// What the leader has been told of the boxes; the watch worker owns both.
+	reportedTo string
+	thinner    *relay.Thinner
+
 	mu        sync.Mutex
 	addresses map[string]string
 	joining   map[string]*wire.Replica
@@ -322,13 +326,18 @@
 		return
 	}
 	d.heard.Store(time.Now().Add(-v.status.LeaderSilence).UnixMilli())
-	report := &wire.Report{Boxes: d.publishing.Reports()}
+	if v.status.Leader != d.reportedTo {
+		d.reportedTo = v.status.Leader
+		d.thinner = relay.NewThinner()
+	}
+	report := &wire.Report{Boxes: d.thinner.Thin(time.Now(), d.publishing.Reports(), v.state.Shifting())}
 	if len(report.Boxes) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	address := addressOf(v.membership, v.status.Leader)
-	// A report that is lost is followed by the next one.
-	_, _ = d.node.Call(ctx, address, &wire.CallRequest{Report: report})
+	if _, err := d.node.Call(ctx, address, &wire.CallRequest{Report: report}); err != nil {
+		d.reportedTo = "" // tell it all again
+	}
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -12,6 +12,7 @@
 	"github.com/kataras/iris/v12"
 
 	"ledgesill.dev/ledgesill/internal/operator"
+	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/settings"
 	"ledgesill.dev/ledgesill/pkg/timeline"
@@ -19,8 +20,9 @@
 )
 
 const (
-	// silentAfter is when a box or replica that does not report needs a look.
-	silentAfter = 5 * time.Second
+	// silentAfter is when a box or replica that does not report needs a look:
+	// two refreshes and the way through the relays.
+	silentAfter = 2*relay.RefreshInterval + 2*time.Second
 	// lagAfter is for how long a box may lack the present version.
 	lagAfter = 3 * time.Second
 )
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -40,7 +40,10 @@
 	}
 	out := caller.LookupAnswer{Service: service, Version: f.state.Version(), KeyScope: d.keys.scope()}
 	ttl := time.Duration(0)
-	for _, c := range f.table.Choose(service, home, query.Get("block"), d.usable) {
+	for _, c := range f.table.Choose(service, home, query.Get("block"), maxLookupBoxes, d.usable) {
+		if len(out.Boxes) >= maxLookupBoxes {
+			break
+		}
 		for _, b := range d.holderFirst(service, c.Boxes) {
 			out.Boxes = append(out.Boxes, caller.Box{Name: b.Name, Address: b.CallerAddress, Region: b.Region, Zone: b.Zone})
 		}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -301,12 +301,15 @@
 }
 
 // holder returns the box that holds a pool of this zone, as far as this box's
-// own vote tells.
+// own vote tells, or the votes of others if it has none.
 func (d *Daemon) holder(service string) (settings.Box, bool) {
 	f := d.current.Load()
 	d.votes.Lock()
 	name, ok := d.votes.voter.Holder(time.Now(), poolName(service, d.config.Zone))
 	d.votes.Unlock()
+	if !ok && !slices.Contains(f.zone.Voters(), d.config.Name) {
+		name, ok = d.toldHolder(service)
+	}
 	if !ok {
 		return settings.Box{}, false
 	}
@@ -314,6 +317,20 @@
 	return b, ok
 }
 
+// toldHolder returns the holder that the voters last named to a box that has no
+// vote itself. It is not asked for where a box votes: its own vote is newer.
+func (d *Daemon) toldHolder(service string) (name string, ok bool) {
+	p := d.pool(service)
+	if p == nil {
+		return "", false
+	}
+	other := p.other.Load()
+	if other == nil || *other == "" || !d.peers.usable(*other) {
+		return "", false
+	}
+	return *other, true
+}
+
 // askVoters sends the lease requests of a pool, each on its own so that a dead
 // voter delays none of the others.
 func (d *Daemon) askVoters(p *pool, requests []lease.Request) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -85,7 +85,7 @@
 	if r.hops >= maxHops-1 || (r.hops > 0 && len(out) > 0) {
 		return out
 	}
-	for _, c := range f.table.Choose(r.service, d.homeOf(r), r.block, d.usable) {
+	for _, c := range f.table.Choose(r.service, d.homeOf(r), r.block, routing.MaxPlaces+1, d.usable) {
 		if c.Zone == d.config.Zone {
 			continue
 		}
--- a/internal/entry/following.go
+++ b/internal/entry/following.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/pkg/distribution"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -26,6 +27,7 @@
 	stream  *link.Messages
 	cancel  context.CancelFunc
 	opened  chan openedStream
+	thinner *relay.Thinner
 }
 
 type openedStream struct {
@@ -80,6 +82,7 @@
 		_ = f.stream.Close()
 	}
 	f.stream = o.stream
+	f.thinner = relay.NewThinner()
 	f.report()
 }
 
@@ -178,7 +181,12 @@
 	if f.stream == nil {
 		return
 	}
-	r := &wire.Report{Boxes: append(f.box.publishing.Reports(), f.box.ownReport()), Clock: f.box.process.Clock.Stamp()}
+	all := append(f.box.publishing.Reports(), f.box.ownReport())
+	news := f.thinner.Thin(time.Now(), all, f.machine.State().Shifting())
+	if len(news) == 0 {
+		return
+	}
+	r := &wire.Report{Boxes: news, Clock: f.box.process.Clock.Stamp()}
 	if err := f.stream.Write(r); err != nil {
 		_ = f.stream.Close() // its reader reports the loss
 		f.stream = nil
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,11 +67,8 @@
 func (p *peers) choose() []settings.Box {
 	f := p.box.current.Load()
 	watched := nextBoxes(f.zone.Boxes, p.box.config.Name, watchedInZone)
-	for _, z := range f.tree.Zones() {
-		if z.Region == p.box.config.Region && z.Name != p.box.config.Zone && len(z.Boxes) > 0 {
-			watched = append(watched, z.Boxes[0])
-			break
-		}
+	if b, ok := boxElsewhere(f.tree.Zones(), f.zone, p.box.config.Name); ok {
+		watched = append(watched, b)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -86,6 +84,29 @@
 	return watched
 }
 
+// boxElsewhere returns a box of the next zone of the region. The boxes of a zone
+// choose different ones as far as there are enough, so that none is watched by
+// all.
+func boxElsewhere(zones []settings.Zone, own settings.Zone, name string) (settings.Box, bool) {
+	var others []settings.Zone
+	after := 0
+	for _, z := range zones {
+		if z.Region != own.Region || z.Name == own.Name || len(z.Boxes) == 0 {
+			continue
+		}
+		others = append(others, z)
+		if z.Name < own.Name {
+			after++
+		}
+	}
+	if len(others) == 0 {
+		return settings.Box{}, false
+	}
+	z := others[after%len(others)]
+	place := slices.IndexFunc(own.Boxes, func(b settings.Box) bool { return b.Name == name })
+	return z.Boxes[max(place, 0)%len(z.Boxes)], true
+}
+
 // nextBoxes returns up to n boxes that follow the named one in a ring.
 func nextBoxes(boxes []settings.Box, name string, n int) []settings.Box {
 	var out []settings.Box
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"ledgesill.dev/ledgesill/pkg/admission"
@@ -73,6 +74,8 @@
 	values   settings.Values
 	held     bool
 	resting  bool
+	// other is the box that the voters named as the holder.
+	other atomic.Pointer[string]
 
 	ask     func([]lease.Request)
 	changed func(held bool)
@@ -171,6 +174,8 @@
 			p.ask(requests)
 		}
 		wake = p.lease.Wake()
+		name, _ := p.lease.Other(now)
+		p.other.Store(&name)
 	}
 	if held := p.lease != nil && !p.resting && p.lease.Held(now); held != p.held {
 		p.held = held
--- a/internal/entry/system_basic_test.go
+++ b/internal/entry/system_basic_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ledgesill.dev/ledgesill/pkg/caller"
+	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
 func report(t *testing.T, s *system) {
@@ -34,6 +35,25 @@
 	})
 }
 
+// TestBoxThatDoesNotVote sends through a box that has no vote on the leases of
+// its zone and must learn from others who holds the pool.
+func TestBoxThatDoesNotVote(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSystem(t, 2)
+		s.change(&wire.Edit{Path: "/east/za", Key: "leaseVoters", Value: "b1"})
+		time.Sleep(5 * time.Second)
+		for name, host := range boxHosts {
+			c := s.client("flags")
+			c.Pin(host + ":1")
+			if a := s.toggle(c, "through "+name, 3*time.Second); a.Outcome != caller.Ran || a.Attempts > 1 {
+				t.Errorf("through %s: %s after %d attempts", name, a.Outcome, a.Attempts)
+			}
+		}
+		s.close(2)
+		report(t, s)
+	})
+}
+
 func TestTraffic(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		s := newSystem(t, 2)
--- a/pkg/admission/pool_test.go
+++ b/pkg/admission/pool_test.go
@@ -262,3 +262,18 @@
 	// [{7 t}]
 	// 0
 }
+
+// BenchmarkAdmit is one admission and its end, at pools of several sizes.
+func BenchmarkAdmit(b *testing.B) {
+	for _, n := range []int{4, 16, 64} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			p := held(9, n)
+			var id uint64
+			for b.Loop() {
+				id++
+				arrive(p, start, id, Unrepeatable)
+				p.Handle(start, Finish{ID: id, Result: Succeeded, Latency: time.Millisecond})
+			}
+		})
+	}
+}
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -37,11 +37,16 @@
 	until   time.Time
 	askAt   time.Time
 	resting bool
+	// other is the holder that a voter named when it refused.
+	other      string
+	otherUntil time.Time
 }
 
 const (
 	renewalsPerLease = 3
 	ranksPerLease    = 4
+	// maxRankDelays bounds how long the last of many candidates waits.
+	maxRankDelays = 8
 )
 
 // NewHolder returns a holder that does not hold its lease. A candidate of a
@@ -53,7 +58,7 @@
 }
 
 func (h *Holder) rankDelay() time.Duration {
-	return time.Duration(h.config.Rank) * h.config.Duration / ranksPerLease
+	return time.Duration(min(h.config.Rank, maxRankDelays)) * h.config.Duration / ranksPerLease
 }
 
 // Until returns the time until which the lease is held.
@@ -62,6 +67,13 @@
 // Held reports whether the lease is held at now.
 func (h *Holder) Held(now time.Time) bool { return now.Before(h.until) }
 
+// Other returns the box that was last named as the holder, for a box that does
+// not vote itself. It is known until the candidate has had time to ask again.
+func (h *Holder) Other(now time.Time) (name string, ok bool) {
+	known := h.otherUntil.Add(h.rankDelay() + h.config.Duration)
+	return h.other, h.other != "" && now.Before(known)
+}
+
 // Wake returns when Tick is next needed.
 func (h *Holder) Wake() time.Time { return h.askAt }
 
@@ -126,6 +138,10 @@
 	if h.Held(now) || a.RemainingMilli <= 0 {
 		return
 	}
+	if a.Holder != "" {
+		h.other = a.Holder
+		h.otherUntil = now.Add(time.Duration(a.RemainingMilli) * time.Millisecond)
+	}
 	wait := min(time.Duration(a.RemainingMilli)*time.Millisecond, h.config.Duration)
 	h.askAt = later(h.askAt, now.Add(wait+h.rankDelay()))
 }
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -133,3 +133,17 @@
 		t.Error("the release did not free the pool")
 	}
 }
+
+// TestBoxThatDoesNotVoteLearnsTheHolder lets a candidate without a vote ask.
+func TestBoxThatDoesNotVoteLearnsTheHolder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := NewVoter(now.Add(-duration), "b", duration)
+	v.Handle(now, &wire.LeaseRequest{Pool: "p", Holder: "b", Incarnation: "1", DurationMilli: duration.Milliseconds()})
+	h := NewHolder(now, Config{Pool: "p", Name: "c", Incarnation: "2", Voters: []string{"b"}, Duration: duration})
+	for _, r := range h.Tick(now) {
+		h.Answer(now, v.Handle(now, r.Message))
+	}
+	if name, ok := h.Other(now); !ok || name != "b" || h.Held(now) {
+		t.Errorf("knows %q, %t as the holder", name, ok)
+	}
+}
--- a/pkg/lookup/table.go
+++ b/pkg/lookup/table.go
@@ -5,14 +5,20 @@
 )
 
 // Table answers look-ups from one version of the settings and assignments. It
-// is immutable, so that many requests can read it at once.
+// is immutable, so that many requests can read it at once. All that does not
+// depend on the caller is worked out when it is built.
 type Table struct {
-	zonesOf map[string][]settings.Zone
-	weights map[string]map[string][]Weighted
-	assign  func(service, home string) Assignment
-	regions []string
+	// zones holds, by service and region, the zones with their weights.
+	zones map[string]map[string][]Weighted
+	// candidates holds the boxes of each service and zone in the order in
+	// which they take the lease on the pool, less those that are draining.
+	candidates map[poolKey][]settings.Box
+	assign     func(service, home string) Assignment
+	regions    []Weighted
 }
 
+type poolKey struct{ service, zone string }
+
 // Choice is where a caller should go.
 type Choice struct {
 	Region string
@@ -27,29 +33,36 @@
 // assignment of a service and home region.
 func NewTable(t settings.Tree, assign func(service, home string) Assignment) *Table {
 	b := &Table{
-		zonesOf: make(map[string][]settings.Zone),
-		weights: make(map[string]map[string][]Weighted),
-		assign:  assign,
-		regions: t.Regions(),
+		zones:      make(map[string]map[string][]Weighted),
+		candidates: make(map[poolKey][]settings.Box),
+		assign:     assign,
+	}
+	for _, r := range t.Regions() {
+		b.regions = append(b.regions, Weighted{r, 1})
 	}
 	for _, z := range t.Zones() {
-		b.zonesOf[z.Region] = append(b.zonesOf[z.Region], z)
 		for _, name := range z.Services {
-			b.addWeight(t.Service(z.Region, z.Name, name), z)
+			b.add(t.Service(z.Region, z.Name, name), z)
 		}
 	}
 	return b
 }
 
-func (b *Table) addWeight(s settings.Service, z settings.Zone) {
-	if b.weights[s.Name] == nil {
-		b.weights[s.Name] = make(map[string][]Weighted)
+func (b *Table) add(s settings.Service, z settings.Zone) {
+	if b.zones[s.Name] == nil {
+		b.zones[s.Name] = make(map[string][]Weighted)
 	}
 	weight := float64(s.Capacity())
 	if z.Draining || !hasBox(z) {
 		weight = 0
 	}
-	b.weights[s.Name][z.Region] = append(b.weights[s.Name][z.Region], Weighted{z.Name, weight})
+	b.zones[s.Name][z.Region] = append(b.zones[s.Name][z.Region], Weighted{z.Name, weight})
+	for _, box := range Candidates(s.Name, z) {
+		if !box.Draining {
+			k := poolKey{s.Name, z.Name}
+			b.candidates[k] = append(b.candidates[k], box)
+		}
+	}
 }
 
 func hasBox(z settings.Zone) bool {
@@ -62,7 +75,7 @@
 }
 
 // Knows reports whether any zone has the service.
-func (b *Table) Knows(service string) bool { return b.weights[service] != nil }
+func (b *Table) Knows(service string) bool { return b.zones[service] != nil }
 
 // Assigned returns the region that a block is assigned to, whether or not the
 // region can serve it.
@@ -70,47 +83,54 @@
 	return b.assign(service, home).Region(Point(service, block))
 }
 
-// Choose returns the places for a block of callers, best first: the zones of
-// its assigned region and then those of the other regions, each with its boxes
-// in the order of the pool's lease candidates. A box that the function usable
-// refuses is left out.
-func (b *Table) Choose(service, home, block string, usable func(settings.Box) bool) []Choice {
+// maxBoxes bounds the boxes of one zone in an answer.
+const maxBoxes = 8
+
+// Choose returns up to limit places for a block of callers, best first: the
+// zones of its assigned region and then those of the other regions, each with
+// its boxes in the order of the pool's lease candidates. A box that the
+// function usable refuses is left out.
+func (b *Table) Choose(service, home, block string, limit int, usable func(settings.Box) bool) []Choice {
 	assigned := b.Assigned(service, home, block)
-	order := []string{assigned}
-	rest := make([]Weighted, 0, len(b.regions))
-	for _, r := range b.regions {
-		if r != assigned {
-			rest = append(rest, Weighted{r, 1})
+	out := b.inRegion(nil, service, assigned, assigned, block, limit, usable)
+	if len(out) >= limit {
+		return out
+	}
+	for _, region := range Rank(block, b.regions) {
+		if region != assigned {
+			out = b.inRegion(out, service, region, assigned, block, limit, usable)
+		}
+		if len(out) >= limit {
+			break
 		}
 	}
-	order = append(order, Rank(block, rest)...)
-	var out []Choice
-	for _, region := range order {
-		for _, zone := range Rank(block, b.weights[service][region]) {
-			boxes := b.boxes(service, region, zone, usable)
-			if len(boxes) == 0 {
-				continue
-			}
+	return out
+}
+
+// inRegion adds the places of one region.
+func (b *Table) inRegion(out []Choice, service, region, assigned, block string, limit int, usable func(settings.Box) bool) []Choice {
+	for _, zone := range Rank(block, b.zones[service][region]) {
+		if len(out) >= limit {
+			break
+		}
+		if boxes := b.boxes(service, zone, usable); len(boxes) > 0 {
 			out = append(out, Choice{Region: region, Zone: zone, Boxes: boxes, Moved: region != assigned})
 		}
 	}
 	return out
 }
 
-func (b *Table) boxes(service, region, zone string, usable func(settings.Box) bool) []settings.Box {
-	for _, z := range b.zonesOf[region] {
-		if z.Name != zone {
-			continue
+func (b *Table) boxes(service, zone string, usable func(settings.Box) bool) []settings.Box {
+	var out []settings.Box
+	for _, box := range b.candidates[poolKey{service, zone}] {
+		if len(out) == maxBoxes {
+			break
 		}
-		var out []settings.Box
-		for _, box := range Candidates(service, z) {
-			if !box.Draining && usable(box) {
-				out = append(out, box)
-			}
+		if usable(box) {
+			out = append(out, box)
 		}
-		return out
 	}
-	return nil
+	return out
 }
 
 // Candidates returns the boxes of a zone in the order in which they take the
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -63,6 +63,9 @@
 
 func checkWitnesses(zones []Zone, boxes map[string]Zone) error {
 	for _, z := range zones {
+		if err := checkLeaseVoters(z, boxes); err != nil {
+			return err
+		}
 		if z.Witness == "" {
 			continue
 		}
@@ -75,6 +78,16 @@
 	return nil
 }
 
+func checkLeaseVoters(z Zone, boxes map[string]Zone) error {
+	for _, name := range z.voters {
+		if boxes[name].Name != z.Name {
+			path := Path{Region: z.Region, Zone: z.Name}.String()
+			return &InvalidError{Path: path, Key: LeaseVoters, Value: name, Reason: "it must be an entry box of this availability zone"}
+		}
+	}
+	return nil
+}
+
 func (t Tree) checkTargets(zones []Zone) error {
 	addresses := make(map[string]string)
 	for _, z := range zones {
--- a/pkg/settings/key.go
+++ b/pkg/settings/key.go
@@ -64,6 +64,7 @@
 	ShiftStepShare       = "shiftStepShare"
 	LeaseMillis          = "leaseMillis"
 	LeaseWitness         = "leaseWitness"
+	LeaseVoters          = "leaseVoters"
 	KeyKeepMillis        = "keyKeepMillis"
 	Drain                = "drain"
 	DrainBoxes           = "drainBoxes"
@@ -106,6 +107,7 @@
 	{Name: KeyKeepMillis, Kind: Integer, Unit: "ms", Min: 1000, Max: 3_600_000, Default: "600000", Doc: "how long a request key is kept"},
 	{Name: Drain, Kind: Boolean, Default: "false", Doc: "no new work here: at a region, a zone or a service of one"},
 	{Name: LeaseWitness, Kind: List, ZoneOnly: true, Doc: "name of an entry box of another zone that also votes on this zone's leases; at most one"},
+	{Name: LeaseVoters, Kind: List, ZoneOnly: true, Doc: "names of the entry boxes of this zone that vote on its leases; all if it is empty; three to five are enough for a large zone"},
 	{Name: DrainBoxes, Kind: List, ZoneOnly: true, Doc: "names of entry boxes that look-ups leave out"},
 	{Name: EntryBoxes, Kind: List, ZoneOnly: true, Doc: "entry boxes as name=callerAddress+peerAddress"},
 	{Name: DrainTargets, Kind: List, ServiceOnly: true, Doc: "names of targets that get no new work"},
--- a/pkg/settings/topology.go
+++ b/pkg/settings/topology.go
@@ -27,10 +27,12 @@
 
 // Zone is an availability zone with its entry boxes and services.
 type Zone struct {
-	Region   string
-	Name     string
-	Boxes    []Box
-	Witness  string
+	Region  string
+	Name    string
+	Boxes   []Box
+	Witness string
+	// voters are the boxes named by leaseVoters.
+	voters   []string
 	Services []string
 	Draining bool
 }
@@ -118,6 +120,7 @@
 	if w := splitList(t.Get(p, LeaseWitness)); len(w) > 0 {
 		z.Witness = w[0]
 	}
+	z.voters = splitList(t.Get(p, LeaseVoters))
 	for q := range t.nodes {
 		if q.Zone == p.Zone && q.Region == p.Region && q.Service != "" {
 			z.Services = append(z.Services, q.Service)
@@ -139,9 +142,11 @@
 
 // Voters returns the names of the boxes that vote on the zone's leases.
 func (z Zone) Voters() []string {
-	var out []string
+	out := slices.Clone(z.voters)
 	for _, b := range z.Boxes {
-		out = append(out, b.Name)
+		if len(z.voters) == 0 {
+			out = append(out, b.Name)
+		}
 	}
 	if z.Witness != "" {
 		out = append(out, z.Witness)
--- a/pkg/settings/tree_test.go
+++ b/pkg/settings/tree_test.go
@@ -80,6 +80,7 @@
 		"/ requestTimeoutMillis=50":                          "may not exceed requestTimeoutMillis",
 		"/east/a:web drainTargets=t1":                        "every target of the service would be draining",
 		"/east drain=true":                                   "every target of the service would be draining",
+		"/east/a leaseVoters=b9":                             "entry box of this availability zone",
 		"/east/a leaseWitness=b1":                            "entry box of another availability zone",
 		"/east/a/x slots=1":                                  "more than a region and an availability zone",
 		"east slots=1":                                       "must begin with /",
--- a/pkg/steering/state.go
+++ b/pkg/steering/state.go
@@ -56,6 +56,11 @@
 // Shifts returns the shifts that run and the latest that have ended.
 func (s State) Shifts() []*wire.Shift { return slices.Clone(s.shifts) }
 
+// Shifting reports whether a shift runs.
+func (s State) Shifting() bool {
+	return slices.ContainsFunc(s.shifts, func(h *wire.Shift) bool { return h.Phase == wire.ShiftPhase_SHIFT_PHASE_RUNNING })
+}
+
 // Assignment returns where the callers of a service and home region go.
 func (s State) Assignment(service, home string) lookup.Assignment {
 	if a, ok := s.assignments[Home{service, home}]; ok {
