--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(CURDIR)/bin
 export GOFLAGS := -buildvcs=false
 
-.PHONY: build demo demo-portal test faults measure generate
+.PHONY: build demo demo-portal drill test faults fault-pairs measure generate
 
 build:
 	go build -o $(GOBIN)/ledgesill .
@@ -14,6 +14,10 @@
 demo-portal: build
 	contrib/demo/run.sh $(GOBIN) portal
 
+# Real control replicas are killed, frozen and lose their disks.
+drill: build
+	contrib/demo/run.sh $(GOBIN) flagpost drill
+
 # Fixed seeds, so that the verdict is the same every time.
 test:
 	RAPID_SEED=1 RAPID_NOFAILFILE=1 go test ./...
--- a/contrib/demo/main.go
+++ b/contrib/demo/main.go
@@ -5,6 +5,7 @@
 //	demo plan LAYOUT FOLDER   prints the processes to start, one a line
 //	demo targets LAYOUT       serves the stand-in targets
 //	demo drive LAYOUT FOLDER  drives the running system
+//	demo drill LAYOUT FOLDER  kills, freezes and empties control replicas
 //	demo rest LAYOUT FOLDER   measures the cost of control at rest and per change
 //	demo load LAYOUT FOLDER   measures look-ups and requests of one entry box
 package main
@@ -35,7 +36,7 @@
 
 func run(ctx context.Context, args []string) error {
 	if len(args) < 2 {
-		return fmt.Errorf("usage: demo plan|targets|drive|rest|load LAYOUT [FOLDER]")
+		return fmt.Errorf("usage: demo plan|targets|drive|drill|rest|load LAYOUT [FOLDER]")
 	}
 	l, err := layout.ByName(args[1])
 	if err != nil {
@@ -49,6 +50,8 @@
 		return serveTargets(ctx, l)
 	case "drive":
 		return drive(ctx, l, args[2])
+	case "drill":
+		return drill(ctx, l, args[2])
 	case "rest":
 		return measureRest(ctx, l, args[2])
 	case "load":
--- a/contrib/demo/run.sh
+++ b/contrib/demo/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Starts the processes of a layout on loopback, drives them and ends them all.
-# usage: run.sh BIN-FOLDER [LAYOUT [drive|rest|load]]
+# usage: run.sh BIN-FOLDER [LAYOUT [drive|drill|rest|load]]
 set -u
 bin=$1
 layout=${2:-flagpost}
@@ -9,6 +9,8 @@
 pids=()
 
 end_all() {
+  rm -f "$folder"/*.restart
+  for file in "$folder"/*.pid; do pids+=("$(cat "$file")"); done
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null; done
   for _ in $(seq 100); do
     alive=0
@@ -28,15 +30,19 @@
   # The subshell notes the end of the process, which the driver waits for.
   # shellcheck disable=SC2086
   (
-    "$bin/ledgesill" $arguments >"$folder/$name.log" 2>&1 &
-    echo $! >"$folder/$name.pid"
-    wait $!
-    echo $? >"$folder/$name.ended"
+    while :; do
+      "$bin/ledgesill" $arguments >>"$folder/$name.log" 2>&1 &
+      echo $! >"$folder/$name.pid"
+      wait $!
+      ended=$?
+      [ -f "$folder/$name.restart" ] || break
+      rm "$folder/$name.restart"
+    done
+    echo $ended >"$folder/$name.ended"
   ) &
   pids+=($!)
 done < <("$bin/demo" plan "$layout" "$folder")
 sleep 0.5
-for file in "$folder"/*.pid; do pids+=("$(cat "$file")"); done
 
 "$bin/demo" "$what" "$layout" "$folder"
 verdict=$?
--- a/contrib/measure/request.go
+++ b/contrib/measure/request.go
@@ -24,6 +24,7 @@
 	began      time.Time
 	deadline   time.Time
 	choices    []lookup.Choice
+	config     routing.Config
 	course     *routing.Course
 	place      int
 	kept       retry.Verdict
@@ -72,7 +73,8 @@
 	if s.baseline {
 		places = 1
 	}
-	r.course = routing.NewCourse(routing.Config{Places: places, Origin: true, Repeatable: r.repeatable, Deadline: r.deadline}, s.budget)
+	r.config = routing.Config{Places: places, Origin: true, Repeatable: r.repeatable, Deadline: r.deadline}
+	r.course = routing.NewCourse(r.config, s.budget)
 	r.path = s.layout.CallerDelay + s.delay(region, r.choices[0])
 	s.after(r.path, r.visit)
 }
@@ -151,7 +153,17 @@
 		class = admission.Repeatable
 	}
 	foreign := s.table.Assigned(s.service.Name, r.home, r.block) != v.pool.region
-	s.handle(v.pool, admission.Arrive{ID: a.id, Class: class, Deadline: r.deadline, Foreign: foreign, Exclude: v.exclude})
+	s.handle(v.pool, admission.Arrive{ID: a.id, Class: class, Deadline: r.deadline, Foreign: foreign, Exclude: v.exclude, NoWait: r.noWait()})
+}
+
+// noWait is decided as at an entry box, which finds no place beyond a cut.
+func (r *request) noWait() bool {
+	if r.sim.baseline || len(r.choices) < 2 || r.choices[1].Region != r.choices[0].Region {
+		return false
+	}
+	first, second := r.choices[0].Zone, r.choices[1].Zone
+	near := !r.sim.pools[second].dead && !r.sim.cut[first] && !r.sim.cut[second]
+	return r.config.NoWait(r.place, near)
 }
 
 // granted runs an attempt at its target.
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -140,12 +140,21 @@
 	_ = c.JSON(out) // the client sees a broken answer
 }
 
-func (d *Daemon) getHistory(c iris.Context) {
+// freshState reads the state through a quorum, or answers that it can't.
+func (d *Daemon) freshState(c iris.Context) (state steering.State, ok bool) {
 	ctx, cancel := context.WithTimeout(c.Request().Context(), readTimeout)
 	defer cancel()
 	state, err := d.replica.read(ctx)
 	if err != nil {
 		d.failWith(c, err)
+		return state, false
+	}
+	return state, true
+}
+
+func (d *Daemon) getHistory(c iris.Context) {
+	state, ok := d.freshState(c)
+	if !ok {
 		return
 	}
 	out := []operator.HistoryEntry{}
@@ -230,11 +239,8 @@
 }
 
 func (d *Daemon) getShifts(c iris.Context) {
-	ctx, cancel := context.WithTimeout(c.Request().Context(), readTimeout)
-	defer cancel()
-	state, err := d.replica.read(ctx)
-	if err != nil {
-		d.failWith(c, err)
+	state, ok := d.freshState(c)
+	if !ok {
 		return
 	}
 	out := []operator.Shift{}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -95,7 +95,7 @@
 		return err
 	}
 	id := link.Identity{Name: d.config.Name, Incarnation: d.process.Incarnation}
-	handlers := link.Handlers{Consensus: d.serveConsensus, Subscribe: d.serveSubscriber, Call: d.serveCall}
+	handlers := link.Handlers{Consensus: d.serveConsensus, Subscribe: d.serveSubscriber, Call: d.serveCall, Refused: d.process.LinkRefused}
 	if d.node, err = link.Listen(link.TCP(), d.config.PeerAddress, id, d.process.Clock, handlers, secure); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/control/questions.go
@@ -0,0 +1,64 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// ask sends a message to the loop and waits for the answer.
+func ask[T any](ctx context.Context, r *replica, question func(chan<- T) message) (T, error) {
+	var zero T
+	reply := make(chan T, 1)
+	select {
+	case r.inbox <- question(reply):
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+	select {
+	case v := <-reply:
+		return v, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
+
+func (r *replica) view(ctx context.Context) (view, error) {
+	return ask(ctx, r, func(c chan<- view) message { return viewing{c} })
+}
+
+func (r *replica) submit(ctx context.Context, c *wire.Command) (outcome, error) {
+	o, err := ask(ctx, r, func(reply chan<- outcome) message { return proposal{c, reply} })
+	return o, errors.Join(err, o.err)
+}
+
+func (r *replica) read(ctx context.Context) (steering.State, error) {
+	o, err := ask(ctx, r, func(c chan<- readOutcome) message { return reading{c} })
+	return o.state, errors.Join(err, o.err)
+}
+
+func (r *replica) changeMembership(ctx context.Context, m *wire.Membership) error {
+	o, err := ask(ctx, r, func(reply chan<- outcome) message { return membershipChange{m, reply} })
+	return errors.Join(err, o.err)
+}
+
+// deliver hands a consensus message to the loop; a full inbox drops it, as a
+// network may.
+func (r *replica) deliver(m *wire.ConsensusMessage) {
+	select {
+	case r.inbox <- received{m}:
+	default:
+	}
+}
+
+func addressOf(m *wire.Membership, id string) string {
+	for _, v := range slices.Concat(m.GetVoters(), m.GetLearners()) {
+		if v.Id == id {
+			return v.Address
+		}
+	}
+	return ""
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -159,6 +159,7 @@
 		Deadline: e.request.deadline,
 		Foreign:  e.request.foreign,
 		Exclude:  exclude,
+		NoWait:   e.request.noWait,
 	})
 	if err != nil {
 		cancel()
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -48,7 +48,8 @@
 			out.Boxes = append(out.Boxes, caller.Box{Name: b.Name, Address: b.CallerAddress, Region: b.Region, Zone: b.Zone})
 		}
 		if ttl == 0 {
-			ttl = f.tree.Service(c.Region, c.Zone, service).Values.AnswerTTL
+			s, _ := f.table.Service(service, c.Zone)
+			ttl = s.Values.AnswerTTL
 		}
 	}
 	if len(out.Boxes) == 0 {
@@ -87,6 +88,9 @@
 
 func (d *Daemon) defaultTimeout(service string) time.Duration {
 	f := d.current.Load()
+	if s, ok := f.table.Service(service, d.config.Zone); ok {
+		return s.Values.RequestTimeout
+	}
 	return f.tree.Service(d.config.Region, d.config.Zone, service).Values.RequestTimeout
 }
 
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -35,15 +35,18 @@
 	d.budgets.Lock()
 	budget := d.budgets.byService[r.service]
 	d.budgets.Unlock()
-	course := routing.NewCourse(routing.Config{
+	config := routing.Config{
 		Places:     len(places),
 		Origin:     r.hops == 0,
 		Repeatable: r.repeatable,
 		Deadline:   r.deadline,
-	}, budget)
+	}
+	course := routing.NewCourse(config, budget)
 	var kept *answer
-	for _, place := range places {
-		a := place(ctx)
+	for i, place := range places {
+		visit := *r
+		visit.noWait = r.noWait || config.NoWait(i, len(places) > 1 && places[1].region == d.config.Region)
+		a := place.run(ctx, &visit)
 		d.budgets.Lock()
 		decision := course.Ended(time.Now(), a.result())
 		d.budgets.Unlock()
@@ -74,13 +77,17 @@
 	return r
 }
 
-type place func(ctx context.Context) *answer
+// place is where a request may run.
+type place struct {
+	region string
+	run    func(ctx context.Context, r *request) *answer
+}
 
 // places lists where a request may run, best first.
 func (d *Daemon) places(f *inForce, r *request) []place {
 	var out []place
 	if p := d.pool(r.service); p != nil && hasTargets(f, r.service) {
-		out = append(out, func(ctx context.Context) *answer { return d.inZone(ctx, p, r) })
+		out = append(out, place{d.config.Region, func(ctx context.Context, r *request) *answer { return d.inZone(ctx, p, r) }})
 	}
 	if r.hops >= maxHops-1 || (r.hops > 0 && len(out) > 0) {
 		return out
@@ -90,13 +97,14 @@
 			continue
 		}
 		b := c.Boxes[0]
-		out = append(out, func(ctx context.Context) *answer { return d.forward(ctx, b, r) })
+		out = append(out, place{c.Region, func(ctx context.Context, r *request) *answer { return d.forward(ctx, b, r) }})
 	}
 	return out
 }
 
 func hasTargets(f *inForce, service string) bool {
-	return len(f.tree.Service(f.zone.Region, f.zone.Name, service).Targets) > 0
+	s, ok := f.table.Service(service, f.zone.Name)
+	return ok && len(s.Targets) > 0
 }
 
 // inZone runs a request on the pool of this box's zone, here or at the holder.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -19,6 +19,7 @@
 const (
 	headerHops    = "Ledgesill-Hops"
 	headerForeign = "Ledgesill-Foreign"
+	headerNoWait  = "Ledgesill-No-Wait"
 )
 
 const (
@@ -45,6 +46,8 @@
 	// foreign is set by the box that took the request from its caller.
 	foreign    bool
 	foreignSet bool
+	// noWait asks for a slot at once or a refusal.
+	noWait bool
 }
 
 // requestError says what is wrong with a request; it did not run.
@@ -98,6 +101,7 @@
 		r.foreign = foreign == "true"
 		r.foreignSet = true
 	}
+	r.noWait = h.Header.Get(headerNoWait) == "true"
 	return r, r.readBody(h)
 }
 
@@ -174,7 +178,7 @@
 
 // own are the headers of the system, which do not go to targets.
 var own = []string{
-	caller.HeaderKey, caller.HeaderRepeatable, caller.HeaderHome, caller.HeaderBlock, headerHops, headerForeign,
+	caller.HeaderKey, caller.HeaderRepeatable, caller.HeaderHome, caller.HeaderBlock, headerHops, headerForeign, headerNoWait,
 }
 
 // hopByHop are the headers that concern one connection only.
@@ -215,6 +219,7 @@
 	}
 	h.Header.Set(headerHops, strconv.Itoa(r.hops+1))
 	h.Header.Set(headerForeign, strconv.FormatBool(r.foreign))
+	h.Header.Set(headerNoWait, strconv.FormatBool(r.noWait))
 	h.Header.Set(caller.HeaderRepeatable, strconv.FormatBool(r.repeatable))
 	r.finish(h)
 	return h, nil
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -91,6 +91,11 @@
 	p.Log.Info().Str("kind", e.Kind).Str("box", e.Box).Str("change", e.Change).Str("shift", e.Shift).Msg(e.Detail)
 }
 
+// LinkRefused notes that another process was refused for its certificate.
+func (p *Process) LinkRefused(remote string, err error) {
+	p.StateChange(&wire.TimelineEvent{Kind: "linkRefused", Detail: "from " + remote + ": " + err.Error()})
+}
+
 // Counter returns a registered counter.
 func (p *Process) Counter(name, help string, labels ...string) *prometheus.CounterVec {
 	c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ledgesill_" + name, Help: help}, labels)
--- a/pkg/admission/event.go
+++ b/pkg/admission/event.go
@@ -74,6 +74,9 @@
 	Foreign bool
 	// Exclude names targets that the request has already failed on.
 	Exclude []string
+	// NoWait asks for a slot at once or a refusal, since another pool may have
+	// one free.
+	NoWait bool
 }
 
 // Cancel takes back an Arrive that still waits.
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -156,7 +156,7 @@
 }
 
 func (p *Pool) enqueue(now time.Time, w waiting) {
-	if p.config.RoundRobin || p.config.QueueLimit == 0 {
+	if p.config.RoundRobin || p.config.QueueLimit == 0 || w.arrive.NoWait {
 		p.refuse(now, w.arrive.ID, Overloaded)
 		return
 	}
--- a/pkg/admission/pool_test.go
+++ b/pkg/admission/pool_test.go
@@ -236,6 +236,15 @@
 	}
 }
 
+func TestNoWaitIsRefusedAtOnce(t *testing.T) {
+	p := held(1, 1)
+	arrive(p, start, 1, Unrepeatable)
+	out := p.Handle(start, Arrive{ID: 2, Deadline: start.Add(time.Second), NoWait: true})
+	if len(out.Refusals) != 1 || p.Load(start).Waiting != 0 {
+		t.Errorf("got %+v, want a refusal", out)
+	}
+}
+
 func TestRoundRobinHasNoQueue(t *testing.T) {
 	p := NewPool(1)
 	c := config(1)
--- a/pkg/consensus/cluster_test.go
+++ b/pkg/consensus/cluster_test.go
@@ -332,3 +332,18 @@
 		t.Errorf("the repair went %v and is not finished", steps)
 	}
 }
+
+// ExampleReplica runs a single replica, whose outputs hold what to store.
+func ExampleReplica() {
+	now := time.Unix(0, 0)
+	alone := &wire.Membership{Voters: []*wire.Replica{{Id: "a"}}}
+	r, err := New(now, Config{ID: "a"}, Stored{Snapshot: &wire.Snapshot{Index: 1, Term: 1, Membership: alone}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	r.Handle(now.Add(3*time.Second), Tick{}) // nobody leads: it is elected
+	out := r.Handle(now.Add(3*time.Second), Propose{Data: []byte("hello")})
+	fmt.Println("store", len(out.Entries), "apply", string(out.Committed[0].Data))
+	// Output: store 1 apply hello
+}
--- a/pkg/lookup/table.go
+++ b/pkg/lookup/table.go
@@ -13,6 +13,7 @@
 	// candidates holds the boxes of each service and zone in the order in
 	// which they take the lease on the pool, less those that are draining.
 	candidates map[poolKey][]settings.Box
+	services   map[poolKey]settings.Service
 	assign     func(service, home string) Assignment
 	regions    []Weighted
 }
@@ -35,6 +36,7 @@
 	b := &Table{
 		zones:      make(map[string]map[string][]Weighted),
 		candidates: make(map[poolKey][]settings.Box),
+		services:   make(map[poolKey]settings.Service),
 		assign:     assign,
 	}
 	for _, r := range t.Regions() {
@@ -57,9 +59,10 @@
 		weight = 0
 	}
 	b.zones[s.Name][z.Region] = append(b.zones[s.Name][z.Region], Weighted{z.Name, weight})
+	k := poolKey{s.Name, z.Name}
+	b.services[k] = s
 	for _, box := range Candidates(s.Name, z) {
 		if !box.Draining {
-			k := poolKey{s.Name, z.Name}
 			b.candidates[k] = append(b.candidates[k], box)
 		}
 	}
@@ -77,6 +80,12 @@
 // Knows reports whether any zone has the service.
 func (b *Table) Knows(service string) bool { return b.zones[service] != nil }
 
+// Service returns what is in force for a service in a zone that has it.
+func (b *Table) Service(service, zone string) (settings.Service, bool) {
+	s, ok := b.services[poolKey{service, zone}]
+	return s, ok
+}
+
 // Assigned returns the region that a block is assigned to, whether or not the
 // region can serve it.
 func (b *Table) Assigned(service, home, block string) string {
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -70,3 +71,16 @@
 		}
 	})
 }
+
+// ExamplePlan tries a repeatable request again after a failure.
+func ExamplePlan() {
+	now := time.Unix(0, 0)
+	p := NewPlan(Config{Repeatable: true, MaxAttempts: 2, Deadline: now.Add(time.Second)}, NewBudget(10))
+	fmt.Println("launch", p.Begin(now).Launch)
+	fmt.Println("launch", p.Ended(now, 1, Failed).Launch)
+	fmt.Println("ran", p.Ended(now, 2, Answered).Final == Ran)
+	// Output:
+	// launch 1
+	// launch 2
+	// ran true
+}
--- a/pkg/routing/course.go
+++ b/pkg/routing/course.go
@@ -23,6 +23,14 @@
 	Deadline   time.Time
 }
 
+// NoWait reports whether the first place is to be asked for a slot without
+// waiting: at the box that took the request from its caller, when the next
+// place is another zone of the same region, which is near and may have a slot
+// free. There the request may wait.
+func (c Config) NoWait(place int, nextIsNear bool) bool {
+	return c.Origin && place == 0 && c.Places > 1 && nextIsNear
+}
+
 // Result is what a place made of the request.
 type Result struct {
 	Verdict retry.Verdict
--- a/pkg/settings/tree_test.go
+++ b/pkg/settings/tree_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -180,3 +181,13 @@
 		}
 	})
 }
+
+// ExampleTree_Get shows a region that overrides a default.
+func ExampleTree_Get() {
+	t, err := Tree{}.WithEdits([]*wire.Edit{
+		{Path: "/", Key: Slots, Value: "3"},
+		{Path: "/east", Key: Slots, Value: "9"},
+	})
+	fmt.Println(t.Get(Path{Region: "east", Zone: "a"}, Slots), t.Get(Path{Region: "west"}, Slots), err)
+	// Output: 9 3 <nil>
+}
