operator: ask the replica that answered last first

Cause: the client of the operators' commands went through its addresses in order for each request; a frozen replica takes connections and answers nothing, so each request waited 5 s for it. Found by the drill in a fresh clone, whose 500 changes did not end within 120 s. Ruled out: the log (the leader accepted each change within milliseconds). Change: the client remembers the replica that answered last.

entry: test that the platform's late list takes targets out; it fails without the list.

--- a/internal/entry/system_basic_test.go
+++ b/internal/entry/system_basic_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
+	"ledgesill.dev/ledgesill/contrib/standin"
 	"ledgesill.dev/ledgesill/pkg/caller"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -54,6 +56,38 @@
 	})
 }
 
+// TestPlatformListTakesTargetsOut lets the platform say that a target leaves,
+// two seconds late, and checks that it gets no work after that.
+func TestPlatformListTakesTargetsOut(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		const lag = 2 * time.Second
+		s := newSystemWith(t, 2, "http://10.0.7.1:1/")
+		list := standin.NewPlatform(lag, time.Now)
+		l, err := s.network.listen("10.0.7.1:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: list}
+		done := make(chan error, 1)
+		go func() { done <- server.Serve(l) }()
+		for _, g := range []string{"a1", "b1"} {
+			list.Set(targetHost(g)+":1", "leaving")
+		}
+		time.Sleep(lag + 2*time.Second)
+		c := s.client("flags")
+		for i := range 20 {
+			a := s.toggle(c, fmt.Sprint("toggle-", i), time.Second)
+			if got := a.Header.Get(caller.HeaderTarget); a.Outcome != caller.Ran || got == "a1" || got == "b1" {
+				t.Errorf("toggle %d: %s at %q", i, a.Outcome, got)
+			}
+		}
+		_ = server.Close()
+		<-done
+		s.close(2)
+		report(t, s)
+	})
+}
+
 func TestTraffic(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		s := newSystem(t, 2)
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -48,6 +48,8 @@
 	ended   []chan error
 	clients []*http.Client
 	nonce   int
+	// platform is the address of the platform's list, if there is one.
+	platform string
 
 	mu       sync.Mutex
 	problems []string
@@ -79,9 +81,12 @@
 	return "za"
 }
 
-func newSystem(t *testing.T, slots int) *system {
+func newSystem(t *testing.T, slots int) *system { return newSystemWith(t, slots, "") }
+
+func newSystemWith(t *testing.T, slots int, platform string) *system {
 	s := &system{
-		t: t, network: newFakeNetwork(), boxes: make(map[string]*runningBox), targets: make(map[string]*runningTarget),
+		platform: platform,
+		t:        t, network: newFakeNetwork(), boxes: make(map[string]*runningBox), targets: make(map[string]*runningTarget),
 		runs: make(map[string]int), sent: make(map[string]caller.Outcome),
 	}
 	for name, host := range boxHosts {
@@ -242,6 +247,7 @@
 		Region:        "east",
 		Zone:          zoneOfBox(name),
 		Controls:      []string{controlHost + ":1"},
+		PlatformList:  s.platform,
 	}
 	d, err := Open(c, io.Discard, s.networkOf(host))
 	if err != nil {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -18,6 +19,10 @@
 	token     string
 	scheme    string
 	http      *http.Client
+
+	mu sync.Mutex
+	// last is the replica that answered last; it is asked first.
+	last string
 }
 
 const (
@@ -65,14 +70,12 @@
 // send again since it carries an id.
 func (c *Client) Do(ctx context.Context, method, path string, body, into any) error {
 	var last error
-	order := c.addresses
+	order := c.order()
 	for range rounds {
 		for i := 0; i < len(order); i++ {
 			leader, err := c.try(ctx, order[i], method, path, body, into)
-			if err == nil {
-				return nil
-			}
-			if final(err) {
+			if err == nil || final(err) {
+				c.answered(order[i])
 				return err
 			}
 			last = err
@@ -90,6 +93,22 @@
 	return &UnreachableError{c.addresses, last}
 }
 
+// order returns the addresses to ask, the replica that answered last first.
+func (c *Client) order() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last == "" {
+		return c.addresses
+	}
+	return append([]string{c.last}, c.addresses...)
+}
+
+func (c *Client) answered(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = address
+}
+
 // final reports whether another replica would answer the same.
 func final(err error) bool {
 	f, ok := err.(*FailureError)
