consensus: test that conflicting entries are cut off

Taking the guard out had been seen by no test: the matrix and the property test rarely leave a follower with entries that nobody else has. The test fails without the guard.

--- a/pkg/consensus/vote_test.go
+++ b/pkg/consensus/vote_test.go
@@ -131,3 +131,39 @@
 		t.Error("a learner that holds nothing was made a voter")
 	}
 }
+
+// TestConflictingEntriesAreCutOff lets a leader that is cut off append what
+// nobody else has, and checks that the next leader's entries replace it.
+func TestConflictingEntriesAreCutOff(t *testing.T) {
+	c := newCluster(3, 5)
+	old := c.elect(t)
+	c.cut[old.id] = true
+	for range 3 {
+		c.do(old, Propose{Data: []byte("lost")})
+	}
+	for range 60 {
+		c.round()
+	}
+	leader := c.leader()
+	if leader == nil || leader == old {
+		t.Fatal("no other leader")
+	}
+	for range 2 {
+		c.do(leader, Propose{Data: []byte("kept")})
+	}
+	delete(c.cut, old.id)
+	for range 60 {
+		c.round()
+	}
+	if err := c.check(); err != nil {
+		t.Fatal(err)
+	}
+	if old.replica.commit != leader.replica.commit {
+		t.Errorf("the old leader has committed up to %d, the new one up to %d", old.replica.commit, leader.replica.commit)
+	}
+	for _, e := range old.applied {
+		if string(e.Data) == "lost" {
+			t.Error("an entry that was never acknowledged was applied")
+		}
+	}
+}
