--- a/contrib/demo/cost.go
+++ b/contrib/demo/cost.go
@@ -4,13 +4,13 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
 	"text/tabwriter"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 
@@ -31,17 +31,12 @@
 
 // scrape reads the metrics of a process.
 func (d *driver) scrape(ctx context.Context, operator string) (sample, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operator+"/metrics", nil)
-	if err != nil {
-		return sample{}, err
-	}
-	response, err := d.http.Do(request)
-	if err != nil {
-		return sample{}, err
-	}
-	defer response.Body.Close()
 	parser := expfmt.NewTextParser(model.UTF8Validation)
-	families, err := parser.TextToMetricFamilies(response.Body)
+	var families map[string]*dto.MetricFamily
+	err := d.fetch(ctx, "http://"+operator+"/metrics", func(body io.Reader) (err error) {
+		families, err = parser.TextToMetricFamilies(body)
+		return err
+	})
 	if err != nil {
 		return sample{}, err
 	}
@@ -191,21 +186,10 @@
 	return nil
 }
 
+// get reads an answer to its end and lets it go.
 func (d *driver) get(ctx context.Context, url string) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
+	return d.fetch(ctx, url, func(body io.Reader) error {
+		_, err := io.Copy(io.Discard, body)
 		return err
-	}
-	response, err := d.http.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return err
-	}
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: %s", url, response.Status)
-	}
-	return nil
+	})
 }
--- a/contrib/demo/drive.go
+++ b/contrib/demo/drive.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -198,6 +199,11 @@
 }
 
 func (d *driver) getJSON(ctx context.Context, url string, into any) error {
+	return d.fetch(ctx, url, func(body io.Reader) error { return json.NewDecoder(body).Decode(into) })
+}
+
+// fetch gets a page and has its body read.
+func (d *driver) fetch(ctx context.Context, url string, read func(body io.Reader) error) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -207,7 +213,10 @@
 		return err
 	}
 	defer response.Body.Close()
-	return json.NewDecoder(response.Body).Decode(into)
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", url, response.Status)
+	}
+	return read(response.Body)
 }
 
 func (d *driver) pid(name string) (int, error) {
