catalog, control: replicate routes, evacuations and registrations

The users' platform needs whole documents of routes, evacuations and targets that register themselves, and control replicas that find each other from three seeds. The settings tree keeps its shape; a catalog stands beside it in the same replicated state and reaches the boxes by the same updates.

- Membership grows from the seeds; a replica on a new disk or at a new address takes the place of a lost voter.
- Any replica settles a command through the leader; commands of the catalog may be repeated without harm.
- The age of control's word no longer depends on the time of day.
- The host of the follower moved from entry to relay, so that another daemon can use it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -100,6 +100,19 @@
 	Token           string
 	ElectionTimeout time.Duration
 	SnapshotEvery   int
+	// Seeded tells that Peers are only some of the control replicas, by which
+	// the others are found; the membership then grows by those that ask to join.
+	Seeded bool
+	// MayForm allows a seeded replica on an empty disk to form the first
+	// membership together with the other seeds.
+	MayForm bool
+	// SpareFailures is how many disks may be lost at once; a seeded membership
+	// does not shrink below what bears that.
+	SpareFailures int
+	// Zones are all availability zones, for what operators order for one.
+	Zones []string
+	// LookupTTL is the longest time for which the answer of a look-up counts.
+	LookupTTL time.Duration
 }
 
 // Entry are the settings of an entry box's daemon.
--- /dev/null
+++ b/internal/control/catalog.go
@@ -0,0 +1,143 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/lookup"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// UnknownZoneError says that a zone is not part of the deployment.
+type UnknownZoneError struct{ Zone string }
+
+// Error implements error.
+func (e *UnknownZoneError) Error() string { return fmt.Sprintf("there is no zone %q", e.Zone) }
+
+// NoDocumentError says that no document of routes has been put in force yet.
+type NoDocumentError struct{}
+
+// Error implements error.
+func (*NoDocumentError) Error() string { return "no document of routes is in force" }
+
+// Register takes a target's word. One that says nothing new is acknowledged
+// from what this replica knows, all others once a majority has stored them.
+func (d *Daemon) Register(ctx context.Context, r *wire.Registration) error {
+	return d.register(ctx, &wire.RegistrationCommand{Registration: r})
+}
+
+// Leave takes a target out for good.
+func (d *Daemon) Leave(ctx context.Context, id string) error {
+	return d.register(ctx, &wire.RegistrationCommand{Registration: &wire.Registration{Id: id}, Leave: true})
+}
+
+func (d *Daemon) register(ctx context.Context, c *wire.RegistrationCommand) error {
+	state, err := d.State(ctx)
+	if err != nil {
+		return &UnavailableError{Cause: err}
+	}
+	r := c.Registration
+	if !state.Catalog().News(r, c.Leave) {
+		return nil
+	}
+	began := time.Now()
+	err = d.Submit(ctx, &wire.Command{Registration: c})
+	line := d.process.Log.Info()
+	if err != nil {
+		line = d.process.Log.Warn().Err(err)
+	}
+	line.Str("kind", "registration").Str("target", r.Id).Str("service", r.Service).Str("address", r.Address).
+		Bool("draining", r.Draining).Bool("leaves", c.Leave).Int64("coldMillis", r.ColdMilli).Uint64("sequence", r.Sequence).
+		Uint64("stateVersion", state.Version()).Dur("took", time.Since(began)).Msg("a target's word was settled")
+	return err
+}
+
+// PutRoutes puts a document of routes in force. The text is what a read gives back.
+func (d *Daemon) PutRoutes(ctx context.Context, document catalog.Document, text []byte) error {
+	began := time.Now()
+	err := document.Check()
+	if err == nil {
+		err = d.Submit(ctx, &wire.Command{Routes: &wire.RoutesCommand{
+			BaseNumber: document.Base,
+			Document:   &wire.RoutesDocument{Number: document.Number, Text: text},
+		}})
+	}
+	line := d.process.Log.Info()
+	if err != nil {
+		line = d.process.Log.Warn().Err(err)
+	}
+	line.Str("kind", "routes").Uint64("number", document.Number).Uint64("base", document.Base).Int("bytes", len(text)).
+		Dur("took", time.Since(began)).Msg("a document of routes was settled")
+	return err
+}
+
+// Routes returns the text of the document of routes in force.
+func (d *Daemon) Routes(ctx context.Context) ([]byte, error) {
+	document, err := d.Document(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if document == nil {
+		return nil, &NoDocumentError{}
+	}
+	return document.Text, nil
+}
+
+// Evacuate begins or ends the evacuation of a zone.
+func (d *Daemon) Evacuate(ctx context.Context, zone string, withdraw bool) error {
+	if !slices.Contains(d.config.Zones, zone) {
+		return &UnknownZoneError{Zone: zone}
+	}
+	began := time.Now()
+	err := d.Submit(ctx, &wire.Command{Evacuation: &wire.EvacuationCommand{Zone: zone, Withdraw: withdraw}})
+	line := d.process.Log.Info()
+	if err != nil {
+		line = d.process.Log.Warn().Err(err)
+	}
+	line.Str("kind", "evacuation").Str("zone", zone).Bool("withdraw", withdraw).Dur("took", time.Since(began)).Msg("an evacuation was settled")
+	return err
+}
+
+const (
+	// boxFresh is how old the report of a box may be for look-ups to name it:
+	// boxes report each 500 ms, and two reports may be lost.
+	boxFresh = 1600 * time.Millisecond
+	// learnTime is for how long after its start a replica answers no look-up,
+	// so that all boxes can have reported.
+	learnTime = 1200 * time.Millisecond
+	// maxLookupBoxes is the most that an answer may name (the users' bound).
+	maxLookupBoxes = 64
+	// lookupTTL is how long an answer may be kept. Callers keep some answers
+	// for three times as long, and a box that stops waits for that.
+	lookupTTL = time.Second
+)
+
+// BoxesFor returns the caller addresses of the entry boxes that a caller in a
+// region and zone is to use, and how long that may be kept.
+func (d *Daemon) BoxesFor(region, zone string) ([]string, time.Duration) {
+	if d.Uptime() < learnTime {
+		return nil, lookupTTL
+	}
+	var serving []lookup.Nearby
+	for _, b := range d.Boxes(boxFresh) {
+		if b.CallerAddress != "" && !b.Stopping {
+			serving = append(serving, lookup.Nearby{Address: b.CallerAddress, Zone: b.Zone, Region: b.Region})
+		}
+	}
+	near := lookup.Nearest(serving, region, zone)
+	if len(near) > maxLookupBoxes {
+		near = near[:maxLookupBoxes]
+	}
+	return near, min(lookupTTL, d.config.LookupTTL)
+}
+
+// IsUnavailable reports whether an error says that no quorum was reached.
+func IsUnavailable(err error) bool {
+	var u *UnavailableError
+	return errors.As(err, &u)
+}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"io"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,8 +33,12 @@
 	transport  *transport
 	publishing *relay.Publishing
 	operators  net.Listener
+	extra      []process.Service
 
-	heard atomic.Int64 // wall clock of the last word of a leader
+	started time.Time
+	// heard is when a leader was last heard of, in nanoseconds after started;
+	// negative for never. It does not depend on the time of day.
+	heard atomic.Int64
 
 	// What the leader has been told of the boxes; the watch worker owns both.
 	reportedTo string
@@ -42,6 +47,7 @@
 	mu        sync.Mutex
 	addresses map[string]string
 	joining   map[string]*wire.Replica
+	heardOf   []string // addresses of replicas that others told of
 	repairs   map[string]consensus.RepairStep
 	lagging   map[string]time.Time
 	shifts    map[string]string // why a shift waits
@@ -52,7 +58,11 @@
 	if err := journal.MakeFolder(c.Folder); err != nil {
 		return nil, fmt.Errorf("making the data folder: %w", err)
 	}
-	p, err := process.New(c.Name, log, c.Level(), c.Folder)
+	events := c.Folder
+	if c.Seeded {
+		events = "" // the replica's loop must not wait for the disk to note an event
+	}
+	p, err := process.New(c.Name, log, c.Level(), events)
 	if err != nil {
 		return nil, err
 	}
@@ -64,12 +74,14 @@
 		config:    c,
 		process:   p,
 		journal:   j,
+		started:   time.Now(),
 		addresses: make(map[string]string),
 		joining:   make(map[string]*wire.Replica),
 		repairs:   make(map[string]consensus.RepairStep),
 		lagging:   make(map[string]time.Time),
 		shifts:    make(map[string]string),
 	}
+	d.heard.Store(neverHeard)
 	if err := d.open(found); err != nil {
 		return nil, errors.Join(err, j.Close(), p.Close())
 	}
@@ -150,6 +162,17 @@
 	}
 }
 
+// AddHandler serves a further interface on an address once Run is called.
+func (d *Daemon) AddHandler(name, address string, h http.Handler) error {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return errors.Join(fmt.Errorf("listening for %s: %w", name, err), d.close())
+	}
+	run := func(ctx context.Context) error { return process.ServeHTTP(ctx, l, h) }
+	d.extra = append(d.extra, process.Service{Name: name, Run: run})
+	return nil
+}
+
 // Run serves until the context ends or the disk fails, and then closes.
 func (d *Daemon) Run(ctx context.Context) error {
 	loop, stopLoop := context.WithCancel(context.Background())
@@ -162,6 +185,9 @@
 	root.Add(process.Service{Name: "shifts", Run: d.planShifts})
 	root.Add(process.Service{Name: "view", Run: d.every(viewInterval, d.watch)})
 	root.Add(process.Service{Name: "operators", Run: d.serveOperators})
+	for _, s := range d.extra {
+		root.Add(s)
+	}
 	tree, stopTree := context.WithCancel(ctx)
 	ended := root.ServeBackground(tree)
 
@@ -229,12 +255,19 @@
 // age returns how long ago a leader with a quorum was heard of.
 func (d *Daemon) age() time.Duration {
 	at := d.heard.Load()
-	if at == 0 {
+	if at == neverHeard {
 		return time.Hour
 	}
-	return max(time.Since(time.UnixMilli(at)), 0)
+	return max(time.Since(d.started)-time.Duration(at), 0)
 }
 
+// noteHeard notes that a leader was heard of some time ago.
+func (d *Daemon) noteHeard(ago time.Duration) {
+	d.heard.Store(int64(max(time.Since(d.started)-ago, 0)))
+}
+
+const neverHeard = -1
+
 func (d *Daemon) serveConsensus(ctx context.Context, _ string, m *link.Messages) {
 	stop := context.AfterFunc(ctx, func() { _ = m.Close() })
 	defer stop()
@@ -279,6 +312,10 @@
 	case request.Report != nil:
 		d.publishing.Collect(request.Report)
 		return &wire.CallAnswer{}
+	case request.Submit != nil:
+		return d.serveSubmit(ctx, request.Submit)
+	case request.Read != nil:
+		return d.serveRead(ctx)
 	}
 	return &wire.CallAnswer{Error: "a control replica does not answer this"}
 }
@@ -299,7 +336,7 @@
 }
 
 func (d *Daemon) noteJoining(r *wire.Replica) {
-	if r == nil || !slices.Contains(d.config.Peers, r.Address) {
+	if r == nil || !d.config.Seeded && !slices.Contains(d.config.Peers, r.Address) {
 		return
 	}
 	d.mu.Lock()
@@ -319,13 +356,14 @@
 		return
 	}
 	if v.status.Role == consensus.Leader {
-		d.heard.Store(time.Now().UnixMilli())
+		d.noteHeard(0)
 		return
 	}
 	if v.status.Leader == "" {
 		return
 	}
-	d.heard.Store(time.Now().Add(-v.status.LeaderSilence).UnixMilli())
+	d.noteHeard(v.status.LeaderSilence)
+	d.hearOf(v.membership)
 	if v.status.Leader != d.reportedTo {
 		d.reportedTo = v.status.Leader
 		d.thinner = relay.NewThinner()
--- a/internal/control/forming.go
+++ b/internal/control/forming.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -14,6 +15,9 @@
 	formInterval   = 200 * time.Millisecond
 	callTimeout    = time.Second
 	repairInterval = 200 * time.Millisecond
+	// maxHeardOf bounds the addresses of replicas that are remembered: three
+	// generations of the nine replicas of the largest deployment.
+	maxHeardOf = 27
 )
 
 // form gives a replica on an empty disk a membership. When all the configured
@@ -28,8 +32,11 @@
 		if err != nil {
 			return err
 		}
-		if addressOf(v.membership, d.replica.id) == "" {
+		switch {
+		case addressOf(v.membership, d.replica.id) == "":
 			d.seekMembership(ctx, v)
+		case d.config.Seeded && v.status.CutOff:
+			d.askBackIn(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -45,37 +52,106 @@
 		if !h.Formed {
 			continue
 		}
-		if len(v.membership.Voters) == 0 && addressOf(h.Membership, d.replica.id) != "" && h.Version == 0 {
+		if len(v.membership.Voters) == 0 && d.isFirstMembership(h) {
 			d.replica.inbox <- bootstrap{h.Membership}
 			return
 		}
 		d.askToJoin(ctx)
 		return
 	}
-	if len(v.membership.Voters) > 0 || len(hellos) < len(d.config.Peers)-1 {
+	if len(v.membership.Voters) > 0 || len(hellos) < len(d.config.Peers)-1 || !d.mayForm() {
 		return
 	}
 	first := &wire.Membership{Voters: []*wire.Replica{{Id: d.replica.id, Address: d.config.PeerAddress}}}
 	for address, h := range hellos {
-		first.Voters = append(first.Voters, &wire.Replica{Id: h.Id, Address: address})
+		if slices.Contains(d.config.Peers, address) {
+			first.Voters = append(first.Voters, &wire.Replica{Id: h.Id, Address: address})
+		}
 	}
 	slices.SortFunc(first.Voters, func(a, b *wire.Replica) int { return strings.Compare(a.Id, b.Id) })
 	d.process.StateChange(&wire.TimelineEvent{Kind: "formed", Box: d.replica.id, Detail: "forms the first membership"})
 	d.replica.inbox <- bootstrap{first}
 }
 
-// helloAll asks the other configured replicas who they are.
+// mayForm reports whether this replica may take part in the first membership.
+func (d *Daemon) mayForm() bool {
+	return !d.config.Seeded || d.config.MayForm && slices.Contains(d.config.Peers, d.config.PeerAddress)
+}
+
+// isFirstMembership reports whether another replica has just formed the first
+// membership, this one included, and nothing has been changed since.
+func (d *Daemon) isFirstMembership(h *wire.HelloAnswer) bool {
+	m := h.Membership
+	return h.Version == 0 && len(m.Learners) == 0 && len(m.Voters) == len(d.config.Peers) && addressOf(m, d.replica.id) != ""
+}
+
+// askBackIn asks to be taken in again when the others have gone on without
+// this replica.
+func (d *Daemon) askBackIn(ctx context.Context) {
+	for _, h := range d.helloAll(ctx) {
+		if h.Formed && h.Leader != "" && addressOf(h.Membership, d.replica.id) == "" {
+			d.askToJoin(ctx)
+			return
+		}
+	}
+}
+
+// knownReplicas returns the addresses at which other replicas may be found:
+// those configured, those of the membership and those heard of from others.
+func (d *Daemon) knownReplicas() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := slices.Clone(d.config.Peers)
+	for _, address := range d.heardOf {
+		if !slices.Contains(out, address) {
+			out = append(out, address)
+		}
+	}
+	return slices.DeleteFunc(out, func(a string) bool { return a == d.config.PeerAddress })
+}
+
+// hearOf notes the replicas of a membership that another replica told.
+func (d *Daemon) hearOf(m *wire.Membership) {
+	if !d.config.Seeded || m == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range slices.Concat(m.Voters, m.Learners) {
+		if !slices.Contains(d.heardOf, r.Address) {
+			d.heardOf = append(d.heardOf, r.Address)
+		}
+	}
+	if extra := len(d.heardOf) - maxHeardOf; extra > 0 {
+		d.heardOf = d.heardOf[extra:]
+	}
+}
+
+// helloAll asks the other known replicas who they are, all at once.
 func (d *Daemon) helloAll(ctx context.Context) map[string]*wire.HelloAnswer {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	type helloFrom struct {
+		address string
+		answer  *wire.HelloAnswer
+	}
+	known := d.knownReplicas()
+	answers := make(chan helloFrom, len(known))
+	for _, address := range known {
+		go func() {
+			answer, err := d.node.Call(ctx, address, &wire.CallRequest{Hello: &wire.HelloRequest{}})
+			if err != nil {
+				answers <- helloFrom{address, nil} // asked again at the next interval
+				return
+			}
+			answers <- helloFrom{address, answer.Hello}
+		}()
+	}
 	out := make(map[string]*wire.HelloAnswer)
-	for _, address := range d.config.Peers {
-		if address == d.config.PeerAddress {
-			continue
-		}
-		answer, err := d.node.Call(ctx, address, &wire.CallRequest{Hello: &wire.HelloRequest{}})
-		if err == nil && answer.Hello != nil {
-			out[address] = answer.Hello
+	for range known {
+		if a := <-answers; a.answer != nil {
+			out[a.address] = a.answer
+			d.hearOf(a.answer.Membership)
 		}
 	}
 	return out
@@ -85,43 +161,65 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	self := &wire.Replica{Id: d.replica.id, Address: d.config.PeerAddress}
-	for _, address := range d.config.Peers {
-		if address == d.config.PeerAddress {
-			continue
-		}
-		// Asked again at the next interval until it is taken in.
-		_, _ = d.node.Call(ctx, address, &wire.CallRequest{Join: &wire.JoinRequest{Replica: self}})
+	known := d.knownReplicas()
+	done := make(chan struct{}, len(known))
+	for _, address := range known {
+		go func() {
+			// Asked again at the next interval until it is taken in.
+			_, _ = d.node.Call(ctx, address, &wire.CallRequest{Join: &wire.JoinRequest{Replica: self}})
+			done <- struct{}{}
+		}()
+	}
+	for range known {
+		<-done
 	}
 }
 
-// repair takes joining replicas in, one change of the membership at a time.
+// repair takes joining replicas in and, in a seeded membership, lets lost ones
+// go, one change of the membership at a time.
 func (d *Daemon) repair(ctx context.Context) {
 	v, err := d.replica.view(ctx)
 	if err != nil || v.status.Role != consensus.Leader {
 		return
 	}
 	for _, j := range d.joiningReplicas() {
-		step, next := consensus.NextRepair(v.membership, v.status, j)
+		step, next := d.nextRepair(v, j)
 		d.noteRepair(j, step)
 		if next == nil {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		// A step that fails is tried again at the next interval.
-		_ = d.replica.changeMembership(ctx, next)
-		cancel()
+		d.changeMembership(ctx, next)
 		return
 	}
+	if !d.config.Seeded {
+		return
+	}
+	if next := consensus.NextRemoval(v.membership, v.status, d.config.SpareFailures); next != nil {
+		d.process.StateChange(&wire.TimelineEvent{Kind: "removal", Detail: "lets a replica go that has been silent for long"})
+		d.changeMembership(ctx, next)
+	}
+}
+
+func (d *Daemon) nextRepair(v view, joining *wire.Replica) (consensus.RepairStep, *wire.Membership) {
+	if d.config.Seeded {
+		return consensus.NextReplacement(v.membership, v.status, joining)
+	}
+	return consensus.NextRepair(v.membership, v.status, joining)
+}
+
+func (d *Daemon) changeMembership(ctx context.Context, next *wire.Membership) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	// A step that fails is tried again at the next interval.
+	_ = d.replica.changeMembership(ctx, next)
 }
 
 func (d *Daemon) joiningReplicas() []*wire.Replica {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []*wire.Replica
-	for _, address := range d.config.Peers {
-		if j := d.joining[address]; j != nil {
-			out = append(out, j)
-		}
+	for _, address := range slices.Sorted(maps.Keys(d.joining)) {
+		out = append(out, d.joining[address])
 	}
 	return out
 }
--- /dev/null
+++ b/internal/control/submit.go
@@ -0,0 +1,179 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/consensus"
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+const (
+	// leaderCallTimeout bounds one call to the leader: a round trip between
+	// regions there, one to a quorum and a sync take about 150 ms.
+	leaderCallTimeout = 600 * time.Millisecond
+	// leaderPause is the wait before the leader is asked again or sought anew.
+	leaderPause = 50 * time.Millisecond
+)
+
+// RefusedError says that the replicated state refused a command.
+type RefusedError struct {
+	Reason string
+	// Conflict tells that the command was made against another version.
+	Conflict bool
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return e.Reason }
+
+// UnavailableError says that no leader settled a command or read in time.
+type UnavailableError struct{ Cause error }
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("no leader answered in time: %v", e.Cause)
+}
+
+// Unwrap returns what went wrong last.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// Submit has a command settled by the leader, wherever that is. It returns nil
+// once a majority has stored the command, a RefusedError if the state refused
+// it, or an UnavailableError if its fate is not known when the context ends.
+// The commands of the catalog may be repeated without harm, so a try whose
+// fate is not known is repeated.
+func (d *Daemon) Submit(ctx context.Context, c *wire.Command) error {
+	return d.withLeader(ctx, func(ctx context.Context, leader string) error {
+		if leader == "" {
+			return refusal(d.replica.submit(ctx, c))
+		}
+		answer, err := d.node.Call(ctx, leader, &wire.CallRequest{Submit: c})
+		if err != nil {
+			return err
+		}
+		if s := answer.Submit; s.GetRefusal() != "" {
+			return &RefusedError{Reason: s.Refusal, Conflict: s.Conflict}
+		}
+		return nil
+	})
+}
+
+// Document reads the document of routes in force through a quorum.
+func (d *Daemon) Document(ctx context.Context) (*wire.RoutesDocument, error) {
+	var document *wire.RoutesDocument
+	err := d.withLeader(ctx, func(ctx context.Context, leader string) error {
+		if leader == "" {
+			state, err := d.replica.read(ctx)
+			document = state.Catalog().Document()
+			return err
+		}
+		answer, err := d.node.Call(ctx, leader, &wire.CallRequest{Read: &wire.ReadRequest{}})
+		document = answer.GetRead().GetDocument()
+		return err
+	})
+	return document, err
+}
+
+// withLeader runs try until it succeeds, is refused or the context ends. The
+// leader's address is empty where this replica leads.
+func (d *Daemon) withLeader(ctx context.Context, try func(ctx context.Context, leader string) error) error {
+	for {
+		err := d.tryLeader(ctx, try)
+		var refused *RefusedError
+		if err == nil || errors.As(err, &refused) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return &UnavailableError{Cause: err}
+		case <-time.After(leaderPause):
+		}
+	}
+}
+
+func (d *Daemon) tryLeader(ctx context.Context, try func(ctx context.Context, leader string) error) error {
+	ctx, cancel := context.WithTimeout(ctx, leaderCallTimeout)
+	defer cancel()
+	v, err := d.replica.view(ctx)
+	if err != nil {
+		return err
+	}
+	if v.status.Role == consensus.Leader {
+		return try(ctx, "")
+	}
+	address := addressOf(v.membership, v.status.Leader)
+	if address == "" {
+		return &consensus.NotLeaderError{}
+	}
+	return try(ctx, address)
+}
+
+// refusal turns the outcome of a submitted command into an error.
+func refusal(o outcome, err error) error {
+	if err != nil {
+		return err
+	}
+	if o.result.Err == nil {
+		return nil
+	}
+	var conflict *catalog.ConflictError
+	return &RefusedError{Reason: o.result.Err.Error(), Conflict: errors.As(o.result.Err, &conflict)}
+}
+
+// serveSubmit settles a command for another replica.
+func (d *Daemon) serveSubmit(ctx context.Context, c *wire.Command) *wire.CallAnswer {
+	ctx, cancel := context.WithTimeout(ctx, leaderCallTimeout)
+	defer cancel()
+	err := refusal(d.replica.submit(ctx, c))
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return &wire.CallAnswer{Submit: &wire.SubmitAnswer{Refusal: refused.Reason, Conflict: refused.Conflict}}
+	}
+	if err != nil {
+		return &wire.CallAnswer{Error: err.Error()}
+	}
+	return &wire.CallAnswer{Submit: &wire.SubmitAnswer{}}
+}
+
+// serveRead reads the document of routes for another replica.
+func (d *Daemon) serveRead(ctx context.Context) *wire.CallAnswer {
+	ctx, cancel := context.WithTimeout(ctx, leaderCallTimeout)
+	defer cancel()
+	state, err := d.replica.read(ctx)
+	if err != nil {
+		return &wire.CallAnswer{Error: err.Error()}
+	}
+	return &wire.CallAnswer{Read: &wire.ReadAnswer{Document: state.Catalog().Document()}}
+}
+
+// State returns the state as this replica knows it, which may be behind.
+func (d *Daemon) State(ctx context.Context) (steering.State, error) {
+	v, err := d.replica.view(ctx)
+	return v.state, err
+}
+
+// Boxes returns the entry boxes that reported within a time, with their age.
+func (d *Daemon) Boxes(within time.Duration) []*wire.BoxReport {
+	return d.publishing.Fresh(within)
+}
+
+// Uptime returns how long ago this process started.
+func (d *Daemon) Uptime() time.Duration { return time.Since(d.started) }
+
+// Log returns the log of the process.
+func (d *Daemon) Log() zerolog.Logger { return d.process.Log }
+
+// SetSeeds adds control replicas by which others are found.
+func (d *Daemon) SetSeeds(seeds []string) {
+	m := &wire.Membership{}
+	for _, address := range seeds {
+		m.Voters = append(m.Voters, &wire.Replica{Address: address})
+	}
+	d.hearOf(m)
+}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -47,7 +47,7 @@
 	network    link.Network
 	node       *link.Node
 	publishing *relay.Publishing
-	following  *following
+	following  *relay.Following
 	callers    net.Listener
 	operators  net.Listener
 	forwarded  *link.StreamListener
@@ -113,7 +113,7 @@
 	d.leaving.addresses = make(map[string]bool)
 	d.put(steering.State{})
 	d.following = newFollowing(d)
-	d.publishing = relay.NewPublishing(steering.State{}, d.following.age, p.Clock.Stamp)
+	d.publishing = relay.NewPublishing(steering.State{}, d.following.Age, p.Clock.Stamp)
 	d.keys = newKeys(d)
 	d.peers = newPeers(d)
 	d.stop = &stopping{}
@@ -181,7 +181,7 @@
 	}, []string{"service"})
 	d.process.Metrics.MustRegister(d.latency)
 	d.process.Gauge("version", "Version of the state in force.", func() float64 { return float64(d.current.Load().state.Version()) })
-	d.process.Gauge("control_age_seconds", "Age of the word of control; a box that is cut off shows it growing.", func() float64 { return d.following.age().Seconds() })
+	d.process.Gauge("control_age_seconds", "Age of the word of control; a box that is cut off shows it growing.", func() float64 { return d.following.Age().Seconds() })
 	d.process.Gauge("in_flight", "Requests in flight.", func() float64 { return float64(d.inFlight.Load()) })
 	d.process.Gauge("request_keys", "Request keys kept.", func() float64 { return float64(d.keys.len()) })
 }
@@ -204,7 +204,7 @@
 	d.pools.tree = pools
 	root := d.process.Supervisor()
 	root.Add(pools)
-	root.Add(process.Service{Name: "following", Run: d.following.run})
+	root.Add(process.Service{Name: "following", Run: d.following.Run})
 	root.Add(process.Service{Name: "peers", Run: d.peers.run})
 	root.Add(process.Service{Name: "health", Run: d.probeTargets})
 	root.Add(process.Service{Name: "platform", Run: d.watchPlatform})
--- /dev/null
+++ b/internal/relay/following.go
@@ -0,0 +1,243 @@
+package relay
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/pkg/distribution"
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/timeline"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+const (
+	followTick     = 100 * time.Millisecond
+	reportInterval = time.Second
+	followInbox    = 64
+)
+
+// Subscriber is what a Following needs of the process that hosts it.
+type Subscriber struct {
+	Box         string
+	Incarnation string
+	Zone        string
+	PeerAddress string
+	// Node returns the node whose links are used.
+	Node  func() *link.Node
+	Clock *timeline.Clock
+	// Seed spreads the retries of boxes.
+	Seed uint64
+	// StaleAfter is how old the word of control may be before another
+	// upstream is sought; zero for the follower's default.
+	StaleAfter time.Duration
+	// Sources returns the upstreams, best first.
+	Sources func() []distribution.Source
+	// PutInForce takes each new state and the commands that led to it, or nil
+	// commands for a whole state.
+	PutInForce func(steering.State, []*wire.Command)
+	// EntryBoxes is told which entry boxes serve; it may be nil.
+	EntryBoxes func([]*wire.EntryBox)
+	// Reports returns what is to be told upwards; nil for nothing.
+	Reports func() []*wire.BoxReport
+	// Event takes events for the time line.
+	Event func(*wire.TimelineEvent)
+}
+
+// Following hosts the follower of one process: its loop owns the machine, and
+// one worker reads the present subscription.
+type Following struct {
+	subscriber Subscriber
+	machine    *distribution.Follower
+	inbox      chan distribution.Event
+	started    time.Time
+	// heard is when control was last heard of, in nanoseconds after started;
+	// zero for never. It does not depend on the time of day.
+	heard   atomic.Int64
+	stream  *link.Messages
+	cancel  context.CancelFunc
+	opened  chan openedStream
+	changed chan struct{}
+	thinner *Thinner
+}
+
+type openedStream struct {
+	attempt uint64
+	stream  *link.Messages
+}
+
+// NewFollowing returns a following with the empty state. Run must follow.
+func NewFollowing(s Subscriber) *Following {
+	f := &Following{
+		subscriber: s,
+		machine:    distribution.NewFollower(time.Now(), s.Seed),
+		inbox:      make(chan distribution.Event, followInbox),
+		started:    time.Now(),
+		opened:     make(chan openedStream, 1),
+		changed:    make(chan struct{}, 1),
+	}
+	if s.StaleAfter > 0 {
+		f.machine.SetStaleAfter(s.StaleAfter)
+	}
+	return f
+}
+
+// Age returns how long ago control was last heard of.
+func (f *Following) Age() time.Duration {
+	at := f.heard.Load()
+	if at == 0 {
+		return time.Hour
+	}
+	return time.Since(f.started) - time.Duration(at)
+}
+
+// SourcesChanged has the sources asked for anew.
+func (f *Following) SourcesChanged() {
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Run is the loop. It returns when the context ends.
+func (f *Following) Run(ctx context.Context) error {
+	ticker := time.NewTicker(followTick)
+	defer ticker.Stop()
+	report := time.NewTicker(reportInterval)
+	defer report.Stop()
+	defer f.end()
+	f.carryOut(ctx, f.machine.Handle(time.Now(), distribution.SetSources{Sources: f.subscriber.Sources()}))
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			f.carryOut(ctx, f.machine.Handle(time.Now(), distribution.Tick{}))
+		case e := <-f.inbox:
+			f.carryOut(ctx, f.machine.Handle(time.Now(), e))
+		case o := <-f.opened:
+			f.take(o)
+		case <-f.changed:
+			f.carryOut(ctx, f.machine.Handle(time.Now(), distribution.SetSources{Sources: f.subscriber.Sources()}))
+		case <-report.C:
+			f.report()
+		}
+	}
+}
+
+func (f *Following) take(o openedStream) {
+	if f.stream != nil {
+		_ = f.stream.Close()
+	}
+	f.stream = o.stream
+	f.thinner = NewThinner()
+	f.report()
+}
+
+func (f *Following) end() {
+	if f.cancel != nil {
+		f.cancel()
+	}
+	if f.stream != nil {
+		_ = f.stream.Close()
+		f.stream = nil
+	}
+}
+
+func (f *Following) carryOut(ctx context.Context, out distribution.Output) {
+	if out.Notice != "" {
+		f.subscriber.Event(&wire.TimelineEvent{Kind: "upstream", Box: f.subscriber.Box, Detail: out.Notice})
+	}
+	if out.Subscribe != nil {
+		f.end()
+		worker, cancel := context.WithCancel(ctx)
+		f.cancel = cancel
+		go f.subscribe(worker, *out.Subscribe)
+	}
+	if age := f.machine.Age(time.Now()); f.heard.Load() > 0 || age < followTick {
+		f.heard.Store(int64(max(time.Since(f.started)-age, 1)))
+	}
+	if out.State == nil {
+		return
+	}
+	f.subscriber.PutInForce(*out.State, out.Commands)
+	f.noteInForce(out.Commands)
+	f.report()
+	f.carryOut(ctx, f.machine.Handle(time.Now(), distribution.SetSources{Sources: f.subscriber.Sources()}))
+}
+
+func (f *Following) noteInForce(commands []*wire.Command) {
+	if commands == nil {
+		f.subscriber.Event(&wire.TimelineEvent{Kind: "inForce", Box: f.subscriber.Box, Detail: "a whole state"})
+	}
+	for _, c := range commands {
+		f.subscriber.Event(&wire.TimelineEvent{
+			Kind:   "inForce",
+			Box:    f.subscriber.Box,
+			Change: c.GetChange().GetId(),
+			Shift:  c.GetShift().GetShift().GetId(),
+		})
+	}
+}
+
+// subscribe opens a subscription and reads it until it ends.
+func (f *Following) subscribe(ctx context.Context, s distribution.Subscribe) {
+	stream, err := f.subscriber.Node().Subscribe(ctx, s.Source.Address, &wire.Subscribe{
+		Box:         f.subscriber.Box,
+		Incarnation: f.subscriber.Incarnation,
+		Zone:        f.subscriber.Zone,
+		Address:     f.subscriber.PeerAddress,
+		Version:     s.Version,
+	})
+	if err != nil {
+		f.put(ctx, distribution.Lost{Attempt: s.Attempt})
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	first := true
+	for {
+		u := &wire.Update{}
+		if err := stream.Read(u); err != nil {
+			f.put(ctx, distribution.Lost{Attempt: s.Attempt})
+			return
+		}
+		f.subscriber.Clock.Observe(u.Clock)
+		if first {
+			first = false
+			f.put(ctx, distribution.Opened{Attempt: s.Attempt})
+			select {
+			case f.opened <- openedStream{s.Attempt, stream}:
+			case <-ctx.Done():
+			}
+		}
+		if u.EntryBoxes != nil && f.subscriber.EntryBoxes != nil {
+			f.subscriber.EntryBoxes(u.EntryBoxes.Boxes)
+		}
+		f.put(ctx, distribution.Received{Attempt: s.Attempt, Update: u})
+	}
+}
+
+func (f *Following) put(ctx context.Context, e distribution.Event) {
+	select {
+	case f.inbox <- e:
+	case <-ctx.Done():
+	}
+}
+
+// report sends this box's report and those of the boxes below it upwards.
+func (f *Following) report() {
+	if f.stream == nil || f.subscriber.Reports == nil {
+		return
+	}
+	news := f.thinner.Thin(time.Now(), f.subscriber.Reports(), f.machine.State().Shifting())
+	if len(news) == 0 {
+		return
+	}
+	r := &wire.Report{Boxes: news, Clock: f.subscriber.Clock.Stamp()}
+	if err := f.stream.Write(r); err != nil {
+		_ = f.stream.Close() // its reader reports the loss
+		f.stream = nil
+	}
+}
--- a/internal/relay/publishing.go
+++ b/internal/relay/publishing.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +38,9 @@
 	// heartbeatInterval is how often a subscriber gets an update that only
 	// tells the age of the word of control.
 	heartbeatInterval = time.Second
+	// entryBoxFresh is how old the report of an entry box may be while the box
+	// counts as serving: three reports of a box may be lost.
+	entryBoxFresh = 3 * time.Second
 	// forgetReports is when a box that no longer reports is let go.
 	forgetReports = 10 * time.Minute
 )
@@ -85,8 +90,10 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	version := request.Version
+	told := ""
 	for {
 		u := p.update(version)
+		u.EntryBoxes, told = p.entryBoxes(told)
 		if err := m.Write(u); err != nil {
 			return
 		}
@@ -125,6 +132,44 @@
 	return u
 }
 
+// entryBoxes returns the boxes that serve callers, or nil if they are those
+// that were told before, and a text that stands for them.
+func (p *Publishing) entryBoxes(told string) (*wire.EntryBoxes, string) {
+	fresh := p.Fresh(entryBoxFresh)
+	if len(fresh) == 0 {
+		return nil, told
+	}
+	out := &wire.EntryBoxes{}
+	text := ""
+	for _, b := range fresh {
+		if b.CallerAddress == "" || b.Stopping {
+			continue
+		}
+		out.Boxes = append(out.Boxes, &wire.EntryBox{Name: b.Box, Zone: b.Zone, Region: b.Region})
+		text += b.Box + " "
+	}
+	if text == told {
+		return nil, told
+	}
+	return out, text
+}
+
+// Fresh returns the reports that are not older than within, by the names of
+// their boxes.
+func (p *Publishing) Fresh(within time.Duration) []*wire.BoxReport {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*wire.BoxReport
+	for _, r := range p.reports {
+		if now.Sub(r.at) <= within {
+			out = append(out, r.report)
+		}
+	}
+	slices.SortFunc(out, func(a, b *wire.BoxReport) int { return strings.Compare(a.Box, b.Box) })
+	return out
+}
+
 func (p *Publishing) readReports(m *link.Messages) {
 	for {
 		r := &wire.Report{}
--- /dev/null
+++ b/pkg/catalog/state.go
@@ -0,0 +1,194 @@
+package catalog
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// Bounds of what the state remembers.
+const (
+	// maxAccepted is how many accepted documents are recognised when they are
+	// sent again: several times the hundreds of changes of a busy day.
+	maxAccepted = 1024
+	// maxDeparted is how many ids of departed targets are kept, so that a late
+	// word of one of them does not bring it back.
+	maxDeparted = 1024
+)
+
+// State is an immutable value; the Apply methods return the next one.
+type State struct {
+	document  *wire.RoutesDocument
+	accepted  []uint64
+	evacuated []string
+	targets   []*wire.Registration
+	departed  []string
+}
+
+// ConflictError says that a document was made against another one than the
+// document in force.
+type ConflictError struct{ Base, Current uint64 }
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("the document was made against number %d, number %d is in force", e.Base, e.Current)
+}
+
+// Document returns the document in force as it was written, or nil.
+func (s State) Document() *wire.RoutesDocument { return s.document }
+
+// Evacuated returns the zones that are to get no requests.
+func (s State) Evacuated() []string { return s.evacuated }
+
+// Targets returns the registered targets, which the caller must not change.
+func (s State) Targets() []*wire.Registration { return s.targets }
+
+// Target returns the registration of a target.
+func (s State) Target(id string) (*wire.Registration, bool) {
+	i := s.indexOf(id)
+	if i < 0 {
+		return nil, false
+	}
+	return s.targets[i], true
+}
+
+// Departed reports whether a target has left.
+func (s State) Departed(id string) bool { return slices.Contains(s.departed, id) }
+
+func (s State) indexOf(id string) int {
+	return slices.IndexFunc(s.targets, func(r *wire.Registration) bool { return r.Id == id })
+}
+
+// ApplyRoutes puts a document in force if it was made against the one that is.
+// A document that was accepted before is accepted again and changes nothing.
+func (s State) ApplyRoutes(c *wire.RoutesCommand) (State, bool, error) {
+	digest := xxhash.Sum64(c.Document.GetText())
+	if slices.Contains(s.accepted, digest) {
+		return s, false, nil
+	}
+	current := s.document.GetNumber()
+	if c.BaseNumber != current {
+		return s, false, &ConflictError{Base: c.BaseNumber, Current: current}
+	}
+	if c.Document.GetNumber() <= current {
+		reason := fmt.Sprintf("number %d is not above %d, which is in force", c.Document.GetNumber(), current)
+		return s, false, &InvalidError{Reason: reason}
+	}
+	s.document = c.Document
+	s.accepted = appendBounded(s.accepted, digest, maxAccepted)
+	return s, true, nil
+}
+
+// ApplyEvacuation begins or ends the evacuation of a zone.
+func (s State) ApplyEvacuation(c *wire.EvacuationCommand) (State, bool) {
+	has := slices.Contains(s.evacuated, c.Zone)
+	if has != c.Withdraw {
+		return s, false
+	}
+	if c.Withdraw {
+		s.evacuated = slices.DeleteFunc(slices.Clone(s.evacuated), func(z string) bool { return z == c.Zone })
+		return s, true
+	}
+	s.evacuated = append(slices.Clone(s.evacuated), c.Zone)
+	return s, true
+}
+
+// ApplyRegistration enters, changes or ends a registration. A word that is
+// older than what is known of the target, or comes after its leave, changes
+// nothing; a target that takes the address of another one ends that one.
+func (s State) ApplyRegistration(c *wire.RegistrationCommand) (State, bool) {
+	r := c.Registration
+	if r == nil || !s.News(r, c.Leave) {
+		return s, false
+	}
+	if c.Leave {
+		return s.depart(r.Id), true
+	}
+	for _, other := range s.targets {
+		if other.Address == r.Address && other.Id != r.Id {
+			s = s.depart(other.Id)
+		}
+	}
+	i := s.indexOf(r.Id)
+	s.targets = slices.Clone(s.targets)
+	if i < 0 {
+		s.targets = append(s.targets, r)
+		return s, true
+	}
+	s.targets[i] = r
+	return s, true
+}
+
+// News reports whether a target's word would change the state.
+func (s State) News(r *wire.Registration, leave bool) bool {
+	if s.Departed(r.Id) {
+		return false
+	}
+	known, ok := s.Target(r.Id)
+	if leave {
+		return true
+	}
+	if !ok {
+		return true
+	}
+	if r.Sequence <= known.Sequence || known.Draining && !r.Draining {
+		return false
+	}
+	coldSame := (r.ColdMilli > 0) == (known.ColdMilli > 0)
+	same := r.Service == known.Service && r.Address == known.Address && r.Zone == known.Zone &&
+		r.Slots == known.Slots && r.Draining == known.Draining && coldSame
+	return !same
+}
+
+func (s State) depart(id string) State {
+	s.targets = slices.DeleteFunc(slices.Clone(s.targets), func(r *wire.Registration) bool { return r.Id == id })
+	s.departed = appendBounded(s.departed, id, maxDeparted)
+	return s
+}
+
+// Encode returns the state as a message.
+func (s State) Encode() *wire.Catalog {
+	if s.empty() {
+		return nil
+	}
+	return &wire.Catalog{
+		Document:      s.document,
+		Accepted:      s.accepted,
+		Evacuated:     s.evacuated,
+		Registrations: s.targets,
+		Departed:      s.departed,
+	}
+}
+
+func (s State) empty() bool {
+	return s.document == nil && len(s.evacuated) == 0 && len(s.targets) == 0 && len(s.departed) == 0 && len(s.accepted) == 0
+}
+
+// Decode builds a state from a message, which may be nil.
+func Decode(m *wire.Catalog) State {
+	if m == nil {
+		return State{}
+	}
+	m = proto.CloneOf(m)
+	return State{
+		document:  m.Document,
+		accepted:  m.Accepted,
+		evacuated: m.Evacuated,
+		targets:   m.Registrations,
+		departed:  m.Departed,
+	}
+}
+
+// appendBounded returns list with item at its end, without its oldest items
+// beyond limit.
+func appendBounded[T any](list []T, item T, limit int) []T {
+	list = append(slices.Clone(list), item)
+	if extra := len(list) - limit; extra > 0 {
+		return list[extra:]
+	}
+	return list
+}
--- a/pkg/consensus/repair.go
+++ b/pkg/consensus/repair.go
@@ -1,6 +1,9 @@
 package consensus
 
 import (
+	"slices"
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -57,6 +60,67 @@
 	return RepairPromote, next
 }
 
+// Silences after which a voter counts as lost. Source: a leader writes to every
+// replica each 200 ms, and a process that was killed is back within a second
+// or two; the contact time of the users' deployments is 3 to 4 s.
+const (
+	// replaceAfter is for a voter whose place another replica waits for.
+	replaceAfter = 1500 * time.Millisecond
+	// removeAfter is for a voter that nobody is there to replace.
+	removeAfter = 10 * time.Second
+)
+
+// NextReplacement is NextRepair for a membership without fixed addresses: a
+// joining replica takes the place of the one at its address or, if there is
+// none, of a voter that is lost; if no voter is lost it becomes one more.
+func NextReplacement(m *wire.Membership, s Status, joining *wire.Replica) (RepairStep, *wire.Membership) {
+	step, next := NextRepair(m, s, joining)
+	if step != RepairPromote {
+		return step, next
+	}
+	lost := longestSilent(m, s, replaceAfter)
+	if lost == "" {
+		return step, next
+	}
+	next = proto.CloneOf(m)
+	next.Voters = without(m.Voters, lost)
+	return RepairRemove, next
+}
+
+// NextRemoval returns the membership without a voter that is lost for good, or
+// nil. It keeps as many voters as bear the loss of spare disks next to that of
+// one more replica, and lets one go only while all the others answer.
+func NextRemoval(m *wire.Membership, s Status, spare int) *wire.Membership {
+	lost := longestSilent(m, s, removeAfter)
+	if lost == "" || len(m.Voters) <= 2*spare+3 {
+		return nil
+	}
+	next := proto.CloneOf(m)
+	next.Voters = without(m.Voters, lost)
+	if longestSilent(next, s, replaceAfter) != "" {
+		return nil
+	}
+	return next
+}
+
+// longestSilent returns the voter that has been silent for longest, if that is
+// longer than after.
+func longestSilent(m *wire.Membership, s Status, after time.Duration) string {
+	lost := ""
+	longest := after
+	for _, p := range s.Peers {
+		if p.Silence > longest && contains(m.Voters, p.ID) {
+			longest = p.Silence
+			lost = p.ID
+		}
+	}
+	return lost
+}
+
+func without(list []*wire.Replica, id string) []*wire.Replica {
+	return slices.DeleteFunc(slices.Clone(list), func(r *wire.Replica) bool { return r.Id == id })
+}
+
 func withoutAddress(list []*wire.Replica, address string) []*wire.Replica {
 	var out []*wire.Replica
 	for _, v := range list {
--- a/pkg/distribution/follower.go
+++ b/pkg/distribution/follower.go
@@ -23,9 +23,9 @@
 const Degree = 4
 
 const (
-	// staleAfter is how old the word of control may be before a follower looks
-	// for another upstream.
-	staleAfter = 3 * time.Second
+	// defaultStaleAfter is how old the word of control may be before a follower
+	// looks for another upstream.
+	defaultStaleAfter = 3 * time.Second
 	// reconsiderAfter is how long a follower stays with an upstream that is
 	// not its first choice.
 	reconsiderAfter = 5 * time.Second
@@ -89,18 +89,21 @@
 
 // Follower keeps the steering state of one entry box current.
 type Follower struct {
-	random   *rand.Rand
-	state    steering.State
-	sources  []Source
-	current  int
-	attempt  uint64
-	open     bool
-	pending  bool
-	openedAt time.Time
-	deadline time.Time
-	retryAt  time.Time
-	backOff  time.Duration
-	heardAt  time.Time
+	random *rand.Rand
+	// staleAfter is how old the word of control may be before another upstream
+	// is sought.
+	staleAfter time.Duration
+	state      steering.State
+	sources    []Source
+	current    int
+	attempt    uint64
+	open       bool
+	pending    bool
+	openedAt   time.Time
+	deadline   time.Time
+	retryAt    time.Time
+	backOff    time.Duration
+	heardAt    time.Time
 	// held is the highest state of a source that has not heard of control,
 	// kept back by a follower that has none until it has asked all sources.
 	held *wire.Update
@@ -109,9 +112,19 @@
 
 // NewFollower returns a follower with the empty state.
 func NewFollower(now time.Time, seed uint64) *Follower {
-	return &Follower{random: rand.New(rand.NewPCG(seed, 2)), backOff: minBackOff, retryAt: now, heardAt: now}
+	return &Follower{
+		random:     rand.New(rand.NewPCG(seed, 2)),
+		staleAfter: defaultStaleAfter,
+		backOff:    minBackOff,
+		retryAt:    now,
+		heardAt:    now,
+	}
 }
 
+// SetStaleAfter changes how old the word of control may be before the follower
+// looks for another upstream.
+func (f *Follower) SetStaleAfter(after time.Duration) { f.staleAfter = after }
+
 // State returns the state in force.
 func (f *Follower) State() steering.State { return f.state }
 
@@ -203,7 +216,7 @@
 	if f.open && f.shouldLeave(now) {
 		f.open = false
 		f.out.Notice = "leaves " + f.sources[f.current].Name
-		if f.Age(now) <= staleAfter {
+		if f.Age(now) <= f.staleAfter {
 			f.current = 0
 			f.retryAt = now
 		} else {
@@ -223,7 +236,7 @@
 // heard of control, or it is not the first choice.
 func (f *Follower) shouldLeave(now time.Time) bool {
 	since := now.Sub(f.openedAt)
-	if f.Age(now) > staleAfter && since > staleAfter {
+	if f.Age(now) > f.staleAfter && since > f.staleAfter {
 		return true
 	}
 	return f.current > 0 && since > reconsiderAfter
@@ -248,7 +261,7 @@
 // follower that has just started, so that a box does not restart into an older
 // state than others of its zone still have.
 func (f *Follower) holdsBack(now time.Time, u *wire.Update) bool {
-	if f.state.Version() > 0 || time.Duration(u.AgeMilli)*time.Millisecond <= staleAfter {
+	if f.state.Version() > 0 || time.Duration(u.AgeMilli)*time.Millisecond <= f.staleAfter {
 		return false
 	}
 	if f.held == nil || u.Version > f.held.Version {
@@ -287,7 +300,7 @@
 	if at.After(f.heardAt) {
 		f.heardAt = at
 	}
-	if f.Age(now) <= staleAfter {
+	if f.Age(now) <= f.staleAfter {
 		f.backOff = minBackOff
 	}
 }
--- a/pkg/distribution/publisher.go
+++ b/pkg/distribution/publisher.go
@@ -1,9 +1,12 @@
 package distribution
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ledgesill.dev/ledgesill/pkg/settings"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -99,3 +102,9 @@
 	}
 	return (i - 1) / Degree
 }
+
+// CompareRank orders sources for a box by rendezvous hashing, so that boxes
+// spread evenly over the sources and keep theirs when others come and go.
+func CompareRank(box, a, b string) int {
+	return cmp.Compare(xxhash.Sum64String(box+"\x00"+b), xxhash.Sum64String(box+"\x00"+a))
+}
--- a/pkg/steering/state.go
+++ b/pkg/steering/state.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/settings"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -39,6 +40,7 @@
 	history         []*wire.Applied
 	assignments     map[Home]lookup.Assignment
 	shifts          []*wire.Shift
+	catalog         catalog.State
 }
 
 // Version grows by one with every command that changed the state.
@@ -50,6 +52,9 @@
 // Tree returns the settings in force.
 func (s State) Tree() settings.Tree { return s.tree }
 
+// Catalog returns the routes, evacuations and registered targets.
+func (s State) Catalog() catalog.State { return s.catalog }
+
 // History returns the latest accepted changes, oldest first.
 func (s State) History() []*wire.Applied { return slices.Clone(s.history) }
 
@@ -73,7 +78,7 @@
 func (s State) Table() *lookup.Table { return lookup.NewTable(s.tree, s.Assignment) }
 
 // Result is what applying a command gave. Verdict is set for a change, Err for
-// a shift command that was refused.
+// another command that was refused.
 type Result struct {
 	Verdict *wire.Verdict
 	Err     error
@@ -88,10 +93,28 @@
 		return s.applyChange(c.Change)
 	case c.Shift != nil:
 		return s.applyShift(c.Shift)
+	case c.Routes != nil, c.Evacuation != nil, c.Registration != nil:
+		return s.applyCatalog(c)
 	}
 	return s, Result{Err: fmt.Errorf("a command without content")}
 }
 
+func (s State) applyCatalog(c *wire.Command) (State, Result) {
+	var result Result
+	switch {
+	case c.Routes != nil:
+		s.catalog, result.Changed, result.Err = s.catalog.ApplyRoutes(c.Routes)
+	case c.Evacuation != nil:
+		s.catalog, result.Changed = s.catalog.ApplyEvacuation(c.Evacuation)
+	case c.Registration != nil:
+		s.catalog, result.Changed = s.catalog.ApplyRegistration(c.Registration)
+	}
+	if result.Changed {
+		s.version++
+	}
+	return s, result
+}
+
 // Encode returns the state as a message.
 func (s State) Encode() *wire.State {
 	out := &wire.State{
@@ -102,6 +125,7 @@
 		Verdicts:         s.verdicts,
 		History:          s.history,
 		Shifts:           s.shifts,
+		Catalog:          s.catalog.Encode(),
 	}
 	for h, a := range s.assignments {
 		out.Assignments = append(out.Assignments, &wire.Assignment{Service: h.Service, Home: h.Region, Intervals: a.Intervals()})
@@ -136,6 +160,7 @@
 		verdicts:        m.Verdicts,
 		history:         m.History,
 		shifts:          m.Shifts,
+		catalog:         catalog.Decode(m.Catalog),
 		assignments:     make(map[Home]lookup.Assignment, len(m.Assignments)),
 	}
 	for _, a := range m.Assignments {
