gateway, platform: serve the whole path on the users' platform

Entry boxes forward by themselves: an object's targets are ranked by rendezvous hashing, requests stay in the region but for a slowly moving share.

--- /dev/null
+++ b/internal/gateway/callers.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// callerHeaderTimeout is the outer bound on how long a header may take;
+	// callers of the users' deployments keep within 3 s.
+	callerHeaderTimeout = 10 * time.Second
+	// callerIdleTimeout is the outer bound on how long a connection rests;
+	// the document of routes may set a shorter one.
+	callerIdleTimeout = 10 * time.Minute
+	// acceptTime is how long a stopping box goes on taking connections: three
+	// times the time for which answers of look-ups are kept.
+	acceptTime = 3200 * time.Millisecond
+	// stopReserve is the part of the stop time that is left for closing.
+	stopReserve = 400 * time.Millisecond
+)
+
+// callers serves the callers' connections.
+type callers struct {
+	gateway  *Daemon
+	listener net.Listener
+	server   *http.Server
+	mu       sync.Mutex
+	idle     map[net.Conn]time.Time
+}
+
+func newCallers(d *Daemon) (*callers, error) {
+	l, err := net.Listen("tcp4", d.config.Callers)
+	if err != nil {
+		return nil, errors.Wrap(err, "listening for callers")
+	}
+	c := &callers{gateway: d, listener: l, idle: make(map[net.Conn]time.Time)}
+	c.server = &http.Server{
+		Handler:           d,
+		ReadHeaderTimeout: callerHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		ConnState:         c.note,
+		ErrorLog:          log.New(io.Discard, "", 0), // what a caller breaks off is in the line of its request
+	}
+	return c, nil
+}
+
+func (c *callers) serve() <-chan error {
+	ended := make(chan error, 1)
+	go func() { ended <- c.server.Serve(c.listener) }()
+	return ended
+}
+
+func (c *callers) note(conn net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s == http.StateIdle {
+		c.idle[conn] = time.Now()
+		return
+	}
+	delete(c.idle, conn)
+}
+
+// sweep closes connections that have rested for longer than the document of
+// routes allows.
+func (c *callers) sweep(now time.Time) {
+	rules := c.gateway.rules.Load()
+	if rules == nil || rules.document.Limits.IdleTime <= 0 {
+		return
+	}
+	c.closeIdle(now.Add(-rules.document.Limits.IdleTime))
+}
+
+// closeIdle closes connections that have been idle since a time.
+func (c *callers) closeIdle(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, at := range c.idle {
+		if at.Before(since) {
+			delete(c.idle, conn)
+			_ = conn.Close() // the caller sees it
+		}
+	}
+}
+
+// leave stops the box as planned: it leaves the look-ups, goes on serving
+// while kept answers of look-ups may still name it, then takes no more
+// connections and waits for the requests that it has read.
+func (d *Daemon) leave() {
+	began := time.Now()
+	d.stopping.Store(true)
+	d.log.Info().Str("kind", "stopping").Int64("inFlight", d.inFlight.Load()).Msg("told to stop; leaves the look-ups")
+	d.reportNow()
+	total := d.config.StopTime - stopReserve
+	time.Sleep(min(acceptTime, total/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(total))
+	defer cancel()
+	if err := d.callers.server.Shutdown(ctx); err != nil {
+		d.log.Warn().Str("kind", "stopping").Err(err).Int64("inFlight", d.inFlight.Load()).Msg("requests are cut off, the time to stop is over")
+	}
+}
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ledgesill.dev/ledgesill/pkg/catalog"
+)
+
+// Config is what a gateway is told at its start.
+type Config struct {
+	Name   string
+	Zone   string
+	Region string
+	// RegionOf gives the region of every availability zone.
+	RegionOf map[string]string
+	// Callers, Ready and Metrics are the addresses to listen on for callers,
+	// readiness checks and metrics; Peers is this box's address among the
+	// processes of the system.
+	Callers string
+	Ready   string
+	Metrics string
+	Peers   string
+	// Seeds are the peer addresses of some control replicas.
+	Seeds    []string
+	Protocol Protocol
+	// DecodeRoutes reads the text of a document of routes.
+	DecodeRoutes func(text []byte) (catalog.Document, error)
+	// RetryShare, RetryExtra and RetryWindow bound the retries of all boxes.
+	RetryShare  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+	MaxShift    float64
+	// StopTime is how long after SIGTERM the process is killed.
+	StopTime time.Duration
+	LogLevel zerolog.Level
+	// ReadyHandler answers readiness checks by what ready tells.
+	ReadyHandler func(ready func() bool) http.Handler
+}
--- /dev/null
+++ b/internal/gateway/connection.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// dialTimeout bounds a connection attempt: two of the longest round trips
+	// between regions (70 ms) and the target's handshake, with room for one
+	// lost packet on the shorter ways.
+	dialTimeout = 300 * time.Millisecond
+	// defaultIdle is how long a connection is kept whose target does not tell
+	// when it closes idle ones.
+	defaultIdle = 3 * time.Second
+	// idlePart is the part of the time told by the target for which an idle
+	// connection is used, so that it does not close while a request is sent.
+	idlePart = 0.7
+	// maxIdle bounds the idle connections to one target: its slots are few.
+	maxIdle = 16
+	// readBuffer holds a usual answer's header.
+	readBuffer = 2 << 10
+)
+
+// connection is one connection to a target. One request at a time uses it.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+	// used tells that a request was sent on it before.
+	used bool
+	// doubtful tells that something came on it that belongs to no request.
+	doubtful  bool
+	idleUntil time.Time
+}
+
+// connections keeps idle connections by target.
+type connections struct {
+	dialer net.Dialer
+	mu     sync.Mutex
+	idle   map[string][]*connection
+	closed bool
+	opened func()
+}
+
+func newConnections(opened func()) *connections {
+	return &connections{idle: make(map[string][]*connection), opened: opened, dialer: net.Dialer{KeepAlive: -1}}
+}
+
+// get returns an idle connection that is still sound, or a new one.
+func (p *connections) get(ctx context.Context, target, address string) (*connection, error) {
+	for {
+		c := p.pop(target)
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.idleUntil) && isQuiet(c.Conn) {
+			return c, nil
+		}
+		_ = c.Close() // nothing is under way on it
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "connecting to the target")
+	}
+	p.opened()
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
+}
+
+func (p *connections) pop(target string) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[target]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[target] = list[:len(list)-1]
+	return c
+}
+
+// put keeps a connection on which nothing is under way.
+func (p *connections) put(target string, c *connection, idle time.Duration) {
+	c.used = true
+	c.idleUntil = time.Now().Add(time.Duration(float64(idle) * idlePart))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle[target]) >= maxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle[target] = append(p.idle[target], c)
+}
+
+// sweep closes connections that have been idle for too long and those of
+// targets that are gone.
+func (p *connections) sweep(now time.Time, known func(target string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for target, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if known(target) && now.Before(c.idleUntil) {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close()
+		}
+		if len(kept) == 0 {
+			delete(p.idle, target)
+			continue
+		}
+		p.idle[target] = kept
+	}
+}
+
+func (p *connections) close() {
+	p.sweep(time.Now(), func(string) bool { return false })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+}
+
+// isQuiet reports whether a connection is open and nothing has come on it: a
+// target that has closed it, or sent something that nobody asked for, must not
+// get another request on it.
+func isQuiet(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, errno := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(errno, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// idleTime reads how long a target keeps idle connections from its Keep-Alive
+// header.
+func idleTime(header string) time.Duration {
+	for _, part := range strings.Split(header, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return defaultIdle
+}
--- /dev/null
+++ b/internal/gateway/daemon.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/internal/process"
+	"ledgesill.dev/ledgesill/internal/relay"
+	"ledgesill.dev/ledgesill/pkg/balance"
+	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/retry"
+)
+
+// inForce is the document of routes that the box goes by.
+type inForce struct {
+	document catalog.Document
+	// version is that of the replicated state.
+	version uint64
+	// urgent is the highest rank of the document's routes.
+	urgent int
+}
+
+// Daemon is one entry box.
+type Daemon struct {
+	config      Config
+	process     *process.Process
+	lines       *process.LogWriter
+	log         zerolog.Logger
+	started     time.Time
+	node        *link.Node
+	following   *relay.Following
+	controls    *controls
+	connections *connections
+	metrics     *metrics
+	servedLines *lineLimit
+	otherLines  *lineLimit
+	callers     *callers
+	ready       net.Listener
+	exposed     net.Listener
+
+	rules    atomic.Pointer[inForce]
+	stopping atomic.Bool
+	inFlight atomic.Int64
+
+	// balancing guards what requests decide by.
+	balancing struct {
+		sync.Mutex
+		balancer *balance.Balancer
+		budgets  map[string]*retry.Window
+		shares   map[string]*weights
+		boxes    int
+	}
+}
+
+// staleAfter is how old the word of control may be before another replica is
+// followed: replicas tell it each second, and a target's drain must reach all
+// boxes within 2 s.
+const staleAfter = 1600 * time.Millisecond
+
+// Open listens. Run must follow.
+func Open(c Config, log io.Writer) (*Daemon, error) {
+	lines := process.NewLogWriter(log)
+	p, err := process.New(c.Name, lines, c.LogLevel, "")
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		config:      c,
+		process:     p,
+		lines:       lines,
+		log:         p.Log,
+		started:     time.Now(),
+		metrics:     newMetrics(p.Metrics),
+		servedLines: newLineLimit(servedLines),
+		otherLines:  newLineLimit(otherLines),
+	}
+	d.balancing.balancer = balance.New(balance.Config{Box: c.Name, Zone: c.Zone, Region: c.Region, MaxShift: c.MaxShift})
+	d.balancing.budgets = make(map[string]*retry.Window)
+	d.balancing.shares = make(map[string]*weights)
+	d.connections = newConnections(d.metrics.connections.Inc)
+	d.controls = newControls(c.Seeds)
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(c.Name + p.Incarnation)) // a hash takes every write
+	d.following = relay.NewFollowing(relay.Subscriber{
+		Box:         c.Name,
+		Incarnation: p.Incarnation,
+		Zone:        c.Zone,
+		PeerAddress: c.Peers,
+		Node:        func() *link.Node { return d.node },
+		Clock:       p.Clock,
+		Seed:        seed.Sum64(),
+		StaleAfter:  staleAfter,
+		Sources:     d.sources,
+		PutInForce:  d.putInForce,
+		EntryBoxes:  d.setBoxes,
+		Event:       p.StateChange,
+	})
+	return d, d.listen()
+}
+
+func (d *Daemon) listen() error {
+	id := link.Identity{Name: d.config.Name, Incarnation: d.process.Incarnation}
+	d.node = link.Dialer(id, d.process.Clock, nil)
+	callers, err := newCallers(d)
+	if err != nil {
+		return err
+	}
+	d.callers = callers
+	if d.ready, err = net.Listen("tcp4", d.config.Ready); err != nil {
+		return errors.Wrap(err, "listening for readiness checks")
+	}
+	if d.config.Metrics == "" {
+		return nil
+	}
+	if d.exposed, err = net.Listen("tcp4", d.config.Metrics); err != nil {
+		return errors.Wrap(err, "listening for metrics")
+	}
+	return nil
+}
+
+const (
+	sweepInterval = time.Second
+	// lineInterval is how often left out log lines are told of.
+	lineInterval = 5 * time.Second
+)
+
+// Run serves until the context ends, then stops as planned.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.log.Info().Str("kind", "start").Str("zone", d.config.Zone).Str("region", d.config.Region).
+		Str("incarnation", d.process.Incarnation).Strs("seeds", d.config.Seeds).Msg("entry box starts")
+	logging, stopLogging := context.WithCancel(context.Background())
+	logged := make(chan error, 1)
+	go func() { logged <- d.lines.Run(logging) }()
+
+	root := d.process.Supervisor()
+	for _, s := range d.services() {
+		root.Add(s)
+	}
+	tree, stopTree := context.WithCancel(context.Background())
+	ended := root.ServeBackground(tree)
+	served := d.callers.serve()
+
+	var err error
+	select {
+	case <-ctx.Done():
+		d.leave()
+	case err = <-served:
+	}
+	stopTree()
+	<-ended
+	d.connections.close()
+	err = errors.CombineErrors(err, d.node.Close())
+	d.log.Info().Str("kind", "stop").Int64("inFlight", d.inFlight.Load()).Msg("entry box stops")
+	stopLogging()
+	<-logged
+	return errors.CombineErrors(err, d.process.Close())
+}
+
+func (d *Daemon) services() []suture.Service {
+	out := []suture.Service{
+		process.Service{Name: "following", Run: d.following.Run},
+		process.Service{Name: "controls", Run: d.keepControls},
+		process.Service{Name: "reports", Run: d.report},
+		process.Service{Name: "ready", Run: func(ctx context.Context) error {
+			return process.ServeHTTP(ctx, d.ready, d.config.ReadyHandler(d.isReady))
+		}},
+		process.Service{Name: "sweep", Run: d.sweep},
+	}
+	if d.exposed != nil {
+		out = append(out, process.Service{Name: "metrics", Run: d.serveMetrics})
+	}
+	return out
+}
+
+// isReady reports whether the box can serve callers.
+func (d *Daemon) isReady() bool { return d.rules.Load() != nil && !d.stopping.Load() }
+
+// sweep closes connections that have rested too long, on both sides.
+func (d *Daemon) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	lines := time.NewTicker(lineInterval)
+	defer lines.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			d.connections.sweep(now, d.knows)
+			d.callers.sweep(now)
+		case <-lines.C:
+			d.noteLeftOut()
+		}
+	}
+}
+
+// Log returns the log of the process.
+func (d *Daemon) Log() zerolog.Logger { return d.log }
+
+// SetSeeds replaces the control replicas that were named at the start.
+func (d *Daemon) SetSeeds(seeds []string) {
+	d.controls.setSeeds(seeds)
+	d.following.SourcesChanged()
+}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"ledgesill.dev/ledgesill/pkg/balance"
+)
+
+const (
+	// wholeAnswer is the largest answer that is read to its end before the
+	// caller gets any of it, so that a broken one can be repeated.
+	wholeAnswer = 256 << 10
+	// maxSkipped bounds the answers to earlier requests that are passed over.
+	maxSkipped = 4
+)
+
+// answer is what a target answered.
+type answer struct {
+	status int
+	header http.Header
+	// body is the whole body, or its beginning if rest is not nil.
+	body []byte
+	rest io.Reader
+	// length is that of the whole body, below zero if it is not known.
+	length int64
+	// finish must be called once rest has been read; whole tells whether it
+	// was read to its end.
+	finish func(whole bool)
+}
+
+// attemptError says how an attempt at a target failed.
+type attemptError struct {
+	outcome balance.Outcome
+	// sent tells that the target may have got the request.
+	sent bool
+	err  error
+}
+
+// Error implements error.
+func (e *attemptError) Error() string { return fmt.Sprintf("%s: %v", e.outcome, e.err) }
+
+// Unwrap returns the cause.
+func (e *attemptError) Unwrap() error { return e.err }
+
+// wrongAnswerError says that an answer does not belong to the request.
+type wrongAnswerError struct{ got, want string }
+
+// Error implements error.
+func (e *wrongAnswerError) Error() string {
+	return fmt.Sprintf("the answer is to request %q, not to %q", e.got, e.want)
+}
+
+// attempt is one request to one target.
+type attempt struct {
+	gateway *Daemon
+	request *http.Request
+	id      string
+	body    *requestBody
+	target  balance.Target
+	// left is what the target is told to have.
+	left time.Duration
+	// fresh tells whether the connection was new.
+	fresh bool
+}
+
+// run sends the request and reads the answer. The context ends when the caller
+// leaves or the time is over.
+func (a *attempt) run(ctx context.Context) (*answer, *attemptError) {
+	c, err := a.gateway.connections.get(ctx, a.target.ID, a.target.Address)
+	if err != nil {
+		return nil, &attemptError{outcome: a.unless(ctx, balance.Unreachable), err: err}
+	}
+	a.fresh = !c.used
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	out, err := a.exchange(c)
+	if err != nil {
+		stop()
+		_ = c.Close() // what is under way on it is of no use
+		return nil, &attemptError{outcome: a.unless(ctx, balance.Broken), sent: true, err: err}
+	}
+	finish := out.finish
+	out.finish = func(whole bool) {
+		if !stop() {
+			whole = false // the deadline may have been set on it
+		}
+		finish(whole)
+	}
+	if out.rest == nil {
+		out.finish(true)
+	}
+	return out, nil
+}
+
+// unless returns the outcome of a failure, which is another one if the context
+// has ended.
+func (a *attempt) unless(ctx context.Context, o balance.Outcome) balance.Outcome {
+	switch {
+	case ctx.Err() == nil:
+		return o
+	case errors.Is(context.Cause(ctx), errStuck):
+		return balance.Stuck
+	}
+	return balance.Dropped
+}
+
+// errStuck is the cause of a context that ended because a target took too long.
+var errStuck = errors.New("the target took too long")
+
+func (a *attempt) exchange(c *connection) (*answer, error) {
+	sent := a.body.send(c, a.gateway.config.Protocol.requestHead(a.request, a.target.ID, a.left, a.body.length))
+	for range maxSkipped {
+		response, err := readFinal(c, a.request)
+		if err != nil {
+			if s := sent.failure(); s != nil {
+				err = errors.WithSecondaryError(s, err)
+			}
+			return nil, errors.Wrap(err, "reading the answer")
+		}
+		got := response.Header.Get(a.gateway.config.Protocol.RequestID)
+		if got == a.id {
+			return a.read(c, response, sent)
+		}
+		if got == "" || response.Close {
+			return nil, &wrongAnswerError{got, a.id}
+		}
+		// An answer to an earlier request: ours may follow it.
+		a.gateway.log.Debug().Str("kind", "skippedAnswer").Str("request", a.id).Str("target", a.target.ID).Str("of", got).Msg("passed over an answer to another request")
+		c.doubtful = true
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, errors.Wrap(err, "passing over an answer to another request")
+		}
+	}
+	return nil, errors.New("too many answers to other requests")
+}
+
+// readFinal reads a response that is not an interim one.
+func readFinal(c *connection, r *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(c.reader, r)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("the target switches protocols")
+		}
+	}
+}
+
+// read takes the body of the answer, at least its beginning.
+func (a *attempt) read(c *connection, response *http.Response, sent *sending) (*answer, error) {
+	out := &answer{status: response.StatusCode, header: response.Header, length: response.ContentLength}
+	idle := idleTime(response.Header.Get("Keep-Alive"))
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	out.finish = func(whole bool) {
+		if whole && framed && !response.Close && !c.doubtful && sent.done() && c.reader.Buffered() == 0 {
+			a.gateway.connections.put(a.target.ID, c, idle)
+			return
+		}
+		_ = c.Close()
+	}
+	body, more, err := readUpTo(response.Body, response.ContentLength, wholeAnswer)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the body of the answer")
+	}
+	out.body = body
+	if more {
+		out.rest = response.Body
+		return out, nil
+	}
+	out.length = int64(len(body))
+	if a.request.Method == http.MethodHead {
+		out.length = response.ContentLength
+	}
+	return out, nil
+}
+
+// readUpTo reads a body to its end, or its first limit bytes.
+func readUpTo(body io.Reader, length int64, limit int) (data []byte, more bool, err error) {
+	const first = 512
+	size := first
+	if length >= 0 {
+		size = int(min(length, int64(limit))) + 1
+	}
+	data = make([]byte, 0, size)
+	for {
+		if len(data) == cap(data) {
+			data = append(data, 0)[:len(data)]
+		}
+		n, err := body.Read(data[len(data):min(cap(data), limit+1)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) {
+			return data, false, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+		if len(data) >= limit {
+			return data, true, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics count what became of requests.
+type metrics struct {
+	requests    *prometheus.CounterVec
+	latency     *prometheus.HistogramVec
+	attempts    *prometheus.CounterVec
+	connections prometheus.Counter
+	logDropped  prometheus.Counter
+}
+
+// latencyBuckets are in seconds; the objectives of the users' routes lie
+// between 0.3 and 0.6.
+var latencyBuckets = []float64{0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1, 1.5, 2, 3, 4}
+
+func newMetrics(r *prometheus.Registry) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "ledgesill_requests_total", Help: "Requests of callers by class of the answer's status and reason of the box.",
+		}, []string{"status", "reason"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "ledgesill_request_seconds", Help: "Time from a request's header to its answer.", Buckets: latencyBuckets,
+		}, []string{"route"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "ledgesill_attempts_total", Help: "Requests sent to targets by outcome.",
+		}, []string{"outcome"}),
+		connections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "ledgesill_target_connections_total", Help: "Connections opened to targets.",
+		}),
+	}
+	r.MustRegister(m.requests, m.latency, m.attempts, m.connections)
+	return m
+}
+
+var statusClasses = [...]string{"", "1xx", "2xx", "3xx", "4xx", "5xx"}
+
+func (m *metrics) count(route string, status int, reason string, took time.Duration) {
+	class := "other"
+	if n := status / 100; n > 0 && n < len(statusClasses) {
+		class = statusClasses[n]
+	}
+	m.requests.WithLabelValues(class, reason).Inc()
+	m.latency.WithLabelValues(route).Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/gateway/metricsserver.go
@@ -0,0 +1,14 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"ledgesill.dev/ledgesill/internal/process"
+)
+
+// serveMetrics tells counters and latencies as text, at every path.
+func (d *Daemon) serveMetrics(ctx context.Context) error {
+	return process.ServeHTTP(ctx, d.exposed, promhttp.HandlerFor(d.process.Metrics, promhttp.HandlerOpts{}))
+}
--- /dev/null
+++ b/internal/gateway/protocol.go
@@ -0,0 +1,32 @@
+// Package gateway is the daemon of an entry box that sends requests itself to
+// the targets of every availability zone: it follows the control replicas,
+// matches requests to routes, chooses targets and passes requests and answers
+// on unchanged.
+package gateway
+
+import (
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/balance"
+)
+
+// Protocol names the headers of requests and answers, and reads those that
+// have a format of their own.
+type Protocol struct {
+	// RequestID is the id of a caller's attempt, which targets send back.
+	RequestID string
+	// ObjectKey is the object that a request is about.
+	ObjectKey string
+	// Deadline is how many milliseconds the sender will wait.
+	Deadline string
+	// ExpectTarget is the id of the target that a request is meant for.
+	ExpectTarget string
+	// NotExecuted marks answers of targets that did not run the request.
+	NotExecuted string
+	// Load and ColdLeft are what a target says of itself.
+	Load     string
+	ColdLeft string
+	// ParseLoad and ParseCold read these two; ok is false if they can't be read.
+	ParseLoad func(text string) (l balance.Load, ok bool)
+	ParseCold func(text string) (left time.Duration, ok bool)
+}
--- /dev/null
+++ b/pkg/balance/balancer.go
@@ -0,0 +1,515 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Config is what a Balancer is told at its start.
+type Config struct {
+	Box    string
+	Zone   string
+	Region string
+	// MaxShift is the share of a region's requests that may change the region
+	// where they run within ShiftWindow.
+	MaxShift float64
+}
+
+// ColdLimit bounds the requests to a cold target of a service, all entry boxes
+// together.
+type ColdLimit struct {
+	// Time is how long a target stays cold.
+	Time time.Duration
+	// Rate is the requests a second that it bears.
+	Rate float64
+}
+
+// Box is an entry box that serves.
+type Box struct {
+	Name   string
+	Region string
+}
+
+// Request is what a target is sought for.
+type Request struct {
+	Service string
+	// Route names the route, whose service times are learned.
+	Route string
+	// Key is the object that the request is about; empty if it does not matter
+	// which target has seen it.
+	Key string
+	// Regions are the only ones that may serve it; all if it is empty.
+	Regions []string
+	// Near prefers targets of the box's zone, for answers that are large.
+	Near bool
+	// Urgent requests may wait longer for a slot than others.
+	Urgent bool
+	// Objective is the latency at which the answer is still on time, and Left
+	// what remains of it.
+	Objective time.Duration
+	Left      time.Duration
+	// Tried are the targets that it was sent to before.
+	Tried []string
+}
+
+// Choice is the target that a request is to be sent to. Done must follow.
+type Choice struct {
+	Target Target
+	// Remote tells that the target is in another region.
+	Remote bool
+	// Wait is how long the request is thought to wait for a slot there.
+	Wait time.Duration
+	// Patience is how long to wait for the answer before the target is
+	// thought to be stuck.
+	Patience time.Duration
+	// Load is what the target was thought to have.
+	Load float64
+}
+
+// NoTargetError says why no target can run a request in time.
+type NoTargetError struct {
+	Service string
+	Reason  string
+	// RetryAfter is when there may be room.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *NoTargetError) Error() string {
+	return fmt.Sprintf("no target of %s: %s; try again in %s", e.Service, e.Reason, e.RetryAfter)
+}
+
+// Reasons of a NoTargetError.
+const (
+	ReasonNone = "none can be used"
+	ReasonFull = "all are full"
+)
+
+const (
+	// urgentWait and otherWait are the parts of the time that is left, less
+	// the time of service, for which a request may wait for a slot; the rest
+	// is for what other boxes send at the same moment.
+	urgentWait = 0.6
+	otherWait  = 0.4
+	// patienceFactor is how many times the mean time of a target that has not
+	// seen the object is waited for an answer.
+	patienceFactor = 3
+	// leastPatience bounds the patience from below: some turns of a network
+	// with losses.
+	leastPatience = 700 * time.Millisecond
+	// firstRetryAfter is the wait told when no target can be used.
+	firstRetryAfter = 300 * time.Millisecond
+	// leastRetryAfter is the shortest wait told to a refused request.
+	leastRetryAfter = 50 * time.Millisecond
+	// coldShare is the part of a cold target's rate that the boxes use
+	// together, and coldBoxes how many boxes share it: each may be one
+	// request ahead of its share.
+	coldShare = 0.9
+	coldBoxes = 3
+)
+
+// service is what the box knows of one service.
+type service struct {
+	name    string
+	targets []*targetState
+	spill   spill
+	cold    ColdLimit
+	mean    time.Duration
+	// turns spreads requests without a key.
+	turns uint64
+}
+
+// Balancer chooses targets. It is not safe for concurrent use.
+type Balancer struct {
+	config    Config
+	services  map[string]*service
+	byID      map[string]*targetState
+	times     map[string]*times
+	evacuated map[string]bool
+	boxes     []Box
+}
+
+// New returns a balancer without targets.
+func New(c Config) *Balancer {
+	return &Balancer{
+		config:    c,
+		services:  make(map[string]*service),
+		byID:      make(map[string]*targetState),
+		times:     make(map[string]*times),
+		evacuated: make(map[string]bool),
+	}
+}
+
+// SetBoxes tells which entry boxes serve, this one included.
+func (b *Balancer) SetBoxes(boxes []Box) { b.boxes = slices.Clone(boxes) }
+
+// SetCold tells what cold targets of a service bear.
+func (b *Balancer) SetCold(name string, limit ColdLimit) { b.service(name).cold = limit }
+
+// SetEvacuated tells the zones whose targets get nothing. The targets of a
+// zone whose evacuation has ended count as cold.
+func (b *Balancer) SetEvacuated(now time.Time, zones []string) {
+	for zone := range b.evacuated {
+		if slices.Contains(zones, zone) {
+			continue
+		}
+		delete(b.evacuated, zone)
+		b.coolZone(now, zone)
+	}
+	for _, zone := range zones {
+		b.evacuated[zone] = true
+	}
+}
+
+func (b *Balancer) coolZone(now time.Time, zone string) {
+	for _, t := range b.byID {
+		if t.Zone == zone {
+			b.cool(now, t, b.service(t.Service).cold.Time)
+		}
+	}
+}
+
+func (b *Balancer) cool(now time.Time, t *targetState, left time.Duration) {
+	until := now.Add(left)
+	if until.After(t.coldUntil) {
+		t.coldUntil = until
+		t.tokens = 0
+		t.tokensAt = now
+	}
+}
+
+// SetTargets replaces the registered targets. What is known of those that stay
+// is kept.
+func (b *Balancer) SetTargets(now time.Time, targets []Target) {
+	next := make(map[string]*targetState, len(targets))
+	for _, s := range b.services {
+		s.targets = nil
+	}
+	for _, given := range targets {
+		t := b.byID[given.ID]
+		if t == nil {
+			t = newTargetState(given)
+			if given.Cold {
+				b.cool(now, t, given.ColdLeft)
+			}
+		}
+		b.change(now, t, given)
+		next[given.ID] = t
+		s := b.service(given.Service)
+		s.targets = append(s.targets, t)
+	}
+	b.byID = next
+}
+
+func (b *Balancer) change(now time.Time, t *targetState, given Target) {
+	if given.Cold && !t.Cold {
+		b.cool(now, t, given.ColdLeft)
+	}
+	if !given.Cold && t.Cold {
+		t.coldUntil = time.Time{}
+	}
+	if t.Slots == 0 {
+		t.Slots = given.Slots
+	}
+	slots := t.Slots
+	t.Target = given
+	t.Slots = slots
+}
+
+// NoteCold takes a target's own word on how much longer it is cold.
+func (b *Balancer) NoteCold(now time.Time, id string, left time.Duration) {
+	if t := b.byID[id]; t != nil && left > 0 {
+		b.cool(now, t, left)
+	}
+}
+
+// Knows reports whether a target is registered.
+func (b *Balancer) Knows(id string) bool { return b.byID[id] != nil }
+
+func (b *Balancer) service(name string) *service {
+	s := b.services[name]
+	if s == nil {
+		s = &service{name: name}
+		b.services[name] = s
+	}
+	return s
+}
+
+func (b *Balancer) timesOf(r Request) *times {
+	t := b.times[r.Route]
+	if t == nil {
+		t = newTimes(r.Objective)
+		b.times[r.Route] = t
+	}
+	return t
+}
+
+// candidate is the best target of one side, of those with a free slot and of
+// those without.
+type candidate struct {
+	free     *targetState
+	freeRank uint64
+	near     bool
+	busy     *targetState
+	wait     time.Duration
+	any      bool
+}
+
+func (c *candidate) consider(t *targetState, now time.Time, rank uint64, near bool, mean time.Duration) {
+	c.any = true
+	if t.load(now)+1 <= float64(max(t.Slots, 1)) {
+		better := c.free == nil || near && !c.near || near == c.near && rank > c.freeRank
+		if better {
+			c.free = t
+			c.freeRank = rank
+			c.near = near
+		}
+		return
+	}
+	if wait := t.wait(now, mean); c.busy == nil || wait < c.wait {
+		c.busy = t
+		c.wait = wait
+	}
+}
+
+// Choose returns the target that a request is to be sent to, and counts the
+// request there until Done. The error is a NoTargetError.
+func (b *Balancer) Choose(now time.Time, r Request) (Choice, error) {
+	s := b.service(r.Service)
+	learned := b.timesOf(r)
+	mean := learned.mixed
+	key := b.keyHash(s, r)
+	var local, remote candidate
+	used, slots := 0.0, 0.0
+	for _, t := range s.targets {
+		if !b.isUsable(now, t, r) {
+			continue
+		}
+		isLocal := t.Region == b.config.Region
+		if isLocal {
+			used += min(t.load(now), float64(t.Slots))
+			slots += float64(t.Slots)
+		}
+		if t.isCold(now) && !b.mayWarm(now, s, t) {
+			continue
+		}
+		side := &remote
+		if isLocal {
+			side = &local
+		}
+		side.consider(t, now, mix(key^t.hash), r.Near && t.Zone == b.config.Zone, mean)
+	}
+	s.spill.update(now, used, slots, b.config.MaxShift, b.firstSpill(s, slots))
+	leaves := s.spill.take()
+	chosen, wait := b.decide(leaves && !r.Near, local, remote)
+	if chosen == nil {
+		return Choice{}, &NoTargetError{Service: r.Service, Reason: ReasonNone, RetryAfter: firstRetryAfter}
+	}
+	if wait > b.longestWait(r, learned) {
+		return Choice{}, &NoTargetError{Service: r.Service, Reason: ReasonFull, RetryAfter: max(wait, leastRetryAfter)}
+	}
+	return b.take(now, s, chosen, wait, learned), nil
+}
+
+// decide picks a side. Where the side that is due has no free slot, a request
+// waits there rather than change sides, so that the share stays as it is; a
+// side without a target is no side.
+func (b *Balancer) decide(leaves bool, local, remote candidate) (*targetState, time.Duration) {
+	first, second := local, remote
+	if leaves {
+		first, second = remote, local
+	}
+	if !first.any {
+		first = second
+	}
+	if first.free != nil {
+		return first.free, 0
+	}
+	return first.busy, first.wait
+}
+
+func (b *Balancer) longestWait(r Request, learned *times) time.Duration {
+	part := otherWait
+	if r.Urgent {
+		part = urgentWait
+	}
+	return time.Duration(part * float64(max(r.Left-learned.warm, 0)))
+}
+
+func (b *Balancer) take(now time.Time, s *service, t *targetState, wait time.Duration, learned *times) Choice {
+	load := t.load(now)
+	t.inFlight++
+	if t.isCold(now) {
+		t.tokens--
+	}
+	return Choice{
+		Target:   t.Target,
+		Remote:   t.Region != b.config.Region,
+		Wait:     wait,
+		Patience: max(patienceFactor*learned.cold+wait, leastPatience),
+		Load:     load,
+	}
+}
+
+// isUsable reports whether a target may be sent a request at all.
+func (b *Balancer) isUsable(now time.Time, t *targetState, r Request) bool {
+	if t.Draining || b.evacuated[t.Zone] || t.isOut(now) || t.paceNow(now) > slowPace {
+		return false
+	}
+	if len(r.Regions) > 0 && !slices.Contains(r.Regions, t.Region) {
+		return false
+	}
+	return !slices.Contains(r.Tried, t.ID)
+}
+
+// keyHash stands for the object, or for a different one each time where the
+// object does not matter.
+func (b *Balancer) keyHash(s *service, r Request) uint64 {
+	if r.Key != "" {
+		return xxhash.Sum64String(r.Key)
+	}
+	s.turns++
+	return mix(s.turns)
+}
+
+// mayWarm reports whether this box may send a cold target a request now. A few
+// boxes, the same by every box's reckoning, share what it bears.
+func (b *Balancer) mayWarm(now time.Time, s *service, t *targetState) bool {
+	sharers := b.sharers(t)
+	if sharers == 0 {
+		return false
+	}
+	rate := s.cold.Rate * coldShare / float64(sharers)
+	t.tokens = min(t.tokens+rate*now.Sub(t.tokensAt).Seconds(), 1)
+	t.tokensAt = now
+	return t.tokens >= 1
+}
+
+// sharers returns how many boxes share what a cold target bears, or zero if
+// this box is none of them: those of the target's region that rank highest.
+func (b *Balancer) sharers(t *targetState) int {
+	count, above := 0, 0
+	own := mix(xxhash.Sum64String(b.config.Box) ^ t.hash)
+	known := false
+	for _, box := range b.boxes {
+		if box.Region != t.Region {
+			continue
+		}
+		count++
+		if box.Name == b.config.Box {
+			known = true
+			continue
+		}
+		if mix(xxhash.Sum64String(box.Name)^t.hash) > own {
+			above++
+		}
+	}
+	if !known || above >= coldBoxes {
+		return 0
+	}
+	return min(count, coldBoxes)
+}
+
+// firstSpill guesses the share that leaves the region before anything was
+// measured, from the region's parts of the slots and of the entry boxes.
+func (b *Balancer) firstSpill(s *service, local float64) float64 {
+	all := 0.0
+	for _, t := range s.targets {
+		all += float64(t.Slots)
+	}
+	own := 0
+	for _, box := range b.boxes {
+		if box.Region == b.config.Region {
+			own++
+		}
+	}
+	if all == 0 || own == 0 {
+		return 0
+	}
+	traffic := float64(own) / float64(len(b.boxes))
+	return max(1-local/all/(assumedUse*traffic), 0)
+}
+
+// Outcome is what became of a request at a target.
+type Outcome int
+
+// The outcomes of a request at a target.
+const (
+	// Answered: the target gave its answer.
+	Answered Outcome = iota
+	// TurnedAway: the target was full and did not run it.
+	TurnedAway
+	// Unreachable: no connection was had.
+	Unreachable
+	// Stuck: no answer came in time.
+	Stuck
+	// Broken: the connection or the answer broke.
+	Broken
+	// Dropped: the caller left.
+	Dropped
+)
+
+// String returns the name as it stands in logs.
+func (o Outcome) String() string {
+	return [...]string{"answered", "turnedAway", "unreachable", "stuck", "broken", "dropped"}[o]
+}
+
+// Report tells what became of a request at a target.
+type Report struct {
+	TargetID string
+	Route    string
+	Outcome  Outcome
+	// Took is the time to the answer.
+	Took time.Duration
+	// Load is what the answer told, if HasLoad.
+	Load    Load
+	HasLoad bool
+}
+
+// Done takes what became of a request that was counted at a target.
+func (b *Balancer) Done(now time.Time, r Report) {
+	t := b.byID[r.TargetID]
+	if t == nil {
+		return
+	}
+	if r.HasLoad {
+		t.noteLoad(now, r.Load)
+	}
+	t.inFlight = max(t.inFlight-1, 0)
+	switch r.Outcome {
+	case Answered:
+		t.failures = 0
+		b.noteTime(now, t, r)
+	case TurnedAway:
+		t.failures = 0
+		b.noteFull(now, t, r)
+	case Unreachable, Stuck:
+		t.noteUnreachable(now)
+	case Broken, Dropped:
+	}
+}
+
+func (b *Balancer) noteTime(now time.Time, t *targetState, r Report) {
+	if learned := b.times[r.Route]; learned != nil {
+		learned.note(r.Took)
+	}
+	s := b.service(t.Service)
+	if s.mean == 0 {
+		s.mean = r.Took
+	}
+	t.notePace(now, float64(r.Took)/float64(max(s.mean, time.Millisecond)))
+	s.mean = average(s.mean, r.Took)
+}
+
+// noteFull makes a target that turned a request away count as full for a
+// while, also where it does not tell its load.
+func (b *Balancer) noteFull(now time.Time, t *targetState, r Report) {
+	if r.HasLoad {
+		return
+	}
+	t.foreign = max(float64(t.Slots-t.inFlight), t.foreign)
+	t.foreignAt = now
+}
--- /dev/null
+++ b/pkg/balance/target.go
@@ -0,0 +1,138 @@
+// Package balance decides which target runs a request, or that none can in
+// time. It is a state machine without I/O: a Balancer takes the present time
+// and what became of earlier requests and returns choices.
+//
+// The targets of a service are ranked for each object by rendezvous hashing,
+// the same at every entry box, so that an object is served where it was seen
+// lately; a target whose slots are taken is passed over for the next in rank.
+// Requests stay in the box's region but for a share that moves slowly.
+package balance
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Load is what a target says of itself in an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Target is one registered target.
+type Target struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Region  string
+	// Slots is how many requests it runs at once.
+	Slots    int
+	Draining bool
+	// Cold tells that it has not warmed up; ColdLeft is how much longer it
+	// stays so as of the time when it was registered.
+	Cold     bool
+	ColdLeft time.Duration
+}
+
+const (
+	// foreignHalfLife is how fast the memory of the load that other boxes put
+	// on a target fades: about the service time of a request.
+	foreignHalfLife = 300 * time.Millisecond
+	// firstEjection and longestEjection are how long a target that can't be
+	// reached is left out, doubled with each failure in a row.
+	firstEjection   = 250 * time.Millisecond
+	longestEjection = 2 * time.Second
+	// paceWeight is the weight of one observation in a target's pace.
+	paceWeight = 0.2
+	// slowPace is how many times slower than the service's mean a target must
+	// be to be left out. A target that has seen none of the objects yet takes
+	// about three times the mean and is not slow.
+	slowPace = 4.0
+	// paceHalfLife is how fast a slow pace is forgotten, so that the target is
+	// tried again.
+	paceHalfLife = 2 * time.Second
+)
+
+// targetState is what the box knows of one target.
+type targetState struct {
+	Target
+	hash      uint64
+	inFlight  int
+	foreign   float64
+	foreignAt time.Time
+	// failures in a row, and until when the target is left out for them.
+	failures     int
+	ejectedUntil time.Time
+	// pace is the mean time of its answers relative to the service's.
+	pace   float64
+	paceAt time.Time
+	// coldUntil is when the target counts as warm; tokens are the requests
+	// that this box may send it before that.
+	coldUntil time.Time
+	tokens    float64
+	tokensAt  time.Time
+}
+
+func newTargetState(t Target) *targetState {
+	return &targetState{Target: t, hash: xxhash.Sum64String(t.ID), pace: 1}
+}
+
+// load is how many requests the target is thought to have, by own count and by
+// what its last answer told of other boxes.
+func (t *targetState) load(now time.Time) float64 {
+	return float64(t.inFlight) + t.foreign*fade(now.Sub(t.foreignAt), foreignHalfLife)
+}
+
+// noteLoad takes the load that an answer told, made while inFlight requests of
+// this box were there, the answered one included.
+func (t *targetState) noteLoad(now time.Time, l Load) {
+	t.foreign = max(float64(l.Running+l.Waiting-t.inFlight), 0)
+	t.foreignAt = now
+	if l.Slots > 0 {
+		t.Slots = l.Slots
+	}
+}
+
+func (t *targetState) notePace(now time.Time, ratio float64) {
+	t.pace = t.paceNow(now)*(1-paceWeight) + ratio*paceWeight
+	t.paceAt = now
+}
+
+func (t *targetState) paceNow(now time.Time) float64 {
+	if t.pace <= 1 {
+		return t.pace
+	}
+	return 1 + (t.pace-1)*fade(now.Sub(t.paceAt), paceHalfLife)
+}
+
+// noteUnreachable leaves the target out for a while.
+func (t *targetState) noteUnreachable(now time.Time) {
+	out := firstEjection << min(t.failures, 4)
+	t.failures++
+	t.ejectedUntil = now.Add(min(out, longestEjection))
+}
+
+// isOut reports whether the target is left out. After its time one request at
+// once tries it.
+func (t *targetState) isOut(now time.Time) bool {
+	if t.failures == 0 {
+		return false
+	}
+	return now.Before(t.ejectedUntil) || t.inFlight > 0
+}
+
+func (t *targetState) isCold(now time.Time) bool { return now.Before(t.coldUntil) }
+
+// wait estimates how long a further request waits for a slot, where one
+// request takes mean.
+func (t *targetState) wait(now time.Time, mean time.Duration) time.Duration {
+	slots := max(t.Slots, 1)
+	ahead := t.load(now) - float64(slots) + 1
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(ahead / float64(slots) * float64(mean))
+}
