balance: keep each object at few targets

The log showed requests of one object at every target: a full target's overflow went to the next in rank, made that one forget its own objects, and all ran cold. Ruled out: processor time (0.035 of a core), too few slots (110 of 216 are needed when targets know the objects).

Change: an object goes to as many of its highest ranked targets as can keep all objects in mind, and leaves the region as a whole object, not by request.

--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -104,6 +104,9 @@
 	firstRetryAfter = 300 * time.Millisecond
 	// leastRetryAfter is the shortest wait told to a refused request.
 	leastRetryAfter = 50 * time.Millisecond
+	// keptObjects is how many objects a target is thought to keep in mind at
+	// least. Targets do not tell it; the users' keep 25 or more.
+	keptObjects = 24
 	// coldShare is the part of a cold target's rate that the boxes use
 	// together, and coldBoxes how many boxes share it: each may be one
 	// request ahead of its share.
@@ -118,6 +121,7 @@
 	spill   spill
 	cold    ColdLimit
 	mean    time.Duration
+	objects objects
 	// turns spreads requests without a key.
 	turns uint64
 }
@@ -232,7 +236,7 @@
 func (b *Balancer) service(name string) *service {
 	s := b.services[name]
 	if s == nil {
-		s = &service{name: name}
+		s = &service{name: name, objects: newObjects()}
 		b.services[name] = s
 	}
 	return s
@@ -247,32 +251,66 @@
 	return t
 }
 
-// candidate is the best target of one side, of those with a free slot and of
-// those without.
-type candidate struct {
-	free     *targetState
-	freeRank uint64
-	near     bool
-	busy     *targetState
-	wait     time.Duration
-	any      bool
-}
-
-func (c *candidate) consider(t *targetState, now time.Time, rank uint64, near bool, mean time.Duration) {
-	c.any = true
-	if t.load(now)+1 <= float64(max(t.Slots, 1)) {
-		better := c.free == nil || near && !c.near || near == c.near && rank > c.freeRank
-		if better {
-			c.free = t
-			c.freeRank = rank
-			c.near = near
-		}
-		return
+// ranked is a target with its rank for an object.
+type ranked struct {
+	target *targetState
+	rank   uint64
+	near   bool
+}
+
+func (r ranked) above(other ranked) bool {
+	if r.near != other.near {
+		return r.near
 	}
-	if wait := t.wait(now, mean); c.busy == nil || wait < c.wait {
-		c.busy = t
-		c.wait = wait
+	return r.rank > other.rank
+}
+
+// maxPreferred bounds the targets that are considered for one object.
+const maxPreferred = 4
+
+// side is the part of a service's targets that is in the box's region, or the
+// part that is not.
+type side struct {
+	// usable is how many targets may be used; top are those that rank highest.
+	usable int
+	top    [maxPreferred]ranked
+	count  int
+}
+
+func (d *side) consider(r ranked) {
+	d.usable++
+	at := d.count
+	if at == maxPreferred {
+		if !r.above(d.top[at-1]) {
+			return
+		}
+		at--
+	} else {
+		d.count++
+	}
+	for at > 0 && r.above(d.top[at-1]) {
+		d.top[at] = d.top[at-1]
+		at--
+	}
+	d.top[at] = r
+}
+
+// pick returns the highest of the preferred targets that has a free slot, or
+// else the one with the shortest wait.
+func (d *side) pick(now time.Time, preferred int, mean time.Duration) (*targetState, time.Duration) {
+	var best *targetState
+	shortest := time.Duration(0)
+	for _, r := range d.top[:min(d.count, preferred)] {
+		wait := r.target.wait(now, mean)
+		if wait == 0 {
+			return r.target, 0
+		}
+		if best == nil || wait < shortest {
+			best = r.target
+			shortest = wait
+		}
 	}
+	return best, shortest
 }
 
 // Choose returns the target that a request is to be sent to, and counts the
@@ -280,31 +318,30 @@
 func (b *Balancer) Choose(now time.Time, r Request) (Choice, error) {
 	s := b.service(r.Service)
 	learned := b.timesOf(r)
-	mean := learned.mixed
-	key := b.keyHash(s, r)
-	var local, remote candidate
+	key := b.keyHash(now, s, r)
+	var local, remote side
 	used, slots := 0.0, 0.0
 	for _, t := range s.targets {
 		if !b.isUsable(now, t, r) {
 			continue
 		}
-		isLocal := t.Region == b.config.Region
-		if isLocal {
+		d := &remote
+		if t.Region == b.config.Region {
+			d = &local
 			used += min(t.load(now), float64(t.Slots))
 			slots += float64(t.Slots)
 		}
 		if t.isCold(now) && !b.mayWarm(now, s, t) {
 			continue
 		}
-		side := &remote
-		if isLocal {
-			side = &local
-		}
-		side.consider(t, now, mix(key^t.hash), r.Near && t.Zone == b.config.Zone, mean)
+		d.consider(ranked{target: t, rank: mix(key ^ t.hash), near: r.Near && t.Zone == b.config.Zone})
 	}
 	s.spill.update(now, used, slots, b.config.MaxShift, b.firstSpill(s, slots))
-	leaves := s.spill.take()
-	chosen, wait := b.decide(leaves && !r.Near, local, remote)
+	due := &local
+	if local.count == 0 || remote.count > 0 && !r.Near && s.spill.leaves(r.Key != "", key) {
+		due = &remote
+	}
+	chosen, wait := due.pick(now, s.preferred(now, r, due.usable), learned.mixed)
 	if chosen == nil {
 		return Choice{}, &NoTargetError{Service: r.Service, Reason: ReasonNone, RetryAfter: firstRetryAfter}
 	}
@@ -314,23 +351,6 @@
 	return b.take(now, s, chosen, wait, learned), nil
 }
 
-// decide picks a side. Where the side that is due has no free slot, a request
-// waits there rather than change sides, so that the share stays as it is; a
-// side without a target is no side.
-func (b *Balancer) decide(leaves bool, local, remote candidate) (*targetState, time.Duration) {
-	first, second := local, remote
-	if leaves {
-		first, second = remote, local
-	}
-	if !first.any {
-		first = second
-	}
-	if first.free != nil {
-		return first.free, 0
-	}
-	return first.busy, first.wait
-}
-
 func (b *Balancer) longestWait(r Request, learned *times) time.Duration {
 	part := otherWait
 	if r.Urgent {
@@ -367,12 +387,24 @@
 
 // keyHash stands for the object, or for a different one each time where the
 // object does not matter.
-func (b *Balancer) keyHash(s *service, r Request) uint64 {
-	if r.Key != "" {
-		return xxhash.Sum64String(r.Key)
+func (b *Balancer) keyHash(now time.Time, s *service, r Request) uint64 {
+	if r.Key == "" {
+		s.turns++
+		return mix(s.turns)
+	}
+	hash := xxhash.Sum64String(r.Key)
+	s.objects.note(now, hash)
+	return hash
+}
+
+// preferred returns how many targets of a side an object may be sent to: as
+// many as can keep all objects in mind, so that the overflow of one target
+// does not make another forget what it keeps.
+func (s *service) preferred(now time.Time, r Request, usable int) int {
+	if r.Key == "" {
+		return maxPreferred
 	}
-	s.turns++
-	return mix(s.turns)
+	return max(keptObjects*usable/max(s.objects.count(now), 1), 1)
 }
 
 // mayWarm reports whether this box may send a cold target a request now. A few
--- a/pkg/balance/spill.go
+++ b/pkg/balance/spill.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // ShiftWindow is the time over which a region's share of requests elsewhere
 // may change by MaxShift (the users' rule).
@@ -47,9 +50,13 @@
 	}
 }
 
-// take reports whether the next request is to leave the region. The requests
-// that leave are spread evenly over all.
-func (s *spill) take() bool {
+// leaves reports whether a request leaves the region. The requests about one
+// object stay together, so that targets of either region see it often; those
+// without an object are spread evenly.
+func (s *spill) leaves(keyed bool, key uint64) bool {
+	if keyed {
+		return float64(mix(key^spillSalt)) < s.share*math.MaxUint64
+	}
 	s.debt += s.share
 	if s.debt < 1 {
 		return false
@@ -57,3 +64,6 @@
 	s.debt--
 	return true
 }
+
+// spillSalt makes the objects that leave independent of the ranks of targets.
+const spillSalt = 0x9e3779b97f4a7c15
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -40,7 +40,7 @@
 const (
 	// foreignHalfLife is how fast the memory of the load that other boxes put
 	// on a target fades: about the service time of a request.
-	foreignHalfLife = 300 * time.Millisecond
+	foreignHalfLife = 600 * time.Millisecond
 	// firstEjection and longestEjection are how long a target that can't be
 	// reached is left out, doubled with each failure in a row.
 	firstEjection   = 250 * time.Millisecond
