balance: a request bound to regions does not move the others

By the log the box in us-east began to send 40 in 100 requests away while its own targets had free slots: a request of a route that only another region may serve found no slot at home, and the share for all was set to 1. Ruled out: traffic (steady then), targets (none had left).

Change: the share goes by the slots of all usable targets of the region. TestRequestWithRegionsDoesNotMoveTheOthers failed before.

--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -322,7 +322,7 @@
 	var local, remote side
 	used, slots := 0.0, 0.0
 	for _, t := range s.targets {
-		if !b.isUsable(now, t, r) {
+		if !b.isUsable(now, t) {
 			continue
 		}
 		d := &remote
@@ -331,6 +331,9 @@
 			used += min(t.load(now), float64(t.Slots))
 			slots += float64(t.Slots)
 		}
+		if !r.allows(t) {
+			continue
+		}
 		if t.isCold(now) && !b.mayWarm(now, s, t) {
 			continue
 		}
@@ -374,11 +377,13 @@
 	}
 }
 
-// isUsable reports whether a target may be sent a request at all.
-func (b *Balancer) isUsable(now time.Time, t *targetState, r Request) bool {
-	if t.Draining || b.evacuated[t.Zone] || t.isOut(now) || t.paceNow(now) > slowPace {
-		return false
-	}
+// isUsable reports whether a target may be sent any request at all.
+func (b *Balancer) isUsable(now time.Time, t *targetState) bool {
+	return !t.Draining && !b.evacuated[t.Zone] && !t.isOut(now) && t.paceNow(now) <= slowPace
+}
+
+// allows reports whether a target is one that the request may be sent to.
+func (r Request) allows(t *targetState) bool {
 	if len(r.Regions) > 0 && !slices.Contains(r.Regions, t.Region) {
 		return false
 	}
--- /dev/null
+++ b/pkg/balance/balancer_test.go
@@ -0,0 +1,148 @@
+package balance
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// world is a balancer with targets in two regions and a clock.
+type world struct {
+	t        *testing.T
+	now      time.Time
+	balancer *Balancer
+	targets  []Target
+}
+
+func newWorld(t *testing.T, near, far int) *world {
+	w := &world{t: t, now: time.Unix(0, 0)}
+	w.balancer = New(Config{Box: "box1", Zone: "near-a", Region: "near", MaxShift: 0.15})
+	w.balancer.SetBoxes([]Box{{"box1", "near"}, {"box2", "far"}})
+	for i := range near {
+		w.add(fmt.Sprintf("near%d", i), "near")
+	}
+	for i := range far {
+		w.add(fmt.Sprintf("far%d", i), "far")
+	}
+	return w
+}
+
+func (w *world) add(id, region string) {
+	w.targets = append(w.targets, Target{ID: id, Service: "s", Zone: region + "-a", Region: region, Slots: 4})
+	w.balancer.SetTargets(w.now, w.targets)
+}
+
+func (w *world) request(key string) Request {
+	return Request{Service: "s", Route: "r", Key: key, Objective: 400 * time.Millisecond, Left: 400 * time.Millisecond}
+}
+
+func (w *world) choose(r Request) Choice {
+	w.t.Helper()
+	c, err := w.balancer.Choose(w.now, r)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return c
+}
+
+func (w *world) done(c Choice, o Outcome) {
+	w.balancer.Done(w.now, Report{TargetID: c.Target.ID, Route: "r", Outcome: o, Took: 100 * time.Millisecond})
+}
+
+// A request whose regions leave it no target at home says nothing about the
+// others: their share elsewhere must not change.
+func TestRequestWithRegionsDoesNotMoveTheOthers(t *testing.T) {
+	w := newWorld(t, 4, 4)
+	w.done(w.choose(w.request("a")), Answered)
+	elsewhere := w.request("a")
+	elsewhere.Regions = []string{"far"}
+	w.now = w.now.Add(10 * time.Millisecond)
+	if c := w.choose(elsewhere); c.Target.Region != "far" {
+		t.Fatalf("sent to %s", c.Target.ID)
+	}
+	for i := range 50 {
+		w.now = w.now.Add(10 * time.Millisecond)
+		c := w.choose(w.request(fmt.Sprint(i)))
+		if c.Remote {
+			t.Fatalf("request %d left the region", i)
+		}
+		w.done(c, Answered)
+	}
+}
+
+func TestSameObjectGoesToTheSameTarget(t *testing.T) {
+	w := newWorld(t, 6, 0)
+	for i := range 40 {
+		w.done(w.choose(w.request(fmt.Sprint(i))), Answered)
+	}
+	first := w.choose(w.request("a"))
+	w.done(first, Answered)
+	for range 20 {
+		c := w.choose(w.request("a"))
+		if c.Target.ID != first.Target.ID {
+			t.Fatalf("sent to %s after %s", c.Target.ID, first.Target.ID)
+		}
+		w.done(c, Answered)
+	}
+}
+
+func TestFullTargetsRefuseWithATimeToComeBack(t *testing.T) {
+	w := newWorld(t, 1, 0)
+	var refused *NoTargetError
+	for range 40 {
+		if _, err := w.balancer.Choose(w.now, w.request("a")); err != nil {
+			if !errors.As(err, &refused) || refused.Reason != ReasonFull || refused.RetryAfter <= 0 {
+				t.Fatalf("got %v", err)
+			}
+			return
+		}
+	}
+	t.Fatal("a target with 4 slots took 40 requests")
+}
+
+func TestDrainingAndEvacuatedTargetsGetNothing(t *testing.T) {
+	w := newWorld(t, 2, 0)
+	w.targets[0].Draining = true
+	w.balancer.SetTargets(w.now, w.targets)
+	for i := range 20 {
+		c := w.choose(w.request(fmt.Sprint(i)))
+		if c.Target.ID == "near0" {
+			t.Fatal("a draining target was chosen")
+		}
+		w.done(c, Answered)
+	}
+	w.balancer.SetEvacuated(w.now, []string{"near-a"})
+	if _, err := w.balancer.Choose(w.now, w.request("a")); err == nil {
+		t.Fatal("a target of an evacuated zone was chosen")
+	}
+}
+
+// The boxes that share a cold target send it, in any second, no more than its
+// rate and one request ahead for each of them.
+func TestColdTargetGetsItsRate(t *testing.T) {
+	const boxes, rate = 9, 14.0
+	var names []Box
+	for i := range boxes {
+		names = append(names, Box{fmt.Sprintf("box%d", i), "near"})
+	}
+	now := time.Unix(0, 0)
+	sent := 0
+	for _, box := range names {
+		b := New(Config{Box: box.Name, Zone: "near-a", Region: "near", MaxShift: 1})
+		b.SetBoxes(names)
+		b.SetCold("s", ColdLimit{Time: 3 * time.Second, Rate: rate})
+		b.SetTargets(now, []Target{{ID: "cold", Service: "s", Zone: "near-a", Region: "near", Slots: 9, Cold: true, ColdLeft: 3 * time.Second}})
+		for i := range 1000 {
+			at := now.Add(time.Duration(i) * time.Millisecond)
+			c, err := b.Choose(at, Request{Service: "s", Route: "r", Key: "a", Objective: time.Second, Left: time.Second})
+			if err == nil {
+				sent++
+				b.Done(at, Report{TargetID: c.Target.ID, Route: "r", Outcome: Answered, Took: time.Millisecond})
+			}
+		}
+	}
+	if sent == 0 || float64(sent) > rate+coldBoxes {
+		t.Fatalf("%d requests in a second, the target bears %v", sent, rate)
+	}
+}
--- /dev/null
+++ b/pkg/retry/window_test.go
@@ -0,0 +1,58 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// In every span of the window's length the retries are at most the share of
+// the requests of that span and the one before, and the extra ones.
+func TestWindowBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const length, extra = 10 * time.Second, 5.0
+		w := NewWindow(0.2, length)
+		var firsts, retries []time.Duration
+		at := time.Duration(0)
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			at += time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond
+			if rapid.Bool().Draw(t, "first") {
+				w.First(at)
+				firsts = append(firsts, at)
+				continue
+			}
+			if w.Take(at, extra) {
+				retries = append(retries, at)
+			}
+		}
+		within := func(list []time.Duration, from, to time.Duration) (n int) {
+			for _, x := range list {
+				if x > from && x <= to {
+					n++
+				}
+			}
+			return n
+		}
+		for _, end := range retries {
+			n := within(retries, end-length, end)
+			allowed := 0.2*float64(within(firsts, end-2*length, end)) + extra
+			if float64(n) > allowed {
+				t.Fatalf("%d retries in the window that ends at %s, allowed %v", n, end, allowed)
+			}
+		}
+	})
+}
+
+func TestWindowWithoutRequestsGivesTheExtraOnes(t *testing.T) {
+	w := NewWindow(0.2, 10*time.Second)
+	taken := 0
+	for range 20 {
+		if w.Take(time.Second, 5) {
+			taken++
+		}
+	}
+	if taken != 4 { // 0.8 of five
+		t.Fatalf("%d taken", taken)
+	}
+}
