balance: give each object one home among the targets of all near regions

By the log the first answer of an object at a target takes 500 to 700 ms, a later one 200 to 250 ms, and two routes do not share what a target knows, though they may use the same keys. Ruled out: the way to other regions (70 ms of an objective of 300 to 500 ms).

Change: targets of regions that leave enough of the objective count like those of the own region; large answers stay at home. Objects are counted by route and for all regions. The slowly moving share is gone: objects keep their region.

--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -114,7 +114,6 @@
 		RetryShare:   s.RetryShare,
 		RetryExtra:   s.RetryExtra,
 		RetryWindow:  s.RetryWindow,
-		MaxShift:     s.MaxShift,
 		StopTime:     s.StopTime,
 		LogLevel:     zerolog.InfoLevel,
 		ReadyHandler: platform.ReadyHandler,
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -32,7 +32,6 @@
 	RetryShare  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
-	MaxShift    float64
 	// StopTime is how long after SIGTERM the process is killed.
 	StopTime time.Duration
 	LogLevel zerolog.Level
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -84,7 +84,7 @@
 		servedLines: newLineLimit(servedLines),
 		otherLines:  newLineLimit(otherLines),
 	}
-	d.balancing.balancer = balance.New(balance.Config{Box: c.Name, Zone: c.Zone, Region: c.Region, MaxShift: c.MaxShift})
+	d.balancing.balancer = balance.New(balance.Config{Box: c.Name, Zone: c.Zone, Region: c.Region})
 	d.balancing.budgets = make(map[string]*retry.Window)
 	d.balancing.shares = make(map[string]*weights)
 	d.connections = newConnections(d.metrics.connections.Inc)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -65,18 +65,21 @@
 	target  balance.Target
 	// left is what the target is told to have.
 	left time.Duration
-	// fresh tells whether the connection was new.
-	fresh bool
+	// connect is how long a new connection took; zero if it was not new.
+	connect time.Duration
 }
 
 // run sends the request and reads the answer. The context ends when the caller
 // leaves or the time is over.
 func (a *attempt) run(ctx context.Context) (*answer, *attemptError) {
+	began := time.Now()
 	c, err := a.gateway.connections.get(ctx, a.target.ID, a.target.Address)
 	if err != nil {
 		return nil, &attemptError{outcome: a.unless(ctx, balance.Unreachable), err: err}
 	}
-	a.fresh = !c.used
+	if !c.used {
+		a.connect = time.Since(began)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	out, err := a.exchange(c)
 	if err != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -171,8 +171,8 @@
 	out, failure := a.run(ctx)
 	took := time.Since(began)
 	c.tried = append(c.tried, choice.Target.ID)
-	c.last = attemptRecord{target: choice.Target, choice: choice, fresh: a.fresh, took: took}
-	report := balance.Report{TargetID: choice.Target.ID, Route: c.route.Name, Took: took}
+	c.last = attemptRecord{target: choice.Target, choice: choice, fresh: a.connect > 0, took: took}
+	report := balance.Report{TargetID: choice.Target.ID, Route: c.route.Name, Took: took, Connect: a.connect}
 	if failure != nil {
 		cancel(nil)
 		report.Outcome = c.judgeFailure(ctx, failure, took, choice)
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -13,9 +13,6 @@
 	Box    string
 	Zone   string
 	Region string
-	// MaxShift is the share of a region's requests that may change the region
-	// where they run within ShiftWindow.
-	MaxShift float64
 }
 
 // ColdLimit bounds the requests to a cold target of a service, all entry boxes
@@ -107,6 +104,10 @@
 	// keptObjects is how many objects a target is thought to keep in mind at
 	// least. Targets do not tell it; the users' keep 25 or more.
 	keptObjects = 24
+	// reachPart is the part of a route's objective that the way to another
+	// region and back may take; a target that knows the object needs about
+	// half of the objective.
+	reachPart = 0.4
 	// coldShare is the part of a cold target's rate that the boxes use
 	// together, and coldBoxes how many boxes share it: each may be one
 	// request ahead of its share.
@@ -118,7 +119,6 @@
 type service struct {
 	name    string
 	targets []*targetState
-	spill   spill
 	cold    ColdLimit
 	mean    time.Duration
 	objects objects
@@ -134,6 +134,9 @@
 	times     map[string]*times
 	evacuated map[string]bool
 	boxes     []Box
+	// distances are the shortest round trips to the regions; a region that is
+	// not known yet is thought to be near.
+	distances map[string]time.Duration
 }
 
 // New returns a balancer without targets.
@@ -144,6 +147,7 @@
 		byID:      make(map[string]*targetState),
 		times:     make(map[string]*times),
 		evacuated: make(map[string]bool),
+		distances: make(map[string]time.Duration),
 	}
 }
 
@@ -319,39 +323,42 @@
 	s := b.service(r.Service)
 	learned := b.timesOf(r)
 	key := b.keyHash(now, s, r)
-	var local, remote side
-	used, slots := 0.0, 0.0
+	var near, far side
 	for _, t := range s.targets {
-		if !b.isUsable(now, t) {
-			continue
-		}
-		d := &remote
-		if t.Region == b.config.Region {
-			d = &local
-			used += min(t.load(now), float64(t.Slots))
-			slots += float64(t.Slots)
-		}
-		if !r.allows(t) {
+		if !b.isUsable(now, t) || !r.allows(t) {
 			continue
 		}
 		if t.isCold(now) && !b.mayWarm(now, s, t) {
 			continue
 		}
+		d := &far
+		if b.inReach(t, r) {
+			d = &near
+		}
 		d.consider(ranked{target: t, rank: mix(key ^ t.hash), near: r.Near && t.Zone == b.config.Zone})
 	}
-	s.spill.update(now, used, slots, b.config.MaxShift, b.firstSpill(s, slots))
-	due := &local
-	if local.count == 0 || remote.count > 0 && !r.Near && s.spill.leaves(r.Key != "", key) {
-		due = &remote
+	due := &near
+	if near.count == 0 {
+		due = &far
 	}
-	chosen, wait := due.pick(now, s.preferred(now, r, due.usable), learned.mixed)
+	chosen, wait := due.pick(now, b.preferred(now, s, r, due.usable), learned.mixed)
 	if chosen == nil {
 		return Choice{}, &NoTargetError{Service: r.Service, Reason: ReasonNone, RetryAfter: firstRetryAfter}
 	}
 	if wait > b.longestWait(r, learned) {
 		return Choice{}, &NoTargetError{Service: r.Service, Reason: ReasonFull, RetryAfter: max(wait, leastRetryAfter)}
 	}
-	return b.take(now, s, chosen, wait, learned), nil
+	return b.take(now, chosen, wait, learned), nil
+}
+
+// inReach reports whether a target counts for the request like one of the
+// box's own region. A large answer stays in the region; other requests may go
+// as far as leaves enough of their objective for the target.
+func (b *Balancer) inReach(t *targetState, r Request) bool {
+	if t.Region == b.config.Region {
+		return true
+	}
+	return !r.Near && b.distances[t.Region] <= time.Duration(reachPart*float64(r.Objective))
 }
 
 func (b *Balancer) longestWait(r Request, learned *times) time.Duration {
@@ -362,7 +369,7 @@
 	return time.Duration(part * float64(max(r.Left-learned.warm, 0)))
 }
 
-func (b *Balancer) take(now time.Time, s *service, t *targetState, wait time.Duration, learned *times) Choice {
+func (b *Balancer) take(now time.Time, t *targetState, wait time.Duration, learned *times) Choice {
 	load := t.load(now)
 	t.inFlight++
 	if t.isCold(now) {
@@ -398,18 +405,31 @@
 		return mix(s.turns)
 	}
 	hash := xxhash.Sum64String(r.Key)
-	s.objects.note(now, hash)
+	s.objects.note(now, mix(hash)^xxhash.Sum64String(r.Route))
 	return hash
 }
 
 // preferred returns how many targets of a side an object may be sent to: as
 // many as can keep all objects in mind, so that the overflow of one target
 // does not make another forget what it keeps.
-func (s *service) preferred(now time.Time, r Request, usable int) int {
+func (b *Balancer) preferred(now time.Time, s *service, r Request, usable int) int {
 	if r.Key == "" {
 		return maxPreferred
 	}
-	return max(keptObjects*usable/max(s.objects.count(now), 1), 1)
+	all := float64(s.objects.count(now)) * b.regionsInUse()
+	return max(int(keptObjects*float64(usable)/max(all, 1)), 1)
+}
+
+// regionsInUse is by how much more objects there are than the callers of this
+// box's region ask for, if those of other regions ask for others of their own.
+func (b *Balancer) regionsInUse() float64 {
+	own := 0
+	for _, box := range b.boxes {
+		if box.Region == b.config.Region {
+			own++
+		}
+	}
+	return float64(max(len(b.boxes), 1)) / float64(max(own, 1))
 }
 
 // mayWarm reports whether this box may send a cold target a request now. A few
@@ -450,26 +470,6 @@
 	return min(count, coldBoxes)
 }
 
-// firstSpill guesses the share that leaves the region before anything was
-// measured, from the region's parts of the slots and of the entry boxes.
-func (b *Balancer) firstSpill(s *service, local float64) float64 {
-	all := 0.0
-	for _, t := range s.targets {
-		all += float64(t.Slots)
-	}
-	own := 0
-	for _, box := range b.boxes {
-		if box.Region == b.config.Region {
-			own++
-		}
-	}
-	if all == 0 || own == 0 {
-		return 0
-	}
-	traffic := float64(own) / float64(len(b.boxes))
-	return max(1-local/all/(assumedUse*traffic), 0)
-}
-
 // Outcome is what became of a request at a target.
 type Outcome int
 
@@ -504,6 +504,8 @@
 	// Load is what the answer told, if HasLoad.
 	Load    Load
 	HasLoad bool
+	// Connect is how long a new connection took to come up; zero if none was made.
+	Connect time.Duration
 }
 
 // Done takes what became of a request that was counted at a target.
@@ -515,6 +517,7 @@
 	if r.HasLoad {
 		t.noteLoad(now, r.Load)
 	}
+	b.noteDistance(t.Region, r.Connect)
 	t.inFlight = max(t.inFlight-1, 0)
 	switch r.Outcome {
 	case Answered:
@@ -529,6 +532,15 @@
 	}
 }
 
+func (b *Balancer) noteDistance(region string, connect time.Duration) {
+	if connect <= 0 {
+		return
+	}
+	if known, ok := b.distances[region]; !ok || connect < known {
+		b.distances[region] = connect
+	}
+}
+
 func (b *Balancer) noteTime(now time.Time, t *targetState, r Report) {
 	if learned := b.times[r.Route]; learned != nil {
 		learned.note(r.Took)
--- a/pkg/balance/balancer_test.go
+++ b/pkg/balance/balancer_test.go
@@ -17,7 +17,7 @@
 
 func newWorld(t *testing.T, near, far int) *world {
 	w := &world{t: t, now: time.Unix(0, 0)}
-	w.balancer = New(Config{Box: "box1", Zone: "near-a", Region: "near", MaxShift: 0.15})
+	w.balancer = New(Config{Box: "box1", Zone: "near-a", Region: "near"})
 	w.balancer.SetBoxes([]Box{{"box1", "near"}, {"box2", "far"}})
 	for i := range near {
 		w.add(fmt.Sprintf("near%d", i), "near")
@@ -50,25 +50,47 @@
 	w.balancer.Done(w.now, Report{TargetID: c.Target.ID, Route: "r", Outcome: o, Took: 100 * time.Millisecond})
 }
 
-// A request whose regions leave it no target at home says nothing about the
-// others: their share elsewhere must not change.
-func TestRequestWithRegionsDoesNotMoveTheOthers(t *testing.T) {
+// A request that another region must serve says nothing about the others, and
+// no load that a region can bear moves requests to another region.
+func TestRequestsKeepTheirRegion(t *testing.T) {
 	w := newWorld(t, 4, 4)
-	w.done(w.choose(w.request("a")), Answered)
-	elsewhere := w.request("a")
-	elsewhere.Regions = []string{"far"}
-	w.now = w.now.Add(10 * time.Millisecond)
-	if c := w.choose(elsewhere); c.Target.Region != "far" {
-		t.Fatalf("sent to %s", c.Target.ID)
-	}
-	for i := range 50 {
+	regionOf := make(map[string]string)
+	for i := range 200 {
 		w.now = w.now.Add(10 * time.Millisecond)
-		c := w.choose(w.request(fmt.Sprint(i)))
+		key := fmt.Sprint(i % 50)
+		bound := w.request(key)
+		bound.Regions = []string{"far"}
+		w.done(w.choose(bound), Answered)
+		c := w.choose(w.request(key))
+		if at, ok := regionOf[key]; ok && at != c.Target.Region {
+			t.Fatalf("object %s moved from %s to %s", key, at, c.Target.Region)
+		}
+		regionOf[key] = c.Target.Region
+		w.done(c, Answered)
+	}
+}
+
+// Large answers, and requests whose objective leaves no time for the way,
+// stay in the region while it has a target.
+func TestFarRegionIsTheLastResort(t *testing.T) {
+	w := newWorld(t, 1, 8)
+	large := w.request("a")
+	large.Near = true
+	hasty := w.request("a")
+	hasty.Objective = 100 * time.Millisecond
+	w.balancer.Done(w.now, Report{TargetID: "far0", Route: "r", Outcome: Answered, Took: 100 * time.Millisecond, Connect: 70 * time.Millisecond})
+	for _, r := range []Request{large, hasty} {
+		c := w.choose(r)
 		if c.Remote {
-			t.Fatalf("request %d left the region", i)
+			t.Fatalf("%+v left the region", r)
 		}
 		w.done(c, Answered)
 	}
+	w.targets[0].Draining = true
+	w.balancer.SetTargets(w.now, w.targets)
+	if c := w.choose(large); !c.Remote {
+		t.Fatal("the region has no target left")
+	}
 }
 
 func TestSameObjectGoesToTheSameTarget(t *testing.T) {
@@ -129,7 +151,7 @@
 	now := time.Unix(0, 0)
 	sent := 0
 	for _, box := range names {
-		b := New(Config{Box: box.Name, Zone: "near-a", Region: "near", MaxShift: 1})
+		b := New(Config{Box: box.Name, Zone: "near-a", Region: "near"})
 		b.SetBoxes(names)
 		b.SetCold("s", ColdLimit{Time: 3 * time.Second, Rate: rate})
 		b.SetTargets(now, []Target{{ID: "cold", Service: "s", Zone: "near-a", Region: "near", Slots: 9, Cold: true, ColdLeft: 3 * time.Second}})
