entry: count the bytes of answers in the fault matrix under its lock

Cause: the race detector over all packages named g.mid in watch, written from several connections at once, so that the verdict of the cells of midAnswer hung on timing. Change: the count is taken under the trigger's lock; the cells still have to reach their step, as the matrix checks.

--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -149,6 +149,15 @@
 	fire(at)
 }
 
+// pastMiddle counts bytes of answers and reports whether half of an export has
+// gone. Answers are written on several connections at once.
+func (g *trigger) pastMiddle(bytes int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.mid += bytes
+	return g.mid > exportBytes/2
+}
+
 func (g *trigger) arm(step string, fire func(at reached)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -188,7 +197,7 @@
 			if bytes.Contains(data, []byte("/toggle ")) {
 				g.reach("firstByte", at)
 			}
-			if g.mid += len(data); g.mid > exportBytes/2 {
+			if g.pastMiddle(len(data)) {
 				g.reach("midAnswer", at)
 			}
 		case at.box != "" && to == callerHost && bytes.Contains(data, []byte(caller.HeaderOutcome)) && bytes.Contains(data, []byte("toggle")):
