--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -114,6 +114,7 @@
 		RetryShare:   s.RetryShare,
 		RetryExtra:   s.RetryExtra,
 		RetryWindow:  s.RetryWindow,
+		LinkBytes:    s.LinkBytes,
 		StopTime:     s.StopTime,
 		LogLevel:     zerolog.InfoLevel,
 		ReadyHandler: platform.ReadyHandler,
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -28,7 +28,7 @@
 	if r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
 		return &requestBody{}, nil
 	}
-	data, more, err := readUpTo(r.Body, r.ContentLength, wholeBody)
+	data, more, err := readUpTo(r.Body, r.ContentLength, wholeBody, func() bool { return false })
 	if err != nil {
 		return nil, errors.Wrap(err, "reading the request's body")
 	}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -32,6 +32,8 @@
 	RetryShare  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// LinkBytes is how many bytes a second the box's link carries; zero for no bound.
+	LinkBytes float64
 	// StopTime is how long after SIGTERM the process is killed.
 	StopTime time.Duration
 	LogLevel zerolog.Level
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -41,6 +41,7 @@
 	following   *relay.Following
 	controls    *controls
 	connections *connections
+	shaper      *shaper
 	metrics     *metrics
 	servedLines *lineLimit
 	otherLines  *lineLimit
@@ -88,6 +89,7 @@
 	d.balancing.budgets = make(map[string]*retry.Window)
 	d.balancing.shares = make(map[string]*weights)
 	d.connections = newConnections(d.metrics.connections.Inc)
+	d.shaper = newShaper(c.LinkBytes)
 	d.controls = newControls(c.Seeds)
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(c.Name + p.Incarnation)) // a hash takes every write
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -16,6 +16,9 @@
 	// wholeAnswer is the largest answer that is read to its end before the
 	// caller gets any of it, so that a broken one can be repeated.
 	wholeAnswer = 256 << 10
+	// collectTime is for how long an answer is collected: one that takes
+	// longer, on a narrow link, is passed on as it comes.
+	collectTime = 40 * time.Millisecond
 	// maxSkipped bounds the answers to earlier requests that are passed over.
 	maxSkipped = 4
 )
@@ -170,7 +173,9 @@
 		}
 		_ = c.Close()
 	}
-	body, more, err := readUpTo(response.Body, response.ContentLength, wholeAnswer)
+	began := time.Now()
+	slow := func() bool { return time.Since(began) > collectTime }
+	body, more, err := readUpTo(response.Body, response.ContentLength, wholeAnswer, slow)
 	if err != nil {
 		return nil, errors.Wrap(err, "reading the body of the answer")
 	}
@@ -186,8 +191,9 @@
 	return out, nil
 }
 
-// readUpTo reads a body to its end, or its first limit bytes.
-func readUpTo(body io.Reader, length int64, limit int) (data []byte, more bool, err error) {
+// readUpTo reads a body to its end, or its first limit bytes, or what has come
+// when enough says so.
+func readUpTo(body io.Reader, length int64, limit int, enough func() bool) (data []byte, more bool, err error) {
 	const first = 512
 	size := first
 	if length >= 0 {
@@ -206,7 +212,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if len(data) >= limit {
+		if len(data) >= limit || enough() {
 			return data, true, nil
 		}
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -314,7 +314,7 @@
 		return
 	}
 	if err == nil {
-		_, err = io.Copy(c.writer, out.rest)
+		err = c.gateway.shaper.copy(c.request.Context(), c.writer, out.rest)
 	}
 	out.finish(err == nil)
 	c.log(out.status, "", err)
