--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -175,6 +175,8 @@
 
 // Run serves until the context ends or the disk fails, and then closes.
 func (d *Daemon) Run(ctx context.Context) error {
+	d.process.Log.Info().Str("kind", "start").Str("incarnation", d.process.Incarnation).Str("replica", d.replica.id).
+		Strs("peers", d.config.Peers).Bool("mayForm", d.config.MayForm).Msg("control replica starts")
 	loop, stopLoop := context.WithCancel(context.Background())
 	failed := make(chan error, 1)
 	go func() { failed <- d.replica.run(loop) }()
@@ -202,6 +204,7 @@
 	<-ended
 	stopLoop()
 	<-failed
+	d.process.Log.Info().Str("kind", "stop").AnErr("cause", err).Msg("control replica stops")
 	return errors.Join(err, d.close())
 }
 
--- a/internal/gateway/controls.go
+++ b/internal/gateway/controls.go
@@ -26,9 +26,26 @@
 	seeds   []string
 	members []string
 	asked   int
+	// silent holds the replicas that did not take the last report.
+	silent map[string]bool
 }
 
-func newControls(seeds []string) *controls { return &controls{seeds: slices.Clone(seeds)} }
+func newControls(seeds []string) *controls {
+	return &controls{seeds: slices.Clone(seeds), silent: make(map[string]bool)}
+}
+
+// note takes whether a replica answered and reports whether that is news.
+func (c *controls) note(address string, answered bool) (news bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	news = c.silent[address] == answered
+	if answered {
+		delete(c.silent, address)
+		return news
+	}
+	c.silent[address] = true
+	return news
+}
 
 // all returns the peer addresses of all known replicas.
 func (c *controls) all() []string {
@@ -110,7 +127,7 @@
 	defer cancel()
 	answer, err := d.node.Call(ctx, address, &wire.CallRequest{Hello: &wire.HelloRequest{}})
 	if err != nil {
-		d.log.Debug().Str("kind", "control").Str("address", address).Err(err).Msg("a control replica does not answer")
+		d.noteControl(address, err)
 		return
 	}
 	if answer.GetHello().GetLeader() == "" || !d.controls.setMembers(answer.Hello.Membership) {
@@ -158,7 +175,8 @@
 		go func() {
 			request := &wire.CallRequest{Report: &wire.Report{Boxes: []*wire.BoxReport{report}}}
 			// One that does not answer is told again at the next interval.
-			_, _ = d.node.Call(ctx, address, request)
+			_, err := d.node.Call(ctx, address, request)
+			d.noteControl(address, err)
 			done <- struct{}{}
 		}()
 	}
@@ -166,3 +184,15 @@
 		<-done
 	}
 }
+
+// noteControl tells that a control replica was lost or is back.
+func (d *Daemon) noteControl(address string, err error) {
+	if !d.controls.note(address, err == nil) {
+		return
+	}
+	if err != nil {
+		d.log.Warn().Str("kind", "control").Str("address", address).Err(err).Msg("a control replica does not answer")
+		return
+	}
+	d.log.Info().Str("kind", "control").Str("address", address).Msg("a control replica answers again")
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -12,11 +12,10 @@
 )
 
 // putInForce takes the next state from control.
-func (d *Daemon) putInForce(s steering.State, commands []*wire.Command) {
+func (d *Daemon) putInForce(s steering.State, _ []*wire.Command) {
 	c := s.Catalog()
 	d.putRoutes(c, s.Version())
 	d.putTargets(c, s.Version())
-	_ = commands
 }
 
 func (d *Daemon) putRoutes(c catalog.State, version uint64) {
@@ -118,8 +117,22 @@
 func (d *Daemon) done(r balance.Report) {
 	d.metrics.attempts.WithLabelValues(r.Outcome.String()).Inc()
 	d.balancing.Lock()
-	defer d.balancing.Unlock()
-	d.balancing.balancer.Done(time.Now(), r)
+	change := d.balancing.balancer.Done(time.Now(), r)
+	d.balancing.Unlock()
+	d.noteTarget(change, r)
+}
+
+// noteTarget tells that a target was lost or is back.
+func (d *Daemon) noteTarget(change balance.Change, r balance.Report) {
+	if change == balance.Unchanged || !d.otherLines.take(time.Now()) {
+		return
+	}
+	line := d.log.Warn().Str("kind", "target").Str("target", r.TargetID).Str("outcome", r.Outcome.String()).Dur("took", r.Took)
+	if change == balance.LeftOut {
+		line.Msg("target is left out for a while")
+		return
+	}
+	line.Msg("target answers again")
 }
 
 func (d *Daemon) noteCold(target string, left time.Duration) {
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -508,28 +508,46 @@
 	Connect time.Duration
 }
 
+// Change is what a report changed about a target.
+type Change int
+
+// The changes of a target.
+const (
+	Unchanged Change = iota
+	// LeftOut: the target could not be reached and gets nothing for a while.
+	LeftOut
+	// Returned: a target that was left out has answered.
+	Returned
+)
+
 // Done takes what became of a request that was counted at a target.
-func (b *Balancer) Done(now time.Time, r Report) {
+func (b *Balancer) Done(now time.Time, r Report) Change {
 	t := b.byID[r.TargetID]
 	if t == nil {
-		return
+		return Unchanged
 	}
 	if r.HasLoad {
 		t.noteLoad(now, r.Load)
 	}
 	b.noteDistance(t.Region, r.Connect)
 	t.inFlight = max(t.inFlight-1, 0)
+	wasOut := t.failures > 0
 	switch r.Outcome {
 	case Answered:
-		t.failures = 0
 		b.noteTime(now, t, r)
 	case TurnedAway:
-		t.failures = 0
 		b.noteFull(now, t, r)
 	case Unreachable, Stuck:
 		t.noteUnreachable(now)
+		return LeftOut
 	case Broken, Dropped:
+		return Unchanged
+	}
+	t.failures = 0
+	if wasOut {
+		return Returned
 	}
+	return Unchanged
 }
 
 func (b *Balancer) noteDistance(region string, connect time.Duration) {
