consensus: let a replica that starts stand for election sooner

By the log the boxes were back after 0.05 s and refused with noRoutes for 2.1 s more, until a leader was elected; the first election was split among three candidates. Ruled out: starting (30 ms), the disk, following (boxes had the routes with the first update of the leader).

Change: a replica that starts waits for a quarter of the election timeout and the same spread, and a candidate for half of it. Log lines tell milliseconds.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -27,6 +27,8 @@
 	incarnationBytes = 4
 	stopTimeout      = 30 * time.Second
 	timelineName     = "timeline"
+	// logTimeFormat tells milliseconds: what a box believes changes within them.
+	logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
 	// maxTimelineBytes is when the time line's file is begun anew; the file
 	// before is kept.
 	maxTimelineBytes = 8 << 20
@@ -53,6 +55,7 @@
 		Metrics:     prometheus.NewRegistry(),
 		Clock:       timeline.NewClock(time.Now),
 	}
+	zerolog.TimeFieldFormat = logTimeFormat
 	p.Log = zerolog.New(log).Level(level).With().Timestamp().Str("process", name).Logger()
 	p.Metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	p.events = prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/pkg/consensus/replica.go
+++ b/pkg/consensus/replica.go
@@ -50,6 +50,14 @@
 	defaultMaxBatch        = 64
 	defaultTrailing        = 256
 	heartbeatsPerElection  = 5
+	// firstElectionPart is the part of the election timeout that a replica
+	// waits for a leader after its start: where one leads, the others tell so
+	// before any term changes, and where all have started at once, nothing is
+	// served until one is elected.
+	firstElectionPart = 4
+	// nextElectionPart is the part that a candidate waits for votes: an
+	// election takes two round trips and a sync.
+	nextElectionPart = 2
 )
 
 func (c Config) withDefaults() Config {
@@ -137,7 +145,7 @@
 			return nil, err
 		}
 	}
-	r.resetElection()
+	r.electionAt = now.Add(r.spread(r.config.ElectionTimeout / firstElectionPart))
 	return r, nil
 }
 
@@ -196,8 +204,17 @@
 }
 
 func (r *Replica) resetElection() {
-	spread := time.Duration(r.random.Int64N(int64(r.config.ElectionTimeout)))
-	r.electionAt = r.now.Add(r.config.ElectionTimeout + spread)
+	least := r.config.ElectionTimeout
+	if r.role == PreCandidate || r.role == Candidate {
+		least /= nextElectionPart
+	}
+	r.electionAt = r.now.Add(r.spread(least))
+}
+
+// spread returns a time from least to an election timeout more, so that
+// replicas do not stand for election all at once.
+func (r *Replica) spread(least time.Duration) time.Duration {
+	return least + time.Duration(r.random.Int64N(int64(r.config.ElectionTimeout)))
 }
 
 // becomeFollower enters term, forgetting the vote if the term is new.
