soak: run the real programs under faults from outside

Real control replicas and entry boxes as processes on loopback, each with an address of its own; proxies that delay, reset, silence or cut one way between the replicas, towards targets and callers; processes killed, paused, stopped and restarted by their ids, disks emptied, targets that drain, crash and lose answers, changed routes and evacuations, overlapping, by the plan of a seed. Checked: runs of requests that may run once, true refusals with a time to come back, whole answers, drains, planned stops, documents read back, processes that end by themselves, and service once all is well again.

A replica may listen elsewhere than where others are told to reach it.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(CURDIR)/bin
 export GOFLAGS := -buildvcs=false
 
-.PHONY: build demo demo-portal drill test faults fault-pairs measure generate
+.PHONY: build demo demo-portal drill soak test faults fault-pairs measure generate
 
 build:
 	go build -o $(GOBIN)/ledgesill .
@@ -18,6 +18,12 @@
 drill: build
 	contrib/demo/run.sh $(GOBIN) flagpost drill
 
+# Real processes under faults by the plan of seeds: SEEDS=1-50 make soak
+SEEDS_OF_SOAK := $(or $(SEEDS),1)
+soak: build
+	go build -o $(GOBIN)/soak ./contrib/soak
+	$(GOBIN)/soak -binary $(GOBIN)/ledgesill -seeds $(SEEDS_OF_SOAK)
+
 # Fixed seeds, so that the verdict is the same every time.
 test:
 	RAPID_SEED=1 RAPID_NOFAILFILE=1 go test ./...
--- /dev/null
+++ b/contrib/soak/main.go
@@ -0,0 +1,161 @@
+// Command soak runs the real programs as separate processes on loopback,
+// disturbs them from outside by the plan of a seed and checks their promises
+// by what callers, targets and operators see.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Lengths of the parts of a run.
+const (
+	formTime  = 15 * time.Second
+	quietTime = 6 * time.Second
+	// servedShare is the part of the requests that must be served once all is
+	// well again.
+	servedShare = 0.9
+	// networks is how many loopback networks the runs take in turn.
+	networks = 200
+)
+
+func main() {
+	binary := flag.String("binary", "bin/ledgesill", "the program")
+	seeds := flag.String("seeds", "1", "seeds, or a range such as 1-50")
+	length := flag.Duration("length", 10*time.Second, "how long faults come")
+	controls := flag.Int("controls", 3, "control replicas")
+	entries := flag.Int("entries", 3, "entry boxes")
+	targets := flag.Int("targets", 6, "targets")
+	clients := flag.Int("clients", 8, "clients")
+	network := flag.Int("network", 0, "number of the first loopback network, so that several soaks can run at once")
+	keep := flag.String("keep", "", "folder for the logs of runs that fail")
+	flag.Parse()
+	list, err := seedList(*seeds)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(2)
+	}
+	failed := 0
+	for i, seed := range list {
+		n := size{*controls, *entries, *targets, *clients}
+		if err := runSeed(*binary, (*network+i)%networks, seed, n, *length, *keep); err != nil {
+			fmt.Printf("seed %d failed:\n%v\n", seed, err)
+			failed++
+		}
+	}
+	fmt.Printf("soak: %d passed, %d failed\n", len(list)-failed, failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+func seedList(text string) ([]uint64, error) {
+	var out []uint64
+	for _, part := range strings.Split(text, ",") {
+		first, last, isRange := strings.Cut(part, "-")
+		a, err := strconv.ParseUint(first, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("seed %q: %w", part, err)
+		}
+		b := a
+		if isRange {
+			if b, err = strconv.ParseUint(last, 10, 64); err != nil || b < a {
+				return nil, fmt.Errorf("range of seeds %q", part)
+			}
+		}
+		for s := a; s <= b; s++ {
+			out = append(out, s)
+		}
+	}
+	return out, nil
+}
+
+// runSeed runs one seed and returns what was seen broken.
+func runSeed(binary string, run int, seed uint64, n size, length time.Duration, keep string) error {
+	folder, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return err
+	}
+	w, err := newWorld(binary, folder, run, seed, n)
+	if err == nil {
+		w.play(n.clients, length)
+	}
+	w.close()
+	if err != nil {
+		return err
+	}
+	failed := w.promises.list()
+	fmt.Printf("seed %d: %s\n", seed, w.counts.String())
+	if len(failed) == 0 {
+		return os.RemoveAll(folder)
+	}
+	if keep != "" {
+		to := filepath.Join(keep, fmt.Sprint("seed", seed))
+		if err := os.Rename(folder, to); err == nil {
+			folder = to
+		}
+	}
+	return fmt.Errorf("  %s\n  logs: %s", strings.Join(failed, "\n  "), folder)
+}
+
+// play forms the system, disturbs it under traffic and looks at it once all is
+// well again.
+func (w *world) play(clients int, length time.Duration) {
+	if !w.changeConfig(formTime) {
+		w.promises.broken("the first document was not taken in %s", formTime)
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	seen := make(chan []attemptRecord, 1)
+	go func() { seen <- w.traffic(ctx, clients) }()
+	w.disturbances(length)
+	time.Sleep(quietTime)
+	good := time.Now()
+	if !w.changeConfig(formTime) && !w.readBack() {
+		w.promises.broken("no change is taken after all is well again")
+	}
+	time.Sleep(quietTime / 2)
+	cancel()
+	records := <-seen
+	w.checkRuns(records)
+	w.checkServed(records, good)
+	if !w.readBack() {
+		w.promises.broken("the document can't be read back")
+	}
+	w.checkEnds()
+}
+
+// readBack reads the document until one replica gives it.
+func (w *world) readBack() bool {
+	end := time.Now().Add(formTime)
+	for i := 0; time.Now().Before(end); i++ {
+		list := w.controlAddresses()
+		if w.readConfig(list[i%len(list)]) {
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+func (w *world) checkServed(records []attemptRecord, since time.Time) {
+	all, served := 0, 0
+	for _, r := range records {
+		if r.sent.Before(since) {
+			continue
+		}
+		all++
+		if r.status == 200 {
+			served++
+		}
+	}
+	if all == 0 || float64(served) < servedShare*float64(all) {
+		w.promises.broken("%d of %d requests were served after all was well again", served, all)
+	}
+}
--- /dev/null
+++ b/contrib/standin/served.go
@@ -0,0 +1,238 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Run is one run of a request at a served target.
+type Run struct {
+	At     time.Time
+	Target string
+}
+
+// Ledger counts the runs of requests at all served targets, by attempt id.
+type Ledger struct {
+	mu   sync.Mutex
+	runs map[string][]Run
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{runs: make(map[string][]Run)} }
+
+func (l *Ledger) add(id string, r Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id] = append(l.runs[id], r)
+}
+
+// Runs returns the runs of an attempt.
+func (l *Ledger) Runs(id string) []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Run(nil), l.runs[id]...)
+}
+
+// Served is a stand-in for a target of the users' platform: it registers
+// itself, works on a few requests at once and refuses the rest.
+type Served struct {
+	ID      string
+	Service string
+	Zone    string
+	// Announced is the address that it registers.
+	Announced string
+	// Controls returns the addresses that it may call.
+	Controls func() []string
+
+	ledger   *Ledger
+	listener net.Listener
+	server   *http.Server
+	slots    chan struct{}
+	work     time.Duration
+	calls    *http.Client
+
+	mu       sync.Mutex
+	draining bool
+	sequence uint64
+	// DrainedAt is when its drain was acknowledged; zero if it was not.
+	drainedAt time.Time
+	loseShare int
+	requests  int
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      chan struct{}
+}
+
+const (
+	servedSlots       = 4
+	servedHeartbeat   = 500 * time.Millisecond
+	servedCallTimeout = time.Second
+)
+
+// NewServed returns a target that listens on an address. Start must follow.
+func NewServed(id, service, zone, listen string, work time.Duration, ledger *Ledger) (*Served, error) {
+	l, err := net.Listen("tcp4", listen)
+	if err != nil {
+		return nil, fmt.Errorf("listening as a target: %w", err)
+	}
+	s := &Served{
+		ID: id, Service: service, Zone: zone, Announced: l.Addr().String(), ledger: ledger, listener: l,
+		slots: make(chan struct{}, servedSlots), work: work, done: make(chan struct{}),
+		calls: &http.Client{Timeout: servedCallTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	s.server = &http.Server{Handler: s}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s, nil
+}
+
+// Address is where it listens.
+func (s *Served) Address() string { return s.listener.Addr().String() }
+
+// Start serves and sends heartbeats until Close.
+func (s *Served) Start() {
+	go func() { _ = s.server.Serve(s.listener) }() // ends with Close
+	go s.beat()
+}
+
+// Lose makes it lose the answer of one of n requests that it ran; 0 for none.
+func (s *Served) Lose(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseShare = n
+}
+
+// Drain makes its next words say that it leaves.
+func (s *Served) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+// DrainedAt returns when its drain was acknowledged; zero if it was not.
+func (s *Served) DrainedAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drainedAt
+}
+
+func (s *Served) beat() {
+	defer close(s.done)
+	for n := 0; ; n++ {
+		s.tell(n)
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-time.After(servedHeartbeat):
+		}
+	}
+}
+
+// tell sends one heartbeat, to one control replica after the other until one
+// takes it.
+func (s *Served) tell(n int) {
+	s.mu.Lock()
+	s.sequence++
+	draining := s.draining
+	state := "ready"
+	if draining {
+		state = "draining"
+	}
+	body, err := json.Marshal(map[string]any{
+		"service": s.Service, "address": s.Announced, "zone": s.Zone, "version": "v1", "slots": servedSlots,
+		"state": state, "warmupLeft": "0ms", "seq": s.sequence,
+	})
+	s.mu.Unlock()
+	if err != nil {
+		return
+	}
+	controls := s.Controls()
+	for i := range controls {
+		if s.call(http.MethodPut, controls[(n+i)%len(controls)], body) {
+			if draining {
+				s.noteDrained()
+			}
+			return
+		}
+	}
+}
+
+func (s *Served) noteDrained() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.drainedAt.IsZero() {
+		s.drainedAt = time.Now()
+	}
+}
+
+func (s *Served) call(method, control string, body []byte) bool {
+	r, err := http.NewRequestWithContext(s.ctx, method, "http://"+control+"/ledgesill/instances/"+s.ID, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	answer, err := s.calls.Do(r)
+	if err != nil {
+		return false
+	}
+	defer answer.Body.Close()
+	_, _ = io.Copy(io.Discard, answer.Body) // only the status counts
+	return answer.StatusCode == http.StatusOK
+}
+
+// ServeHTTP works on a request.
+func (s *Served) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Ledgesill-Attempt-Id")
+	w.Header().Set("X-Ledgesill-Attempt-Id", id)
+	if want := r.Header.Get("X-Ledgesill-Expect-Instance"); want != "" && want != s.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	default:
+		w.Header().Set("X-Ledgesill-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.ledger.add(id, Run{At: time.Now(), Target: s.ID})
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(s.work)
+	if s.loses() {
+		panic(http.ErrAbortHandler)
+	}
+	answer := Answer(id, r.URL.Path, body)
+	w.Header().Set("X-Ledgesill-Server-Seal", s.ID)
+	w.Header().Set("X-Ledgesill-Server-Load", fmt.Sprintf("%d,0,%d", len(s.slots), servedSlots))
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	_, _ = w.Write(answer) // the caller sees a broken answer
+}
+
+// Answer is what a served target answers to a request.
+func Answer(id, path string, body []byte) []byte {
+	return []byte(fmt.Sprintf("%s %s %d %s", id, path, len(body), bytes.Repeat([]byte{'.'}, len(id)*20)))
+}
+
+func (s *Served) loses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests++
+	return s.loseShare > 0 && s.requests%s.loseShare == 0
+}
+
+// Close ends it at once, as a crash does.
+func (s *Served) Close() {
+	s.cancel()
+	_ = s.server.Close()
+	<-s.done
+}
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -37,10 +37,13 @@
 const (
 	// collectorPercent keeps the heap small: memory is dear on the users'
 	// boxes and the heap of a box is a few megabytes.
-	collectorPercent = 50
+	collectorPercent = 25
 	// memoryShare is the part of the memory limit at which the collector works
 	// harder.
 	memoryShare = 0.7
+	// peerListenVariable names where a control replica listens for the others,
+	// if they reach it through a proxy.
+	peerListenVariable = config.Prefix + "_PEER_LISTEN"
 	// metricsPort is where an entry box tells its metrics.
 	metricsPort = ":9464"
 	// electionTimeout of control replicas: several round trips of 70 ms and
@@ -156,6 +159,7 @@
 	}
 	d, err := control.Open(config.Control{
 		Common:          config.Common{Name: s.Name, PeerAddress: s.Peers, OperatorAddress: s.OwnOperators, LogLevel: "info"},
+		PeerListen:      os.Getenv(peerListenVariable),
 		Folder:          s.Folder,
 		Peers:           s.Seeds,
 		ElectionTimeout: electionTimeout,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -100,6 +100,9 @@
 	Token           string
 	ElectionTimeout time.Duration
 	SnapshotEvery   int
+	// PeerListen is where the replica listens for other processes, if that is not
+	// PeerAddress, at which the others reach it: behind a proxy.
+	PeerListen string
 	// Seeded tells that Peers are only some of the control replicas, by which
 	// the others are found; the membership then grows by those that ask to join.
 	Seeded bool
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -108,7 +109,8 @@
 	}
 	id := link.Identity{Name: d.config.Name, Incarnation: d.process.Incarnation}
 	handlers := link.Handlers{Consensus: d.serveConsensus, Subscribe: d.serveSubscriber, Call: d.serveCall, Refused: d.process.LinkRefused}
-	if d.node, err = link.Listen(link.TCP(), d.config.PeerAddress, id, d.process.Clock, handlers, secure); err != nil {
+	listen := cmp.Or(d.config.PeerListen, d.config.PeerAddress)
+	if d.node, err = link.Listen(link.TCP(), listen, id, d.process.Clock, handlers, secure); err != nil {
 		return err
 	}
 	if d.operators, err = net.Listen("tcp", d.config.OperatorAddress); err != nil {
