balance: leave a target out that breaks every answer

By the logs each box went on sending to a target that had crashed behind a proxy: the connection comes up and is reset with the first request. Only connections that can't be had counted against a target. Ruled out: the registration (a target that crashes says nothing, and the boxes of a zone that is cut off must not lose theirs).

Change: three broken answers in a row leave a target out as long as one that can't be reached. TestTargetThatBreaksEveryAnswerIsLeftOut failed before.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	contrib/demo/run.sh $(GOBIN) flagpost drill
 
 # Real processes under faults by the plan of seeds: SEEDS=1-50 make soak
-SEEDS_OF_SOAK := $(or $(SEEDS),1)
+SEEDS_OF_SOAK := $(or $(SEEDS),@contrib/soak/seeds.txt)
 soak: build
 	go build -o $(GOBIN)/soak ./contrib/soak
 	$(GOBIN)/soak -binary $(GOBIN)/ledgesill -seeds $(SEEDS_OF_SOAK)
--- a/contrib/soak/main.go
+++ b/contrib/soak/main.go
@@ -27,7 +27,7 @@
 
 func main() {
 	binary := flag.String("binary", "bin/ledgesill", "the program")
-	seeds := flag.String("seeds", "1", "seeds, or a range such as 1-50")
+	seeds := flag.String("seeds", "1", "seeds, ranges such as 1-50, and @FILE for seeds in a file")
 	length := flag.Duration("length", 10*time.Second, "how long faults come")
 	controls := flag.Int("controls", 3, "control replicas")
 	entries := flag.Int("entries", 3, "entry boxes")
@@ -58,6 +58,14 @@
 func seedList(text string) ([]uint64, error) {
 	var out []uint64
 	for _, part := range strings.Split(text, ",") {
+		if name, ok := strings.CutPrefix(part, "@"); ok {
+			list, err := seedFile(name)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, list...)
+			continue
+		}
 		first, last, isRange := strings.Cut(part, "-")
 		a, err := strconv.ParseUint(first, 10, 64)
 		if err != nil {
@@ -76,6 +84,25 @@
 	return out, nil
 }
 
+// seedFile reads the seed at the beginning of each line; the rest of the line
+// tells why it is kept.
+func seedFile(name string) ([]uint64, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("reading seeds: %w", err)
+	}
+	var out []uint64
+	for _, line := range strings.Split(strings.TrimSpace(string(data)), "\n") {
+		first, _, _ := strings.Cut(line, " ")
+		seed, err := strconv.ParseUint(first, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		out = append(out, seed)
+	}
+	return out, nil
+}
+
 // runSeed runs one seed and returns what was seen broken.
 func runSeed(binary string, run int, seed uint64, n size, length time.Duration, keep string) error {
 	folder, err := os.MkdirTemp("", "soak")
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -540,10 +540,17 @@
 	case Unreachable, Stuck:
 		t.noteUnreachable(now)
 		return LeftOut
-	case Broken, Dropped:
+	case Broken:
+		if t.broken++; t.broken >= maxBroken {
+			t.noteUnreachable(now)
+			return LeftOut
+		}
+		return Unchanged
+	case Dropped:
 		return Unchanged
 	}
 	t.failures = 0
+	t.broken = 0
 	if wasOut {
 		return Returned
 	}
--- a/pkg/balance/balancer_test.go
+++ b/pkg/balance/balancer_test.go
@@ -168,3 +168,28 @@
 		t.Fatalf("%d requests in a second, the target bears %v", sent, rate)
 	}
 }
+
+// A target that takes requests and breaks every one of them is left out like
+// one that can't be reached, and tried again later.
+func TestTargetThatBreaksEveryAnswerIsLeftOut(t *testing.T) {
+	w := newWorld(t, 2, 0)
+	bad := w.choose(w.request("a")).Target.ID
+	w.done(Choice{Target: Target{ID: bad}}, Answered)
+	broken := 0
+	for range 20 {
+		c := w.choose(w.request("a"))
+		outcome := Answered
+		if c.Target.ID == bad {
+			outcome = Broken
+			broken++
+		}
+		w.done(c, outcome)
+	}
+	if broken != maxBroken {
+		t.Fatalf("%d requests were broken in a row, %d are enough", broken, maxBroken)
+	}
+	w.now = w.now.Add(longestEjection)
+	if c := w.choose(w.request("a")); c.Target.ID != bad {
+		t.Fatal("it is not tried again")
+	}
+}
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -45,6 +45,10 @@
 	// reached is left out, doubled with each failure in a row.
 	firstEjection   = 250 * time.Millisecond
 	longestEjection = 2 * time.Second
+	// maxBroken is how many answers in a row may break before the target is
+	// left out like one that can't be reached. Single ones break also at sound
+	// targets.
+	maxBroken = 3
 	// paceWeight is the weight of one observation in a target's pace.
 	paceWeight = 0.2
 	// slowPace is how many times slower than the service's mean a target must
@@ -66,6 +70,8 @@
 	// failures in a row, and until when the target is left out for them.
 	failures     int
 	ejectedUntil time.Time
+	// broken counts the answers that broke since the last whole one.
+	broken int
 	// pace is the mean time of its answers relative to the service's.
 	pace   float64
 	paceAt time.Time
