balance, gateway, soak: split large files, drop what nothing reads

Settings that nothing used are no longer read. Entry boxes tell the age of control's word and dropped log lines as metrics.

--- a/contrib/soak/faults.go
+++ b/contrib/soak/faults.go
@@ -32,7 +32,7 @@
 		{"stop control", func(w *world, r *rand.Rand) { w.stop(pick(r, w.controls)) }},
 		{"hang up", func(w *world, r *rand.Rand) { pick(r, append(w.entries, w.controls...)).signal(syscall.SIGHUP) }},
 		{"wipe control", func(w *world, r *rand.Rand) { w.wipe(pick(r, w.controls)) }},
-		{"links of control", func(w *world, r *rand.Rand) { w.disturb(pick(r, w.controls).name+" peers", r) }},
+		{"links of control", func(w *world, r *rand.Rand) { w.disturbLinks(pick(r, w.controls), r) }},
 		{"calls of control", func(w *world, r *rand.Rand) { w.disturb(pick(r, w.controls).name+" calls", r) }},
 		{"link of target", func(w *world, r *rand.Rand) { w.disturb(w.anyTarget(r), r) }},
 		{"lost answers", func(w *world, r *rand.Rand) { w.loseAnswers(r) }},
@@ -43,8 +43,7 @@
 	}
 }
 
-// claim keeps two faults from the same process at once; one disk may be lost
-// at a time, and only while no control replica is down.
+// claims keep two faults from the same process at once.
 var claims sync.Map
 
 func claim(p *process) bool {
@@ -52,6 +51,24 @@
 	return !taken
 }
 
+// claimAll claims all processes of a list, or none.
+func claimAll(list []*process) bool {
+	for i, p := range list {
+		if claim(p) {
+			continue
+		}
+		release(list[:i])
+		return false
+	}
+	return true
+}
+
+func release(list []*process) {
+	for _, p := range list {
+		claims.Delete(p)
+	}
+}
+
 func (w *world) restart(p *process, r *rand.Rand) {
 	if !claim(p) {
 		return
@@ -111,21 +128,32 @@
 	w.mustStart(p)
 }
 
-var diskLoss sync.Mutex
+// repairTime is how long the others are left alone after a disk was lost: the
+// 4 s after which the users' deployments may lose the next, and busySlack.
+const repairTime = 4*time.Second + busySlack
 
+// wipe empties a disk. One may be lost at a time, so no control replica is
+// disturbed until the new one has been taken in.
 func (w *world) wipe(p *process) {
-	if !claim(p) {
+	if !claimAll(w.controls) {
 		return
 	}
-	defer claims.Delete(p)
-	diskLoss.Lock()
-	defer diskLoss.Unlock()
+	defer release(w.controls)
+	time.Sleep(repairTime) // what was disturbed before must be whole
 	p.kill()
 	if err := p.wipe(); err != nil {
 		w.promises.broken("emptying a disk: %v", err)
 	}
 	w.mustStart(p)
-	time.Sleep(4 * time.Second) // the next disk may be lost once this one is back
+	time.Sleep(repairTime)
+}
+
+func (w *world) disturbLinks(p *process, r *rand.Rand) {
+	if !claim(p) {
+		return
+	}
+	defer claims.Delete(p)
+	w.disturb(p.name+" peers", r)
 }
 
 func (w *world) disturb(name string, r *rand.Rand) {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -89,6 +89,8 @@
 	d.balancing.budgets = make(map[string]*retry.Window)
 	d.balancing.shares = make(map[string]*weights)
 	d.connections = newConnections(d.metrics.connections.Inc)
+	p.Gauge("log_lines_dropped", "Log lines that the reader did not take in time.", func() float64 { return float64(lines.Dropped()) })
+	p.Gauge("control_age_seconds", "Age of the word of control.", func() float64 { return d.following.Age().Seconds() })
 	d.shaper = newShaper(c.LinkBytes)
 	d.controls = newControls(c.Seeds)
 	seed := fnv.New64a()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,7 +12,6 @@
 	latency     *prometheus.HistogramVec
 	attempts    *prometheus.CounterVec
 	connections prometheus.Counter
-	logDropped  prometheus.Counter
 }
 
 // latencyBuckets are in seconds; the objectives of the users' routes lie
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -6,7 +6,6 @@
 
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
-	"ledgesill.dev/ledgesill/pkg/retry"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -141,77 +140,8 @@
 	d.balancing.balancer.NoteCold(time.Now(), target, left)
 }
 
-func (d *Daemon) budget(service string) *retry.Window {
-	w := d.balancing.budgets[service]
-	if w == nil {
-		w = retry.NewWindow(d.config.RetryShare, d.config.RetryWindow)
-		d.balancing.budgets[service] = w
-	}
-	return w
-}
-
-func (d *Daemon) countFirst(service string) {
-	d.balancing.Lock()
-	defer d.balancing.Unlock()
-	d.budget(service).First(time.Since(d.started))
-}
-
-// takeRetry takes a retry from this box's part of the budget of all boxes.
-func (d *Daemon) takeRetry(service string) bool {
-	d.balancing.Lock()
-	defer d.balancing.Unlock()
-	if d.balancing.boxes == 0 {
-		return false
-	}
-	extra := d.config.RetryExtra / float64(d.balancing.boxes)
-	return d.budget(service).Take(time.Since(d.started), extra)
-}
-
 // retryAfter is when a request that was turned away may come back: about the
 // time in which a slot becomes free.
 func (d *Daemon) retryAfter() time.Duration { return turnedAwayWait }
 
 const turnedAwayWait = 100 * time.Millisecond
-
-// destination returns the service that the next request of a route is for.
-func (d *Daemon) destination(r catalog.Route) string {
-	if len(r.Destinations) == 1 {
-		return r.Destinations[0].Service
-	}
-	d.balancing.Lock()
-	defer d.balancing.Unlock()
-	w := d.balancing.shares[r.Name]
-	if w == nil {
-		w = newWeights(r.Destinations)
-		d.balancing.shares[r.Name] = w
-	}
-	return w.next()
-}
-
-// weights spreads the requests of a route over its destinations so that at
-// any time each has had its share, give or take one request.
-type weights struct {
-	destinations []catalog.Destination
-	due          []float64
-	sum          float64
-}
-
-func newWeights(destinations []catalog.Destination) *weights {
-	w := &weights{destinations: destinations, due: make([]float64, len(destinations))}
-	for _, d := range destinations {
-		w.sum += d.Weight
-	}
-	return w
-}
-
-func (w *weights) next() string {
-	best := 0
-	for i, d := range w.destinations {
-		w.due[i] += d.Weight / w.sum
-		if w.due[i] > w.due[best] {
-			best = i
-		}
-	}
-	w.due[best]--
-	return w.destinations[best].Service
-}
--- /dev/null
+++ b/pkg/balance/report.go
@@ -0,0 +1,121 @@
+package balance
+
+import "time"
+
+// Outcome is what became of a request at a target.
+type Outcome int
+
+// The outcomes of a request at a target.
+const (
+	// Answered: the target gave its answer.
+	Answered Outcome = iota
+	// TurnedAway: the target was full and did not run it.
+	TurnedAway
+	// Unreachable: no connection was had.
+	Unreachable
+	// Stuck: no answer came in time.
+	Stuck
+	// Broken: the connection or the answer broke.
+	Broken
+	// Dropped: the caller left.
+	Dropped
+)
+
+// String returns the name as it stands in logs.
+func (o Outcome) String() string {
+	return [...]string{"answered", "turnedAway", "unreachable", "stuck", "broken", "dropped"}[o]
+}
+
+// Report tells what became of a request at a target.
+type Report struct {
+	TargetID string
+	Route    string
+	Outcome  Outcome
+	// Took is the time to the answer.
+	Took time.Duration
+	// Load is what the answer told, if HasLoad.
+	Load    Load
+	HasLoad bool
+	// Connect is how long a new connection took to come up; zero if none was made.
+	Connect time.Duration
+}
+
+// Change is what a report changed about a target.
+type Change int
+
+// The changes of a target.
+const (
+	Unchanged Change = iota
+	// LeftOut: the target could not be reached and gets nothing for a while.
+	LeftOut
+	// Returned: a target that was left out has answered.
+	Returned
+)
+
+// Done takes what became of a request that was counted at a target.
+func (b *Balancer) Done(now time.Time, r Report) Change {
+	t := b.byID[r.TargetID]
+	if t == nil {
+		return Unchanged
+	}
+	if r.HasLoad {
+		t.noteLoad(now, r.Load)
+	}
+	b.noteDistance(t.Region, r.Connect)
+	t.inFlight = max(t.inFlight-1, 0)
+	wasOut := t.failures > 0
+	switch r.Outcome {
+	case Answered:
+		b.noteTime(now, t, r)
+	case TurnedAway:
+		b.noteFull(now, t, r)
+	case Unreachable, Stuck:
+		t.noteUnreachable(now)
+		return LeftOut
+	case Broken:
+		if t.broken++; t.broken >= maxBroken {
+			t.noteUnreachable(now)
+			return LeftOut
+		}
+		return Unchanged
+	case Dropped:
+		return Unchanged
+	}
+	t.failures = 0
+	t.broken = 0
+	if wasOut {
+		return Returned
+	}
+	return Unchanged
+}
+
+func (b *Balancer) noteDistance(region string, connect time.Duration) {
+	if connect <= 0 {
+		return
+	}
+	if known, ok := b.distances[region]; !ok || connect < known {
+		b.distances[region] = connect
+	}
+}
+
+func (b *Balancer) noteTime(now time.Time, t *targetState, r Report) {
+	if learned := b.times[r.Route]; learned != nil {
+		learned.note(r.Took)
+	}
+	s := b.service(t.Service)
+	if s.mean == 0 {
+		s.mean = r.Took
+	}
+	t.notePace(now, float64(r.Took)/float64(max(s.mean, time.Millisecond)))
+	s.mean = average(s.mean, r.Took)
+}
+
+// noteFull makes a target that turned a request away count as full for a
+// while, also where it does not tell its load.
+func (b *Balancer) noteFull(now time.Time, t *targetState, r Report) {
+	if r.HasLoad {
+		return
+	}
+	t.foreign = max(float64(t.Slots-t.inFlight), t.foreign)
+	t.foreignAt = now
+}
--- /dev/null
+++ b/pkg/balance/request.go
@@ -0,0 +1,70 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Request is what a target is sought for.
+type Request struct {
+	Service string
+	// Route names the route, whose service times are learned.
+	Route string
+	// Key is the object that the request is about; empty if it does not matter
+	// which target has seen it.
+	Key string
+	// Regions are the only ones that may serve it; all if it is empty.
+	Regions []string
+	// Near prefers targets of the box's zone, for answers that are large.
+	Near bool
+	// Urgent requests may wait longer for a slot than others.
+	Urgent bool
+	// Objective is the latency at which the answer is still on time, and Left
+	// what remains of it.
+	Objective time.Duration
+	Left      time.Duration
+	// Tried are the targets that it was sent to before.
+	Tried []string
+}
+
+// Choice is the target that a request is to be sent to. Done must follow.
+type Choice struct {
+	Target Target
+	// Remote tells that the target is in another region.
+	Remote bool
+	// Wait is how long the request is thought to wait for a slot there.
+	Wait time.Duration
+	// Patience is how long to wait for the answer before the target is
+	// thought to be stuck.
+	Patience time.Duration
+	// Load is what the target was thought to have.
+	Load float64
+}
+
+// NoTargetError says why no target can run a request in time.
+type NoTargetError struct {
+	Service string
+	Reason  string
+	// RetryAfter is when there may be room.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *NoTargetError) Error() string {
+	return fmt.Sprintf("no target of %s: %s; try again in %s", e.Service, e.Reason, e.RetryAfter)
+}
+
+// Reasons of a NoTargetError.
+const (
+	ReasonNone = "none can be used"
+	ReasonFull = "all are full"
+)
+
+// allows reports whether a target is one that the request may be sent to.
+func (r Request) allows(t *targetState) bool {
+	if len(r.Regions) > 0 && !slices.Contains(r.Regions, t.Region) {
+		return false
+	}
+	return !slices.Contains(r.Tried, t.ID)
+}
