gateway: refuse long answers at once that the link can't carry

Change: answers of routes with long answers are booked on the link at 0.4 of its rate; a request whose answer would wait for half of its objective is refused at once with the time at which there is room. Wide links refuse none.

Tests of a caller that leaves and of a box that stops.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -92,6 +92,10 @@
 		c.fail(http.StatusBadRequest, "bodyBroken", err)
 		return
 	}
+	if wait, ok := c.gateway.link.admit(c.began, route.Name, route.Objective); !ok {
+		c.refuse("linkFull", wait)
+		return
+	}
 	c.service = c.gateway.destination(route)
 	c.gateway.countFirst(c.service)
 	c.attempts(ctx)
@@ -307,6 +311,9 @@
 		c.refuse("turnedAway", c.gateway.retryAfter())
 		return
 	}
+	if out.length >= 0 {
+		c.gateway.link.note(c.route.Name, out.length)
+	}
 	c.writeHead(out)
 	_, err := c.writer.Write(out.body)
 	if out.rest == nil {
--- /dev/null
+++ b/internal/gateway/stopping_test.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// The target of a request whose caller leaves sees its connection end.
+func TestCallerThatLeavesEndsTheRequestAtItsTarget(t *testing.T) {
+	began := make(chan struct{}, 2)
+	ended := make(chan error, 2)
+	s := newTarget(t, func(_ int, _ *http.Request, c net.Conn) bool {
+		began <- struct{}{}
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+		return false
+	})
+	g := newGateway(t, s)
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, g.server.URL+"/unsafe/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "a.example"
+	r.Header.Set("Test-Id", "id1")
+	left := make(chan error, 1)
+	go func() {
+		response, err := g.server.Client().Do(r)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		left <- err
+	}()
+	<-began
+	cancel()
+	if err := <-left; err == nil {
+		t.Fatal("the caller got an answer")
+	}
+	if err := <-ended; err == nil {
+		t.Fatal("the target got more bytes")
+	}
+}
+
+// A box that stops finishes the request that it has read, tells the caller
+// that the connection ends, and is no longer ready.
+func TestStoppingBoxFinishesWhatItHasRead(t *testing.T) {
+	began, release := make(chan struct{}, 1), make(chan struct{})
+	s := newTarget(t, func(_ int, r *http.Request, c net.Conn) bool {
+		began <- struct{}{}
+		<-release
+		answerWith(c, r.Header.Get("Test-Id"), "hello")
+		return true
+	})
+	g := newGateway(t, s)
+	served := g.daemon.callers.serve()
+	address := "http://" + g.daemon.callers.listener.Addr().String()
+	got := make(chan string, 1)
+	go func() {
+		r, err := http.NewRequest(http.MethodPost, address+"/unsafe/", nil)
+		if err != nil {
+			got <- err.Error()
+			return
+		}
+		r.Host = "a.example"
+		r.Header.Set("Test-Id", "id1")
+		response, err := (&http.Client{Transport: &http.Transport{}}).Do(r)
+		if err != nil {
+			got <- err.Error()
+			return
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		if err != nil || !response.Close {
+			got <- "the connection is not said to end"
+			return
+		}
+		got <- string(body)
+	}()
+	<-began
+	g.daemon.stopping.Store(true)
+	if g.daemon.isReady() {
+		t.Fatal("ready while stopping")
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		if err := g.daemon.callers.server.Shutdown(context.Background()); err != nil {
+			t.Error(err)
+		}
+	}()
+	if err := <-served; err != http.ErrServerClosed {
+		t.Fatal(err)
+	}
+	close(release)
+	if text := <-got; text != "hello" {
+		t.Fatalf("got %q", text)
+	}
+	<-stopped
+}
