control, gateway: report less often where there are many boxes

Every box told every replica twice a second that it serves, and each change that was pushed to a subscriber sorted all reports again. Ruled out: the log (5 syncs a second), memory.

Change: the interval of reports grows with the boxes, up to 1.8 s, and so does the time for which one counts; boxes that serve are told with the beats only.

--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -104,11 +104,10 @@
 }
 
 const (
-	// boxFresh is how old the report of a box may be for look-ups to name it:
-	// boxes report each 500 ms, and two reports may be lost.
-	boxFresh = 1600 * time.Millisecond
+	// recentReports is the time over which boxes are counted.
+	recentReports = 10 * time.Second
 	// learnTime is for how long after its start a replica answers no look-up,
-	// so that all boxes can have reported.
+	// so that boxes can have reported: two of their usual intervals.
 	learnTime = 1200 * time.Millisecond
 	// maxLookupBoxes is the most that an answer may name (the users' bound).
 	maxLookupBoxes = 64
@@ -124,7 +123,8 @@
 		return nil, lookupTTL
 	}
 	var serving []lookup.Nearby
-	for _, b := range d.Boxes(boxFresh) {
+	fresh := lookup.ReportFresh(len(d.Boxes(recentReports)))
+	for _, b := range d.Boxes(fresh) {
 		if b.CallerAddress != "" && !b.Stopping {
 			serving = append(serving, lookup.Nearby{Address: b.CallerAddress, Zone: b.Zone, Region: b.Region})
 		}
--- a/internal/gateway/controls.go
+++ b/internal/gateway/controls.go
@@ -7,12 +7,11 @@
 	"time"
 
 	"ledgesill.dev/ledgesill/pkg/distribution"
+	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
 const (
-	// reportInterval is how often each control replica is told that this box serves.
-	reportInterval = 500 * time.Millisecond
 	// seekInterval is how often a replica is asked for the others.
 	seekInterval = time.Second
 	// controlCallTimeout bounds a call to a replica.
@@ -139,18 +138,24 @@
 
 // report tells every control replica that this box serves.
 func (d *Daemon) report(ctx context.Context) error {
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
 	for {
+		next := time.Now().Add(lookup.ReportInterval(d.boxCount()))
 		d.reportTo(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case <-time.After(time.Until(next)):
 		}
 	}
 }
 
+// boxCount returns how many entry boxes serve as far as is known.
+func (d *Daemon) boxCount() int {
+	d.balancing.Lock()
+	defer d.balancing.Unlock()
+	return d.balancing.boxes
+}
+
 // reportNow reports outside the usual times and waits until all have it.
 func (d *Daemon) reportNow() { d.reportTo(context.Background()) }
 
--- a/internal/relay/publishing.go
+++ b/internal/relay/publishing.go
@@ -13,6 +13,7 @@
 
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/pkg/distribution"
+	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -91,13 +92,17 @@
 	defer ticker.Stop()
 	version := request.Version
 	told := ""
+	due := true // the boxes that serve are told with the beats, not with each change
 	for {
 		u := p.update(version)
-		u.EntryBoxes, told = p.entryBoxes(told)
+		if due {
+			u.EntryBoxes, told = p.entryBoxes(told)
+		}
 		if err := m.Write(u); err != nil {
 			return
 		}
 		version = max(version, u.Version)
+		due = false
 		select {
 		case <-ctx.Done():
 			return
@@ -105,6 +110,7 @@
 			return
 		case <-s.changed:
 		case <-ticker.C:
+			due = true
 		}
 	}
 }
@@ -135,7 +141,7 @@
 // entryBoxes returns the boxes that serve callers, or nil if they are those
 // that were told before, and a text that stands for them.
 func (p *Publishing) entryBoxes(told string) (*wire.EntryBoxes, string) {
-	fresh := p.Fresh(entryBoxFresh)
+	fresh := p.Fresh(max(entryBoxFresh, lookup.ReportFresh(len(p.Fresh(2*entryBoxFresh)))))
 	if len(fresh) == 0 {
 		return nil, told
 	}
