--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -42,7 +42,7 @@
 	controls    *controls
 	connections *connections
 	shaper      *shaper
-	link        *linkQueue
+	longAnswers *linkQueue
 	metrics     *metrics
 	servedLines *lineLimit
 	otherLines  *lineLimit
@@ -93,7 +93,7 @@
 	p.Gauge("log_lines_dropped", "Log lines that the reader did not take in time.", func() float64 { return float64(lines.Dropped()) })
 	p.Gauge("control_age_seconds", "Age of the word of control.", func() float64 { return d.following.Age().Seconds() })
 	d.shaper = newShaper(c.LinkBytes)
-	d.link = newLinkQueue(c.LinkBytes)
+	d.longAnswers = newLinkQueue(c.LinkBytes)
 	d.controls = newControls(c.Seeds)
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(c.Name + p.Incarnation)) // a hash takes every write
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -92,7 +92,7 @@
 		c.fail(http.StatusBadRequest, "bodyBroken", err)
 		return
 	}
-	if wait, ok := c.gateway.link.admit(c.began, route.Name, route.Objective); !ok {
+	if wait, ok := c.gateway.longAnswers.admit(c.began, route.Name, route.Objective); !ok {
 		c.refuse("linkFull", wait)
 		return
 	}
@@ -312,7 +312,7 @@
 		return
 	}
 	if out.length >= 0 {
-		c.gateway.link.note(c.route.Name, out.length)
+		c.gateway.longAnswers.note(c.route.Name, out.length)
 	}
 	c.writeHead(out)
 	_, err := c.writer.Write(out.body)
--- /dev/null
+++ b/internal/process/logwriter_test.go
@@ -0,0 +1,76 @@
+package process
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// reader is a reader of log lines that may not read.
+type reader struct {
+	mu     sync.Mutex
+	text   bytes.Buffer
+	stalls chan struct{}
+}
+
+func (r *reader) Write(p []byte) (int, error) {
+	if r.stalls != nil {
+		<-r.stalls
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.Write(p)
+}
+
+func TestLogWriterHandsLinesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &reader{}
+		w := NewLogWriter(r)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- w.Run(ctx) }()
+		for range 3 {
+			_, _ = w.Write([]byte("line\n"))
+			time.Sleep(time.Second)
+		}
+		_, _ = w.Write([]byte("last\n"))
+		cancel()
+		<-ended
+		if r.text.String() != "line\nline\nline\nlast\n" {
+			t.Fatalf("got %q", r.text.String())
+		}
+	})
+}
+
+// A reader that does not read costs lines, and no time.
+func TestLogWriterDoesNotWaitForItsReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &reader{stalls: make(chan struct{})}
+		w := NewLogWriter(r)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- w.Run(ctx) }()
+		line := []byte(strings.Repeat("x", 1000) + "\n")
+		began := time.Now()
+		const lines = 1000
+		for range lines {
+			_, _ = w.Write(line)
+		}
+		if time.Since(began) != 0 {
+			t.Fatal("a writer of a line waited")
+		}
+		if w.Dropped() < lines-2*logBuffer/1001 {
+			t.Fatalf("%d lines dropped", w.Dropped())
+		}
+		close(r.stalls)
+		cancel()
+		<-ended
+		if kept := r.text.Len() / 1001; kept+int(w.Dropped()) != lines {
+			t.Fatalf("%d kept, %d dropped", kept, w.Dropped())
+		}
+	})
+}
