gateway, control: bound what catching up logs, drop dead code

A box that catches up logged a line for each command, hundreds after a restart; they stay in the time line, and the log has the lines that tell what is in force. The log's time format is set once.

--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -135,9 +133,3 @@
 	}
 	return near, min(lookupTTL, d.config.LookupTTL)
 }
-
-// IsUnavailable reports whether an error says that no quorum was reached.
-func IsUnavailable(err error) bool {
-	var u *UnavailableError
-	return errors.As(err, &u)
-}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -19,6 +19,7 @@
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/retry"
+	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
 // inForce is the document of routes that the box goes by.
@@ -109,11 +110,21 @@
 		Sources:     d.sources,
 		PutInForce:  d.putInForce,
 		EntryBoxes:  d.setBoxes,
-		Event:       p.StateChange,
+		Event:       d.noteEvent,
 	})
 	return d, d.listen()
 }
 
+// noteEvent keeps an event in the time line. What comes into force has its own
+// line in the log, one for many commands; other events are logged as they are.
+func (d *Daemon) noteEvent(e *wire.TimelineEvent) {
+	if e.Kind == relay.EventInForce {
+		d.process.Event(e)
+		return
+	}
+	d.process.StateChange(e)
+}
+
 func (d *Daemon) listen() error {
 	id := link.Identity{Name: d.config.Name, Incarnation: d.process.Incarnation}
 	d.node = link.Dialer(id, d.process.Clock, nil)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -34,6 +34,8 @@
 	maxTimelineBytes = 8 << 20
 )
 
+func init() { zerolog.TimeFieldFormat = logTimeFormat }
+
 // Process carries what all parts of a daemon share.
 type Process struct {
 	Name        string
@@ -55,7 +57,6 @@
 		Metrics:     prometheus.NewRegistry(),
 		Clock:       timeline.NewClock(time.Now),
 	}
-	zerolog.TimeFieldFormat = logTimeFormat
 	p.Log = zerolog.New(log).Level(level).With().Timestamp().Str("process", name).Logger()
 	p.Metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	p.events = prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/internal/relay/following.go
+++ b/internal/relay/following.go
@@ -12,6 +12,9 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
+// EventInForce is the kind of the events that tell of a command in force.
+const EventInForce = "inForce"
+
 const (
 	followTick     = 100 * time.Millisecond
 	reportInterval = time.Second
@@ -169,11 +172,11 @@
 
 func (f *Following) noteInForce(commands []*wire.Command) {
 	if commands == nil {
-		f.subscriber.Event(&wire.TimelineEvent{Kind: "inForce", Box: f.subscriber.Box, Detail: "a whole state"})
+		f.subscriber.Event(&wire.TimelineEvent{Kind: EventInForce, Box: f.subscriber.Box, Detail: "a whole state"})
 	}
 	for _, c := range commands {
 		f.subscriber.Event(&wire.TimelineEvent{
-			Kind:   "inForce",
+			Kind:   EventInForce,
 			Box:    f.subscriber.Box,
 			Change: c.GetChange().GetId(),
 			Shift:  c.GetShift().GetShift().GetId(),
