distribution: pass over sources without word of control at once

Four of nine control replicas were cut off for 8 s; a box that followed one of them stayed 1.6 s with each of the others that were cut off too, and so went by an old document for over 4 s. Ruled out: the replicas (the document was acknowledged in 41 ms), the box's links.

Change: a box that has heard of control for too long ago leaves a source that says the same of itself with its first update; between rounds it waits as before.

--- a/pkg/distribution/follower.go
+++ b/pkg/distribution/follower.go
@@ -104,6 +104,8 @@
 	retryAt    time.Time
 	backOff    time.Duration
 	heardAt    time.Time
+	// sourceIsStale tells that the present source has no word of control itself.
+	sourceIsStale bool
 	// held is the highest state of a source that has not heard of control,
 	// kept back by a follower that has none until it has asked all sources.
 	held *wire.Update
@@ -150,6 +152,7 @@
 			f.open = true
 			f.pending = false
 			f.openedAt = now
+			f.sourceIsStale = false
 			f.out.Notice = "subscribed to " + f.sources[f.current].Name
 		}
 	case Lost:
@@ -236,7 +239,7 @@
 // heard of control, or it is not the first choice.
 func (f *Follower) shouldLeave(now time.Time) bool {
 	since := now.Sub(f.openedAt)
-	if f.Age(now) > f.staleAfter && since > f.staleAfter {
+	if f.Age(now) > f.staleAfter && (f.sourceIsStale || since > f.staleAfter) {
 		return true
 	}
 	return f.current > 0 && since > reconsiderAfter
@@ -248,6 +251,7 @@
 		return
 	}
 	f.heard(now, e.Update)
+	f.sourceIsStale = time.Duration(e.Update.AgeMilli)*time.Millisecond > f.staleAfter
 	if e.Update.Version <= f.state.Version() {
 		return
 	}
