--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -155,24 +155,14 @@
 		go k.record(out.Record)
 	}
 	if out.Run != nil {
-		k.attempt(out.Run)
+		r := k.begun[out.Run.Token]
+		go k.run(out.Run.Key, r)
 	}
 	if b, ok := e.(requestkey.Leave); ok {
 		delete(k.begun, b.Token)
 	}
 }
 
-// attempt starts the one attempt of a key. If its caller left while the start was
-// being recorded there is nothing to send, and the key has not run.
-func (k *keys) attempt(run *requestkey.Begin) {
-	r, ok := k.begun[run.Token]
-	if !ok {
-		k.handle(requestkey.Finished{Key: run.Key, State: wire.KeyState_KEY_STATE_NOT_RUN})
-		return
-	}
-	go k.run(run.Key, r)
-}
-
 // run makes the one attempt of a key. It goes on if the caller leaves.
 func (k *keys) run(key requestkey.Key, r *request) {
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
