requestkey: do not run a key for a caller that left

The first caller of a key may leave while the witness records its start; the owner then asked for the attempt of an arrival whose request was gone. With a resend that still waited it named the wrong arrival as well.

Change: the owner runs the key for an arrival that waits, or records it as not run, which is true.

--- a/pkg/requestkey/key_test.go
+++ b/pkg/requestkey/key_test.go
@@ -35,6 +35,7 @@
 		var late []*wire.WitnessRequest
 		var token uint64
 		waits := make(map[uint64]string)
+		var answers []Witnessed // of the witness, on their way to the owner
 		var carry func(out Output)
 		carry = func(out Output) {
 			for _, r := range out.Reply {
@@ -50,6 +51,9 @@
 				if _, ok := running[name]; ok || ran[name] > 0 {
 					t.Fatalf("key %s runs twice", name)
 				}
+				if _, ok := waits[out.Run.Token]; !ok {
+					t.Fatalf("key %s runs for arrival %d, whose caller has left", name, out.Run.Token)
+				}
 				if told[name] {
 					t.Fatalf("key %s runs after the witness said it never would", name)
 				}
@@ -63,17 +67,17 @@
 				key, _ := Parse(m.Key)
 				switch rapid.IntRange(0, 4).Draw(t, "fate") {
 				case 0: // lost on the way there
-					carry(owner.Handle(now, Witnessed{Key: key, Failed: true}))
+					answers = append(answers, Witnessed{Key: key, Failed: true})
 				case 1: // the answer is lost, and the message comes again later
 					late = append(late, proto.CloneOf(m))
 					witness.Handle(now, m)
-					carry(owner.Handle(now, Witnessed{Key: key, Failed: true}))
+					answers = append(answers, Witnessed{Key: key, Failed: true})
 				default:
 					a := witness.Handle(now, m)
 					if rapid.Bool().Draw(t, "doubled") {
 						late = append(late, proto.CloneOf(m))
 					}
-					carry(owner.Handle(now, Witnessed{Key: key, Refused: a.Refused}))
+					answers = append(answers, Witnessed{Key: key, Refused: a.Refused})
 				}
 			}
 		}
@@ -123,8 +127,27 @@
 				}
 				told[k.Nonce] = told[k.Nonce] || notRun
 			},
-			"leave": func(*rapid.T) { carry(owner.Handle(now, Leave{Key: pick(), Token: token})) },
-			"pass":  func(*rapid.T) { now = now.Add(20 * time.Second) },
+			"answer": func(*rapid.T) {
+				if len(answers) == 0 {
+					return
+				}
+				a := answers[0]
+				answers = answers[1:]
+				carry(owner.Handle(now, a))
+			},
+			"leave": func(t *rapid.T) {
+				if token == 0 {
+					return
+				}
+				gone := rapid.Uint64Range(1, token).Draw(t, "gone")
+				name, ok := waits[gone]
+				if !ok {
+					return
+				}
+				delete(waits, gone)
+				carry(owner.Handle(now, Leave{Key: newKey(name, "w"), Token: gone}))
+			},
+			"pass": func(*rapid.T) { now = now.Add(20 * time.Second) },
 		})
 	})
 }
@@ -137,6 +160,27 @@
 	}
 }
 
+// The caller of a key may leave while the witness records its start: without
+// another arrival there is nothing to run, and a resend runs in its place.
+func TestCallerLeavesWhileTheStartIsRecorded(t *testing.T) {
+	o := NewOwner(OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 9})
+	k := newKey("x", "w")
+	o.Handle(start, Begin{Token: 1, Key: k, Digest: 1})
+	o.Handle(start, Leave{Key: k, Token: 1})
+	out := o.Handle(start, Witnessed{Key: k})
+	if out.Run != nil || out.Record == nil || out.Record.State != wire.KeyState_KEY_STATE_NOT_RUN {
+		t.Errorf("got %+v, want the key recorded as not run", out)
+	}
+
+	o.Handle(start, Begin{Token: 2, Key: k, Digest: 1})
+	o.Handle(start, Begin{Token: 3, Key: k, Digest: 1})
+	o.Handle(start, Leave{Key: k, Token: 2})
+	out = o.Handle(start, Witnessed{Key: k})
+	if out.Run == nil || out.Run.Token != 3 {
+		t.Errorf("got %+v, want the arrival that still waits to run", out)
+	}
+}
+
 func TestOldKeyIsUnknown(t *testing.T) {
 	o := NewOwner(OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 9})
 	out := o.Handle(start.Add(2*time.Minute), Begin{Token: 1, Key: newKey("x", ""), Digest: 1})
--- a/pkg/requestkey/owner.go
+++ b/pkg/requestkey/owner.go
@@ -72,7 +72,7 @@
 
 // Output is what to carry out after an event.
 type Output struct {
-	// Run asks for the one attempt of the key, for the arrival Token.
+	// Run asks for the one attempt of the key, for the arrival Token, which still waits.
 	Run   *Begin
 	Reply []Reply
 	// Record asks for a message to the witness. After a start is recorded a
@@ -220,6 +220,10 @@
 	case e.Failed:
 		return o.end(r, wire.KeyState_KEY_STATE_NOT_RUN, nil, "the witness can't be reached; look up again for a new scope")
 	}
+	if len(r.waiting) == 0 {
+		return o.finished(Finished{Key: e.Key, State: wire.KeyState_KEY_STATE_NOT_RUN})
+	}
+	r.begun.Token = r.waiting[0] // the first arrival may have left
 	return Output{Run: &r.begun}
 }
 
