balance: keep the weights of a route over many boxes and documents

Each box began with the largest weight, and began anew with each document: 100 boxes with one request each sent all of them to the service with 60 of 100 (TestSharesHoldOverManyBoxes on the code before: 100 to 0). Ruled out: moving requests from a service that is full; a box never does that.

Change: a split of pkg/balance goes through the weights by the golden ratio from a point of its own at each box, and stays where it is when documents change.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -60,7 +60,7 @@
 		sync.Mutex
 		balancer *balance.Balancer
 		budgets  map[string]*retry.Window
-		shares   map[string]*weights
+		splits   map[string]*balance.Split
 		boxes    int
 	}
 }
@@ -89,7 +89,7 @@
 	}
 	d.balancing.balancer = balance.New(balance.Config{Box: c.Name, Zone: c.Zone, Region: c.Region})
 	d.balancing.budgets = make(map[string]*retry.Window)
-	d.balancing.shares = make(map[string]*weights)
+	d.balancing.splits = make(map[string]*balance.Split)
 	d.connections = newConnections(d.metrics.connections.Inc)
 	p.Gauge("log_lines_dropped", "Log lines that the reader did not take in time.", func() float64 { return float64(lines.Dropped()) })
 	p.Gauge("control_age_seconds", "Age of the word of control.", func() float64 { return d.following.Age().Seconds() })
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -37,7 +37,7 @@
 	for _, s := range document.Services {
 		d.balancing.balancer.SetCold(s.Name, balance.ColdLimit{Time: s.ColdTime, Rate: s.ColdRate})
 	}
-	clear(d.balancing.shares)
+	keepSplits(d.balancing.splits, document)
 	d.balancing.Unlock()
 	d.rules.Store(next)
 	d.log.Info().Str("kind", "routes").Uint64("number", document.Number).Uint64("stateVersion", version).
