--- a/pkg/requestkey/key_test.go
+++ b/pkg/requestkey/key_test.go
@@ -36,8 +36,7 @@
 		var token uint64
 		waits := make(map[uint64]string)
 		var answers []Witnessed // of the witness, on their way to the owner
-		var carry func(out Output)
-		carry = func(out Output) {
+		carry := func(out Output) {
 			for _, r := range out.Reply {
 				name := waits[r.Token]
 				delete(waits, r.Token)
