gateway, control: give routes, evacuations and targets the project's own interface

Weighed: a second document of routes in the replicated state, decoded by control, costs every box the document twice; a decoder for the deployment's one format is told to both daemons instead.

Change: documents have a format of the project's own (pkg/catalog), control's operator address has routes, evacuations, targets and the look-up of gateways, the commands routes, evacuate, targets and gateway use them, headers have names of the project's own. A zone may be evacuated that the tree or a target names.

--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -5,16 +5,18 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 
 	"ledgesill.dev/ledgesill/internal/config"
+	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/settings"
 )
 
 func init() {
 	register(Command{
 		Name:      "check",
-		Summary:   "check a tree file, or the settings of a daemon, without a running system",
-		Arguments: "tree.json | control [flags] | entry [flags]",
+		Summary:   "check a tree file, a document of routes, or the settings of a daemon, without a running system",
+		Arguments: "tree.json | routes routes.json | control [flags] | entry [flags] | gateway [flags]",
 		Example:   "ledgesill check tree.json\nledgesill check entry -name fp-1 -caller-address 127.0.0.1:8001",
 		Options:   func(*flag.FlagSet) func(context.Context, Invocation) error { return runCheck },
 	})
@@ -22,7 +24,7 @@
 
 func runCheck(_ context.Context, in Invocation) error {
 	if len(in.Arguments) == 0 {
-		return usageError("check needs a tree file, or control or entry with flags")
+		return usageError("check needs a tree file, routes with a document, or control, entry or gateway with flags")
 	}
 	switch in.Arguments[0] {
 	case "control":
@@ -31,6 +33,11 @@
 	case "entry":
 		_, _, err := config.ReadEntry(in.Arguments[1:], in.Out)
 		return checked(in.Out, "the settings of the entry box", err)
+	case "gateway":
+		_, _, err := config.ReadGateway(in.Arguments[1:], in.Out)
+		return checked(in.Out, "the settings of the gateway", err)
+	case "routes":
+		return checkRoutes(in)
 	}
 	edits, err := readTreeFile(in.Arguments[0])
 	if err != nil {
@@ -51,3 +58,22 @@
 	fmt.Fprintln(w, what, "- no fault found")
 	return nil
 }
+
+func checkRoutes(in Invocation) error {
+	if len(in.Arguments) != 2 {
+		return usageError("check routes needs one document")
+	}
+	file := in.Arguments[1]
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return usageError("reading the document: %w", err)
+	}
+	d, err := catalog.ParseDocument(text)
+	if err == nil {
+		err = d.Check()
+	}
+	if err != nil {
+		return &ExitError{ExitUsage, fmt.Errorf("%s: %w", file, err)}
+	}
+	return checked(in.Out, fmt.Sprintf("%s: document %d, %d hosts, %d services", file, d.Number, len(d.Hosts), len(d.Services)), nil)
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -148,7 +148,9 @@
 }
 
 // isDaemon tells the commands that read their settings by themselves.
-func isDaemon(c Command) bool { return c.Name == "control" || c.Name == "entry" }
+func isDaemon(c Command) bool {
+	return c.Name == "control" || c.Name == "entry" || c.Name == "gateway"
+}
 
 func printHelp(w io.Writer, fs *flag.FlagSet, c Command) {
 	fmt.Fprintf(w, "%s\n\nusage: ledgesill %s [flags] %s\n", c.Summary, c.Name, c.Arguments)
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -43,6 +43,15 @@
 		{[]string{"check", "control", "-election-timeout", "1ms"}, "100ms to 30s"},
 		{[]string{"check", bad}, "key slots with value \"0\": allowed is 1 to 10000 slots"},
 		{[]string{"check", "nosuch.json"}, "nosuch.json"},
+		{[]string{"check", "gateway", "-zone", "z", "-region", "r", "-zones", "z=other"}, "this box's zone with its region r"},
+		{[]string{"check", "gateway", "-zones", "z"}, "us-a=us,us-b=us"},
+		{[]string{"check", "gateway", "-retry-share", "101"}, "0 to 100"},
+		{[]string{"check", "gateway", "-retry-window", "0s"}, "a time above 0"},
+		{[]string{"check", "gateway", "-stop-time", "1ms"}, "1s or more"},
+		{[]string{"check", "routes"}, "one document"},
+		{[]string{"check", "routes", bad}, `unknown field "/"`},
+		{[]string{"routes", "-file", "nosuch.json"}, "nosuch.json"},
+		{[]string{"evacuate", "-withdraw"}, "the name of a zone"},
 		{[]string{"set"}, "nothing to set"},
 		{[]string{"set", "/"}, "edits come in pairs"},
 		{[]string{"set", "east", "slots=1"}, "begins with /"},
@@ -75,6 +84,13 @@
 	}
 }
 
+func TestSampleRoutesAreValid(t *testing.T) {
+	code, out, errOut := runMain(t, "check", "routes", "../../docs/routes.sample.json")
+	if code != ExitOK || !strings.Contains(out, "document 1, 1 hosts, 2 services") {
+		t.Errorf("exit %d, %q, %q", code, out, errOut)
+	}
+}
+
 // TestManualsAreComplete keeps the manual page and the page of keys in step
 // with the code.
 func TestManualsAreComplete(t *testing.T) {
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -169,6 +169,7 @@
 		SpareFailures:   s.SpareDisks,
 		Zones:           zones,
 		LookupTTL:       s.LookupTTL,
+		DecodeRoutes:    platform.DecodeRoutes,
 	}, log)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/command/targets.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"text/tabwriter"
+
+	"ledgesill.dev/ledgesill/internal/operator"
+)
+
+func init() {
+	register(Command{
+		Name:    "targets",
+		Summary: "show the targets that have registered",
+		Example: "ledgesill targets -service resolver",
+		Options: targetsOptions,
+	})
+}
+
+func targetsOptions(fs *flag.FlagSet) func(context.Context, Invocation) error {
+	var c connection
+	c.register(fs)
+	service := fs.String("service", "", "only the targets of this service")
+	return func(ctx context.Context, in Invocation) error {
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		var all []operator.Target
+		if err := client.Do(ctx, http.MethodGet, "/v1/targets", nil, &all); err != nil {
+			return err
+		}
+		list := []operator.Target{}
+		for _, t := range all {
+			if *service == "" || t.Service == *service {
+				list = append(list, t)
+			}
+		}
+		if c.JSON {
+			return printJSON(in.Out, list)
+		}
+		return table(in.Out, func(t *tabwriter.Writer) {
+			fmt.Fprintln(t, "TARGET\tSERVICE\tZONE\tADDRESS\tSLOTS\tSTATE\tSOFTWARE")
+			for _, r := range list {
+				fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n", r.ID, r.Service, r.Zone, r.Address, r.Slots, targetState(r), r.Software)
+			}
+		})
+	}
+}
+
+func targetState(t operator.Target) string {
+	switch {
+	case t.Draining:
+		return "draining"
+	case t.ColdMillis > 0:
+		return "cold"
+	}
+	return "serving"
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,6 +16,8 @@
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/rs/zerolog"
+
+	"ledgesill.dev/ledgesill/pkg/catalog"
 )
 
 // Prefix begins the names of the environment variables.
@@ -116,6 +118,9 @@
 	Zones []string
 	// LookupTTL is the longest time for which the answer of a look-up counts.
 	LookupTTL time.Duration
+	// DecodeRoutes reads the text of a document of routes; nil for the project's
+	// own format.
+	DecodeRoutes func(text []byte) (catalog.Document, error)
 }
 
 // Entry are the settings of an entry box's daemon.
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -62,6 +62,7 @@
 	app.Post("/v1/changes", d.authorized, d.postChange)
 	app.Post("/v1/shifts", d.authorized, d.postShift)
 	app.Post("/v1/shifts/{id}/abort", d.authorized, d.abortShift)
+	d.addCatalog(app)
 	app.OnErrorCode(http.StatusNotFound, func(c iris.Context) {
 		fail(c, http.StatusNotFound, operator.CodeNotFound, "there is nothing at "+c.Path())
 	})
--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"ledgesill.dev/ledgesill/pkg/catalog"
@@ -88,11 +87,15 @@
 
 // Evacuate begins or ends the evacuation of a zone.
 func (d *Daemon) Evacuate(ctx context.Context, zone string, withdraw bool) error {
-	if !slices.Contains(d.config.Zones, zone) {
+	state, err := d.State(ctx)
+	if err != nil {
+		return &UnavailableError{Cause: err}
+	}
+	if !d.isZone(state, zone) {
 		return &UnknownZoneError{Zone: zone}
 	}
 	began := time.Now()
-	err := d.Submit(ctx, &wire.Command{Evacuation: &wire.EvacuationCommand{Zone: zone, Withdraw: withdraw}})
+	err = d.Submit(ctx, &wire.Command{Evacuation: &wire.EvacuationCommand{Zone: zone, Withdraw: withdraw}})
 	line := d.process.Log.Info()
 	if err != nil {
 		line = d.process.Log.Warn().Err(err)
@@ -118,7 +121,7 @@
 // region and zone is to use, and how long that may be kept.
 func (d *Daemon) BoxesFor(region, zone string) ([]string, time.Duration) {
 	if d.Uptime() < learnTime {
-		return nil, lookupTTL
+		return nil, d.lookupTime()
 	}
 	var serving []lookup.Nearby
 	fresh := lookup.ReportFresh(len(d.Boxes(recentReports)))
@@ -131,5 +134,5 @@
 	if len(near) > maxLookupBoxes {
 		near = near[:maxLookupBoxes]
 	}
-	return near, min(lookupTTL, d.config.LookupTTL)
+	return near, d.lookupTime()
 }
--- /dev/null
+++ b/internal/control/catalogapi.go
@@ -0,0 +1,220 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"ledgesill.dev/ledgesill/internal/operator"
+	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// addCatalog adds the calls for routes, evacuations and targets, which any
+// replica answers: it has the leader settle what changes something.
+func (d *Daemon) addCatalog(app *iris.Application) {
+	app.Get("/v1/routes", d.getRoutes)
+	app.Put("/v1/routes", d.authorized, d.putRoutes)
+	app.Get("/v1/evacuations", d.getEvacuations)
+	app.Put("/v1/evacuations/{zone}", d.authorized, func(c iris.Context) { d.orderEvacuation(c, false) })
+	app.Delete("/v1/evacuations/{zone}", d.authorized, func(c iris.Context) { d.orderEvacuation(c, true) })
+	app.Get("/v1/targets", d.getTargets)
+	app.Put("/v1/targets/{id}", d.authorized, d.putTarget)
+	app.Delete("/v1/targets/{id}", d.authorized, d.deleteTarget)
+	app.Get("/v1/gateways", d.getGateways)
+}
+
+// decodeRoutes reads a document of routes in the deployment's format.
+func (d *Daemon) decodeRoutes(text []byte) (catalog.Document, error) {
+	if d.config.DecodeRoutes == nil {
+		return catalog.ParseDocument(text)
+	}
+	return d.config.DecodeRoutes(text)
+}
+
+// getRoutes answers with the document in force: as it was written if the query
+// says text=true, else in the project's format.
+func (d *Daemon) getRoutes(c iris.Context) {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), readTimeout)
+	defer cancel()
+	text, err := d.Routes(ctx)
+	if err != nil {
+		d.failCatalog(c, err)
+		return
+	}
+	if c.URLParam("text") != "true" {
+		document, err := d.decodeRoutes(text)
+		if err != nil {
+			d.failCatalog(c, err)
+			return
+		}
+		text = document.Text()
+	}
+	c.ContentType("application/json")
+	_, _ = c.Write(text) // the client sees a broken answer
+}
+
+func (d *Daemon) putRoutes(c iris.Context) {
+	text, err := io.ReadAll(http.MaxBytesReader(c.ResponseWriter(), c.Request().Body, maxBody))
+	if err != nil {
+		fail(c, http.StatusBadRequest, operator.CodeBadRequest, "the body: "+err.Error())
+		return
+	}
+	document, err := d.decodeRoutes(text)
+	if err == nil {
+		err = d.settle(c, func(ctx context.Context) error { return d.PutRoutes(ctx, document, text) })
+	}
+	d.answerCatalog(c, err, operator.RoutesVerdict{Number: document.Number})
+}
+
+func (d *Daemon) getEvacuations(c iris.Context) {
+	if state, ok := d.catalogState(c); ok {
+		_ = c.JSON(evacuations(state)) // the client sees a broken answer
+	}
+}
+
+func evacuations(s catalog.State) operator.Evacuations {
+	return operator.Evacuations{Zones: append([]string{}, s.Evacuated()...)}
+}
+
+func (d *Daemon) orderEvacuation(c iris.Context, withdraw bool) {
+	zone := c.Params().Get("zone")
+	err := d.settle(c, func(ctx context.Context) error { return d.Evacuate(ctx, zone, withdraw) })
+	d.answerCatalog(c, err, operator.Evacuations{Zones: []string{zone}})
+}
+
+func (d *Daemon) getTargets(c iris.Context) {
+	state, ok := d.catalogState(c)
+	if !ok {
+		return
+	}
+	out := []operator.Target{}
+	for _, r := range state.Targets() {
+		out = append(out, operator.Target{
+			ID:         r.Id,
+			Service:    r.Service,
+			Address:    r.Address,
+			Zone:       r.Zone,
+			Software:   r.Software,
+			Slots:      r.Slots,
+			Draining:   r.Draining,
+			ColdMillis: r.ColdMilli,
+			Sequence:   r.Sequence,
+		})
+	}
+	_ = c.JSON(out) // the client sees a broken answer
+}
+
+func (d *Daemon) putTarget(c iris.Context) {
+	var t operator.Target
+	if !readBody(c, &t) {
+		return
+	}
+	t.ID = c.Params().Get("id")
+	if t.Service == "" || t.Address == "" || t.Zone == "" {
+		fail(c, http.StatusBadRequest, operator.CodeBadRequest, "a target needs a service, an address and a zone")
+		return
+	}
+	r := &wire.Registration{
+		Id:        t.ID,
+		Service:   t.Service,
+		Address:   t.Address,
+		Zone:      t.Zone,
+		Software:  t.Software,
+		Slots:     t.Slots,
+		Draining:  t.Draining,
+		ColdMilli: t.ColdMillis,
+		Sequence:  t.Sequence,
+	}
+	d.answerCatalog(c, d.settle(c, func(ctx context.Context) error { return d.Register(ctx, r) }), t)
+}
+
+func (d *Daemon) deleteTarget(c iris.Context) {
+	id := c.Params().Get("id")
+	err := d.settle(c, func(ctx context.Context) error { return d.Leave(ctx, id) })
+	d.answerCatalog(c, err, operator.Target{ID: id})
+}
+
+func (d *Daemon) getGateways(c iris.Context) {
+	addresses, ttl := d.BoxesFor(c.URLParam("region"), c.URLParam("zone"))
+	if len(addresses) == 0 {
+		fail(c, http.StatusServiceUnavailable, operator.CodeNotKnown, "no entry box has reported yet")
+		return
+	}
+	_ = c.JSON(operator.Gateways{Addresses: addresses, TTLMillis: ttl.Milliseconds()}) // the client sees a broken answer
+}
+
+// catalogState reads the catalog as this replica knows it, which may be a
+// moment behind the leader.
+func (d *Daemon) catalogState(c iris.Context) (s catalog.State, ok bool) {
+	state, err := d.State(c.Request().Context())
+	if err != nil {
+		d.failCatalog(c, &UnavailableError{Cause: err})
+		return s, false
+	}
+	return state.Catalog(), true
+}
+
+// settle runs an order for as long as an operator waits.
+func (d *Daemon) settle(c iris.Context, order func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), submitTimeout)
+	defer cancel()
+	return order(ctx)
+}
+
+func (d *Daemon) answerCatalog(c iris.Context, err error, body any) {
+	if err != nil {
+		d.failCatalog(c, err)
+		return
+	}
+	_ = c.JSON(body) // the client sees a broken answer
+}
+
+// failCatalog answers an error of the catalog's calls.
+func (d *Daemon) failCatalog(c iris.Context, err error) {
+	var invalid *catalog.InvalidError
+	var refused *RefusedError
+	var zone *UnknownZoneError
+	var none *NoDocumentError
+	switch {
+	case errors.As(err, &invalid):
+		fail(c, http.StatusBadRequest, operator.CodeInvalid, err.Error())
+	case errors.As(err, &refused) && refused.Conflict:
+		fail(c, http.StatusConflict, operator.CodeConflict, err.Error())
+	case errors.As(err, &refused):
+		fail(c, http.StatusBadRequest, operator.CodeInvalid, err.Error())
+	case errors.As(err, &zone), errors.As(err, &none):
+		fail(c, http.StatusNotFound, operator.CodeNotFound, err.Error())
+	default:
+		fail(c, http.StatusServiceUnavailable, operator.CodeNotKnown, fmt.Sprintf("%v; send it again", err))
+	}
+}
+
+// isZone reports whether a zone is part of the deployment: named by the
+// settings file or tree, or by a target.
+func (d *Daemon) isZone(s steering.State, zone string) bool {
+	if slices.Contains(d.config.Zones, zone) {
+		return true
+	}
+	for _, z := range s.Tree().Zones() {
+		if z.Name == zone {
+			return true
+		}
+	}
+	return slices.ContainsFunc(s.Catalog().Targets(), func(r *wire.Registration) bool { return r.Zone == zone })
+}
+
+// lookupTime is how long the answer of a look-up may be kept.
+func (d *Daemon) lookupTime() time.Duration {
+	if d.config.LookupTTL <= 0 {
+		return lookupTTL
+	}
+	return min(lookupTTL, d.config.LookupTTL)
+}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -164,6 +164,12 @@
 	}
 }
 
+// PeerAddress is where the replica listens for other processes.
+func (d *Daemon) PeerAddress() string { return d.node.Address() }
+
+// OperatorAddress is where the replica listens for operators.
+func (d *Daemon) OperatorAddress() string { return d.operators.Addr().String() }
+
 // AddHandler serves a further interface on an address once Run is called.
 func (d *Daemon) AddHandler(name, address string, h http.Handler) error {
 	l, err := net.Listen("tcp4", address)
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -221,6 +221,9 @@
 	}
 }
 
+// CallerAddress is where the box listens for callers.
+func (d *Daemon) CallerAddress() string { return d.callers.listener.Addr().String() }
+
 // Log returns the log of the process.
 func (d *Daemon) Log() zerolog.Logger { return d.log }
 
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -29,4 +29,7 @@
 	// ParseLoad and ParseCold read these two; ok is false if they can't be read.
 	ParseLoad func(text string) (l balance.Load, ok bool)
 	ParseCold func(text string) (left time.Duration, ok bool)
+	// NewRequestID names a request that comes without an id; nil where callers
+	// must give one.
+	NewRequestID func() string
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -60,7 +60,7 @@
 // ServeHTTP takes a request of a caller.
 func (d *Daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{gateway: d, request: r, writer: w, began: time.Now(), rules: d.rules.Load()}
-	c.id = r.Header.Get(d.config.Protocol.RequestID)
+	c.id = d.config.Protocol.requestID(r)
 	if d.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -69,6 +69,17 @@
 	c.serve()
 }
 
+// requestID returns the id of a request, which is given one if it has none and
+// the protocol allows that.
+func (p Protocol) requestID(r *http.Request) string {
+	id := r.Header.Get(p.RequestID)
+	if id == "" && p.NewRequestID != nil {
+		id = p.NewRequestID()
+		r.Header.Set(p.RequestID, id)
+	}
+	return id
+}
+
 func (c *call) serve() {
 	if c.rules == nil {
 		c.refuse("noRoutes", waitForRoutes)
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -122,6 +122,14 @@
 	return n, nil
 }
 
+// Address is where the node listens; empty for one that only dials.
+func (n *Node) Address() string {
+	if n.listener == nil {
+		return ""
+	}
+	return n.listener.Addr().String()
+}
+
 // Dialer returns a node that only dials, for operators' commands.
 func Dialer(id Identity, clock *timeline.Clock, tls func() (*tls.Config, error)) *Node {
 	return newNode(TCP(), id, clock, Handlers{}, tls)
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -177,6 +177,8 @@
 	CodeUnauthorized = "unauthorized"
 	CodeNotKnown     = "outcomeNotKnown"
 	CodeNotFound     = "notFound"
+	CodeConflict     = "conflict"
+	CodeInvalid      = "invalid"
 )
 
 // ParseEdit reads an edit in the form "path key=value" or "path key" for one
--- a/pkg/catalog/document.go
+++ b/pkg/catalog/document.go
@@ -23,9 +23,9 @@
 	Download
 )
 
-// String returns the name as it stands in logs.
+// String returns the name as it stands in documents and logs.
 func (r Repeat) String() string {
-	return [...]string{"unrepeatable", "repeatable", "download"}[r]
+	return repeatNames[r]
 }
 
 // Destination is a service that takes a share of a route's requests.
