gateway: say in the log that the caller left

Change: such a request has the reason callerLeft, in its line and in the counter of requests; what is answered stays as it was. TestCallerThatLeavesEndsTheRequestAtItsTarget asks for the line and failed before.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -279,10 +279,18 @@
 	return c.sent < c.route.MaxAttempts && c.gateway.takeRetry(c.service)
 }
 
+// reasonCallerLeft stands in the log for a request whose caller closed its
+// connection before the answer: as a rule nobody reads what is answered.
+const reasonCallerLeft = "callerLeft"
+
 // giveUp gives the final answer of a request that no target answered.
 func (c *call) giveUp(cause error) {
 	var none *balance.NoTargetError
 	switch {
+	case c.request.Context().Err() != nil && !c.mayHaveRun:
+		c.refuse(reasonCallerLeft, c.gateway.retryAfter())
+	case c.request.Context().Err() != nil:
+		c.fail(http.StatusBadGateway, reasonCallerLeft, cause)
 	case !c.mayHaveRun && errors.As(cause, &none):
 		c.refuse(none.Reason, none.RetryAfter)
 	case !c.mayHaveRun:
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -1,11 +1,15 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+
+	"github.com/rs/zerolog"
 )
 
 // The target of a request whose caller leaves sees its connection end.
@@ -19,6 +23,8 @@
 		return false
 	})
 	g := newGateway(t, s)
+	var lines bytes.Buffer
+	g.daemon.log = zerolog.New(&lines)
 	ctx, cancel := context.WithCancel(context.Background())
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, g.server.URL+"/unsafe/", nil)
 	if err != nil {
@@ -42,6 +48,10 @@
 	if err := <-ended; err == nil {
 		t.Fatal("the target got more bytes")
 	}
+	g.server.Close() // waits for the request's end
+	if !strings.Contains(lines.String(), `"reason":"callerLeft"`) {
+		t.Errorf("the log does not say that the caller left: %s", lines.String())
+	}
 }
 
 // A box that stops finishes the request that it has read, tells the caller
