balance: keep objects at their homes while a service is crowded

Requests that found no slot at the home went to up to four targets, each of which ran them three times as long and forgot another object for it. Ruled out: the homes' uneven loads (moving objects to idle targets makes it worse), the bound on kept objects (6, 10, 14, 48 instead of 24: all one once this is mended).

Change: other targets take a request only while the answers of the service's targets tell of fewer requests than slots in the mean.

--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 SEEDS ?= 1,2,3
 measure:
 	go run ./contrib/measure -seeds $(SEEDS)
+	go run ./contrib/measure -objects -seeds $(SEEDS)
 
 generate:
 	buf generate
--- a/contrib/measure/main.go
+++ b/contrib/measure/main.go
@@ -21,6 +21,7 @@
 func main() {
 	seeds := flag.String("seeds", "1,2,3", "seeds, separated by commas")
 	only := flag.String("scenario", "", "run only scenarios whose name contains this")
+	objects := flag.Bool("objects", false, "measure the choice among targets that remember objects")
 	csv := flag.String("csv", "", "also write the figures to this file")
 	flag.Parse()
 	list, err := parseSeeds(*seeds)
@@ -28,6 +29,12 @@
 		fmt.Fprintln(os.Stderr, "measure:", err)
 		os.Exit(2)
 	}
+	if *objects {
+		cells := objectCells()
+		runObjects(cells, list)
+		printObjects(os.Stdout, cells)
+		return
+	}
 	cells := plan(list, *only)
 	runAll(cells)
 	printTable(cells)
@@ -77,19 +84,27 @@
 }
 
 func runAll(cells []*cell) {
-	work := make(chan func())
+	runParallel(len(cells), func(i int) {
+		c := cells[i]
+		for n, seed := range c.seeds {
+			c.runs[n] = c.run(seed)
+		}
+	})
+}
+
+// runParallel calls do with each number below n, on all processors.
+func runParallel(n int, do func(i int)) {
+	work := make(chan int)
 	var running sync.WaitGroup
 	for range runtime.GOMAXPROCS(0) {
 		running.Go(func() {
-			for do := range work {
-				do()
+			for i := range work {
+				do(i)
 			}
 		})
 	}
-	for _, c := range cells {
-		for i, seed := range c.seeds {
-			work <- func() { c.runs[i] = c.run(seed) }
-		}
+	for i := range n {
+		work <- i
 	}
 	close(work)
 	running.Wait()
--- a/contrib/measure/sim.go
+++ b/contrib/measure/sim.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -17,32 +16,6 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// event is something that happens at a time; events of equal times happen in
-// the order in which they were planned.
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 const (
 	blocksPerRegion = 200
 	reportLag       = 300 * time.Millisecond
@@ -62,10 +35,8 @@
 	service  layout.Service
 	baseline bool
 	random   *rand.Rand
-	now      time.Time
 	start    time.Time
-	queue    events
-	seq      int
+	schedule
 
 	state   steering.State
 	table   *lookup.Table
@@ -189,13 +160,6 @@
 	s.handle(p, e)
 }
 
-func (s *sim) at(t time.Time, do func()) {
-	s.seq++
-	heap.Push(&s.queue, event{t, s.seq, do})
-}
-
-func (s *sim) after(d time.Duration, do func()) { s.at(s.now.Add(d), do) }
-
 func (s *sim) jitter(d time.Duration) time.Duration {
 	return time.Duration(s.random.Float64() * float64(d))
 }
@@ -207,15 +171,7 @@
 	}
 	s.after(shiftInterval, s.planShifts)
 	s.after(time.Second, s.second)
-	end := s.start.Add(length)
-	for len(s.queue) > 0 {
-		e := heap.Pop(&s.queue).(event)
-		if e.at.After(end) {
-			return
-		}
-		s.now = e.at
-		e.do()
-	}
+	s.runUntil(s.start.Add(length))
 }
 
 // arrivals plans the callers' requests of one region as a Poisson process.
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -36,9 +36,6 @@
 	firstRetryAfter = 300 * time.Millisecond
 	// leastRetryAfter is the shortest wait told to a refused request.
 	leastRetryAfter = 50 * time.Millisecond
-	// keptObjects is how many objects a target is thought to keep in mind at
-	// least. Targets do not tell it; the users' keep 25 or more.
-	keptObjects = 24
 	// reachPart is the part of a route's objective that the way to another
 	// region and back may take; a target that knows the object needs about
 	// half of the objective.
@@ -51,7 +48,7 @@
 	targets []*targetState
 	cold    ColdLimit
 	mean    time.Duration
-	objects objects
+	crowd   crowd
 	// turns spreads requests without a key.
 	turns uint64
 }
@@ -146,7 +143,7 @@
 func (b *Balancer) service(name string) *service {
 	s := b.services[name]
 	if s == nil {
-		s = &service{name: name, objects: newObjects()}
+		s = &service{name: name}
 		b.services[name] = s
 	}
 	return s
@@ -166,33 +163,65 @@
 func (b *Balancer) Choose(now time.Time, r Request) (Choice, error) {
 	s := b.service(r.Service)
 	learned := b.timesOf(r)
-	key := b.keyHash(now, s, r)
-	var near, far side
+	key := s.keyHash(r)
+	chosen := b.home(now, s, r, key)
+	if chosen == nil {
+		return Choice{}, &NoTargetError{Service: r.Service, Reason: ReasonNone, RetryAfter: firstRetryAfter}
+	}
+	wait := chosen.wait(now, learned.mixed)
+	if wait > 0 && (r.Key == "" || !s.crowd.isCrowded()) {
+		chosen, wait = b.besideHome(now, s, r, key, b.inReach(chosen, r)).pick(now, learned.mixed)
+	}
+	if wait > b.longestWait(r, learned) {
+		return Choice{}, &NoTargetError{Service: r.Service, Reason: ReasonFull, RetryAfter: max(wait, leastRetryAfter)}
+	}
+	return b.take(now, chosen, wait, learned), nil
+}
+
+// home returns the target that ranks highest for an object, in reach if there
+// is one; nil if none can be used.
+func (b *Balancer) home(now time.Time, s *service, r Request, key uint64) *targetState {
+	var near, far ranked
 	for _, t := range s.targets {
-		if !b.isUsable(now, t) || !r.allows(t) {
-			continue
-		}
-		if t.isCold(now) && !b.mayWarm(now, s, t) {
+		if !b.mayTake(now, s, t, r) {
 			continue
 		}
-		d := &far
+		best := &far
 		if b.inReach(t, r) {
-			d = &near
+			best = &near
+		}
+		if c := b.rank(t, r, key); best.target == nil || c.above(*best) {
+			*best = c
 		}
-		d.consider(ranked{target: t, rank: mix(key ^ t.hash), near: r.Near && t.Zone == b.config.Zone})
 	}
-	due := &near
-	if near.count == 0 {
-		due = &far
+	if near.target != nil {
+		return near.target
 	}
-	chosen, wait := due.pick(now, b.preferred(now, s, r, due.usable), learned.mixed)
-	if chosen == nil {
-		return Choice{}, &NoTargetError{Service: r.Service, Reason: ReasonNone, RetryAfter: firstRetryAfter}
+	return far.target
+}
+
+// besideHome returns the targets that rank highest for an object, its home among
+// them: of those in reach, or of the others if none is.
+func (b *Balancer) besideHome(now time.Time, s *service, r Request, key uint64, reach bool) *ranking {
+	var out ranking
+	for _, t := range s.targets {
+		if b.inReach(t, r) == reach && b.mayTake(now, s, t, r) {
+			out.consider(b.rank(t, r, key))
+		}
 	}
-	if wait > b.longestWait(r, learned) {
-		return Choice{}, &NoTargetError{Service: r.Service, Reason: ReasonFull, RetryAfter: max(wait, leastRetryAfter)}
+	return &out
+}
+
+func (b *Balancer) rank(t *targetState, r Request, key uint64) ranked {
+	return ranked{target: t, rank: mix(key ^ t.hash), near: r.Near && t.Zone == b.config.Zone}
+}
+
+// mayTake reports whether a target may be sent the request now.
+func (b *Balancer) mayTake(now time.Time, s *service, t *targetState, r Request) bool {
+	if !b.isUsable(now, t) || !r.allows(t) {
+		return false
 	}
-	return b.take(now, chosen, wait, learned), nil
+	return !t.isCold(now) || b.mayWarm(now, s, t)
 }
 
 // inReach reports whether a target counts for the request like one of the
@@ -235,35 +264,10 @@
 
 // keyHash stands for the object, or for a different one each time where the
 // object does not matter.
-func (b *Balancer) keyHash(now time.Time, s *service, r Request) uint64 {
+func (s *service) keyHash(r Request) uint64 {
 	if r.Key == "" {
 		s.turns++
 		return mix(s.turns)
 	}
-	hash := xxhash.Sum64String(r.Key)
-	s.objects.note(now, mix(hash)^xxhash.Sum64String(r.Route))
-	return hash
-}
-
-// preferred returns how many targets of a side an object may be sent to: as
-// many as can keep all objects in mind, so that the overflow of one target
-// does not make another forget what it keeps.
-func (b *Balancer) preferred(now time.Time, s *service, r Request, usable int) int {
-	if r.Key == "" {
-		return maxPreferred
-	}
-	all := float64(s.objects.count(now)) * b.regionsInUse()
-	return max(int(keptObjects*float64(usable)/max(all, 1)), 1)
-}
-
-// regionsInUse is by how much more objects there are than the callers of this
-// box's region ask for, if those of other regions ask for others of their own.
-func (b *Balancer) regionsInUse() float64 {
-	own := 0
-	for _, box := range b.boxes {
-		if box.Region == b.config.Region {
-			own++
-		}
-	}
-	return float64(max(len(b.boxes), 1)) / float64(max(own, 1))
+	return xxhash.Sum64String(r.Key)
 }
--- a/pkg/balance/balancer_test.go
+++ b/pkg/balance/balancer_test.go
@@ -193,3 +193,62 @@
 		t.Fatal("it is not tried again")
 	}
 }
+
+// fill takes all slots of the home of an object and returns the home.
+func (w *world) fill(key string) string {
+	w.t.Helper()
+	home := w.choose(w.request(key)).Target
+	for range home.Slots - 1 {
+		if got := w.choose(w.request(key)).Target.ID; got != home.ID {
+			w.t.Fatalf("the object went to %s while its home %s had slots", got, home.ID)
+		}
+	}
+	return home.ID
+}
+
+// tell has targets answer with a load, long enough ago to be forgotten of each
+// of them.
+func (w *world) tell(l Load) {
+	for range 200 {
+		for _, t := range w.targets {
+			w.balancer.Done(w.now, Report{TargetID: t.ID, Route: "r", Outcome: Answered, Took: 100 * time.Millisecond, Load: l, HasLoad: true})
+		}
+	}
+	w.now = w.now.Add(time.Minute)
+}
+
+// A request whose home has no slot goes to another target only while targets
+// have no queues: a crowded service would lose slots to objects that are not known.
+func TestCrowdedServiceKeepsObjectsAtHome(t *testing.T) {
+	w := newWorld(t, 4, 0)
+	w.tell(Load{Running: 1, Slots: 4})
+	home := w.fill("a")
+	if got := w.choose(w.request("a")).Target.ID; got == home {
+		t.Errorf("the request waits at %s while others have free slots", home)
+	}
+
+	w = newWorld(t, 4, 0)
+	w.tell(Load{Running: 4, Waiting: 3, Slots: 4})
+	w.fill("a")
+	r := w.request("a")
+	r.Left = 0 // it can't wait
+	_, err := w.balancer.Choose(w.now, r)
+	var none *NoTargetError
+	if !errors.As(err, &none) || none.Reason != ReasonFull {
+		t.Errorf("got %v, want a refusal", err)
+	}
+}
+
+// Targets that do not tell their load are thought to have as much of each box.
+func TestCrowdWithoutWordOfTargets(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	target := w.balancer.byID["near0"]
+	target.inFlight = 3
+	answered := Report{TargetID: "near0", Outcome: Answered}
+	if got := w.balancer.crowdLoad(target, answered); got != 1.5 {
+		t.Errorf("3 requests of one of 2 boxes at 4 slots are a load of %g, want 1.5", got)
+	}
+	if got := w.balancer.crowdLoad(target, Report{TargetID: "near0", Outcome: TurnedAway}); got != fullLoad {
+		t.Errorf("a target that turned a request away has a load of %g, want %g", got, fullLoad)
+	}
+}
--- a/pkg/balance/side.go
+++ b/pkg/balance/ranking.go
@@ -19,17 +19,13 @@
 // maxPreferred bounds the targets that are considered for one object.
 const maxPreferred = 4
 
-// side is the part of a service's targets that is in the box's region, or the
-// part that is not.
-type side struct {
-	// usable is how many targets may be used; top are those that rank highest.
-	usable int
-	top    [maxPreferred]ranked
-	count  int
+// ranking holds the targets that rank highest for an object.
+type ranking struct {
+	top   [maxPreferred]ranked
+	count int
 }
 
-func (d *side) consider(r ranked) {
-	d.usable++
+func (d *ranking) consider(r ranked) {
 	at := d.count
 	if at == maxPreferred {
 		if !r.above(d.top[at-1]) {
@@ -46,12 +42,12 @@
 	d.top[at] = r
 }
 
-// pick returns the highest of the preferred targets that has a free slot, or
-// else the one with the shortest wait.
-func (d *side) pick(now time.Time, preferred int, mean time.Duration) (*targetState, time.Duration) {
+// pick returns the highest target that has a free slot, or else the one with
+// the shortest wait.
+func (d *ranking) pick(now time.Time, mean time.Duration) (*targetState, time.Duration) {
 	var best *targetState
 	shortest := time.Duration(0)
-	for _, r := range d.top[:min(d.count, preferred)] {
+	for _, r := range d.top[:d.count] {
 		wait := r.target.wait(now, mean)
 		if wait == 0 {
 			return r.target, 0
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -63,6 +63,9 @@
 	}
 	b.noteDistance(t.Region, r.Connect)
 	t.inFlight = max(t.inFlight-1, 0)
+	if r.Outcome == Answered || r.Outcome == TurnedAway {
+		b.service(t.Service).crowd.note(b.crowdLoad(t, r))
+	}
 	wasOut := t.failures > 0
 	switch r.Outcome {
 	case Answered:
