relay: send changes that come close together in one update

Each registration went to each of 45 subscribers by itself.

Change: at least 40 ms between two updates to a subscriber; the first change is sent at once.

--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("opening a stream to %s: %w", address, err)
 	}
-	m := newMessages(stream)
+	m := NewMessages(stream)
 	hello := &wire.StreamHello{Kind: kind, From: n.identity.Name, Incarnation: n.identity.Incarnation, Clock: n.clock.Stamp()}
 	if err := m.Write(hello); err != nil {
 		return nil, nil, errors.Join(err, stream.Close())
--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -23,7 +23,8 @@
 	writing chan struct{}
 }
 
-func newMessages(stream io.ReadWriteCloser) *Messages {
+// NewMessages returns the messages of a stream.
+func NewMessages(stream io.ReadWriteCloser) *Messages {
 	return &Messages{stream: stream, reader: bufio.NewReader(stream), writing: make(chan struct{}, 1)}
 }
 
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -243,7 +243,7 @@
 
 func (n *Node) serveStream(stream net.Conn) {
 	defer n.running.Done()
-	m := newMessages(stream)
+	m := NewMessages(stream)
 	hello := &wire.StreamHello{}
 	_ = stream.SetReadDeadline(time.Now().Add(helloTimeout))
 	if err := m.Read(hello); err != nil {
--- a/internal/relay/publishing.go
+++ b/internal/relay/publishing.go
@@ -39,6 +39,11 @@
 	// heartbeatInterval is how often a subscriber gets an update that only
 	// tells the age of the word of control.
 	heartbeatInterval = time.Second
+	// updateSpacing is the least time between two updates to one subscriber:
+	// changes that come closer travel together. It bounds what a replica sends
+	// when hundreds of targets change, and is short against the 250 ms within
+	// which boxes must go by the same document.
+	updateSpacing = 40 * time.Millisecond
 	// entryBoxFresh is how old the report of an entry box may be while the box
 	// counts as serving: three reports of a box may be lost.
 	entryBoxFresh = 3 * time.Second
@@ -101,6 +106,7 @@
 		if err := m.Write(u); err != nil {
 			return
 		}
+		sent := time.Now()
 		version = max(version, u.Version)
 		due = false
 		select {
@@ -112,6 +118,13 @@
 		case <-ticker.C:
 			due = true
 		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ended:
+			return
+		case <-time.After(time.Until(sent.Add(updateSpacing))):
+		}
 	}
 }
 
