soak: check the operators' history for linearizability, let two of them race

The soak compared single reads with what was acknowledged before; two operators never raced. This replaces the check that a change on top of the acknowledged document is not refused, which it contains.

--- a/contrib/soak/faults.go
+++ b/contrib/soak/faults.go
@@ -212,13 +212,29 @@
 }
 
 func (w *world) changeRoutes(r *rand.Rand) {
-	for range 1 + r.IntN(3) {
-		w.changeConfig(6 * time.Second)
+	for i := range 1 + r.IntN(3) {
+		if i < 2 {
+			w.changeConfig(6 * time.Second)
+		} else {
+			w.raceRoutes()
+		}
 		list := w.controlAddresses()
 		w.readConfig(list[r.IntN(len(list))])
 	}
 }
 
+// raceRoutes has two operators change the same document at once.
+func (w *world) raceRoutes() {
+	ended := make(chan bool, 2)
+	for range 2 {
+		go func() { ended <- w.changeConfig(6 * time.Second) }()
+	}
+	first, second := <-ended, <-ended
+	if !first && !second {
+		w.readBack() // one of them may be in force without a clear answer
+	}
+}
+
 // evacuate empties a zone for a while and checks that nothing runs there.
 func (w *world) evacuate(r *rand.Rand) {
 	zone := pick(r, zones)
--- a/contrib/soak/main.go
+++ b/contrib/soak/main.go
@@ -155,6 +155,9 @@
 	if !w.readBack() {
 		w.promises.broken("the document can't be read back")
 	}
+	if !w.history.check() {
+		w.promises.broken("no order of the operators' writes and reads explains what they were told")
+	}
 	w.checkEnds()
 }
 
--- a/contrib/soak/world.go
+++ b/contrib/soak/world.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -37,6 +38,7 @@
 	ledger   *standin.Ledger
 	promises promises
 	counts   counts
+	history  *history
 
 	mu      sync.Mutex
 	targets []*standin.Served
@@ -71,7 +73,9 @@
 		proxies: make(map[string]*proxy),
 		ledger:  standin.NewLedger(),
 		run:     run,
+		history: newHistory(),
 	}
+	w.config.doubtful = make(map[int][]byte)
 	w.counts.requests, w.counts.faults = make(map[string]int), make(map[string]int)
 	for i := range n.controls {
 		w.controls = append(w.controls, w.newProcess(binary, fmt.Sprint("control", i), true, i))
@@ -234,7 +238,7 @@
 	return 0
 }
 
-// changeConfig puts the next document in force; only one operator does so.
+// changeConfig puts a next document in force; several operators may do so at once.
 func (w *world) changeConfig(limit time.Duration) bool {
 	c := &w.config
 	c.mu.Lock()
@@ -242,20 +246,17 @@
 	number, base := c.number, c.acked
 	body := document(number, base)
 	c.mu.Unlock()
-	status := w.settle(http.MethodPut, "/ledgesill/config", body, limit)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if status == http.StatusOK {
-		c.acked, c.body, c.at = number, body, time.Now()
-		c.doubtful = nil
+	called := w.history.now()
+	told := verdictOf(w.settle(http.MethodPut, "/ledgesill/config", body, limit))
+	w.history.wrote(write{number, base}, called, told)
+	if told == accepted {
+		w.adopt(number, body)
 		return true
 	}
-	if c.doubtful == nil {
-		c.doubtful = make(map[int][]byte)
-	}
-	c.doubtful[number] = body
-	if status == http.StatusPreconditionFailed && len(c.doubtful) == 1 {
-		w.promises.broken("a change on top of the acknowledged document %d was refused", base)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if told == unclear {
+		c.doubtful[number] = body
 	}
 	return false
 }
@@ -264,8 +265,9 @@
 // older than what was acknowledged before the read.
 func (w *world) readConfig(address string) bool {
 	w.config.mu.Lock()
-	acked, body, doubtful := w.config.acked, w.config.body, w.config.doubtful
+	acked, body, doubtful := w.config.acked, w.config.body, maps.Clone(w.config.doubtful)
 	w.config.mu.Unlock()
+	called := w.history.now()
 	status, text := call(http.MethodGet, address, "/ledgesill/config", nil)
 	if status != http.StatusOK {
 		return false
@@ -275,6 +277,7 @@
 		w.promises.broken("a read of the document gave %q", text)
 		return false
 	}
+	w.history.readNumber(read.Version, called)
 	if read.Version < acked {
 		w.promises.broken("a read gave document %d after %d was acknowledged", read.Version, acked)
 	}
@@ -293,6 +296,6 @@
 	defer w.config.mu.Unlock()
 	if number > w.config.acked {
 		w.config.acked, w.config.body, w.config.at = number, body, time.Now()
-		w.config.doubtful = nil
+		clear(w.config.doubtful)
 	}
 }
