--- a/contrib/measure/request.go
+++ b/contrib/measure/request.go
@@ -25,7 +25,7 @@
 	deadline   time.Time
 	choices    []lookup.Choice
 	config     routing.Config
-	course     *routing.Course
+	failover   *routing.Failover
 	place      int
 	kept       retry.Verdict
 	ran        int
@@ -74,7 +74,7 @@
 		places = 1
 	}
 	r.config = routing.Config{Places: places, Origin: true, Repeatable: r.repeatable, Deadline: r.deadline}
-	r.course = routing.NewCourse(r.config, s.budget)
+	r.failover = routing.NewFailover(r.config, s.budget)
 	r.path = s.layout.CallerDelay + s.delay(region, r.choices[0])
 	s.after(r.path, r.visit)
 }
@@ -211,10 +211,10 @@
 	a.visit.carryOut(a.visit.plan.Ended(a.visit.request.sim.now, a.number, end))
 }
 
-// placeEnded takes the answer of a place and goes on as the course decides.
+// placeEnded takes the answer of a place and goes on as the failover decides.
 func (r *request) placeEnded(v retry.Verdict, retryAfter time.Duration) {
 	s := r.sim
-	d := r.course.Ended(s.now, routing.Result{Verdict: v, RetryAfter: retryAfter})
+	d := r.failover.Ended(s.now, routing.Result{Verdict: v, RetryAfter: retryAfter})
 	if d.Keep {
 		r.kept = v
 	}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -43,7 +43,7 @@
 
 	// What the leader has been told of the boxes; the watch worker owns both.
 	reportedTo string
-	thinner    *relay.Thinner
+	filter     *relay.ReportFilter
 
 	mu        sync.Mutex
 	addresses map[string]string
@@ -377,9 +377,9 @@
 	d.hearOf(v.membership)
 	if v.status.Leader != d.reportedTo {
 		d.reportedTo = v.status.Leader
-		d.thinner = relay.NewThinner()
+		d.filter = relay.NewReportFilter()
 	}
-	report := &wire.Report{Boxes: d.thinner.Thin(time.Now(), d.publishing.Reports(), v.state.Shifting())}
+	report := &wire.Report{Boxes: d.filter.News(time.Now(), d.publishing.Reports(), v.state.Shifting())}
 	if len(report.Boxes) == 0 {
 		return
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -41,14 +41,14 @@
 		Repeatable: r.repeatable,
 		Deadline:   r.deadline,
 	}
-	course := routing.NewCourse(config, budget)
+	failover := routing.NewFailover(config, budget)
 	var kept *answer
 	for i, place := range places {
 		visit := *r
 		visit.noWait = r.noWait || config.NoWait(i, len(places) > 1 && places[1].region == d.config.Region)
 		a := place.run(ctx, &visit)
 		d.budgets.Lock()
-		decision := course.Ended(time.Now(), a.result())
+		decision := failover.Ended(time.Now(), a.result())
 		d.budgets.Unlock()
 		if decision.Keep {
 			kept.discard()
@@ -63,7 +63,7 @@
 
 const retryWithoutPool = 500 * time.Millisecond
 
-// result is what the answer of a place means for the course of the request.
+// result is what the answer of a place means for the next place.
 func (a *answer) result() routing.Result {
 	r := routing.Result{RetryAfter: a.retryAfter, Final: a.status != http.StatusServiceUnavailable}
 	switch a.outcome {
--- a/internal/relay/following.go
+++ b/internal/relay/following.go
@@ -62,7 +62,7 @@
 	cancel  context.CancelFunc
 	opened  chan openedStream
 	changed chan struct{}
-	thinner *Thinner
+	filter  *ReportFilter
 }
 
 type openedStream struct {
@@ -134,7 +134,7 @@
 		_ = f.stream.Close()
 	}
 	f.stream = o.stream
-	f.thinner = NewThinner()
+	f.filter = NewReportFilter()
 	f.report()
 }
 
@@ -234,7 +234,7 @@
 	if f.stream == nil || f.subscriber.Reports == nil {
 		return
 	}
-	news := f.thinner.Thin(time.Now(), f.subscriber.Reports(), f.machine.State().Shifting())
+	news := f.filter.News(time.Now(), f.subscriber.Reports(), f.machine.State().Shifting())
 	if len(news) == 0 {
 		return
 	}
--- a/internal/relay/thinner.go
+++ b/internal/relay/reportfilter.go
@@ -15,9 +15,9 @@
 // be news.
 const loadChange = 10
 
-// Thinner leaves out reports that the upstream already has. It is a state
+// ReportFilter leaves out reports that the upstream already has. It is a state
 // machine without I/O.
-type Thinner struct {
+type ReportFilter struct {
 	sent map[string]sentReport
 }
 
@@ -27,25 +27,25 @@
 	sentAt time.Time
 }
 
-// NewThinner returns a thinner for an upstream that has nothing.
-func NewThinner() *Thinner { return &Thinner{sent: make(map[string]sentReport)} }
+// NewReportFilter returns a filter for an upstream that has nothing.
+func NewReportFilter() *ReportFilter { return &ReportFilter{sent: make(map[string]sentReport)} }
 
-// Thin returns the reports that are to be sent at now: those with news, and
+// News returns the reports that are to be sent at now: those with news, and
 // those last sent a refresh interval ago. A report that is no newer than the
 // one that was sent is never repeated, so that a silent box is seen to be
 // silent. If eager is true, as while a shift runs, every newer report is sent.
-func (t *Thinner) Thin(now time.Time, reports []*wire.BoxReport, eager bool) []*wire.BoxReport {
+func (f *ReportFilter) News(now time.Time, reports []*wire.BoxReport, eager bool) []*wire.BoxReport {
 	var out []*wire.BoxReport
 	for _, r := range reports {
 		made := now.Add(-time.Duration(r.AgeMilli) * time.Millisecond)
-		last, ok := t.sent[r.Box]
+		last, ok := f.sent[r.Box]
 		if ok && !made.After(last.made) {
 			continue
 		}
 		if ok && !eager && now.Sub(last.sentAt) < RefreshInterval && !isNews(last.report, r) {
 			continue
 		}
-		t.sent[r.Box] = sentReport{proto.CloneOf(r), made, now}
+		f.sent[r.Box] = sentReport{proto.CloneOf(r), made, now}
 		out = append(out, r)
 	}
 	return out
--- a/internal/relay/thinner_test.go
+++ b/internal/relay/reportfilter_test.go
@@ -7,14 +7,14 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-func TestThin(t *testing.T) {
+func TestReportFilter(t *testing.T) {
 	now := time.Unix(1000, 0)
 	report := func(version uint64, busy uint32, age time.Duration) []*wire.BoxReport {
 		return []*wire.BoxReport{{
 			Box: "b", Version: version, AgeMilli: age.Milliseconds(), Pools: []*wire.PoolReport{{Service: "s", Capacity: 20, Busy: busy}},
 		}}
 	}
-	thinner := NewThinner()
+	filter := NewReportFilter()
 	for i, step := range []struct {
 		after   time.Duration
 		reports []*wire.BoxReport
@@ -34,7 +34,7 @@
 		{time.Second, append(report(2, 12, 0), report(3, 1, 0)...), false, 1}, // one of two
 	} {
 		now = now.Add(step.after)
-		if got := thinner.Thin(now, step.reports, step.eager); len(got) != step.want {
+		if got := filter.News(now, step.reports, step.eager); len(got) != step.want {
 			t.Errorf("step %d: %d reports sent, want %d", i, len(got), step.want)
 		}
 	}
--- a/pkg/routing/course.go
+++ b/pkg/routing/failover.go
@@ -1,5 +1,5 @@
 // Package routing decides how a request goes from place to place: the pool of
-// its own availability zone, then other zones, best first. A Course is a state
+// its own availability zone, then other zones, best first. A Failover is a state
 // machine without I/O.
 package routing
 
@@ -48,50 +48,50 @@
 	Keep bool
 }
 
-// Course is the way of one request.
-type Course struct {
+// Failover takes one request from place to place.
+type Failover struct {
 	config Config
 	budget *retry.Budget
 	tried  int
 	last   Result
 }
 
-// NewCourse returns the course of a request that is sent to its first place.
-func NewCourse(c Config, b *retry.Budget) *Course { return &Course{config: c, budget: b} }
+// NewFailover returns the failover of a request that is sent to its first place.
+func NewFailover(c Config, b *retry.Budget) *Failover { return &Failover{config: c, budget: b} }
 
 // Ended takes the answer of the present place. A place that surely did not run
 // the request lets the next one have it; one that may have run it does so only
 // if the request is repeatable and the retry budget allows it.
-func (c *Course) Ended(now time.Time, r Result) Decision {
-	first := c.tried == 0
-	c.tried++
-	keep := first || !c.worse(r)
+func (f *Failover) Ended(now time.Time, r Result) Decision {
+	first := f.tried == 0
+	f.tried++
+	keep := first || !f.worse(r)
 	if keep {
-		c.last = r
+		f.last = r
 	}
-	return Decision{Next: c.mayGoOn(now, r), Keep: keep}
+	return Decision{Next: f.mayGoOn(now, r), Keep: keep}
 }
 
 // worse reports whether the answer before is to be kept: one that says that the
 // request may have run, which a later refusal can't undo, or of two refusals
 // the one that lets the caller come back sooner.
-func (c *Course) worse(r Result) bool {
-	if c.last.Verdict == retry.Unknown && r.Verdict == retry.DidNotRun {
+func (f *Failover) worse(r Result) bool {
+	if f.last.Verdict == retry.Unknown && r.Verdict == retry.DidNotRun {
 		return true
 	}
-	bothRefused := c.last.Verdict == retry.DidNotRun && r.Verdict == retry.DidNotRun
-	return bothRefused && c.last.RetryAfter > 0 && c.last.RetryAfter < r.RetryAfter
+	bothRefused := f.last.Verdict == retry.DidNotRun && r.Verdict == retry.DidNotRun
+	return bothRefused && f.last.RetryAfter > 0 && f.last.RetryAfter < r.RetryAfter
 }
 
-func (c *Course) mayGoOn(now time.Time, r Result) bool {
-	if !c.config.Origin || c.tried >= min(c.config.Places, MaxPlaces) || !now.Before(c.config.Deadline) {
+func (f *Failover) mayGoOn(now time.Time, r Result) bool {
+	if !f.config.Origin || f.tried >= min(f.config.Places, MaxPlaces) || !now.Before(f.config.Deadline) {
 		return false
 	}
 	switch r.Verdict {
 	case retry.DidNotRun:
 		return !r.Final
 	case retry.Unknown:
-		return c.config.Repeatable && c.budget != nil && c.budget.Take()
+		return f.config.Repeatable && f.budget != nil && f.budget.Take()
 	}
 	return false
 }
--- a/pkg/routing/course_test.go
+++ b/pkg/routing/failover_test.go
@@ -9,16 +9,16 @@
 	"ledgesill.dev/ledgesill/pkg/retry"
 )
 
-// TestCourse checks that only a request that may be repeated goes on after a
-// place that may have run it, and that a course ends.
-func TestCourse(t *testing.T) {
+// TestFailover checks that only a request that may be repeated goes on after a
+// place that may have run it, and that a failover ends.
+func TestFailover(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
 		c := Config{
 			Places: rapid.IntRange(1, 9).Draw(t, "places"), Origin: rapid.Bool().Draw(t, "origin"),
 			Repeatable: rapid.Bool().Draw(t, "repeatable"), Deadline: now.Add(time.Second),
 		}
-		course := NewCourse(c, retry.NewBudget(50))
+		failover := NewFailover(c, retry.NewBudget(50))
 		mayRun := 0
 		var kept retry.Verdict
 		for tried := 1; ; tried++ {
@@ -29,7 +29,7 @@
 			if r.Verdict != retry.DidNotRun {
 				mayRun++
 			}
-			d := course.Ended(now, r)
+			d := failover.Ended(now, r)
 			if d.Keep {
 				kept = r.Verdict
 			}
