--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -3,9 +3,11 @@
 // and what became of earlier requests and returns choices.
 //
 // The targets of a service are ranked for each object by rendezvous hashing,
-// the same at every entry box, so that an object is served where it was seen
-// lately; a target whose slots are taken is passed over for the next in rank.
-// Requests stay in the box's region but for a share that moves slowly.
+// the same at every entry box; the first of them that can be used is the
+// object's home, where it was seen lately. When the home has no slot the next
+// in rank may take the request, unless the whole service is crowded. Targets of
+// another region count like those of the box's own if the way there leaves
+// enough of the request's objective.
 package balance
 
 import (
