lookup, gateway: report to each control replica on its own schedule

Change: a schedule of reports for each replica (a state machine), repeated after 0.12 s while a replica does not take them, and at once when the box begins to serve; a replica that stood in the membership before its start answers 0.28 s after the first box has reported, a new one after 1.2 s as before.

--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"ledgesill.dev/ledgesill/pkg/catalog"
@@ -107,9 +108,6 @@
 const (
 	// recentReports is the time over which boxes are counted.
 	recentReports = 10 * time.Second
-	// learnTime is for how long after its start a replica answers no look-up,
-	// so that boxes can have reported: two of their usual intervals.
-	learnTime = 1200 * time.Millisecond
 	// maxLookupBoxes is the most that an answer may name (the users' bound).
 	maxLookupBoxes = 64
 	// lookupTTL is how long an answer may be kept. Callers keep some answers
@@ -120,7 +118,7 @@
 // BoxesFor returns the caller addresses of the entry boxes that a caller in a
 // region and zone is to use, and how long that may be kept.
 func (d *Daemon) BoxesFor(region, zone string) ([]string, time.Duration) {
-	if d.Uptime() < learnTime {
+	if !d.hasLearned() {
 		return nil, d.lookupTime()
 	}
 	var serving []lookup.Nearby
@@ -136,3 +134,22 @@
 	}
 	return near, d.lookupTime()
 }
+
+// hasLearned reports whether the boxes that serve are known well enough since
+// the start of this process.
+func (d *Daemon) hasLearned() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.learning.Done(time.Now())
+}
+
+// collect takes the reports of boxes.
+func (d *Daemon) collect(r *wire.Report) {
+	d.publishing.Collect(r)
+	if !slices.ContainsFunc(r.Boxes, func(b *wire.BoxReport) bool { return b.CallerAddress != "" && !b.Stopping }) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.learning.Heard(time.Now())
+}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -20,6 +20,7 @@
 	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/journal"
+	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -52,6 +53,7 @@
 	repairs   map[string]consensus.RepairStep
 	lagging   map[string]time.Time
 	shifts    map[string]string // why a shift waits
+	learning  *lookup.Learning
 }
 
 // Open recovers the replica and listens. Run must follow.
@@ -98,6 +100,7 @@
 		return err
 	}
 	d.replica = r
+	d.learning = lookup.NewLearning(len(r.machine.Membership().GetVoters()) > 0)
 	if found.CutBytes > 0 {
 		detail := fmt.Sprintf("cut %d bytes of an unfinished write off the journal", found.CutBytes)
 		d.process.StateChange(&wire.TimelineEvent{Kind: "journalCut", Detail: detail})
@@ -321,7 +324,7 @@
 		d.noteJoining(request.Join.Replica)
 		return &wire.CallAnswer{Join: &wire.JoinAnswer{Noted: true}}
 	case request.Report != nil:
-		d.publishing.Collect(request.Report)
+		d.collect(request.Report)
 		return &wire.CallAnswer{}
 	case request.Submit != nil:
 		return d.serveSubmit(ctx, request.Submit)
--- a/internal/control/submit.go
+++ b/internal/control/submit.go
@@ -163,9 +163,6 @@
 	return d.publishing.Fresh(within)
 }
 
-// Uptime returns how long ago this process started.
-func (d *Daemon) Uptime() time.Duration { return time.Since(d.started) }
-
 // Log returns the log of the process.
 func (d *Daemon) Log() zerolog.Logger { return d.process.Log }
 
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -96,7 +96,7 @@
 	began := time.Now()
 	d.stopping.Store(true)
 	d.log.Info().Str("kind", "stopping").Int64("inFlight", d.inFlight.Load()).Msg("told to stop; leaves the look-ups")
-	d.reportNow()
+	d.reportToAll(context.Background())
 	total := d.config.StopTime - stopReserve
 	time.Sleep(min(acceptTime, total/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(total))
--- a/internal/gateway/controls.go
+++ b/internal/gateway/controls.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"ledgesill.dev/ledgesill/pkg/distribution"
-	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -134,60 +133,7 @@
 	}
 	d.log.Info().Str("kind", "controls").Strs("addresses", d.controls.all()).Str("from", address).Msg("knows the control replicas")
 	d.following.SourcesChanged()
-}
-
-// report tells every control replica that this box serves.
-func (d *Daemon) report(ctx context.Context) error {
-	for {
-		next := time.Now().Add(lookup.ReportInterval(d.boxCount()))
-		d.reportTo(ctx)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(time.Until(next)):
-		}
-	}
-}
-
-// boxCount returns how many entry boxes serve as far as is known.
-func (d *Daemon) boxCount() int {
-	d.balancing.Lock()
-	defer d.balancing.Unlock()
-	return d.balancing.boxes
-}
-
-// reportNow reports outside the usual times and waits until all have it.
-func (d *Daemon) reportNow() { d.reportTo(context.Background()) }
-
-func (d *Daemon) reportTo(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, controlCallTimeout)
-	defer cancel()
-	report := &wire.BoxReport{
-		Box:         d.config.Name,
-		Incarnation: d.process.Incarnation,
-		Zone:        d.config.Zone,
-		Region:      d.config.Region,
-		Address:     d.config.Peers,
-		Stopping:    d.stopping.Load(),
-	}
-	if rules := d.rules.Load(); rules != nil {
-		report.Version = rules.version
-		report.CallerAddress = d.config.Callers
-	}
-	all := d.controls.all()
-	done := make(chan struct{}, len(all))
-	for _, address := range all {
-		go func() {
-			request := &wire.CallRequest{Report: &wire.Report{Boxes: []*wire.BoxReport{report}}}
-			// One that does not answer is told again at the next interval.
-			_, err := d.node.Call(ctx, address, request)
-			d.noteControl(address, err)
-			done <- struct{}{}
-		}()
-	}
-	for range all {
-		<-done
-	}
+	d.reportsChanged()
 }
 
 // noteControl tells that a control replica was lost or is back.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -51,6 +51,9 @@
 	ready       net.Listener
 	exposed     net.Listener
 
+	// reportDue holds a token when the replicas must be told of this box at once.
+	reportDue chan struct{}
+
 	rules    atomic.Pointer[inForce]
 	stopping atomic.Bool
 	inFlight atomic.Int64
@@ -86,6 +89,7 @@
 		metrics:     newMetrics(p.Metrics),
 		servedLines: newLineLimit(servedLines),
 		otherLines:  newLineLimit(otherLines),
+		reportDue:   make(chan struct{}, 1),
 	}
 	d.balancing.balancer = balance.New(balance.Config{Box: c.Name, Zone: c.Zone, Region: c.Region})
 	d.balancing.budgets = make(map[string]*retry.Window)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -40,6 +40,9 @@
 	keepSplits(d.balancing.splits, document)
 	d.balancing.Unlock()
 	d.rules.Store(next)
+	if before == nil {
+		d.reportsChanged() // from now on it serves
+	}
 	d.log.Info().Str("kind", "routes").Uint64("number", document.Number).Uint64("stateVersion", version).
 		Dur("controlAge", d.following.Age()).Msg("document of routes in force")
 }
