entry, link: run the fault matrix over whole frames, end sessions by their connections

The request matrix hung: yamux holds a stream's mutex while it reads the rest of a frame, and virtual time stands still while another goroutine waits for that mutex. The bubble's network carried the header of a frame and its data as two writes, and a stall or cut could fall between them. It now carries whole frames to addresses where a link listens; TestStallWithinAFrame hung before (seen, with AcceptStream in sendWindowUpdate), passes now. Between the shutdown of a session and the closing of its streams every reader spins, and on one processor it keeps the session's reading goroutine from ending it. Sessions now end only by their connection, so that the reading goroutine closes session and streams in one step; keep-alive is our own. TestReadersRestWhileASessionEnds hung before.

--- a/internal/entry/network_test.go
+++ b/internal/entry/network_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -23,7 +24,9 @@
 	cuts      map[[2]string]bool
 	stalled   map[string]bool
 	dead      map[string]bool
-	delay     time.Duration
+	// framed holds the addresses whose connections carry whole frames.
+	framed map[string]bool
+	delay  time.Duration
 	// onDial and onWrite see every dial and write before it takes effect.
 	onDial  func(from, to string)
 	onWrite func(from, to string, data []byte)
@@ -36,6 +39,7 @@
 		cuts:      make(map[[2]string]bool),
 		stalled:   make(map[string]bool),
 		dead:      make(map[string]bool),
+		framed:    make(map[string]bool),
 		delay:     time.Millisecond,
 		onDial:    func(string, string) {},
 		onWrite:   func(string, string, []byte) {},
@@ -104,6 +108,14 @@
 	}
 }
 
+// carryFrames makes connections to an address, where a link listens, carry
+// whole frames.
+func (n *fakeNetwork) carryFrames(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.framed[address] = true
+}
+
 func (n *fakeNetwork) place(host, zone string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -175,6 +187,9 @@
 	near, far := &fakeConn{network: n, host: from, address: from + ":0"}, &fakeConn{network: n, host: to, address: address}
 	near.peer, far.peer = far, near
 	near.notify, far.notify = make(chan struct{}, 1), make(chan struct{}, 1)
+	if n.framed[address] {
+		near.frames, far.frames = &framing{}, &framing{greeted: true}
+	}
 	n.conns = append(n.conns, near, far)
 	n.mu.Unlock()
 	select {
@@ -239,6 +254,10 @@
 	err      error
 	closed   bool
 	deadline time.Time
+	// frames is nil where bytes are carried as they are written; begun tells
+	// that a part of the first incoming frame has been read.
+	frames *framing
+	begun  bool
 }
 
 func (c *fakeConn) signal() {
@@ -294,7 +313,7 @@
 		}
 		wait = c.deadline.Sub(now)
 	}
-	if !open || len(c.incoming) == 0 {
+	if (!open && !c.begun) || len(c.incoming) == 0 {
 		return 0, wait, nil
 	}
 	first := &c.incoming[0]
@@ -306,6 +325,7 @@
 	}
 	n = copy(b, first.data)
 	first.data = first.data[n:]
+	c.begun = c.frames != nil && len(first.data) > 0
 	if len(first.data) == 0 {
 		c.incoming = c.incoming[1:]
 	}
@@ -317,6 +337,10 @@
 	onWrite(c.host, c.peer.host, b)
 	c.mu.Lock()
 	err, closed := c.err, c.closed
+	chunks := [][]byte{b}
+	if c.frames != nil {
+		chunks = c.frames.add(b)
+	}
 	c.mu.Unlock()
 	if closed {
 		return 0, net.ErrClosed
@@ -324,7 +348,10 @@
 	if err != nil {
 		return 0, err
 	}
-	c.peer.push(chunk{at: time.Now().Add(c.network.delayNow()), data: append([]byte(nil), b...)})
+	at := time.Now().Add(c.network.delayNow())
+	for _, data := range chunks {
+		c.peer.push(chunk{at: at, data: append([]byte(nil), data...)})
+	}
 	return len(b), nil
 }
 
@@ -360,3 +387,50 @@
 func (c *fakeConn) SetWriteDeadline(time.Time) error { return nil }
 func (c *fakeConn) LocalAddr() net.Addr              { return fakeAddr(c.address) }
 func (c *fakeConn) RemoteAddr() net.Addr             { return fakeAddr(c.peer.address) }
+
+const (
+	// frameHeader is the length of the header of a yamux frame; its last four
+	// bytes hold the length of the data that follows where its second byte,
+	// the type, is dataFrame.
+	frameHeader = 12
+	dataFrame   = 0
+)
+
+// framing cuts what one end of a link writes into the frames of yamux. The
+// receiver holds a mutex while it waits for the rest of a frame, and virtual
+// time stands still while anyone waits for that mutex. So the network of the
+// bubble carries whole frames: a cut or a stall falls between two of them.
+type framing struct {
+	// greeted tells that the byte that opens a link has passed.
+	greeted bool
+	pending []byte
+}
+
+// add takes what was written and returns the frames that are whole.
+func (f *framing) add(b []byte) [][]byte {
+	f.pending = append(f.pending, b...)
+	var out [][]byte
+	for {
+		n, whole := f.next()
+		if !whole {
+			return out
+		}
+		out = append(out, append([]byte(nil), f.pending[:n]...))
+		f.pending = f.pending[n:]
+	}
+}
+
+func (f *framing) next() (length int, whole bool) {
+	if !f.greeted {
+		f.greeted = len(f.pending) > 0
+		return 1, f.greeted
+	}
+	if len(f.pending) < frameHeader {
+		return 0, false
+	}
+	n := frameHeader
+	if f.pending[1] == dataFrame {
+		n += int(binary.BigEndian.Uint32(f.pending[frameHeader-4:]))
+	}
+	return n, len(f.pending) >= n
+}
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -152,6 +152,7 @@
 	clock := timeline.NewClock(time.Now)
 	s.publish = relay.NewPublishing(steering.State{}, func() time.Duration { return 0 }, clock.Stamp)
 	handlers := link.Handlers{Subscribe: func(ctx context.Context, _ string, m *link.Messages) { s.publish.Serve(ctx, m) }}
+	s.network.carryFrames(controlHost + ":1")
 	node, err := link.Listen(s.networkOf(controlHost), controlHost+":1", link.Identity{Name: "control"}, clock, handlers, nil)
 	if err != nil {
 		s.t.Fatal(err)
@@ -249,6 +250,7 @@
 		Controls:      []string{controlHost + ":1"},
 		PlatformList:  s.platform,
 	}
+	s.network.carryFrames(c.PeerAddress)
 	d, err := Open(c, io.Discard, s.networkOf(host))
 	if err != nil {
 		s.t.Fatal(err)
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"net"
 
-	"github.com/hashicorp/yamux"
-
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -34,7 +32,7 @@
 	return stream, m, nil
 }
 
-func (n *Node) session(ctx context.Context, key sessionKey) (*yamux.Session, error) {
+func (n *Node) session(ctx context.Context, key sessionKey) (*session, error) {
 	n.mu.Lock()
 	if n.closed {
 		n.mu.Unlock()
@@ -63,7 +61,7 @@
 	if _, err := c.Write([]byte{byte(key.use)}); err != nil {
 		return nil, errors.Join(err, c.Close())
 	}
-	s, err := yamux.Client(&counted{Conn: c, traffic: n.traffic(key.use)}, sessionConfig())
+	s, err := openSession(&counted{Conn: c, traffic: n.traffic(key.use)}, true)
 	if err != nil {
 		return nil, errors.Join(err, c.Close())
 	}
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -6,22 +6,20 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/hashicorp/yamux"
-
 	"ledgesill.dev/ledgesill/pkg/timeline"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
 const (
-	dialTimeout       = 500 * time.Millisecond
-	writeTimeout      = 2 * time.Second
-	keepAliveInterval = 2 * time.Second
-	helloTimeout      = 2 * time.Second
+	dialTimeout  = 500 * time.Millisecond
+	helloTimeout = 2 * time.Second
 	// maxStreams bounds the streams that one peer may have open.
 	maxStreams = 4096
 )
@@ -67,7 +65,7 @@
 
 	mu       sync.Mutex
 	sessions map[sessionKey]*dialled
-	accepted map[*yamux.Session]bool
+	accepted map[*session]bool
 	closed   bool
 	running  sync.WaitGroup
 	ctx      context.Context
@@ -100,7 +98,7 @@
 // need not wait for it.
 type dialled struct {
 	lock    chan struct{}
-	session *yamux.Session
+	session *session
 }
 
 func newDialled() *dialled { return &dialled{lock: make(chan struct{}, 1)} }
@@ -143,21 +141,12 @@
 		handlers: h,
 		tls:      tls,
 		sessions: make(map[sessionKey]*dialled),
-		accepted: make(map[*yamux.Session]bool),
+		accepted: make(map[*session]bool),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
 
-func sessionConfig() *yamux.Config {
-	c := yamux.DefaultConfig()
-	c.LogOutput = io.Discard
-	c.KeepAliveInterval = keepAliveInterval
-	c.ConnectionWriteTimeout = writeTimeout
-	c.AcceptBacklog = maxStreams
-	return c
-}
-
 func (n *Node) accept() {
 	defer n.running.Done()
 	for {
@@ -187,7 +176,7 @@
 		return
 	}
 	_ = c.SetReadDeadline(time.Time{})
-	s, err := yamux.Server(&counted{Conn: c, traffic: n.traffic(sessionUse(use[0]))}, sessionConfig())
+	s, err := openSession(&counted{Conn: c, traffic: n.traffic(sessionUse(use[0]))}, false)
 	if err != nil {
 		_ = c.Close()
 		return
@@ -223,22 +212,24 @@
 	return secured, nil
 }
 
-func (n *Node) keep(s *yamux.Session) bool {
+func (n *Node) keep(s *session) bool {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.closed {
-		_ = s.Close()
-		return false
+	closed := n.closed
+	if !closed {
+		n.accepted[s] = true
 	}
-	n.accepted[s] = true
-	return true
+	n.mu.Unlock()
+	if closed {
+		_ = s.Close() // nothing is under way on it
+	}
+	return !closed
 }
 
-func (n *Node) forget(s *yamux.Session) {
+func (n *Node) forget(s *session) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	delete(n.accepted, s)
-	_ = s.Close()
+	n.mu.Unlock()
+	_ = s.Close() // it has ended
 }
 
 func (n *Node) serveStream(stream net.Conn) {
@@ -290,11 +281,12 @@
 	if n.listener != nil {
 		err = n.listener.Close()
 	}
-	for s := range n.accepted {
-		_ = s.Close()
-	}
+	accepted := slices.Collect(maps.Keys(n.accepted))
 	dialled := n.sessions
 	n.mu.Unlock()
+	for _, s := range accepted {
+		_ = s.Close() // what its peer had under way is of no use
+	}
 	for _, d := range dialled {
 		d.lock <- struct{}{}
 		if d.session != nil {
--- /dev/null
+++ b/internal/link/session.go
@@ -0,0 +1,121 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+const (
+	// keepAliveInterval is how often the one that dialled asks whether its peer is
+	// there, and answerTimeout how long the answer may take, more than the second
+	// retransmission of a lost packet on the longest way. A connection that has
+	// gone silent without a reset is closed after 1 s to 2 s, and the next call
+	// goes over a new one. A question and its answer are 24 bytes.
+	keepAliveInterval = time.Second
+	answerTimeout     = time.Second
+	// acceptedInterval is that of the other side, which has nothing to send by
+	// itself and only lets go of what is lost.
+	acceptedInterval = 2 * time.Second
+	// writeTimeout bounds a write to a stream, whose peer may read slowly.
+	writeTimeout = 2 * time.Second
+)
+
+// session is a yamux session that ends only by its connection.
+//
+// When yamux closes a session from anywhere but its reading goroutine, every
+// reader of a stream runs in a loop without rest until the reading goroutine has
+// ended: the session counts as shut down and the stream as open. On a box with
+// one processor the readers then keep the reading goroutine from running. So
+// nothing here closes a session: its connection is closed, the reading goroutine
+// fails, and that closes the session and its streams in one step.
+type session struct {
+	*yamux.Session
+	connection *endingConn
+	ended      context.CancelFunc
+	watching   sync.WaitGroup
+}
+
+// openSession starts a session on a connection, as the one that dialled or not.
+func openSession(c net.Conn, dialled bool) (*session, error) {
+	conn := &endingConn{Conn: c}
+	start, interval := yamux.Server, acceptedInterval
+	if dialled {
+		start, interval = yamux.Client, keepAliveInterval
+	}
+	y, err := start(conn, sessionConfig())
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &session{Session: y, connection: conn, ended: cancel}
+	s.watching.Go(func() { s.keepAlive(ctx, interval) })
+	return s, nil
+}
+
+func sessionConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.LogOutput = io.Discard
+	c.EnableKeepAlive = false // keepAlive does it
+	c.StreamOpenTimeout = 0   // streams have deadlines of their own
+	c.ConnectionWriteTimeout = writeTimeout
+	c.AcceptBacklog = maxStreams
+	return c
+}
+
+// Close closes the connection and waits for the session's end.
+func (s *session) Close() error {
+	err := s.connection.Close()
+	<-s.CloseChan()
+	s.ended()
+	s.watching.Wait()
+	return err
+}
+
+// keepAlive closes the connection when the peer does not answer any more.
+func (s *session) keepAlive(ctx context.Context, interval time.Duration) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.CloseChan():
+			return
+		case <-time.After(interval):
+		}
+		if !s.answers() {
+			_ = s.connection.Close() // the session's readers report the end
+			return
+		}
+	}
+}
+
+// answers asks the peer whether it is there.
+func (s *session) answers() bool {
+	answered := make(chan error, 1)
+	go func() {
+		_, err := s.Ping()
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		return err == nil
+	case <-time.After(answerTimeout):
+		return false
+	}
+}
+
+// endingConn is a connection whose end is told to its reader only: a write that
+// fails closes it and counts as done.
+type endingConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c *endingConn) Write(b []byte) (int, error) {
+	if _, err := c.Conn.Write(b); err != nil {
+		_ = c.Close() // the reader reports the end
+	}
+	return len(b), nil
+}
