--- a/pkg/balance/balancer_test.go
+++ b/pkg/balance/balancer_test.go
@@ -321,3 +321,28 @@
 		t.Errorf("the refusal says %+v", none)
 	}
 }
+
+// One lost answer does not take a target out that answers others meanwhile.
+func TestTargetThatAnswersOthersStays(t *testing.T) {
+	for _, o := range []Outcome{Stuck, Unreachable} {
+		w := newWorld(t, 2, 0)
+		lost := w.choose(w.request("a"))
+		id := lost.Target.ID
+		report := Report{TargetID: id, Route: "r", Outcome: o, Took: time.Second}
+
+		w.now = w.now.Add(500 * time.Millisecond)
+		w.done(w.choose(w.request("a")), Answered)
+		w.now = w.now.Add(500 * time.Millisecond)
+		if got := w.balancer.Done(w.now, report); got != Unchanged {
+			t.Errorf("%v: a target that has just answered is left out", o)
+		}
+		c := w.choose(w.request("a"))
+		if c.Target.ID != id {
+			t.Errorf("%v: the object goes to %s", o, c.Target.ID)
+		}
+		w.now = w.now.Add(2 * time.Second)
+		if got := w.balancer.Done(w.now, report); got != LeftOut {
+			t.Errorf("%v: a target that has answered nothing since is kept", o)
+		}
+	}
+}
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -73,6 +73,9 @@
 	case TurnedAway:
 		b.noteFull(now, t, r)
 	case Unreachable, Stuck:
+		if t.answeredSince(now.Add(-r.Took)) {
+			return Unchanged
+		}
 		t.noteUnreachable(now)
 		return LeftOut
 	case Broken:
@@ -84,6 +87,7 @@
 	case Dropped:
 		return Unchanged
 	}
+	t.answeredAt = now
 	t.failures = 0
 	t.broken = 0
 	if wasOut {
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -72,8 +72,10 @@
 	// failures in a row, and until when the target is left out for them.
 	failures     int
 	ejectedUntil time.Time
-	// broken counts the answers that broke since the last whole one.
-	broken int
+	// broken counts the answers that broke since the last whole one, which came
+	// at answeredAt.
+	broken     int
+	answeredAt time.Time
 	// pace is the mean time of its answers relative to the service's.
 	pace   float64
 	paceAt time.Time
@@ -123,6 +125,12 @@
 	t.ejectedUntil = now.Add(min(out, longestEjection))
 }
 
+// answeredSince reports whether the target has answered another request since a
+// time. An answer or a connection that was lost in that time says nothing of the
+// target then; leaving it out would send all its objects to targets that do not
+// know them.
+func (t *targetState) answeredSince(at time.Time) bool { return t.answeredAt.After(at) }
+
 // isOut reports whether the target is left out. After its time one request at
 // once tries it.
 func (t *targetState) isOut(now time.Time) bool {
