--- /dev/null
+++ b/internal/gateway/requestlog.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// log tells what became of the request and what decided it.
+func (c *call) log(status int, reason string, cause error) {
+	d := c.gateway
+	took := time.Since(c.began)
+	d.metrics.count(c.route.Name, status, reason, took)
+	line := d.requestLine(status < http.StatusBadRequest && cause == nil)
+	if line == nil {
+		return
+	}
+	line = line.Str("kind", "request").Str("request", c.id).Int("status", status).Dur("took", took).
+		Str("route", c.route.Name).Str("service", c.service).Str("key", c.key())
+	if c.rules != nil {
+		line = line.Uint64("routes", c.rules.document.Number).Uint64("stateVersion", c.rules.version)
+	}
+	line = line.Dur("controlAge", d.following.Age())
+	if reason != "" {
+		line = line.Str("reason", reason)
+	}
+	if c.last.target.ID != "" {
+		line = line.Str("target", c.last.target.ID).Str("targetZone", c.last.target.Zone).Str("outcome", c.last.outcome.String()).
+			Dur("targetTook", c.last.took).Dur("wait", c.last.choice.Wait).Float64("load", c.last.choice.Load).
+			Bool("newConnection", c.last.fresh).Int("sent", c.sent).Int("dials", c.dials).Bool("mayHaveRun", c.mayHaveRun)
+	}
+	line = c.addRefusal(line)
+	if cause == nil {
+		cause = c.last.err
+	}
+	if cause != nil {
+		line = line.AnErr("cause", cause)
+	}
+	line.Msg("request ended")
+}
+
+// addRefusal adds what decided a refusal to the line of a request.
+func (c *call) addRefusal(line *zerolog.Event) *zerolog.Event {
+	if c.told > 0 {
+		line = line.Dur("retryAfter", c.told)
+	}
+	if c.none == nil {
+		return line
+	}
+	return line.Int("registered", c.none.Registered).Str("fullTarget", c.none.Target).Float64("fullLoad", c.none.Load).
+		Int("fullSlots", c.none.Slots).Dur("reckonedWait", c.none.Wait).Dur("longestWait", c.none.Longest).
+		Float64("serviceLoad", c.none.ServiceLoad)
+}
