soak: let open connections go silent for good

The proxies between the processes silence the connections that are open, without a reset, while new ones work, each 1.5 to 4 s and by a plan of its own, so that the other faults of a seed stay as they were.

--- a/contrib/soak/faults.go
+++ b/contrib/soak/faults.go
@@ -253,6 +253,7 @@
 	all := faults()
 	end := time.Now().Add(length)
 	var running sync.WaitGroup
+	running.Go(func() { w.silenceConnections(end, rand.New(rand.NewPCG(w.seed, 11))) })
 	for time.Now().Before(end) {
 		f := pick(w.random, all)
 		r := rand.New(rand.NewPCG(w.random.Uint64(), 1))
--- a/contrib/soak/proxy.go
+++ b/contrib/soak/proxy.go
@@ -26,6 +26,15 @@
 
 func (m mode) String() string { return modeNames[m] }
 
+// connState is what becomes of the bytes that come on one connection.
+type connState int
+
+const (
+	passed connState = iota
+	// silenced: they are taken and dropped.
+	silenced
+)
+
 const (
 	delayTime   = 120 * time.Millisecond
 	silenceLook = 20 * time.Millisecond
@@ -38,7 +47,7 @@
 	to       string
 	mu       sync.Mutex
 	mode     mode
-	conns    map[net.Conn]bool
+	conns    map[net.Conn]connState
 	running  sync.WaitGroup
 }
 
@@ -47,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, to: to, conns: make(map[net.Conn]bool)}
+	p := &proxy{listener: l, to: to, conns: make(map[net.Conn]connState)}
 	p.running.Add(1)
 	go p.accept()
 	return p, nil
@@ -121,7 +130,7 @@
 	if p.conns == nil || p.mode == reset {
 		return false
 	}
-	p.conns[c] = true
+	p.conns[c] = passed
 	return true
 }
 
@@ -138,6 +147,9 @@
 		n, err := from.Read(piece)
 		if n > 0 {
 			p.hold(forward)
+			if p.isSilenced(from) {
+				continue
+			}
 			if _, err := to.Write(piece[:n]); err != nil {
 				break
 			}
--- a/contrib/soak/world.go
+++ b/contrib/soak/world.go
@@ -31,6 +31,7 @@
 // world is one run: real processes, stand-ins and what was seen of them.
 type world struct {
 	random   *rand.Rand
+	seed     uint64
 	folder   string
 	controls []*process
 	entries  []*process
@@ -69,6 +70,7 @@
 func newWorld(binary, folder string, run int, seed uint64, n size) (*world, error) {
 	w := &world{
 		random:  rand.New(rand.NewPCG(seed, 7)),
+		seed:    seed,
 		folder:  folder,
 		proxies: make(map[string]*proxy),
 		ledger:  standin.NewLedger(),
