--- /dev/null
+++ b/internal/gateway/leaving_test.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// openTo connects to a box and writes the beginning of a request.
+func openTo(t *testing.T, g *gateway, begin string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp4", strings.TrimPrefix(g.server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, begin); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Nothing of a request reaches a target whose caller leaves before its body has
+// been read.
+func TestCallerThatLeavesWithinItsBodySendsNothing(t *testing.T) {
+	s := newTarget(t, served)
+	g := newGateway(t, s)
+	head := "POST /unsafe/ HTTP/1.1\r\nHost: a.example\r\nTest-Id: id1\r\nTest-Key: k\r\nContent-Length: 100\r\n\r\n"
+	c := openTo(t, g, head+"half of")
+	_ = c.Close()
+	g.server.Close() // waits for the request's end
+	if n := s.requests.Load(); n != 0 {
+		t.Errorf("%d requests reached the target", n)
+	}
+}
+
+// Callers that connect and send nothing, or half of a header, keep no other out.
+func TestHalfOpenConnectionsKeepNoneOut(t *testing.T) {
+	const many = 300
+	g := newGateway(t, newTarget(t, served))
+	for n := range many {
+		begin := ""
+		if n%2 == 0 {
+			begin = "GET /safe/ HTTP/1.1\r\nHo"
+		}
+		defer openTo(t, g, begin).Close()
+	}
+	for n := range 5 {
+		response, _ := g.do(t, http.MethodGet, "/safe/", fmt.Sprint("id", n), "")
+		if response.StatusCode != http.StatusOK {
+			t.Fatalf("request %d was answered %d", n, response.StatusCode)
+		}
+	}
+}
