--- a/internal/link/session_test.go
+++ b/internal/link/session_test.go
@@ -86,8 +86,8 @@
 	runtime.GC()
 }
 
-// linkPair runs two nodes in virtual time; the server's calls do not end while
-// held is set.
+// linkPair runs a function in virtual time with a node that dials and one that
+// answers; last returns the connection that was opened last.
 func linkPair(t *testing.T, run func(t *testing.T, caller *Node, last func() *faulty)) {
 	t.Helper()
 	emptyPools()
