gateway: let the server end connections that rest too long

The request had been sent to its target, which was cut, and its caller got nothing. Ruled out: a restart of the box (none in its log up to then), the target (its run was cut by the box).

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -33,6 +33,9 @@
 	server   *http.Server
 	mu       sync.Mutex
 	idle     map[net.Conn]time.Time
+	// ending holds the connections that were idle for too long and whose server
+	// has been told to read no further request.
+	ending map[net.Conn]bool
 }
 
 func newCallers(d *Daemon) (*callers, error) {
@@ -40,7 +43,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listening for callers")
 	}
-	c := &callers{gateway: d, listener: l, idle: make(map[net.Conn]time.Time)}
+	c := &callers{gateway: d, listener: l, idle: make(map[net.Conn]time.Time), ending: make(map[net.Conn]bool)}
 	c.server = &http.Server{
 		Handler:           d,
 		ReadHeaderTimeout: callerHeaderTimeout,
@@ -65,6 +68,10 @@
 		return
 	}
 	delete(c.idle, conn)
+	if c.ending[conn] && s == http.StateActive {
+		_ = conn.SetReadDeadline(time.Time{}) // a request was read before the end: it is served
+	}
+	delete(c.ending, conn)
 }
 
 // sweep closes connections that have rested for longer than the document of
@@ -77,14 +84,18 @@
 	c.closeIdle(now.Add(-rules.document.Limits.IdleTime))
 }
 
-// closeIdle closes connections that have been idle since a time.
+// closeIdle ends connections that have been idle since a time. They are not
+// closed here but by their server, whose wait for a request ends: the request of
+// a caller may have been read already, before the connection counts as active,
+// and would be lost with it after it has been sent to a target.
 func (c *callers) closeIdle(since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, at := range c.idle {
 		if at.Before(since) {
 			delete(c.idle, conn)
-			_ = conn.Close() // the caller sees it
+			c.ending[conn] = true
+			_ = conn.SetReadDeadline(time.Unix(1, 0)) // one that fails has been closed
 		}
 	}
 }
