--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -31,13 +31,15 @@
 
 // Daemon is one entry box.
 type Daemon struct {
-	config      Config
-	process     *process.Process
-	lines       *process.LogWriter
-	log         zerolog.Logger
-	started     time.Time
-	node        *link.Node
-	following   *relay.Following
+	config    Config
+	process   *process.Process
+	lines     *process.LogWriter
+	log       zerolog.Logger
+	started   time.Time
+	node      *link.Node
+	following *relay.Following
+	// controlAge is how long ago control was last heard of.
+	controlAge  func() time.Duration
 	controls    *controls
 	connections *connections
 	shaper      *shaper
@@ -114,6 +116,7 @@
 		EntryBoxes:  d.setBoxes,
 		Event:       d.noteEvent,
 	})
+	d.controlAge = d.following.Age
 	return d, d.listen()
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -123,6 +123,7 @@
 			Id: fmt.Sprint("t", i), Service: "s", Address: s.listener.Addr().String(), Zone: "z", Slots: 4, Sequence: 1,
 		}}})
 	}
+	d.controlAge = func() time.Duration { return 0 }
 	d.putInForce(state, nil)
 	d.setBoxes([]*wire.EntryBox{{Name: "box", Zone: "z", Region: "r"}})
 	g := &gateway{daemon: d, server: httptest.NewServer(d)}
@@ -347,6 +348,27 @@
 	}
 }
 
+// A box answered requests at a route that had been added with 404, for seconds:
+// the change had not reached it, and its word of control was seven seconds old. It
+// answered from what it knew as if it knew all there is; the log lines of these
+// requests named an older document than the one in force, with that age.
+func TestRouteThatMayHaveBeenAddedIsNotDenied(t *testing.T) {
+	g := newGateway(t, newTarget(t, served))
+	age := staleAfter + time.Millisecond
+	g.daemon.controlAge = func() time.Duration { return age }
+	response, _ := g.do(t, "GET", "/added/", "id1", "")
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("no word of control for %s: %d, %v", age, response.StatusCode, response.Header)
+	}
+	if response, _ := g.do(t, "GET", "/safe/", "id2", ""); response.StatusCode != http.StatusOK {
+		t.Errorf("a known route: %d", response.StatusCode)
+	}
+	age = staleAfter
+	if response, _ := g.do(t, "GET", "/added/", "id3", ""); response.StatusCode != http.StatusNotFound {
+		t.Errorf("word of control: %d", response.StatusCode)
+	}
+}
+
 // Long bodies and long answers go through in pieces.
 func TestLongBodies(t *testing.T) {
 	long := strings.Repeat("0123456789abcdef", 40_000)
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -21,7 +21,7 @@
 	if c.rules != nil {
 		line = line.Uint64("routes", c.rules.document.Number).Uint64("stateVersion", c.rules.version)
 	}
-	line = line.Dur("controlAge", d.following.Age())
+	line = line.Dur("controlAge", d.controlAge())
 	if reason != "" {
 		line = line.Str("reason", reason)
 	}
