gateway: tell callers of unknown routes to come back while control is silent

Cause: a box whose word of control is older than 1.6 s said 404 for a path without route, as if it knew all routes; callers take that as final. Ruled out: refusing all requests of such a box: a zone that is cut off has to go on serving what it knows. Change: 503 with the age of the word of control as the time to come back, at most 5 s; with word of control 404 as before. The line of the request says routesMayBeOld. Before: TestRouteThatMayHaveBeenAddedIsNotDenied failed with 404; now it passes, and the other tests of the gateway.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -86,7 +86,7 @@
 	}
 	route, ok := c.rules.document.Match(c.request.Host, c.request.URL.EscapedPath())
 	if !ok {
-		c.fail(http.StatusNotFound, "noRoute", nil)
+		c.answerUnknownRoute()
 		return
 	}
 	c.route = route
@@ -111,6 +111,17 @@
 	c.attempts(ctx)
 }
 
+// answerUnknownRoute denies a request at no known route. A box without word of
+// control can't tell a wrong path from a route that was added meanwhile: callers of
+// the route would give up for good, so they are told to come back.
+func (c *call) answerUnknownRoute() {
+	if age := c.gateway.controlAge(); age > staleAfter {
+		c.refuse("routesMayBeOld", min(age, longestRoutesWait))
+		return
+	}
+	c.fail(http.StatusNotFound, "noRoute", nil)
+}
+
 // deadline is how long the caller will wait.
 func (c *call) deadline() time.Duration {
 	text := c.request.Header.Get(c.gateway.config.Protocol.Deadline)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -140,6 +140,9 @@
 	routesTime = 700 * time.Millisecond
 	// routesOverdue is what a caller is told to wait once that time is over.
 	routesOverdue = 250 * time.Millisecond
+	// longestRoutesWait bounds what is told to callers of an unknown route, who wait
+	// for as long again as control has been silent; a cut may last for minutes.
+	longestRoutesWait = 5 * time.Second
 	// leastRoutesWait bounds what is told before.
 	leastRoutesWait = 50 * time.Millisecond
 )
