gateway: ask another target beside one that is overdue, end none before

Ruled out: hosting pkg/retry.Plan. It takes a retry before its host knows of a target, asks once only, and counts a target that can't be reached as an attempt; the gateway needs the opposite of each. The budget stays one logic: Window.Take is Allows and a count.

Change: one goroutine owns a request and reads the ends of its attempts from a channel. When the patience runs out it seeks another target; only if there is one, and a retry, the route's attempts and the time allow it, and the body can be sent to several, it begins an attempt beside the first. Else it asks again after what the balancer tells, 50 to 250 ms. The first final answer counts; the other attempts are ended, waited for and reported once each before it is passed on. A target that turns away, breaks or fails beside another takes nothing from that one; a failure it told is the answer if nothing better comes. An attempt that was overdue when it was ended counts as stuck, any other as dropped. A request that an earlier target may have run is not called not run when the last one turned it away (502, not 503). At the very end of its time a request is answered 504. The log line gets beside, besideAfter, otherTargets and noneBeside; a counter ledgesill_attempts_beside_total.

Protects: no answer at which a target works is given up while there is time, at a stop or not; 503 is told only of what surely did not run.

A silent target beside which there is no room is told to the balancer when its attempt ends and no longer after the patience.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -11,40 +11,95 @@
 	"ledgesill.dev/ledgesill/pkg/catalog"
 )
 
-// attempts sends the request to one target after the other until one answers
+// attempts sends the request to targets until one gives an answer that is final
 // or no further one may be tried.
 func (c *call) attempts(ctx context.Context) {
+	c.ended = make(chan attemptEnd)
+	c.alarm = time.NewTimer(time.Until(c.ends))
+	defer c.alarm.Stop()
 	for {
-		choice, err := c.choose()
+		choice, err := c.gateway.choose(c.wanted())
 		if err != nil {
-			c.giveUp(err)
+			c.conclude(err)
 			return
 		}
-		out, failure := c.attempt(ctx, choice)
-		if failure != nil {
-			c.last.err = failure
-			if ctx.Err() != nil || !c.mayGoOn(failure) {
-				c.giveUp(failure)
-				return
-			}
-			continue
-		}
-		if !c.worthAnother(out) {
-			c.pass(out)
+		c.launch(ctx, choice)
+		if c.await(ctx) {
 			return
 		}
-		if out.rest != nil {
-			out.finish(false)
+	}
+}
+
+// await takes the ends of the attempts that are under way and reports whether
+// the caller has been answered; if not, another target may be tried.
+func (c *call) await(ctx context.Context) bool {
+	for len(c.underWay) > 0 {
+		select {
+		case e := <-c.ended:
+			if c.take(ctx, e) {
+				return true
+			}
+		case <-c.alarm.C:
+			c.seek(ctx)
+		}
+	}
+	return false
+}
+
+// take takes the end of an attempt and reports whether the caller has been
+// answered.
+func (c *call) take(ctx context.Context, e attemptEnd) bool {
+	c.settle(e)
+	if len(c.underWay) > 0 && !c.isFinal(e) {
+		c.putAside(e)
+		c.watch()
+		return false
+	}
+	if e.failure != nil {
+		return c.takeFailure(ctx, e.failure)
+	}
+	if len(c.underWay) == 0 && c.worthAnother(e.out) {
+		if e.out.rest != nil {
+			e.out.finish(false)
 		}
+		return false
 	}
+	c.endOthers()
+	c.pass(e.out)
+	return true
 }
 
-func (c *call) choose() (balance.Choice, error) {
+// takeFailure takes the failure of the last attempt that was under way.
+func (c *call) takeFailure(ctx context.Context, failure *attemptError) bool {
+	if ctx.Err() == nil && c.mayGoOn(failure) {
+		return false
+	}
+	c.conclude(failure)
+	return true
+}
+
+// conclude answers a request for which no further target may be tried.
+func (c *call) conclude(cause error) {
+	if c.fallback != nil && c.request.Context().Err() == nil {
+		c.pass(c.fallback)
+		return
+	}
+	c.giveUp(cause)
+}
+
+// isFinal reports whether an attempt gave the answer to the request, while
+// another is under way that may give a better one.
+func (c *call) isFinal(e attemptEnd) bool {
+	return e.failure == nil && !c.notRun(e.out) && e.out.status < http.StatusInternalServerError
+}
+
+// wanted is what a target is sought for.
+func (c *call) wanted() balance.Request {
 	left := c.route.Objective - time.Since(c.began)
-	if c.sent > 0 {
+	if c.sent+len(c.underWay) > 0 {
 		left = time.Until(c.ends) // late is better than not at all
 	}
-	return c.gateway.choose(balance.Request{
+	return balance.Request{
 		Service:   c.service,
 		Route:     c.route.Name,
 		Key:       c.key(),
@@ -53,7 +108,7 @@
 		Objective: c.route.Objective,
 		Left:      left,
 		Tried:     c.tried,
-	})
+	}
 }
 
 func (c *call) key() string {
@@ -63,33 +118,6 @@
 	return c.request.Header.Get(c.gateway.config.Protocol.ObjectKey)
 }
 
-// attempt sends the request to the chosen target.
-func (c *call) attempt(ctx context.Context, choice balance.Choice) (*answer, *attemptError) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	began := time.Now()
-	if c.route.Repeat != catalog.Unrepeatable && c.sent+1 < c.route.MaxAttempts {
-		impatience := time.AfterFunc(choice.Patience, func() { cancel(errStuck) })
-		defer impatience.Stop()
-	}
-	a := &attempt{gateway: c.gateway, request: c.request, id: c.id, body: c.body, target: choice.Target, left: time.Until(c.ends)}
-	out, failure := a.run(ctx)
-	took := time.Since(began)
-	c.tried = append(c.tried, choice.Target.ID)
-	c.last = attemptRecord{target: choice.Target, choice: choice, fresh: a.connect > 0, took: took}
-	report := balance.Report{TargetID: choice.Target.ID, Route: c.route.Name, Took: took, Connect: a.connect}
-	if failure != nil {
-		cancel(nil)
-		report.Outcome = c.judgeFailure(ctx, failure, took, choice)
-	} else {
-		report.Outcome = c.judgeAnswer(out)
-		c.readWord(out, &report)
-		c.releaseWhenRead(out, func() { cancel(nil) })
-	}
-	c.last.outcome = report.Outcome
-	c.gateway.done(report)
-	return out, failure
-}
-
 // releaseWhenRead ends the attempt's context once its answer has been read.
 func (c *call) releaseWhenRead(out *answer, release func()) {
 	if out.rest == nil {
@@ -103,18 +131,22 @@
 	}
 }
 
-func (c *call) judgeFailure(ctx context.Context, failure *attemptError, took time.Duration, choice balance.Choice) balance.Outcome {
-	if !failure.sent {
+// judgeFailure tells what a failed attempt says of its target. One that was ended
+// after its patience had run out counts as stuck, whoever ended it: that is how a
+// target is noticed that has gone silent.
+func (c *call) judgeFailure(e attemptEnd) balance.Outcome {
+	if !e.failure.sent {
 		c.dials++
-		return failure.outcome
+		return e.failure.outcome
 	}
 	c.sent++
 	c.mayHaveRun = true
-	expired := errors.Is(context.Cause(ctx), context.DeadlineExceeded)
-	if failure.outcome == balance.Dropped && expired && took > choice.Patience {
+	expired := errors.Is(context.Cause(e.ctx), context.DeadlineExceeded)
+	late := e.overdue || (expired && e.took > e.choice.Patience)
+	if e.failure.outcome == balance.Dropped && late {
 		return balance.Stuck
 	}
-	return failure.outcome
+	return e.failure.outcome
 }
 
 // judgeAnswer tells an answer from a target that did not run the request.
--- /dev/null
+++ b/internal/gateway/beside.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"ledgesill.dev/ledgesill/pkg/balance"
+	"ledgesill.dev/ledgesill/pkg/catalog"
+)
+
+const (
+	// leastAsk and mostAsk bound when another target is sought again after none
+	// was found: below the first a request would ask for room that nothing has
+	// made, beyond the second one that is back after the shortest time for which
+	// a target is left out would be missed.
+	leastAsk = 50 * time.Millisecond
+	mostAsk  = 250 * time.Millisecond
+)
+
+// errOtherAnswered is the cause of a context that ended because another target
+// gave the answer.
+var errOtherAnswered = errors.New("another target answered")
+
+// underWay is an attempt that has not ended.
+type underWay struct {
+	attempt *attempt
+	choice  balance.Choice
+	began   time.Time
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	// overdue tells that its answer had not come when the patience ran out.
+	overdue bool
+}
+
+// attemptEnd is how an attempt has ended.
+type attemptEnd struct {
+	*underWay
+	out     *answer
+	failure *attemptError
+	took    time.Duration
+}
+
+// launch begins an attempt, whose end comes on the channel of the call.
+func (c *call) launch(ctx context.Context, choice balance.Choice) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	a := &attempt{gateway: c.gateway, request: c.request, id: c.id, body: c.body, target: choice.Target, left: time.Until(c.ends)}
+	u := &underWay{attempt: a, choice: choice, began: time.Now(), ctx: ctx, cancel: cancel}
+	c.tried = append(c.tried, choice.Target.ID)
+	c.underWay = append(c.underWay, u)
+	go func() {
+		out, failure := a.run(ctx)
+		c.ended <- attemptEnd{underWay: u, out: out, failure: failure, took: time.Since(u.began)}
+	}()
+	c.watch()
+}
+
+// watch sets the alarm to when the attempt that began last is overdue.
+func (c *call) watch() {
+	if !c.mayRunBeside() {
+		c.alarm.Stop()
+		return
+	}
+	last := c.underWay[len(c.underWay)-1]
+	c.alarm.Reset(max(time.Until(last.began.Add(last.choice.Patience)), leastAsk))
+}
+
+// mayRunBeside reports whether the request may go to a further target while one
+// may be running it.
+func (c *call) mayRunBeside() bool {
+	if c.route.Repeat == catalog.Unrepeatable || !c.body.whole() {
+		return false
+	}
+	if time.Until(c.ends) < leastLeft || c.dials >= maxDials {
+		return false
+	}
+	return c.sent+len(c.underWay) < c.route.MaxAttempts
+}
+
+// seek looks for a target beside those that are overdue. They are kept whether
+// there is one or not: a target that is slow because its queue is long answers
+// in the end, and where all have queues there is no better one.
+func (c *call) seek(ctx context.Context) {
+	for _, u := range c.underWay {
+		u.overdue = true
+	}
+	if ctx.Err() != nil || !c.mayRunBeside() {
+		return
+	}
+	choice, err := c.gateway.chooseRetry(c.wanted())
+	if err != nil {
+		c.beside.none = err
+		c.alarm.Reset(untilAsk(err))
+		return
+	}
+	c.beside.count++
+	c.beside.after = time.Since(c.underWay[0].began)
+	c.gateway.metrics.beside.Inc()
+	c.launch(ctx, choice)
+}
+
+// untilAsk is when another target may be sought again.
+func untilAsk(err error) time.Duration {
+	var none *balance.NoTargetError
+	if !errors.As(err, &none) {
+		return mostAsk
+	}
+	return min(max(none.RetryAfter, leastAsk), mostAsk)
+}
+
+// settle takes the end of an attempt: it is counted, judged and reported.
+func (c *call) settle(e attemptEnd) {
+	c.underWay = slices.DeleteFunc(c.underWay, func(u *underWay) bool { return u == e.underWay })
+	c.last = attemptRecord{target: e.choice.Target, choice: e.choice, fresh: e.attempt.connect > 0, took: e.took}
+	report := balance.Report{TargetID: e.choice.Target.ID, Route: c.route.Name, Took: e.took, Connect: e.attempt.connect}
+	if e.failure != nil {
+		e.cancel(nil)
+		report.Outcome = c.judgeFailure(e)
+		c.last.err = e.failure
+	} else {
+		report.Outcome = c.judgeAnswer(e.out)
+		c.readWord(e.out, &report)
+		c.releaseWhenRead(e.out, func() { e.cancel(nil) })
+	}
+	c.last.outcome = report.Outcome
+	c.records = append(c.records, c.last)
+	c.gateway.done(report)
+}
+
+// putAside takes what an attempt gave that ended while another is under way. A
+// failure that its target told is kept for the case that no better answer comes.
+func (c *call) putAside(e attemptEnd) {
+	if e.out == nil {
+		return
+	}
+	if e.out.rest != nil {
+		e.out.finish(false)
+		return
+	}
+	if !c.notRun(e.out) {
+		c.fallback = e.out
+	}
+}
+
+// endOthers ends the attempts that are no longer wanted and waits for that, so
+// that each is reported and none goes on behind the answer.
+func (c *call) endOthers() {
+	won := c.last
+	for _, u := range c.underWay {
+		u.cancel(errOtherAnswered)
+	}
+	for len(c.underWay) > 0 {
+		e := <-c.ended
+		c.settle(e)
+		if e.out != nil && e.out.rest != nil {
+			e.out.finish(false)
+		}
+	}
+	c.last = won
+}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -41,6 +41,9 @@
 // repeatable reports whether the body can be sent to another target.
 func (b *requestBody) repeatable() bool { return b.rest == nil || !b.taken }
 
+// whole reports whether the body can be sent to several targets at once.
+func (b *requestBody) whole() bool { return b.rest == nil }
+
 // sending is a request on its way to a target.
 type sending struct {
 	ended atomic.Bool
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/retry"
 )
 
@@ -25,9 +29,35 @@
 func (d *Daemon) takeRetry(service string) bool {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
+	return d.budget(service).Take(time.Since(d.started), d.retryExtra())
+}
+
+// retryExtra is this box's part of the retries that are free; below zero where
+// it does not know of the boxes yet, which forbids all.
+func (d *Daemon) retryExtra() float64 {
 	if d.balancing.boxes == 0 {
-		return false
+		return math.Inf(-1)
+	}
+	return d.config.RetryExtra / float64(d.balancing.boxes)
+}
+
+// errNoRetries says that the budget of retries is used up.
+var errNoRetries = errors.New("no retries are left")
+
+// chooseRetry chooses a target for a retry. The retry is taken only if there is
+// one, and a target is counted only if there is a retry.
+func (d *Daemon) chooseRetry(r balance.Request) (balance.Choice, error) {
+	d.balancing.Lock()
+	defer d.balancing.Unlock()
+	at, extra := time.Since(d.started), d.retryExtra()
+	budget := d.budget(r.Service)
+	if !budget.Allows(at, extra) {
+		return balance.Choice{}, errNoRetries
+	}
+	choice, err := d.balancing.balancer.Choose(time.Now(), r)
+	if err != nil {
+		return balance.Choice{}, err
 	}
-	extra := d.config.RetryExtra / float64(d.balancing.boxes)
-	return d.budget(service).Take(time.Since(d.started), extra)
+	budget.Take(at, extra)
+	return choice, nil
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -73,7 +73,7 @@
 }
 
 // run sends the request and reads the answer. The context ends when the caller
-// leaves or the time is over.
+// leaves, the time is over or another target has answered.
 func (a *attempt) run(ctx context.Context) (*answer, *attemptError) {
 	began := time.Now()
 	c, err := a.gateway.connections.get(ctx, a.target.ID, a.target.Address)
@@ -106,18 +106,12 @@
 // unless returns the outcome of a failure, which is another one if the context
 // has ended.
 func (a *attempt) unless(ctx context.Context, o balance.Outcome) balance.Outcome {
-	switch {
-	case ctx.Err() == nil:
-		return o
-	case errors.Is(context.Cause(ctx), errStuck):
-		return balance.Stuck
+	if ctx.Err() != nil {
+		return balance.Dropped
 	}
-	return balance.Dropped
+	return o
 }
 
-// errStuck is the cause of a context that ended because a target took too long.
-var errStuck = errors.New("the target took too long")
-
 func (a *attempt) exchange(c *connection) (*answer, error) {
 	sent := a.body.send(c, a.gateway.config.Protocol.requestHead(a.request, a.target.ID, a.left, a.body.length))
 	for range maxSkipped {
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -28,7 +28,7 @@
 		c.refuse(none.Reason, none.RetryAfter)
 	case !c.mayHaveRun:
 		c.refuse("notRun", c.retryAfter())
-	case time.Now().After(c.ends):
+	case !time.Now().Before(c.ends):
 		c.fail(http.StatusGatewayTimeout, "timeOut", cause)
 	default:
 		c.fail(http.StatusBadGateway, "unknown", cause)
@@ -66,7 +66,7 @@
 		if out.rest != nil {
 			out.finish(false)
 		}
-		c.refuse("turnedAway", c.retryAfter())
+		c.passRefusal()
 		return
 	}
 	if out.length >= 0 {
@@ -89,6 +89,19 @@
 	}
 }
 
+// passRefusal answers a request that its last target turned away. One that an
+// earlier target may have run must not be called not run.
+func (c *call) passRefusal() {
+	if c.mayHaveRun {
+		c.fail(http.StatusBadGateway, "unknown", errTurnedAway)
+		return
+	}
+	c.refuse("turnedAway", c.retryAfter())
+}
+
+// errTurnedAway says why no answer came from the last target.
+var errTurnedAway = errors.New("the last target turned the request away")
+
 func (c *call) writeHead(out *answer) {
 	h := c.writer.Header()
 	listed := connectionOptions(out.header)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,7 @@
 	requests    *prometheus.CounterVec
 	latency     *prometheus.HistogramVec
 	attempts    *prometheus.CounterVec
+	beside      prometheus.Counter
 	connections prometheus.Counter
 }
 
@@ -29,11 +30,14 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "ledgesill_attempts_total", Help: "Requests sent to targets by outcome.",
 		}, []string{"outcome"}),
+		beside: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "ledgesill_attempts_beside_total", Help: "Requests sent to a further target beside one whose answer was overdue.",
+		}),
 		connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "ledgesill_target_connections_total", Help: "Connections opened to targets.",
 		}),
 	}
-	r.MustRegister(m.requests, m.latency, m.attempts, m.connections)
+	r.MustRegister(m.requests, m.latency, m.attempts, m.beside, m.connections)
 	return m
 }
 
--- a/internal/gateway/patience_test.go
+++ b/internal/gateway/patience_test.go
@@ -11,6 +11,7 @@
 // that 502 with the same cause in the log; where another has room it does not.
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -23,6 +24,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/steering"
@@ -540,3 +543,34 @@
 		s.wantSettled(t, 2, 2)
 	})
 }
+
+// The line of a request tells that a second target ran beside the first, since
+// when, and what became of the other.
+func TestLogTellsOfTheSecondTarget(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 2)
+		var lines bytes.Buffer
+		s.daemon.log = zerolog.New(&lines)
+		s.scripts = scripts(s.silent(), s.answers(100*time.Millisecond, "second"))
+		s.ask(t.Context(), "/long/", "")
+		for _, want := range []string{`"sent":2`, `"beside":1`, `"besideAfter":750`, ` stuck"]`, `"outcome":"answered"`} {
+			if !strings.Contains(lines.String(), want) {
+				t.Errorf("%s is not in the log: %s", want, lines.String())
+			}
+		}
+	})
+}
+
+// The line of a request tells why no second target was asked.
+func TestLogTellsWhyThereWasNoSecondTarget(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 1)
+		var lines bytes.Buffer
+		s.daemon.log = zerolog.New(&lines)
+		s.scripts = scripts(s.answers(atWork, "first"))
+		s.ask(t.Context(), "/long/", "")
+		if want := `"noneBeside":"no target of s: none can be used`; !strings.Contains(lines.String(), want) {
+			t.Errorf("%s is not in the log: %s", want, lines.String())
+		}
+	})
+}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -30,6 +30,7 @@
 			Dur("targetTook", c.last.took).Dur("wait", c.last.choice.Wait).Float64("load", c.last.choice.Load).
 			Bool("newConnection", c.last.fresh).Int("sent", c.sent).Int("dials", c.dials).Bool("mayHaveRun", c.mayHaveRun)
 	}
+	line = c.addBeside(line)
 	line = c.addRefusal(line)
 	if cause == nil {
 		cause = c.last.err
@@ -52,3 +53,20 @@
 		Int("fullSlots", c.none.Slots).Dur("reckonedWait", c.none.Wait).Dur("longestWait", c.none.Longest).
 		Float64("serviceLoad", c.none.ServiceLoad)
 }
+
+// addBeside adds what was done about an answer that was overdue.
+func (c *call) addBeside(line *zerolog.Event) *zerolog.Event {
+	if c.beside.none != nil {
+		line = line.Str("noneBeside", c.beside.none.Error())
+	}
+	if c.beside.count == 0 {
+		return line
+	}
+	var others []string
+	for _, r := range c.records {
+		if r.target.ID != c.last.target.ID {
+			others = append(others, r.target.ID+" "+r.outcome.String())
+		}
+	}
+	return line.Int("beside", c.beside.count).Dur("besideAfter", c.beside.after).Strs("otherTargets", others)
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -40,6 +40,16 @@
 	dials      int
 	mayHaveRun bool
 	last       attemptRecord
+	// underWay are the attempts that have not ended; their ends come on ended.
+	underWay []*underWay
+	ended    chan attemptEnd
+	// alarm rings when another target is to be sought beside them.
+	alarm  *time.Timer
+	beside besideRecord
+	// records are those of all attempts that have ended, and fallback is an
+	// answer that is given if no better one comes.
+	records  []attemptRecord
+	fallback *answer
 	// none is why no target was found, and told what the caller of a refused
 	// request was told to wait.
 	none *balance.NoTargetError
@@ -56,6 +66,15 @@
 	err     error
 }
 
+// besideRecord is what the log tells of attempts beside overdue ones.
+type besideRecord struct {
+	count int
+	// after is how long the first had been waited for when the last one began.
+	after time.Duration
+	// none is why no target was found when one was sought last.
+	none error
+}
+
 // ServeHTTP takes a request of a caller.
 func (d *Daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{gateway: d, request: r, writer: w, began: time.Now(), rules: d.rules.Load()}
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -15,7 +15,7 @@
 	// load of small targets 0.678, 0.689 and 0.689, with 0.094, 0.098 and 0.103 refused.
 	waitPart = 0.75
 	// patienceFactor is how many times the mean time of a target that has not
-	// seen the object is waited for an answer.
+	// seen the object is waited for an answer before another target is sought.
 	patienceFactor = 3
 	// leastPatience bounds the patience from below: some turns of a network
 	// with losses.
--- a/pkg/balance/request.go
+++ b/pkg/balance/request.go
@@ -33,8 +33,8 @@
 	Remote bool
 	// Wait is how long the request is thought to wait for a slot there.
 	Wait time.Duration
-	// Patience is how long to wait for the answer before the target is
-	// thought to be stuck.
+	// Patience is how long to wait for the answer before another target is
+	// sought beside this one, which may be stuck.
 	Patience time.Duration
 	// Load is what the target was thought to have.
 	Load float64
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -43,9 +43,9 @@
 // First notes a first attempt at a time since the start of the process.
 func (w *Window) First(at time.Duration) { w.slot(at).firsts++ }
 
-// Take takes a retry if the window allows one more. Extra is this process's
-// part of the retries that are free.
-func (w *Window) Take(at time.Duration, extra float64) bool {
+// Allows reports whether the window allows one more retry. Extra is this
+// process's part of the retries that are free.
+func (w *Window) Allows(at time.Duration, extra float64) bool {
 	now := w.slot(at)
 	firsts, retries := 0, 0
 	for i := range w.slots {
@@ -56,9 +56,14 @@
 		firsts += s.firsts
 		retries += s.retries
 	}
-	if float64(retries+1) > windowMargin*(w.share*float64(firsts)+extra) {
+	return float64(retries+1) <= windowMargin*(w.share*float64(firsts)+extra)
+}
+
+// Take takes a retry if the window allows one more.
+func (w *Window) Take(at time.Duration, extra float64) bool {
+	if !w.Allows(at, extra) {
 		return false
 	}
-	now.retries++
+	w.slot(at).retries++
 	return true
 }
--- a/pkg/retry/window_test.go
+++ b/pkg/retry/window_test.go
@@ -56,3 +56,16 @@
 		t.Fatalf("%d taken", taken)
 	}
 }
+
+// Asking whether there is a retry takes none.
+func TestWindowAllowsTakesNothing(t *testing.T) {
+	w := NewWindow(0, time.Second)
+	for range 3 {
+		if !w.Allows(0, 1.5) {
+			t.Fatal("the one retry was taken by asking")
+		}
+	}
+	if !w.Take(0, 1.5) || w.Allows(0, 1.5) || w.Take(0, 1.5) {
+		t.Fatal("not one retry")
+	}
+}
