gateway: test what else is lost where a target is at work

Cause: found while the mend of overdue targets was read: the balancer hears of a target that has gone silent only when its attempt ends; a failure that the only target told is replaced by 502; a stop closes a connection on which a request has just been read. Ruled out: nothing yet; the tests are the trace. Change: three tests, which fail: "a request was sent to a target whose answer is overdue", "got 502 unknown" and EOF at the caller.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -100,6 +100,12 @@
 	}
 }
 
+// end takes no more connections and waits until all requests that were read have
+// been answered, or the context ends.
+func (c *callers) end(ctx context.Context) error {
+	return c.server.Shutdown(ctx)
+}
+
 // leave stops the box as planned: it leaves the look-ups, goes on serving
 // while kept answers of look-ups may still name it, then takes no more
 // connections and waits for the requests that it has read.
@@ -112,7 +118,7 @@
 	time.Sleep(min(acceptTime, total/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(total))
 	defer cancel()
-	if err := d.callers.server.Shutdown(ctx); err != nil {
+	if err := d.callers.end(ctx); err != nil {
 		d.log.Warn().Str("kind", "stopping").Err(err).Int64("inFlight", d.inFlight.Load()).Msg("requests are cut off, the time to stop is over")
 	}
 }
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -63,3 +65,95 @@
 		}
 	}
 }
+
+// crossingConn is a connection whose end begins between the reading of a request
+// and its coming to the server.
+type crossingConn struct {
+	net.Conn
+	read func()
+	// crossing tells that a request has been read; then ends is closed when the
+	// connection is told to end.
+	crossing atomic.Bool
+	endOnce  sync.Once
+	ends     chan struct{}
+}
+
+// Read implements net.Conn.
+func (c *crossingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.read()
+	}
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *crossingConn) SetReadDeadline(at time.Time) error {
+	if !at.IsZero() && at.Before(time.Now()) {
+		c.noteEnd()
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// Close implements net.Conn.
+func (c *crossingConn) Close() error {
+	c.noteEnd()
+	return c.Conn.Close()
+}
+
+func (c *crossingConn) noteEnd() {
+	if c.crossing.Load() {
+		c.endOnce.Do(func() { close(c.ends) })
+	}
+}
+
+// crossingListener makes its connections crossing ones.
+type crossingListener struct {
+	net.Listener
+	read func(c *crossingConn)
+}
+
+// Accept implements net.Listener.
+func (l *crossingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &crossingConn{Conn: accepted, ends: make(chan struct{})}
+	c.read = func() { l.read(c) }
+	return c, nil
+}
+
+// Seen: by reading only. A box that stops closed the connections that rested. A
+// request that had been read, but whose connection did not count as active yet, went
+// to a target, and its caller lost the answer; a planned stop must not do that.
+// Proof: with the stop between the two the caller gets no answer.
+func TestRequestThatCrossesTheStopIsServed(t *testing.T) {
+	g := newGateway(t, newTarget(t, served))
+	c := g.daemon.callers
+	stopped := make(chan error, 1)
+	reads := 0
+	c.listener = &crossingListener{Listener: c.listener, read: func(conn *crossingConn) {
+		if reads++; reads != 2 {
+			return
+		}
+		conn.crossing.Store(true)
+		go func() { stopped <- c.end(t.Context()) }()
+		<-conn.ends
+	}}
+	ended := c.serve()
+	g.server.Client().Transport = &http.Transport{}
+	g.server.URL = "http://" + c.listener.Addr().String()
+	for _, id := range []string{"id1", "id2"} {
+		if response, _ := g.do(t, http.MethodPost, "/unsafe/", id, ""); response.StatusCode != http.StatusOK {
+			t.Fatalf("%s was answered %d", id, response.StatusCode)
+		}
+	}
+	g.server.Client().CloseIdleConnections()
+	if err := <-stopped; err != nil {
+		t.Fatal(err)
+	}
+	if err := <-ended; err != http.ErrServerClosed {
+		t.Fatal(err)
+	}
+}
--- a/internal/gateway/patience_test.go
+++ b/internal/gateway/patience_test.go
@@ -544,6 +544,49 @@
 	})
 }
 
+// Seen: since an overdue target is no longer given up, one that had gone silent got
+// further requests until the first had waited for all of its time.
+// How: the balancer heard of a stuck target when its attempt ended.
+// Proof: while a request waits at a silent target, others were sent there too.
+func TestOverdueTargetGetsNoFurtherRequests(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		config := testConfig()
+		config.RetryShare, config.RetryExtra = 0, 0
+		s := newScene(t, config, 2)
+		s.scripts = scripts(s.silent(), s.answers(0, "a"), s.answers(0, "b"), s.answers(0, "c"), s.answers(0, "d"))
+		got := make(chan result, 1)
+		go func() { got <- s.ask(t.Context(), "/long/", "") }()
+		time.Sleep(patience + time.Millisecond)
+		silent := <-s.reached
+		for range 4 {
+			s.ask(t.Context(), "/long/", "")
+			if <-s.reached == silent {
+				t.Error("a request was sent to a target whose answer is overdue")
+			}
+		}
+		<-got
+		s.wantNoneCounted(t)
+	})
+}
+
+// The failure that the only target told is the answer where there is no other.
+func TestFailureOfATargetIsPassedOnWhereThereIsNoOther(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 1)
+		s.scripts = scripts(s.status(0, http.StatusInternalServerError))
+		if got := s.ask(t.Context(), "/long/", ""); got.status != http.StatusInternalServerError || got.body != "no" {
+			t.Fatalf("got %d %q", got.status, got.body)
+		}
+	})
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 2)
+		s.scripts = scripts(s.status(0, http.StatusInternalServerError), s.turnsAway())
+		if got := s.ask(t.Context(), "/long/", ""); got.status != http.StatusInternalServerError || got.body != "no" {
+			t.Fatalf("the second turned it away: got %d %q", got.status, got.body)
+		}
+	})
+}
+
 // The line of a request tells that a second target ran beside the first, since
 // when, and what became of the other.
 func TestLogTellsOfTheSecondTarget(t *testing.T) {
