gateway, balance: notice overdue targets, keep told failures, end resting connections first

Ruled out: to report an overdue attempt as stuck and no longer count it: it holds its slot at the target. Change: Balancer.Overdue leaves a target out after the patience, as an ended attempt did before, and the request goes on counting there; a failure that a target told is kept until a better answer comes, also where it was the only attempt; a box that stops ends its resting connections by their server and only then shuts down. Not measured: load.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -59,9 +59,7 @@
 		return c.takeFailure(ctx, e.failure)
 	}
 	if len(c.underWay) == 0 && c.worthAnother(e.out) {
-		if e.out.rest != nil {
-			e.out.finish(false)
-		}
+		c.putAside(e)
 		return false
 	}
 	c.endOthers()
--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -84,7 +84,7 @@
 // in the end, and where all have queues there is no better one.
 func (c *call) seek(ctx context.Context) {
 	for _, u := range c.underWay {
-		u.overdue = true
+		c.noteOverdue(u)
 	}
 	if ctx.Err() != nil || !c.mayRunBeside() {
 		return
@@ -101,6 +101,16 @@
 	c.launch(ctx, choice)
 }
 
+// noteOverdue tells the balancer of a target whose answer is overdue: one that has
+// gone silent would get further requests until this one has waited for all its time.
+func (c *call) noteOverdue(u *underWay) {
+	if u.overdue {
+		return
+	}
+	u.overdue = true
+	c.gateway.overdue(balance.Report{TargetID: u.choice.Target.ID, Route: c.route.Name, Outcome: balance.Stuck, Took: time.Since(u.began)})
+}
+
 // untilAsk is when another target may be sought again.
 func untilAsk(err error) time.Duration {
 	var none *balance.NoTargetError
@@ -114,7 +124,9 @@
 func (c *call) settle(e attemptEnd) {
 	c.underWay = slices.DeleteFunc(c.underWay, func(u *underWay) bool { return u == e.underWay })
 	c.last = attemptRecord{target: e.choice.Target, choice: e.choice, fresh: e.attempt.connect > 0, took: e.took}
-	report := balance.Report{TargetID: e.choice.Target.ID, Route: c.route.Name, Took: e.took, Connect: e.attempt.connect}
+	report := balance.Report{
+		TargetID: e.choice.Target.ID, Route: c.route.Name, Took: e.took, Connect: e.attempt.connect, ToldOverdue: e.overdue,
+	}
 	if e.failure != nil {
 		e.cancel(nil)
 		report.Outcome = c.judgeFailure(e)
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -22,6 +22,11 @@
 	// acceptTime is how long a stopping box goes on taking connections: three
 	// times the time for which answers of look-ups are kept.
 	acceptTime = 3200 * time.Millisecond
+	// endIdleTime bounds the wait for resting connections to end: two of the
+	// tenths of a second for which a spent processor quota stops a process.
+	// endIdleTick is how often it is looked whether they have.
+	endIdleTime = 200 * time.Millisecond
+	endIdleTick = 5 * time.Millisecond
 	// stopReserve is the part of the stop time that is left for closing.
 	stopReserve = 400 * time.Millisecond
 )
@@ -103,9 +108,37 @@
 // end takes no more connections and waits until all requests that were read have
 // been answered, or the context ends.
 func (c *callers) end(ctx context.Context) error {
+	c.endIdle(ctx)
 	return c.server.Shutdown(ctx)
 }
 
+// endIdle ends the connections that rest and waits for that, because Shutdown
+// closes them also while a request that was read is on its way to the server.
+func (c *callers) endIdle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, endIdleTime)
+	defer cancel()
+	ticker := time.NewTicker(endIdleTick)
+	defer ticker.Stop()
+	for {
+		c.closeIdle(time.Now())
+		if c.resting() == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// resting returns how many connections are idle or being ended.
+func (c *callers) resting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.idle) + len(c.ending)
+}
+
 // leave stops the box as planned: it leaves the look-ups, goes on serving
 // while kept answers of look-ups may still name it, then takes no more
 // connections and waits for the requests that it has read.
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -92,11 +92,14 @@
 // passRefusal answers a request that its last target turned away. One that an
 // earlier target may have run must not be called not run.
 func (c *call) passRefusal() {
-	if c.mayHaveRun {
+	switch {
+	case c.fallback != nil:
+		c.pass(c.fallback)
+	case c.mayHaveRun:
 		c.fail(http.StatusBadGateway, "unknown", errTurnedAway)
-		return
+	default:
+		c.refuse("turnedAway", c.retryAfter())
 	}
-	c.refuse("turnedAway", c.retryAfter())
 }
 
 // errTurnedAway says why no answer came from the last target.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -108,6 +108,15 @@
 	d.noteTarget(change, r)
 }
 
+// overdue tells the balancer of a request whose target has not answered for longer
+// than it is waited for; the request stays under way.
+func (d *Daemon) overdue(r balance.Report) {
+	d.balancing.Lock()
+	change := d.balancing.balancer.Overdue(time.Now(), r)
+	d.balancing.Unlock()
+	d.noteTarget(change, r)
+}
+
 // noteTarget tells that a target was lost or is back.
 func (d *Daemon) noteTarget(change balance.Change, r balance.Report) {
 	if change == balance.Unchanged || !d.otherLines.take(time.Now()) {
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -38,6 +38,8 @@
 	HasLoad bool
 	// Connect is how long a new connection took to come up; zero if none was made.
 	Connect time.Duration
+	// ToldOverdue says that Overdue was told of the request before.
+	ToldOverdue bool
 }
 
 // Change is what a report changed about a target.
@@ -52,6 +54,18 @@
 	Returned
 )
 
+// Overdue takes that a request which is counted at a target, and stays so until Done,
+// has had no answer for as long as one is waited for. The target is left out unless
+// it has answered another request since.
+func (b *Balancer) Overdue(now time.Time, r Report) Change {
+	t := b.byID[r.TargetID]
+	if t == nil || t.answeredSince(now.Add(-r.Took)) {
+		return Unchanged
+	}
+	t.noteUnreachable(now)
+	return LeftOut
+}
+
 // Done takes what became of a request that was counted at a target.
 func (b *Balancer) Done(now time.Time, r Report) Change {
 	t := b.byID[r.TargetID]
@@ -73,7 +87,7 @@
 	case TurnedAway:
 		b.noteFull(now, t, r)
 	case Unreachable, Stuck:
-		if t.answeredSince(now.Add(-r.Took)) {
+		if r.ToldOverdue || t.answeredSince(now.Add(-r.Took)) {
 			return Unchanged
 		}
 		t.noteUnreachable(now)
