distribution, relay, link: show that a transfer in progress counts as silence

Tests in virtual time over links of 4 Mbit/s and slower, failing on the code as it is. Progress is an event of the follower without any effect yet.

--- /dev/null
+++ b/internal/relay/transfer_test.go
@@ -0,0 +1,212 @@
+package relay
+
+import (
+	"context"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/internal/link/linktest"
+	"ledgesill.dev/ledgesill/pkg/distribution"
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/timeline"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// Seen: boxes with links of 4 Mbit/s received without end after two documents
+// of together 1.2 MB; the replicas' memory grew.
+//
+// How it came about: the follower left the upstream in the middle of the
+// update and had another send the same from the first byte. The one that was
+// left went on waiting to send the rest.
+//
+// Cause: bytes that arrive did not count as a sign of life, at the follower
+// and at the connection.
+//
+// Proof: a following and two replicas over such links, below, with the bytes
+// that were sent: the state never came.
+
+const (
+	// boxBytes is what a box's link carries in a second, 4 Mbit/s.
+	boxBytes = 4_000_000 / 8
+	// boxStale is the gateway's.
+	boxStale = 1600 * time.Millisecond
+)
+
+// emptyPools lets go of the timers that yamux keeps in a pool, which must not
+// enter or leave a bubble; that takes two collections.
+func emptyPools() {
+	runtime.GC()
+	runtime.GC()
+}
+
+// bulky returns a command whose state is about as long as given.
+func bulky(length int) *wire.Command {
+	return &wire.Command{Evacuation: &wire.EvacuationCommand{Zone: strings.Repeat("z", length)}}
+}
+
+// replicaPair is two replicas that publish the same, and what followed them.
+type replicaPair struct {
+	network linktest.Network
+	states  [2]*Publishing
+	nodes   [2]*link.Node
+	served  [2]atomic.Int32
+	notices []string
+}
+
+func (p *replicaPair) put(s steering.State, c []*wire.Command) {
+	for _, x := range p.states {
+		x.Put(s, c)
+	}
+}
+
+func (p *replicaPair) sent() uint64 {
+	return p.nodes[0].Control.Sent.Load() + p.nodes[1].Control.Sent.Load()
+}
+
+// followPair runs a function in virtual time with two replicas and a box that
+// follows them over slow links; in force gets each state of the box.
+func followPair(t *testing.T, run func(t *testing.T, p *replicaPair, inForce <-chan uint64)) {
+	t.Helper()
+	emptyPools()
+	defer emptyPools()
+	synctest.Test(t, func(t *testing.T) {
+		p := &replicaPair{network: linktest.Network{BytesPerSecond: boxBytes, SocketBuffer: 1 << 16}}
+		seam := link.Network{Listen: p.network.Listen, Dial: p.network.Dial}
+		clock := timeline.NewClock(time.Now)
+		addresses := [2]string{"a", "b"}
+		var sources []distribution.Source
+		for i, a := range addresses {
+			p.states[i] = NewPublishing(steering.State{}, func() time.Duration { return 0 }, clock.Stamp)
+			handlers := link.Handlers{Subscribe: func(ctx context.Context, _ string, m *link.Messages) {
+				p.served[i].Add(1)
+				defer func() { p.served[i].Add(-1) }()
+				p.states[i].Serve(ctx, m)
+			}}
+			n, err := link.Listen(seam, a, link.Identity{Name: a}, clock, handlers, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer n.Close()
+			p.nodes[i] = n
+			sources = append(sources, distribution.Source{Name: a, Address: a, Control: true})
+		}
+		box, err := link.Listen(seam, "box", link.Identity{Name: "box"}, clock, link.Handlers{}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer box.Close()
+		inForce := make(chan uint64, 64)
+		f := NewFollowing(Subscriber{
+			Box:        "box",
+			Node:       func() *link.Node { return box },
+			Clock:      clock,
+			Seed:       1,
+			StaleAfter: boxStale,
+			Sources:    func() []distribution.Source { return sources },
+			PutInForce: func(s steering.State, _ []*wire.Command) { inForce <- s.Version() },
+			Event: func(e *wire.TimelineEvent) {
+				if e.Kind == "upstream" {
+					p.notices = append(p.notices, e.Detail)
+				}
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- f.Run(ctx) }()
+		run(t, p, inForce)
+		cancel()
+		<-ended
+	})
+}
+
+// expect waits for a version and checks that it came in about the time that
+// its bytes take, and that they were sent once.
+func (p *replicaPair) expect(t *testing.T, inForce <-chan uint64, version uint64, length int) {
+	t.Helper()
+	before, began := p.sent(), time.Now()
+	carried := time.Duration(float64(length) / boxBytes * float64(time.Second))
+	longest := carried*11/10 + time.Second
+	select {
+	case got := <-inForce:
+		if got != version {
+			t.Errorf("version %d came, want %d", got, version)
+		}
+	case <-time.After(6 * carried):
+		t.Errorf("version %d did not come within %v; %d bytes were sent, the update has %d; %v",
+			version, 6*carried, p.sent()-before, length, p.notices)
+		return
+	}
+	if took := time.Since(began); took > longest {
+		t.Errorf("version %d took %v, want at most %v", version, took, longest)
+	}
+	time.Sleep(3 * heartbeatInterval)
+	if sent, most := p.sent()-before, uint64(length)*21/20; sent > most {
+		t.Errorf("%d bytes were sent, want at most %d; %v", sent, most, p.notices)
+	}
+}
+
+// An update that is longer than the follower waits for word of control.
+func TestLongUpdateArrivesOnce(t *testing.T) {
+	for _, length := range []int{1_500_000, 5_000_000} {
+		followPair(t, func(t *testing.T, p *replicaPair, inForce <-chan uint64) {
+			time.Sleep(2 * heartbeatInterval)
+			c := bulky(length)
+			s, _ := steering.State{}.Apply(c)
+			p.put(s, []*wire.Command{c})
+			p.expect(t, inForce, s.Version(), proto.Size(c))
+		})
+	}
+}
+
+// A first update, a whole state, that takes longer than the connecting may.
+func TestLongFirstUpdateArrivesOnce(t *testing.T) {
+	for _, length := range []int{1_500_000, 5_000_000} {
+		followPair(t, func(t *testing.T, p *replicaPair, inForce <-chan uint64) {
+			s, _ := steering.State{}.Apply(bulky(length))
+			p.put(s, nil)
+			p.expect(t, inForce, s.Version(), proto.Size(s.EncodeForBoxes()))
+		})
+	}
+}
+
+// A replica whose subscriber leaves in the middle of an update ends its part
+// too, and does not keep the rest until the connection ends.
+func TestServingEndsWithASubscriberThatLeaves(t *testing.T) {
+	followPair(t, func(t *testing.T, p *replicaPair, _ <-chan uint64) {
+		s, _ := steering.State{}.Apply(bulky(5_000_000))
+		p.put(s, nil)
+		caller := p.caller(t)
+		defer caller.Close()
+		m, err := caller.Subscribe(t.Context(), "b", &wire.Subscribe{Box: "other"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if p.served[1].Load() != 1 {
+			t.Fatalf("%d subscriptions before", p.served[1].Load())
+		}
+		_ = m.Close()
+		time.Sleep(5 * time.Second)
+		if p.served[1].Load() != 0 {
+			t.Errorf("%d subscriptions 5 s after the only one had ended", p.served[1].Load())
+		}
+	})
+}
+
+// caller returns a node that only asks.
+func (p *replicaPair) caller(t *testing.T) *link.Node {
+	t.Helper()
+	n, err := link.Listen(link.Network{Listen: p.network.Listen, Dial: p.network.Dial}, "other", link.Identity{Name: "other"},
+		timeline.NewClock(time.Now), link.Handlers{}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
--- a/pkg/distribution/follower.go
+++ b/pkg/distribution/follower.go
@@ -59,6 +59,13 @@
 	Update  *wire.Update
 }
 
+// Progress tells how many bytes of the next update have come so far by a
+// subscription, also by one whose first update is still to come.
+type Progress struct {
+	Attempt uint64
+	Bytes   uint64
+}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -66,6 +73,7 @@
 func (Opened) event()     {}
 func (Lost) event()       {}
 func (Received) event()   {}
+func (Progress) event()   {}
 func (Tick) event()       {}
 
 // Subscribe asks the host to end any subscription and open a new one.
@@ -160,6 +168,7 @@
 		}
 	case Received:
 		f.received(now, e)
+	case Progress:
 	case Tick:
 	}
 	f.tick(now)
