distribution, relay, link: count bytes that arrive as a sign of life

Cause: life was measured by whole messages and by answers that wait behind data, so a transfer that took longer than silence may was broken off and began from its first byte.

Ruled out as enough by itself at 4 Mbit/s: the keep-alive.

Change: - follower: Progress keeps it with its upstream; left after as long without a byte as before, and after 20 s in all, doubling to 640 s. A first update, and a second choice, likewise. The word of control counts from the begin of the transfer. Lines leaves, lost and gives up on tell age, bytes and times. The reason of an update that does not follow is no longer written over. - following: what has come is handled before time passes. Before, a box that was busy with a state for longer than 1.6 s left its upstream each time. - keep-alive: whatever comes after the question counts; the dialled side asks each 0.75 s (2 s before), so that one which sends much hears of it. - messages are written in parts of 16 KB; after a failed write nothing more is written. - a replica ends its part when its subscriber leaves in the middle.

--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"sync/atomic"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -14,6 +15,12 @@
 // maxMessage bounds one message; a snapshot of the largest tree fits.
 const maxMessage = 64 << 20
 
+// mostWritten is how much of a message is written to its stream at once, in
+// bytes: 33 ms on a link of 4 Mbit/s. What else travels on the connection waits
+// behind so much of each stream, the reader sees a message grow by it, and it
+// must be written within writeTimeout, which 64 kbit/s are enough for.
+const mostWritten = 16 << 10
+
 // Messages reads and writes protobuf messages on one stream. Write is safe for
 // concurrent use, Read is not.
 type Messages struct {
@@ -21,18 +28,62 @@
 	reader *bufio.Reader
 	// writing holds one token while a message is written.
 	writing chan struct{}
+	// failed is the first failure to write: after a part of a message nothing
+	// that follows could be read.
+	failed error
+	// arriving counts the bytes that have come since the last whole message.
+	arriving *atomic.Uint64
 }
 
 // NewMessages returns the messages of a stream.
 func NewMessages(stream io.ReadWriteCloser) *Messages {
-	return &Messages{stream: stream, reader: bufio.NewReader(stream), writing: make(chan struct{}, 1)}
+	arriving := &atomic.Uint64{}
+	return &Messages{
+		stream:   stream,
+		reader:   bufio.NewReader(&arrivals{stream, arriving}),
+		writing:  make(chan struct{}, 1),
+		arriving: arriving,
+	}
+}
+
+// arrivals counts what is read.
+type arrivals struct {
+	io.Reader
+	bytes *atomic.Uint64
+}
+
+// Read implements io.Reader.
+func (a *arrivals) Read(b []byte) (int, error) {
+	n, err := a.Reader.Read(b)
+	a.bytes.Add(uint64(n))
+	return n, err
+}
+
+// parts hands what is written on in parts of at most mostWritten.
+type parts struct{ io.Writer }
+
+// Write implements io.Writer.
+func (p parts) Write(b []byte) (written int, err error) {
+	for written < len(b) {
+		n, err := p.Writer.Write(b[written:min(written+mostWritten, len(b))])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
 }
 
+// Arriving returns how many bytes of the next message have come so far; zero
+// if none is on its way. It is safe for concurrent use.
+func (m *Messages) Arriving() uint64 { return m.arriving.Load() }
+
 // Read reads the next message.
 func (m *Messages) Read(into proto.Message) error {
 	if err := (protodelim.UnmarshalOptions{MaxSize: maxMessage}).UnmarshalFrom(m.reader, into); err != nil {
 		return fmt.Errorf("reading a message: %w", err)
 	}
+	m.arriving.Store(0)
 	return nil
 }
 
@@ -40,7 +91,14 @@
 func (m *Messages) Write(message proto.Message) error {
 	m.writing <- struct{}{}
 	defer func() { <-m.writing }()
-	w := bufio.NewWriter(m.stream)
+	if m.failed == nil {
+		m.failed = m.write(message)
+	}
+	return m.failed
+}
+
+func (m *Messages) write(message proto.Message) error {
+	w := bufio.NewWriter(parts{m.stream})
 	if _, err := protodelim.MarshalTo(w, message); err != nil {
 		return fmt.Errorf("writing a message: %w", err)
 	}
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -12,16 +12,22 @@
 
 const (
 	// keepAliveInterval is how often the one that dialled asks whether its peer is
-	// there, and answerTimeout how long the answer may take, more than the second
-	// retransmission of a lost packet on the longest way. A connection that has
-	// gone silent without a reset is closed after 1 s to 2 s, and the next call
-	// goes over a new one. A question and its answer are 24 bytes.
+	// there, and answerTimeout how long it may hear nothing at all then, more than
+	// the second retransmission of a lost packet on the longest way. A connection
+	// that has gone silent without a reset is closed after 1 s to 2 s, and the next
+	// call goes over a new one. A question and its answer are 24 bytes.
 	keepAliveInterval = time.Second
 	answerTimeout     = time.Second
-	// acceptedInterval is that of the other side, which has nothing to send by
-	// itself and only lets go of what is lost.
-	acceptedInterval = 2 * time.Second
-	// writeTimeout bounds a write to a stream, whose peer may read slowly.
+	// acceptedInterval and acceptedTimeout are those of the other side, which has
+	// nothing to send by itself and only lets go of what is lost, after 2 s to
+	// 2.75 s. Each side's questions are what the other hears while it sends much
+	// and its own questions wait behind that, so each asks more often than the
+	// other's timeout.
+	acceptedInterval = 750 * time.Millisecond
+	acceptedTimeout  = 2 * time.Second
+	// writeTimeout bounds how long a part of a message waits to be written. yamux
+	// must not write to a stream again after it: the part still waits to be sent,
+	// but is not counted against the peer's window.
 	writeTimeout = 2 * time.Second
 )
 
@@ -42,10 +48,10 @@
 
 // openSession starts a session on a connection, as the one that dialled or not.
 func openSession(c net.Conn, dialled bool) (*session, error) {
-	conn := &endingConn{Conn: c}
-	start, interval := yamux.Server, acceptedInterval
+	conn := &endingConn{Conn: c, heard: make(chan struct{}, 1)}
+	start, interval, timeout := yamux.Server, acceptedInterval, acceptedTimeout
 	if dialled {
-		start, interval = yamux.Client, keepAliveInterval
+		start, interval, timeout = yamux.Client, keepAliveInterval, answerTimeout
 	}
 	y, err := start(conn, sessionConfig())
 	if err != nil {
@@ -53,7 +59,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &session{Session: y, connection: conn, ended: cancel}
-	s.watching.Go(func() { s.keepAlive(ctx, interval) })
+	s.watching.Go(func() { s.keepAlive(ctx, interval, timeout) })
 	return s, nil
 }
 
@@ -76,8 +82,8 @@
 	return err
 }
 
-// keepAlive closes the connection when the peer does not answer any more.
-func (s *session) keepAlive(ctx context.Context, interval time.Duration) {
+// keepAlive closes the connection when nothing is heard of the peer any more.
+func (s *session) keepAlive(ctx context.Context, interval, timeout time.Duration) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -86,31 +92,57 @@
 			return
 		case <-time.After(interval):
 		}
-		if !s.answers() {
+		if !s.answers(timeout) {
 			_ = s.connection.Close() // the session's readers report the end
 			return
 		}
 	}
 }
 
-// answers asks the peer whether it is there.
-func (s *session) answers() bool {
-	answered := make(chan error, 1)
-	go func() {
-		_, err := s.Ping()
-		answered <- err
-	}()
+// answers asks the peer whether it is there. Whatever comes after the question
+// shows that it is: the answer itself may wait behind seconds of data.
+func (s *session) answers(timeout time.Duration) bool {
+	s.connection.forget()
+	s.watching.Go(func() {
+		_, _ = s.Ping() // what is heard counts
+	})
 	select {
-	case err := <-answered:
-		return err == nil
-	case <-time.After(answerTimeout):
+	case <-s.connection.heard:
+		return true
+	case <-s.CloseChan():
+		return false
+	case <-time.After(timeout):
 		return false
 	}
 }
 
 // endingConn is a connection whose end is told to its reader only: a write that
 // fails closes it and counts as done.
-type endingConn struct{ net.Conn }
+type endingConn struct {
+	net.Conn
+	// heard holds a token when bytes have come since forget.
+	heard chan struct{}
+}
+
+// forget lets go of what was heard.
+func (c *endingConn) forget() {
+	select {
+	case <-c.heard:
+	default:
+	}
+}
+
+// Read implements net.Conn.
+func (c *endingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		select {
+		case c.heard <- struct{}{}:
+		default:
+		}
+	}
+	return n, err
+}
 
 // Write implements net.Conn.
 func (c *endingConn) Write(b []byte) (int, error) {
--- a/internal/link/transfer_test.go
+++ b/internal/link/transfer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -149,3 +151,31 @@
 		}
 	})
 }
+
+// brokenOnce is a stream whose first write takes a part and fails.
+type brokenOnce struct {
+	io.ReadWriteCloser
+	writes int
+}
+
+func (b *brokenOnce) Write(p []byte) (int, error) {
+	b.writes++
+	if b.writes == 1 {
+		return len(p) / 2, errors.New("no time left")
+	}
+	return len(p), nil
+}
+
+// After a part of a message nothing more is written to a stream.
+func TestNothingIsWrittenAfterAPartOfAMessage(t *testing.T) {
+	b := &brokenOnce{}
+	m := NewMessages(b)
+	for range 2 {
+		if m.Write(longMessage(100)) == nil {
+			t.Error("a message after a part of another counts as written")
+		}
+	}
+	if b.writes != 1 {
+		t.Errorf("%d writes", b.writes)
+	}
+}
--- a/internal/relay/following.go
+++ b/internal/relay/following.go
@@ -57,8 +57,11 @@
 	started    time.Time
 	// heard is when control was last heard of, in nanoseconds after started;
 	// zero for never. It does not depend on the time of day.
-	heard   atomic.Int64
-	stream  *link.Messages
+	heard  atomic.Int64
+	stream *link.Messages
+	// reading is the subscription whose updates are read, also before the first.
+	reading openedStream
+	reads   chan openedStream
 	cancel  context.CancelFunc
 	opened  chan openedStream
 	changed chan struct{}
@@ -77,6 +80,7 @@
 		machine:    distribution.NewFollower(time.Now(), s.Seed),
 		inbox:      make(chan distribution.Event, followInbox),
 		started:    time.Now(),
+		reads:      make(chan openedStream, 1),
 		opened:     make(chan openedStream, 1),
 		changed:    make(chan struct{}, 1),
 	}
@@ -110,25 +114,61 @@
 	report := time.NewTicker(reportInterval)
 	defer report.Stop()
 	defer f.end()
-	f.carryOut(ctx, f.machine.Handle(time.Now(), distribution.SetSources{Sources: f.subscriber.Sources()}))
+	f.pass(ctx, distribution.SetSources{Sources: f.subscriber.Sources()})
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			f.carryOut(ctx, f.machine.Handle(time.Now(), distribution.Tick{}))
+			f.noteProgress(ctx)
+			f.pass(ctx, distribution.Tick{})
 		case e := <-f.inbox:
 			f.carryOut(ctx, f.machine.Handle(time.Now(), e))
+		case r := <-f.reads:
+			if r.attempt > f.reading.attempt {
+				f.reading = r
+			}
 		case o := <-f.opened:
 			f.take(o)
 		case <-f.changed:
-			f.carryOut(ctx, f.machine.Handle(time.Now(), distribution.SetSources{Sources: f.subscriber.Sources()}))
+			f.pass(ctx, distribution.SetSources{Sources: f.subscriber.Sources()})
 		case <-report.C:
 			f.report()
 		}
 	}
 }
 
+// pass handles an event of this process after all that has come by the
+// subscription: the loop may have been busy with a long state for longer than
+// silence may last.
+func (f *Following) pass(ctx context.Context, e distribution.Event) {
+	f.drain(ctx)
+	f.carryOut(ctx, f.machine.Handle(time.Now(), e))
+}
+
+func (f *Following) drain(ctx context.Context) {
+	for {
+		select {
+		case e := <-f.inbox:
+			f.carryOut(ctx, f.machine.Handle(time.Now(), e))
+		default:
+			return
+		}
+	}
+}
+
+// noteProgress tells the machine how much of an update has come. What has come
+// whole is handled before it is asked for, else it would count as on its way.
+func (f *Following) noteProgress(ctx context.Context) {
+	f.drain(ctx)
+	if f.reading.stream == nil {
+		return
+	}
+	if n := f.reading.stream.Arriving(); n > 0 {
+		f.carryOut(ctx, f.machine.Handle(time.Now(), distribution.Progress{Attempt: f.reading.attempt, Bytes: n}))
+	}
+}
+
 func (f *Following) take(o openedStream) {
 	if f.stream != nil {
 		_ = f.stream.Close()
@@ -167,7 +207,7 @@
 	f.subscriber.PutInForce(*out.State, out.Commands)
 	f.noteInForce(out.Commands)
 	f.report()
-	f.carryOut(ctx, f.machine.Handle(time.Now(), distribution.SetSources{Sources: f.subscriber.Sources()}))
+	f.pass(ctx, distribution.SetSources{Sources: f.subscriber.Sources()})
 }
 
 func (f *Following) noteInForce(commands []*wire.Command) {
@@ -199,6 +239,10 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stop()
+	select {
+	case f.reads <- openedStream{s.Attempt, stream}:
+	case <-ctx.Done():
+	}
 	first := true
 	for {
 		u := &wire.Update{}
--- a/internal/relay/publishing.go
+++ b/internal/relay/publishing.go
@@ -88,6 +88,7 @@
 	go func() {
 		defer close(ended)
 		p.readReports(m)
+		_ = m.Close() // a write to a subscriber that has left would wait for it
 	}()
 	defer func() {
 		_ = m.Close()
--- a/internal/relay/transfer_test.go
+++ b/internal/relay/transfer_test.go
@@ -58,6 +58,8 @@
 	nodes   [2]*link.Node
 	served  [2]atomic.Int32
 	notices []string
+	// busy is how long the box takes to put a state in force.
+	busy time.Duration
 }
 
 func (p *replicaPair) put(s steering.State, c []*wire.Command) {
@@ -110,7 +112,10 @@
 			Seed:       1,
 			StaleAfter: boxStale,
 			Sources:    func() []distribution.Source { return sources },
-			PutInForce: func(s steering.State, _ []*wire.Command) { inForce <- s.Version() },
+			PutInForce: func(s steering.State, _ []*wire.Command) {
+				time.Sleep(p.busy)
+				inForce <- s.Version()
+			},
 			Event: func(e *wire.TimelineEvent) {
 				if e.Kind == "upstream" {
 					p.notices = append(p.notices, e.Detail)
@@ -143,10 +148,12 @@
 			version, 6*carried, p.sent()-before, length, p.notices)
 		return
 	}
-	if took := time.Since(began); took > longest {
+	took := time.Since(began)
+	if took > longest {
 		t.Errorf("version %d took %v, want at most %v", version, took, longest)
 	}
 	time.Sleep(3 * heartbeatInterval)
+	t.Logf("%d bytes took %v, %d bytes were sent", length, took, p.sent()-before)
 	if sent, most := p.sent()-before, uint64(length)*21/20; sent > most {
 		t.Errorf("%d bytes were sent, want at most %d; %v", sent, most, p.notices)
 	}
@@ -210,3 +217,23 @@
 	}
 	return n
 }
+
+// A box that is busy with a state for longer than it waits for word of control
+// takes the word that came meanwhile before it looks for another upstream.
+func TestBusyBoxKeepsItsUpstream(t *testing.T) {
+	followPair(t, func(t *testing.T, p *replicaPair, inForce <-chan uint64) {
+		time.Sleep(2 * heartbeatInterval)
+		p.busy = 3*time.Second + heartbeatInterval/4
+		state := steering.State{}
+		for range 10 {
+			c := bulky(100 + int(state.Version()))
+			state, _ = state.Apply(c)
+			p.put(state, []*wire.Command{c})
+			<-inForce
+			time.Sleep(2 * heartbeatInterval)
+		}
+		if len(p.notices) != 1 {
+			t.Errorf("the upstream changed: %v", p.notices)
+		}
+	})
+}
--- a/pkg/distribution/follower.go
+++ b/pkg/distribution/follower.go
@@ -11,6 +11,7 @@
 package distribution
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -30,7 +31,16 @@
 	reconsiderAfter = 5 * time.Second
 	minBackOff      = 100 * time.Millisecond
 	maxBackOff      = 2 * time.Second
-	connectTimeout  = time.Second
+	// connectTimeout is how long a source may take to send the first bytes of
+	// its first update: more than a dial of 500 ms and two round trips.
+	connectTimeout = time.Second
+	// transferLimit is how long an update may arrive before another source is
+	// tried: 5 MB take 20 s over 2 Mbit/s, half of a box's link. It doubles with
+	// each update that takes longer, up to maxTransferLimit, in which the longest
+	// message, 64 MB, arrives at 0.9 Mbit/s; else a slow link would never carry
+	// a state that takes longer.
+	transferLimit    = 20 * time.Second
+	maxTransferLimit = 32 * transferLimit
 )
 
 // Source is a process to subscribe to.
@@ -116,7 +126,20 @@
 	// held is the highest state of a source that has not heard of control,
 	// kept back by a follower that has none until it has asked all sources.
 	held *wire.Update
-	out  Output
+	// arriving is the update that is on its way.
+	arriving transfer
+	// lastSign is when the present source was opened, or the last bytes of an
+	// update came that takes long.
+	lastSign time.Time
+	// limit is how long an update may arrive.
+	limit time.Duration
+	out   Output
+}
+
+// transfer is an update of which bytes have come; without bytes there is none.
+type transfer struct {
+	bytes uint64
+	began time.Time
 }
 
 // NewFollower returns a follower with the empty state.
@@ -127,6 +150,7 @@
 		backOff:    minBackOff,
 		retryAt:    now,
 		heardAt:    now,
+		limit:      transferLimit,
 	}
 }
 
@@ -159,6 +183,7 @@
 			f.open = true
 			f.pending = false
 			f.openedAt = now
+			f.lastSign = now
 			f.sourceIsStale = false
 			f.out.Notice = "subscribed to " + f.sources[f.current].Name
 		}
@@ -169,6 +194,7 @@
 	case Received:
 		f.received(now, e)
 	case Progress:
+		f.progress(now, e)
 	case Tick:
 	}
 	f.tick(now)
@@ -193,9 +219,22 @@
 	f.retryAt = now
 }
 
+// progress takes that bytes have come. They are a sign of life, not a word of
+// control: that is as old as the last whole update.
+func (f *Follower) progress(now time.Time, e Progress) {
+	if e.Attempt != f.attempt || e.Bytes == f.arriving.bytes {
+		return
+	}
+	if f.arriving.bytes == 0 {
+		f.arriving.began = now
+	}
+	f.arriving.bytes = e.Bytes
+	f.lastSign = now
+}
+
 func (f *Follower) lost(now time.Time) {
-	if f.open {
-		f.out.Notice = "lost " + f.sources[f.current].Name
+	if f.open || f.pending && f.arriving.bytes > 0 {
+		f.out.Notice = f.why(now, "lost")
 	}
 	f.open = false
 	f.pending = false
@@ -220,13 +259,18 @@
 	if len(f.sources) == 0 {
 		return
 	}
-	if f.pending && !now.Before(f.deadline) {
+	if f.pending && !now.Before(f.deadline) && !f.arrives(now) {
+		if f.arriving.bytes > 0 {
+			f.out.Notice = f.why(now, "gives up on")
+		}
 		f.pending = false
+		f.endTransfer(now)
 		f.next(now)
 	}
 	if f.open && f.shouldLeave(now) {
 		f.open = false
-		f.out.Notice = "leaves " + f.sources[f.current].Name
+		f.out.Notice = f.why(now, "leaves")
+		f.endTransfer(now)
 		if f.Age(now) <= f.staleAfter {
 			f.current = 0
 			f.retryAt = now
@@ -239,18 +283,54 @@
 	}
 	f.attempt++
 	f.pending = true
+	f.arriving = transfer{}
 	f.deadline = now.Add(connectTimeout)
 	f.out.Subscribe = &Subscribe{Attempt: f.attempt, Source: f.sources[f.current], Version: f.state.Version()}
 }
 
 // shouldLeave reports whether another upstream may be better: this one has not
 // heard of control, or it is not the first choice.
+// It stays while an update arrives: what has come would have to come again.
 func (f *Follower) shouldLeave(now time.Time) bool {
-	since := now.Sub(f.openedAt)
-	if f.Age(now) > f.staleAfter && (f.sourceIsStale || since > f.staleAfter) {
+	if f.arrives(now) {
+		return false
+	}
+	if f.overdue(now) {
 		return true
 	}
-	return f.current > 0 && since > reconsiderAfter
+	if f.Age(now) > f.staleAfter && (f.sourceIsStale || now.Sub(f.lastSign) > f.staleAfter) {
+		return true
+	}
+	return f.current > 0 && now.Sub(f.openedAt) > reconsiderAfter
+}
+
+// arrives reports whether an update is on its way and neither stands still nor
+// takes too long.
+func (f *Follower) arrives(now time.Time) bool {
+	return f.arriving.bytes > 0 && now.Sub(f.lastSign) <= f.staleAfter && !f.overdue(now)
+}
+
+// overdue reports whether an update has been on its way for too long.
+func (f *Follower) overdue(now time.Time) bool {
+	return f.arriving.bytes > 0 && now.Sub(f.arriving.began) > f.limit
+}
+
+// endTransfer lets go of an update that has not come whole.
+func (f *Follower) endTransfer(now time.Time) {
+	if f.overdue(now) {
+		f.limit = min(2*f.limit, maxTransferLimit)
+	}
+	f.arriving = transfer{}
+}
+
+// why tells what the follower knows of a source that it no longer follows.
+func (f *Follower) why(now time.Time, does string) string {
+	text := fmt.Sprintf("%s %s: word of control %d ms old", does, f.sources[f.current].Name, f.Age(now).Milliseconds())
+	if f.arriving.bytes == 0 {
+		return text + ", no update arriving"
+	}
+	return fmt.Sprintf("%s, %d bytes of an update in %d ms, none for %d ms", text, f.arriving.bytes,
+		now.Sub(f.arriving.began).Milliseconds(), now.Sub(f.lastSign).Milliseconds())
 }
 
 // received takes an update that leads to a higher version.
@@ -258,7 +338,14 @@
 	if e.Attempt != f.attempt {
 		return
 	}
-	f.heard(now, e.Update)
+	sentAt := now
+	if f.arriving.bytes > 0 {
+		sentAt = f.arriving.began
+		f.lastSign = now
+		f.limit = transferLimit
+		f.arriving = transfer{}
+	}
+	f.heard(now, sentAt, e.Update)
 	f.sourceIsStale = time.Duration(e.Update.AgeMilli)*time.Millisecond > f.staleAfter
 	if e.Update.Version <= f.state.Version() {
 		return
@@ -298,8 +385,8 @@
 func (f *Follower) putInForce(now time.Time, u *wire.Update) {
 	next, commands, err := Advance(f.state, u)
 	if err != nil {
-		f.out.Notice = err.Error()
 		f.lost(now)
+		f.out.Notice = err.Error()
 		return
 	}
 	f.state = next
@@ -307,8 +394,10 @@
 	f.out.Commands = commands
 }
 
-func (f *Follower) heard(now time.Time, u *wire.Update) {
-	at := now.Add(-time.Duration(u.AgeMilli) * time.Millisecond)
+// heard takes the word of control in an update that its source began to send at
+// sentAt.
+func (f *Follower) heard(now, sentAt time.Time, u *wire.Update) {
+	at := sentAt.Add(-time.Duration(u.AgeMilli) * time.Millisecond)
 	if at.After(f.heardAt) {
 		f.heardAt = at
 	}
--- a/pkg/distribution/transfer_test.go
+++ b/pkg/distribution/transfer_test.go
@@ -143,3 +143,27 @@
 		t.Errorf("the line does not tell what had arrived: %s", last)
 	}
 }
+
+// An update that trickles is given up after the limit and another source is
+// tried, which gets twice as long; an update that came whole starts anew.
+func TestTrickleIsBounded(t *testing.T) {
+	f := newTestFollowing()
+	f.open()
+	for _, limit := range []time.Duration{transferLimit, 2 * transferLimit, 4 * transferLimit} {
+		before := f.attempt
+		after, left := f.arrive(2*limit, 1)
+		if !left || after > limit+3*testStep {
+			t.Fatalf("a trickle was left: %v, after %v, the limit is %v", left, after, limit)
+		}
+		for f.attempt == before || !f.pending {
+			f.now = f.now.Add(testStep)
+			f.take(Tick{})
+		}
+	}
+	f.open()
+	f.arrive(testStep, 1)
+	f.take(Received{f.attempt, f.nothing()})
+	if after, left := f.arrive(2*transferLimit, 1); !left || after > transferLimit+3*testStep {
+		t.Errorf("after a whole update a trickle was left: %v, after %v", left, after)
+	}
+}
