--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -25,6 +25,7 @@
 // inForce is the document of routes that the box goes by.
 type inForce struct {
 	document catalog.Document
+	table    *catalog.Table
 	// version is that of the replicated state.
 	version uint64
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -103,7 +103,7 @@
 		c.refuse("noRoutes", c.gateway.untilRoutes())
 		return
 	}
-	route, ok := c.rules.document.Match(c.request.Host, c.request.URL.EscapedPath())
+	route, ok := c.rules.table.Match(c.request.Host, c.request.URL.EscapedPath())
 	if !ok {
 		c.answerUnknownRoute()
 		return
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -113,6 +113,9 @@
 	t.Slots = slots
 }
 
+// Routes is how many routes the balancer remembers times of.
+func (b *Balancer) Routes() int { return len(b.times) }
+
 // Knows reports whether a target is registered.
 func (b *Balancer) Knows(id string) bool { return b.byID[id] != nil }
 
--- a/pkg/catalog/document.go
+++ b/pkg/catalog/document.go
@@ -166,27 +166,8 @@
 	return nil
 }
 
-// Match returns the route of a host with the longest prefix that begins path.
-// The host may carry a port; letter case does not count.
-func (d Document) Match(host, path string) (Route, bool) {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
-	}
-	best := Route{}
-	found := false
-	for _, h := range d.Hosts {
-		if !strings.EqualFold(h.Name, host) {
-			continue
-		}
-		for _, r := range h.Routes {
-			if strings.HasPrefix(path, r.Prefix) && (!found || len(r.Prefix) > len(best.Prefix)) {
-				best = r
-				found = true
-			}
-		}
-	}
-	return best, found
-}
+// Match returns the route of one request. Who asks for many builds a Table.
+func (d Document) Match(host, path string) (Route, bool) { return NewTable(d).Match(host, path) }
 
 // Service returns a service by its name.
 func (d Document) Service(name string) (Service, bool) {
