--- /dev/null
+++ b/internal/gateway/inforce_test.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/balance"
+	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// Every state put all targets in force anew, 0.12 ms at 400 targets on a core
+// and 0.7 ms on the 0.16 cores of a box, with a line in the log. What was
+// learned of routes that had left their document stayed for good.
+
+// numbered decodes the texts that withDocument writes.
+func numbered(routesOf func(number uint64) catalog.Document) func([]byte) (catalog.Document, error) {
+	return func(text []byte) (catalog.Document, error) {
+		var number uint64
+		if _, err := fmt.Sscan(string(text), &number); err != nil {
+			return catalog.Document{}, err
+		}
+		return routesOf(number), nil
+	}
+}
+
+// A state whose targets and evacuations are those of the one before leaves the
+// balancer's targets alone.
+func TestStateWithTheSameTargetsLeavesThemAlone(t *testing.T) {
+	var lines bytes.Buffer
+	d := newSteered(t, &lines, numbered(func(n uint64) catalog.Document { return documentOf(n, 2) }))
+	s := withTarget(withDocument(steering.State{}, 1), "i", false)
+	d.putInForce(s, nil)
+	d.balancing.balancer.SetTargets(time.Now(), nil) // to see whether it is told of them again
+	lines.Reset()
+	s = withDocument(s, 2)
+	d.putInForce(s, nil)
+	if d.knows("i") {
+		t.Error("a state that changes only the routes put the targets in force")
+	}
+	if strings.Contains(lines.String(), `"kind":"targets"`) {
+		t.Errorf("the log tells of targets: %s", lines.String())
+	}
+	if d.rules.Load().document.Number != 2 {
+		t.Error("the document is not in force")
+	}
+}
+
+// Each change of targets and evacuations is put in force.
+func TestStateWithOtherTargetsIsPutInForce(t *testing.T) {
+	d := newSteered(t, &bytes.Buffer{}, numbered(func(n uint64) catalog.Document { return documentOf(n, 2) }))
+	usable := func(want bool) {
+		t.Helper()
+		c, err := d.choose(balance.Request{Service: "s", Route: "r0", Objective: time.Second, Left: time.Second})
+		if got := err == nil; got != want {
+			t.Fatalf("a target is found: %v, want %v (%v)", got, want, err)
+		}
+		if err == nil {
+			d.done(balance.Report{TargetID: c.Target.ID, Route: "r0", Outcome: balance.Dropped})
+		}
+	}
+	put := func(s steering.State, c *wire.Command) steering.State {
+		t.Helper()
+		s, result := s.Apply(c)
+		if !result.Changed {
+			t.Fatalf("%v changed nothing", c)
+		}
+		d.putInForce(s, nil)
+		return s
+	}
+	leave := func(id string) *wire.Command {
+		return &wire.Command{Registration: &wire.RegistrationCommand{Registration: &wire.Registration{Id: id}, Leave: true}}
+	}
+	s := withTarget(withDocument(steering.State{}, 1), "i", false)
+	d.putInForce(s, nil)
+	usable(true)
+	s = put(s, &wire.Command{Evacuation: &wire.EvacuationCommand{Zone: "z"}})
+	usable(false)
+	s = put(s, &wire.Command{Evacuation: &wire.EvacuationCommand{Zone: "z", Withdraw: true}})
+	usable(true)
+	s = withTarget(s, "i", true)
+	d.putInForce(s, nil)
+	usable(false)
+	s = withTarget(s, "j", false)
+	d.putInForce(s, nil)
+	usable(true)
+	s = put(s, leave("j"))
+	usable(false)
+	s = put(s, leave("i"))
+	if d.knows("i") {
+		t.Error("a target that left is known")
+	}
+	// A whole state from control, which shares nothing with the one before.
+	s = withTarget(s, "k", false)
+	whole, err := steering.Decode(s.Encode())
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.putInForce(whole, nil)
+	usable(true)
+}
+
+// What the box remembers of routes is bounded by the size of its document, also
+// where each document has other routes than the one before.
+func TestRoutesThatLeftTheDocumentAreForgotten(t *testing.T) {
+	const routes = 10
+	d := newSteered(t, &bytes.Buffer{}, numbered(func(n uint64) catalog.Document {
+		document := documentOf(n, routes)
+		for i := range document.Hosts[0].Routes {
+			document.Hosts[0].Routes[i].Name = fmt.Sprintf("r%d-%d", n, i)
+		}
+		return document
+	}))
+	s := withTarget(steering.State{}, "i", false)
+	for n := range uint64(20) {
+		s = withDocument(s, n+1)
+		d.putInForce(s, nil)
+		for _, r := range d.rules.Load().document.Hosts[0].Routes {
+			d.destination(r)
+			c, err := d.choose(balance.Request{Service: "s", Route: r.Name, Objective: time.Second, Left: time.Second})
+			if err != nil {
+				t.Fatal(err)
+			}
+			d.done(balance.Report{TargetID: c.Target.ID, Route: r.Name, Outcome: balance.Answered, Took: time.Millisecond})
+		}
+	}
+	const most = 3 * routes // twice the document's, and the last one's
+	if got := d.balancing.balancer.Routes(); got > most {
+		t.Errorf("the times of %d routes are kept, want at most %d", got, most)
+	}
+	if got := len(d.balancing.splits); got > most {
+		t.Errorf("the splits of %d routes are kept, want at most %d", got, most)
+	}
+}
