--- a/pkg/catalog/bench_test.go
+++ b/pkg/catalog/bench_test.go
@@ -29,10 +29,10 @@
 func BenchmarkMatch(b *testing.B) {
 	for _, n := range benchRoutes {
 		b.Run(fmt.Sprintf("routes=%d", n), func(b *testing.B) {
-			d := sizedDocument(n)
+			table := NewTable(sizedDocument(n))
 			path := fmt.Sprintf("/path%d/some/object", n-1)
 			for b.Loop() {
-				if _, ok := d.Match("a.example:443", path); !ok {
+				if _, ok := table.Match("a.example:443", path); !ok {
 					b.Fatal("no route")
 				}
 			}
@@ -40,6 +40,18 @@
 	}
 }
 
+// BenchmarkNewTable is what a document costs once.
+func BenchmarkNewTable(b *testing.B) {
+	for _, n := range benchRoutes {
+		b.Run(fmt.Sprintf("routes=%d", n), func(b *testing.B) {
+			d := sizedDocument(n)
+			for b.Loop() {
+				NewTable(d)
+			}
+		})
+	}
+}
+
 func sizedState(targets int) State {
 	s := State{}
 	for i := range targets {
