gateway: put targets in force only when they changed

Cause: every state built the list of all targets, put it in force and wrote a line, also where only the routes had changed: 0.028, 0.116 and 0.80 ms at 100, 400 and 3,000 targets, of it 0.014, 0.063 and 0.48 ms while requests wait. Ruled out: the line was written behind the lock, not under it. Change: catalog.State tells whether it shares its targets and evacuations with an earlier state, by the identity of its lists; the box leaves them alone then. On a busy machine, one run: such a state costs 0.12 us at any size. A target that joins costs 0.023, 0.112 and 0.72 ms as before: SetTargets takes 0.063 ms at 400 targets, and twice a second that is 0.08 parts of 100 of 0.16 cores, so it was left whole.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -55,7 +55,9 @@
 	// reportDue holds a token when the replicas must be told of this box at once.
 	reportDue chan struct{}
 
-	rules    atomic.Pointer[inForce]
+	rules atomic.Pointer[inForce]
+	// steered is the last state, whose targets are in force; only putInForce uses it.
+	steered  *catalog.State
 	stopping atomic.Bool
 	inFlight atomic.Int64
 
--- a/internal/gateway/inforce_bench_test.go
+++ b/internal/gateway/inforce_bench_test.go
@@ -111,3 +111,21 @@
 		})
 	}
 }
+
+// BenchmarkPutJoined is what a target costs that joins.
+func BenchmarkPutJoined(b *testing.B) {
+	for _, n := range []int{100, 400, 3000} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			d := newSteered(b, io.Discard, testRoutes)
+			s := steering.State{}
+			for i := range n {
+				s = withTarget(s, fmt.Sprint("i", i), false)
+			}
+			joined := withTarget(s, "new", false)
+			for i := 0; b.Loop(); i++ {
+				next := []steering.State{s, joined}[i%2]
+				d.putTargets(next.Catalog(), next.Version())
+			}
+		})
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -46,7 +46,15 @@
 		Dur("controlAge", d.following.Age()).Msg("document of routes in force")
 }
 
+// putTargets takes the targets and evacuations unless they are in force: a state
+// that changes only the routes would cost 0.12 ms of a core at 400 targets (go test
+// -bench PutJoined), half of it while requests wait, and a line in the log.
 func (d *Daemon) putTargets(c catalog.State, version uint64) {
+	known := d.steered != nil && c.SharesTargets(*d.steered)
+	d.steered = &c // also if known, so that no earlier document is kept in memory
+	if known {
+		return
+	}
 	targets := make([]balance.Target, 0, len(c.Targets()))
 	draining := 0
 	for _, r := range c.Targets() {
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -47,6 +47,17 @@
 // Targets returns the registered targets, which the caller must not change.
 func (s State) Targets() []*wire.Registration { return s.targets }
 
+// SharesTargets reports whether the targets and evacuations are those of an
+// earlier state: each change of them makes a new list. It costs the same at any
+// size; states that were decoded apart share nothing, also if they are equal.
+func (s State) SharesTargets(earlier State) bool {
+	return sharesList(s.targets, earlier.targets) && sharesList(s.evacuated, earlier.evacuated)
+}
+
+func sharesList[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // Target returns the registration of a target.
 func (s State) Target(id string) (*wire.Registration, bool) {
 	i := s.indexOf(id)
