--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -26,7 +26,8 @@
 	// Seeds are the peer addresses of some control replicas.
 	Seeds    []string
 	Protocol Protocol
-	// DecodeRoutes reads the text of a document of routes.
+	// DecodeRoutes reads the text of a document of routes. It is not called by two
+	// goroutines at once, so that it may keep what the next document repeats.
 	DecodeRoutes func(text []byte) (catalog.Document, error)
 	// RetryShare, RetryExtra and RetryWindow bound the retries of all boxes.
 	RetryShare  float64
