platform, command: start entry boxes with the decoder that reads changed rules only

Cause: a document of which one weight changed was decoded whole at each box. Ruled out: a decoder in control: it reads each document once, and checks it.

--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -113,7 +113,7 @@
 		Peers:        s.Peers,
 		Seeds:        s.Seeds,
 		Protocol:     platform.Protocol(),
-		DecodeRoutes: platform.DecodeRoutes,
+		DecodeRoutes: platform.NewRoutesDecoder().Decode,
 		RetryShare:   s.RetryShare,
 		RetryExtra:   s.RetryExtra,
 		RetryWindow:  s.RetryWindow,
