--- a/internal/link/linktest/linktest.go
+++ b/internal/link/linktest/linktest.go
@@ -33,6 +33,10 @@
 	// SocketBuffer is how many bytes a write leaves behind that are not yet
 	// carried.
 	SocketBuffer int
+	// LateBy returns how much later than it is carried the nth write towards
+	// one that dialled arrives, as after a loss; what follows it arrives after
+	// it. It may be nil.
+	LateBy func(n int) time.Duration
 
 	mu        sync.Mutex
 	listeners map[string]*listener
@@ -78,6 +82,7 @@
 		return nil, net.ErrClosed
 	}
 	down, up := newLane(&n.down, n.BytesPerSecond, n.SocketBuffer), newLane(&n.up, n.SentPerSecond, n.SocketBuffer)
+	down.lateBy = n.LateBy
 	down.greeted = true // only the one that dials opens a link with a byte
 	near, far := &Conn{in: down, out: up}, &Conn{in: up, out: down}
 	select {
@@ -131,6 +136,7 @@
 	road           *road
 	bytesPerSecond int
 	socketBuffer   int
+	lateBy         func(n int) time.Duration
 	frames         chan frame
 	closed         chan struct{}
 	once           sync.Once
@@ -139,6 +145,7 @@
 	// the byte that opens a link.
 	greeted bool
 	pending []byte
+	writes  int
 }
 
 type frame struct {
@@ -164,6 +171,15 @@
 	return time.Duration(float64(bytes) / float64(l.bytesPerSecond) * float64(time.Second))
 }
 
+// late returns how much later the next write arrives than it is carried.
+func (l *lane) late() time.Duration {
+	if l.lateBy == nil {
+		return 0
+	}
+	l.writes++
+	return l.lateBy(l.writes)
+}
+
 func (l *lane) next() (length int, whole bool) {
 	if !l.greeted {
 		l.greeted = len(l.pending) > 0
@@ -200,13 +216,14 @@
 		return len(b), nil
 	}
 	carried := l.road.carry(l.carries(len(b)))
+	arrives := carried.Add(l.late())
 	l.pending = append(l.pending, b...)
 	for {
 		n, whole := l.next()
 		if !whole {
 			break
 		}
-		l.frames <- frame{carried, append([]byte(nil), l.pending[:n]...)}
+		l.frames <- frame{arrives, append([]byte(nil), l.pending[:n]...)}
 		l.pending = l.pending[n:]
 	}
 	select {
--- a/internal/link/transfer_test.go
+++ b/internal/link/transfer_test.go
@@ -111,6 +111,37 @@
 	})
 }
 
+// One that only sends hears little, and of that a packet may be lost: it then
+// comes by the first retransmission, 200 ms and a round trip later. The
+// connection stays, whichever it is.
+func TestConnectionIsKeptWhereAQuestionIsLost(t *testing.T) {
+	const (
+		length, rate = 4 << 20, 400_000 / 8
+		way          = 70 * time.Millisecond
+		late         = 200*time.Millisecond + 3*way
+	)
+	for _, each := range []int{2, 3, 5, 7} {
+		network := &linktest.Network{SentPerSecond: rate, SocketBuffer: 1 << 20, LateBy: func(n int) time.Duration {
+			if n%each == 0 {
+				return late
+			}
+			return way
+		}}
+		transferNodes(t, network, 0, func(t *testing.T, caller *Node) {
+			began := time.Now()
+			m, err := caller.Subscribe(t.Context(), "server", longMessage(length))
+			if err != nil {
+				t.Errorf("one packet of %d is lost: the transfer was broken off after %v: %v", each, time.Since(began), err)
+				return
+			}
+			if err := m.Read(&wire.Subscribe{}); err != nil {
+				t.Errorf("one packet of %d is lost: the transfer was broken off after %v: %v", each, time.Since(began), err)
+			}
+			_ = m.Close()
+		})
+	}
+}
+
 // A link that carries 400 kbit/s takes 5 s for a window of 256 KB and hardly
 // buffers. The write of a long message succeeds all the same.
 func TestLongMessageIsWrittenOverASlowLink(t *testing.T) {
--- a/internal/relay/transfer_test.go
+++ b/internal/relay/transfer_test.go
@@ -60,6 +60,13 @@
 	notices []string
 	// busy is how long the box takes to put a state in force.
 	busy time.Duration
+	// puts is called for each state of the box that comes in force; it may be nil.
+	puts func(version uint64)
+	// listed are the box's sources.
+	listed    atomic.Pointer[[]distribution.Source]
+	following *Following
+	// stop ends the following's context.
+	stop context.CancelFunc
 }
 
 func (p *replicaPair) put(s steering.State, c []*wire.Command) {
@@ -104,16 +111,20 @@
 			t.Fatal(err)
 		}
 		defer box.Close()
+		p.listed.Store(&sources)
 		inForce := make(chan uint64, 64)
-		f := NewFollowing(Subscriber{
+		p.following = NewFollowing(Subscriber{
 			Box:        "box",
 			Node:       func() *link.Node { return box },
 			Clock:      clock,
 			Seed:       1,
 			StaleAfter: boxStale,
-			Sources:    func() []distribution.Source { return sources },
+			Sources:    func() []distribution.Source { return *p.listed.Load() },
 			PutInForce: func(s steering.State, _ []*wire.Command) {
 				time.Sleep(p.busy)
+				if p.puts != nil {
+					p.puts(s.Version())
+				}
 				inForce <- s.Version()
 			},
 			Event: func(e *wire.TimelineEvent) {
@@ -124,7 +135,8 @@
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
-		go func() { ended <- f.Run(ctx) }()
+		p.stop = cancel
+		go func() { ended <- p.following.Run(ctx) }()
 		run(t, p, inForce)
 		cancel()
 		<-ended
