relay: handle states that wait one after the other

Cause: a state in force had the sources handed over, after all that waited in the inbox; each state among that did the same within it. The sources were read before what waited was handled, so the oldest list came last, and a box went to a parent that had departed. The stack grew by three frames for each state, and the context was not looked at.

Change: a state in force sets a flag; the loop asks for the sources once what waited is in force. It handles what waits at that moment and then serves streams, changes and reports too, and ends with the context. As events may thus still wait when time passes, time passes only where none does, and new sources are no occasion to judge silence: what waits shows that the upstream lives.

Ruled out: a token in the channel of changed sources instead of the flag; the sources would then wait for the select to choose it among updates that keep coming.

Conclusion: the latest state's sources are followed, and neither stack nor end depends on what waits.

--- a/internal/relay/following.go
+++ b/internal/relay/following.go
@@ -66,6 +66,8 @@
 	opened  chan openedStream
 	changed chan struct{}
 	filter  *ReportFilter
+	// sourcesDue tells that the sources are to be asked for anew.
+	sourcesDue bool
 }
 
 type openedStream struct {
@@ -83,6 +85,7 @@
 		reads:      make(chan openedStream, 1),
 		opened:     make(chan openedStream, 1),
 		changed:    make(chan struct{}, 1),
+		sourcesDue: true,
 	}
 	if s.StaleAfter > 0 {
 		f.machine.SetStaleAfter(s.StaleAfter)
@@ -114,16 +117,16 @@
 	report := time.NewTicker(reportInterval)
 	defer report.Stop()
 	defer f.end()
-	f.pass(ctx, distribution.SetSources{Sources: f.subscriber.Sources()})
-	for {
+	for ctx.Err() == nil {
+		if f.sourcesDue {
+			f.renewSources(ctx)
+		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
 		case <-ticker.C:
-			f.noteProgress(ctx)
-			f.pass(ctx, distribution.Tick{})
+			f.passTime(ctx)
 		case e := <-f.inbox:
-			f.carryOut(ctx, f.machine.Handle(time.Now(), e))
+			f.handle(ctx, e)
 		case r := <-f.reads:
 			if r.attempt > f.reading.attempt {
 				f.reading = r
@@ -131,41 +134,60 @@
 		case o := <-f.opened:
 			f.take(o)
 		case <-f.changed:
-			f.pass(ctx, distribution.SetSources{Sources: f.subscriber.Sources()})
+			f.sourcesDue = true
 		case <-report.C:
 			f.report()
 		}
 	}
+	return ctx.Err()
 }
 
-// pass handles an event of this process after all that has come by the
-// subscription: the loop may have been busy with a long state for longer than
-// silence may last.
-func (f *Following) pass(ctx context.Context, e distribution.Event) {
-	f.drain(ctx)
+func (f *Following) handle(ctx context.Context, e distribution.Event) {
 	f.carryOut(ctx, f.machine.Handle(time.Now(), e))
 }
 
+// renewSources asks for the sources after what has come by the subscription is
+// in force, so that they are those of the latest state.
+func (f *Following) renewSources(ctx context.Context) {
+	f.drain(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	f.sourcesDue = false
+	f.handle(ctx, distribution.SetSources{Sources: f.subscriber.Sources()})
+}
+
+// passTime has the machine judge what has come and what has not. While events
+// wait, something has come: the loop may have been busy with a long state for
+// longer than silence may last.
+func (f *Following) passTime(ctx context.Context) {
+	f.drain(ctx)
+	if len(f.inbox) > 0 || ctx.Err() != nil {
+		return
+	}
+	f.noteProgress(ctx)
+	f.handle(ctx, distribution.Tick{})
+}
+
+// drain handles the events that wait now; those that come meanwhile are left
+// to the loop, which serves the others between.
 func (f *Following) drain(ctx context.Context) {
-	for {
-		select {
-		case e := <-f.inbox:
-			f.carryOut(ctx, f.machine.Handle(time.Now(), e))
-		default:
+	for range len(f.inbox) {
+		if ctx.Err() != nil {
 			return
 		}
+		f.handle(ctx, <-f.inbox)
 	}
 }
 
 // noteProgress tells the machine how much of an update has come. What has come
-// whole is handled before it is asked for, else it would count as on its way.
+// whole is handled before, else it would count as on its way.
 func (f *Following) noteProgress(ctx context.Context) {
-	f.drain(ctx)
 	if f.reading.stream == nil {
 		return
 	}
 	if n := f.reading.stream.Arriving(); n > 0 {
-		f.carryOut(ctx, f.machine.Handle(time.Now(), distribution.Progress{Attempt: f.reading.attempt, Bytes: n}))
+		f.handle(ctx, distribution.Progress{Attempt: f.reading.attempt, Bytes: n})
 	}
 }
 
@@ -207,7 +229,7 @@
 	f.subscriber.PutInForce(*out.State, out.Commands)
 	f.noteInForce(out.Commands)
 	f.report()
-	f.pass(ctx, distribution.SetSources{Sources: f.subscriber.Sources()})
+	f.sourcesDue = true
 }
 
 func (f *Following) noteInForce(commands []*wire.Command) {
--- a/pkg/distribution/follower.go
+++ b/pkg/distribution/follower.go
@@ -180,6 +180,8 @@
 	switch e := e.(type) {
 	case SetSources:
 		f.setSources(now, e.Sources)
+		f.subscribe(now)
+		return f.out // what has come may still wait: other events tell of silence
 	case Opened:
 		if e.Attempt == f.attempt {
 			f.open = true
@@ -280,6 +282,14 @@
 			f.next(now)
 		}
 	}
+	f.subscribe(now)
+}
+
+// subscribe opens the next subscription when none is open and it is time to.
+func (f *Follower) subscribe(now time.Time) {
+	if len(f.sources) == 0 {
+		return
+	}
 	if f.open || f.pending || now.Before(f.retryAt) {
 		return
 	}
