distribution: return ever more seldom to a first choice that is dead

Cause: a follower went back to its first choice 5 s after each opening of another, whatever had come of it before. Each return to one that does not answer takes up to 1 s without any upstream.

Change: the time until the next return doubles with each, from 5 s up to 2 minutes, and begins anew with fresh word from the first choice or with another first choice.

Ruled out: trying the first choice beside the present one. It needs a second subscription at the machine and its host, each with a transfer of its own.

A first choice that answers again is followed after 2 minutes at most (TestFirstChoiceIsFollowedAgain).

Conclusion: a sound upstream is seldom given up. A tree keeps its makeshift shape for up to 2 minutes after a long outage of a parent, where it was 5 s; no word is older for it.

--- a/pkg/distribution/follower.go
+++ b/pkg/distribution/follower.go
@@ -27,10 +27,13 @@
 	// looks for another upstream.
 	defaultStaleAfter = 3 * time.Second
 	// reconsiderAfter is how long a follower stays with an upstream that is
-	// not its first choice.
-	reconsiderAfter = 5 * time.Second
-	minBackOff      = 100 * time.Millisecond
-	maxBackOff      = 2 * time.Second
+	// not its first choice. It doubles with each return in vain, as each costs up
+	// to connectTimeout without an upstream, up to maxReconsiderAfter: a 120th of
+	// the time then, and the tree has its shape again soon after an outage.
+	reconsiderAfter    = 5 * time.Second
+	maxReconsiderAfter = 2 * time.Minute
+	minBackOff         = 100 * time.Millisecond
+	maxBackOff         = 2 * time.Second
 	// connectTimeout is how long a source may take to send the first bytes of
 	// its first update: more than a dial of 500 ms and two round trips.
 	connectTimeout = time.Second
@@ -120,7 +123,10 @@
 	deadline   time.Time
 	retryAt    time.Time
 	backOff    time.Duration
-	heardAt    time.Time
+	// returnAfter is how long the follower stays with another than its first
+	// choice.
+	returnAfter time.Duration
+	heardAt     time.Time
 	// sourceIsStale tells that the present source has no word of control itself.
 	sourceIsStale bool
 	// held is the highest state of a source that has not heard of control,
@@ -147,12 +153,13 @@
 // NewFollower returns a follower with the empty state.
 func NewFollower(now time.Time, seed uint64) *Follower {
 	return &Follower{
-		random:     rand.New(rand.NewPCG(seed, 2)),
-		staleAfter: defaultStaleAfter,
-		backOff:    minBackOff,
-		retryAt:    now,
-		heardAt:    now,
-		limit:      transferLimit,
+		random:      rand.New(rand.NewPCG(seed, 2)),
+		staleAfter:  defaultStaleAfter,
+		backOff:     minBackOff,
+		returnAfter: reconsiderAfter,
+		retryAt:     now,
+		heardAt:     now,
+		limit:       transferLimit,
 	}
 }
 
@@ -210,6 +217,9 @@
 	if f.current < len(f.sources) {
 		current = f.sources[f.current]
 	}
+	if len(sources) == 0 || len(f.sources) == 0 || sources[0] != f.sources[0] {
+		f.returnAfter = reconsiderAfter
+	}
 	f.sources = sources
 	for i, s := range sources {
 		if s == current {
@@ -278,6 +288,7 @@
 		if f.Age(now) <= f.staleAfter {
 			f.current = 0
 			f.retryAt = now
+			f.returnAfter = min(2*f.returnAfter, maxReconsiderAfter)
 		} else {
 			f.next(now)
 		}
@@ -313,7 +324,7 @@
 	if f.Age(now) > f.staleAfter && (f.sourceIsStale || now.Sub(f.lastSign) > f.staleAfter) {
 		return true
 	}
-	return f.current > 0 && now.Sub(f.openedAt) > reconsiderAfter
+	return f.current > 0 && now.Sub(f.openedAt) > f.returnAfter
 }
 
 // arrives reports whether an update is on its way and neither stands still nor
@@ -359,6 +370,9 @@
 	}
 	f.heard(now, sentAt, e.Update)
 	f.sourceIsStale = time.Duration(e.Update.AgeMilli)*time.Millisecond > f.staleAfter
+	if f.current == 0 && !f.sourceIsStale {
+		f.returnAfter = reconsiderAfter
+	}
 	if e.Update.Version <= f.state.Version() {
 		return
 	}
