distribution: pass over what a subscription brings whose source is gone

Cause: a subscription whose source was listed no more kept its attempt. What it still brought was taken; its opening named a source by an index into a list that may be empty, which ended the process.

Change: letting go of such a subscription counts as an attempt and drops the update on its way. A source that is still listed, though no longer first, is kept (TestSourceThatIsNoLongerFirstIsKept passed before and passes).

Ruled out: a check of the index alone; the state of a source that is gone would still come in force.

Conclusion: a box may be without sources for a while. Its host keeps the stream open until the next subscription; nobody takes what it brings.

--- a/pkg/distribution/follower.go
+++ b/pkg/distribution/follower.go
@@ -227,10 +227,18 @@
 			return
 		}
 	}
+	f.drop()
+	f.retryAt = now
+}
+
+// drop lets go of a subscription whose source is gone, and of the update on its
+// way; what it still brings belongs to no attempt.
+func (f *Follower) drop() {
+	f.attempt++
 	f.current = 0
 	f.open = false
 	f.pending = false
-	f.retryAt = now
+	f.arriving = transfer{}
 }
 
 // progress takes that bytes have come. They are a sign of life, not a word of
