distribution, relay: count an update from when it came

Cause: an update that waited for a busy box counted as sent when it was handled, unless a part of it had been seen on its way. The age of the word of control decides whether a box answers 404 or 503 for a route that it does not know.

Change: the reader of the subscription stamps the arrival; the word counts from there, or from the begin of the transfer where that was seen and is earlier. Silence is judged as at that time too, as more may wait behind the update.

Ruled out: the time of the source's clock; clocks of boxes differ.

TestBusyBoxKeepsItsUpstreamWhileUpdatesWait is new: with arrivals stamped a busy box would leave its upstream for the age of what it handles.

Conclusion: a box that was busy knows how old its word is, and keeps a sound upstream.

--- a/internal/relay/following.go
+++ b/internal/relay/following.go
@@ -272,6 +272,7 @@
 			f.put(ctx, distribution.Lost{Attempt: s.Attempt})
 			return
 		}
+		at := time.Now()
 		f.subscriber.Clock.Observe(u.Clock)
 		if first {
 			first = false
@@ -284,7 +285,7 @@
 		if u.EntryBoxes != nil && f.subscriber.EntryBoxes != nil {
 			f.subscriber.EntryBoxes(u.EntryBoxes.Boxes)
 		}
-		f.put(ctx, distribution.Received{Attempt: s.Attempt, Update: u})
+		f.put(ctx, distribution.Received{Attempt: s.Attempt, Update: u, At: at})
 	}
 }
 
--- a/internal/relay/following_test.go
+++ b/internal/relay/following_test.go
@@ -23,14 +23,14 @@
 //
 // Proof: a box that is busy with one state while others come, below.
 
-// follow lets a number of states come while the box is busy with the first.
-func (p *replicaPair) follow(n int) {
+// follow lets a number of states come, so close that they wait for a busy box.
+func (p *replicaPair) follow(n int, spacing time.Duration) {
 	state := steering.State{}
 	for range n {
 		c := bulky(100 + int(state.Version()))
 		state, _ = state.Apply(c)
 		p.put(state, []*wire.Command{c})
-		time.Sleep(2 * updateSpacing)
+		time.Sleep(spacing)
 	}
 }
 
@@ -48,7 +48,7 @@
 			}
 			p.listed.Store(&listed)
 		}
-		p.follow(2)
+		p.follow(2, 2*updateSpacing)
 		<-inForce
 		<-inForce
 		time.Sleep(10 * time.Second)
@@ -70,7 +70,7 @@
 				time.Sleep(2 * waiting * 2 * updateSpacing)
 			}
 		}
-		p.follow(waiting)
+		p.follow(waiting, 2*updateSpacing)
 		for version := uint64(0); version < waiting; {
 			version = <-inForce
 		}
@@ -98,7 +98,7 @@
 				p.stop()
 			}
 		}
-		p.follow(waiting)
+		p.follow(waiting, 2*updateSpacing)
 		time.Sleep(2 * waiting * 2 * updateSpacing)
 		synctest.Wait()
 		if states != 1 {
@@ -112,7 +112,7 @@
 	followPair(t, func(t *testing.T, p *replicaPair, inForce <-chan uint64) {
 		time.Sleep(2*heartbeatInterval + heartbeatInterval/2)
 		p.busy = 4 * time.Second
-		p.follow(1)
+		p.follow(1, 2*updateSpacing)
 		time.Sleep(heartbeatInterval)
 		for _, c := range p.network.Dialled() {
 			c.GoSilent()
--- a/internal/relay/transfer_test.go
+++ b/internal/relay/transfer_test.go
@@ -249,3 +249,20 @@
 		}
 	})
 }
+
+// The same where more states wait, each of which keeps the box busy.
+func TestBusyBoxKeepsItsUpstreamWhileUpdatesWait(t *testing.T) {
+	followPair(t, func(t *testing.T, p *replicaPair, inForce <-chan uint64) {
+		const waiting = 20
+		time.Sleep(2 * heartbeatInterval)
+		p.busy = 2*time.Second + heartbeatInterval/4
+		p.follow(waiting, 700*time.Millisecond)
+		for version := uint64(0); version < waiting; {
+			version = <-inForce
+		}
+		time.Sleep(4 * heartbeatInterval)
+		if len(p.notices) != 1 {
+			t.Errorf("the upstream changed: %v", p.notices)
+		}
+	})
+}
--- a/pkg/distribution/follower.go
+++ b/pkg/distribution/follower.go
@@ -70,6 +70,16 @@
 type Received struct {
 	Attempt uint64
 	Update  *wire.Update
+	// At is when it came, which may be long before it is handled; zero for now.
+	At time.Time
+}
+
+// arrival returns when the update came, at now or before.
+func (r Received) arrival(now time.Time) time.Time {
+	if r.At.IsZero() || r.At.After(now) {
+		return now
+	}
+	return r.At
 }
 
 // Progress tells how many bytes of the next update have come so far by a
@@ -184,6 +194,7 @@
 // Handle takes one event at now and returns what to carry out.
 func (f *Follower) Handle(now time.Time, e Event) Output {
 	f.out = Output{}
+	heardUntil := now
 	switch e := e.(type) {
 	case SetSources:
 		f.setSources(now, e.Sources)
@@ -204,11 +215,12 @@
 		}
 	case Received:
 		f.received(now, e)
+		heardUntil = e.arrival(now) // more may wait behind it
 	case Progress:
 		f.progress(now, e)
 	case Tick:
 	}
-	f.tick(now)
+	f.tick(now, heardUntil)
 	return f.out
 }
 
@@ -277,7 +289,9 @@
 	f.backOff = min(2*f.backOff, maxBackOff)
 }
 
-func (f *Follower) tick(now time.Time) {
+// tick lets time pass. Silence is judged as at heardUntil, up to which all that
+// has come is known.
+func (f *Follower) tick(now, heardUntil time.Time) {
 	if len(f.sources) == 0 {
 		return
 	}
@@ -289,7 +303,7 @@
 		f.endTransfer(now)
 		f.next(now)
 	}
-	if f.open && f.shouldLeave(now) {
+	if f.open && f.shouldLeave(heardUntil) {
 		f.open = false
 		f.out.Notice = f.why(now, "leaves")
 		f.endTransfer(now)
@@ -369,10 +383,13 @@
 	if e.Attempt != f.attempt {
 		return
 	}
-	sentAt := now
+	at := e.arrival(now)
+	sentAt := at
 	if f.arriving.bytes > 0 {
-		sentAt = f.arriving.began
-		f.lastSign = now
+		if f.arriving.began.Before(sentAt) {
+			sentAt = f.arriving.began
+		}
+		f.lastSign = at
 		f.limit = transferLimit
 		f.arriving = transfer{}
 	}
--- a/pkg/distribution/transfer_test.go
+++ b/pkg/distribution/transfer_test.go
@@ -59,7 +59,7 @@
 // open has the present subscription open and its first word of control come.
 func (f *following) open() {
 	f.take(Opened{f.attempt})
-	f.take(Received{f.attempt, f.nothing()})
+	f.take(Received{Attempt: f.attempt, Update: f.nothing()})
 }
 
 func (f *following) nothing() *wire.Update {
@@ -90,14 +90,14 @@
 	if age := f.Age(f.now); age < 10*time.Second {
 		t.Errorf("the word of control counts as %v old though none has come for 10 s", age)
 	}
-	if f.take(Received{f.attempt, f.nothing()}) {
+	if f.take(Received{Attempt: f.attempt, Update: f.nothing()}) {
 		t.Error("left its upstream with the end of the update")
 	}
 	if age := f.Age(f.now); age < 9*time.Second {
 		t.Errorf("the word of control counts as %v old: the update was made 10 s ago", age)
 	}
 	f.now = f.now.Add(testStep)
-	if f.take(Received{f.attempt, f.nothing()}) || f.Age(f.now) > testStep {
+	if f.take(Received{Attempt: f.attempt, Update: f.nothing()}) || f.Age(f.now) > testStep {
 		t.Errorf("the word of control counts as %v old after a heartbeat", f.Age(f.now))
 	}
 }
@@ -162,8 +162,34 @@
 	}
 	f.open()
 	f.arrive(testStep, 1)
-	f.take(Received{f.attempt, f.nothing()})
+	f.take(Received{Attempt: f.attempt, Update: f.nothing()})
 	if after, left := f.arrive(2*transferLimit, 1); !left || after > transferLimit+3*testStep {
 		t.Errorf("after a whole update a trickle was left: %v, after %v", left, after)
 	}
 }
+
+// An update counts from its arrival, or from the begin of its transfer where
+// that was seen, however long it waited to be handled. Silence is not judged by
+// one that waited: more may wait behind it.
+func TestUpdateThatWaitedIsAsOldAsItsArrival(t *testing.T) {
+	f := newTestFollowing()
+	f.open()
+	came := f.now.Add(testStep)
+	f.now = f.now.Add(3 * testStale)
+	if f.take(Received{Attempt: f.attempt, Update: f.nothing(), At: came}) {
+		t.Error("left its upstream by an update that waited, before what waits behind it")
+	}
+	if age, want := f.Age(f.now), f.now.Sub(came); age != want {
+		t.Errorf("the word of control counts as %v old, it came %v ago", age, want)
+	}
+	if !f.take(Tick{}) {
+		t.Error("keeps an upstream that has been silent since")
+	}
+	f.open()
+	f.arrive(time.Second, 50_000)
+	began := f.arriving.began
+	f.take(Received{Attempt: f.attempt, Update: f.nothing(), At: f.now})
+	if age, want := f.Age(f.now), f.now.Sub(began); age != want {
+		t.Errorf("the word of control counts as %v old, its transfer began %v ago", age, want)
+	}
+}
