relay, control, entry: publish states in a service with a context

Cause: a publishing started a goroutine of its own with each state that found none at work. It had no context and told nobody of its end, so that a daemon that had stopped could still pack and publish.

Change: Run is the loop, hosted as a service by the daemons that own a publishing, woken by Put. Put appends, waits for nothing and keeps the order. What waits when the context ends is dropped. A loop that is started anew begins with what waits.

Ruled out: a channel with a bound; Put would have to block consensus or to drop states.

TestPublishingEndsWithItsContext: 100 states put before Run are published by it in order, 100 put after the end are not, and do not stay. The tests that own a publishing run it and wait for its end.

The goroutine that reads a subscription for a following is still not waited for by its loop.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -193,6 +193,7 @@
 	go func() { failed <- d.replica.run(loop) }()
 
 	root := d.process.Supervisor()
+	root.Add(process.Service{Name: "publishing", Run: d.publishing.Run})
 	root.Add(process.Service{Name: "forming", Run: d.form})
 	root.Add(process.Service{Name: "repair", Run: d.every(repairInterval, d.repair)})
 	root.Add(process.Service{Name: "shifts", Run: d.planShifts})
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -204,6 +204,7 @@
 	d.pools.tree = pools
 	root := d.process.Supervisor()
 	root.Add(pools)
+	root.Add(process.Service{Name: "publishing", Run: d.publishing.Run})
 	root.Add(process.Service{Name: "following", Run: d.following.Run})
 	root.Add(process.Service{Name: "peers", Run: d.peers.run})
 	root.Add(process.Service{Name: "health", Run: d.probeTargets})
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -40,14 +40,16 @@
 	network *fakeNetwork
 	state   steering.State
 	publish *relay.Publishing
-	control *link.Node
-	boxes   map[string]*runningBox
-	targets map[string]*runningTarget
-	runs    map[string]int
-	over    int
-	ended   []chan error
-	clients []*http.Client
-	nonce   int
+	// stopPublish ends the publishing's loop.
+	stopPublish func()
+	control     *link.Node
+	boxes       map[string]*runningBox
+	targets     map[string]*runningTarget
+	runs        map[string]int
+	over        int
+	ended       []chan error
+	clients     []*http.Client
+	nonce       int
 	// platform is the address of the platform's list, if there is one.
 	platform string
 
@@ -151,6 +153,13 @@
 func (s *system) startControl() {
 	clock := timeline.NewClock(time.Now)
 	s.publish = relay.NewPublishing(steering.State{}, func() time.Duration { return 0 }, clock.Stamp)
+	ctx, cancel := context.WithCancel(context.Background())
+	published := make(chan error, 1)
+	go func() { published <- s.publish.Run(ctx) }()
+	s.stopPublish = func() {
+		cancel()
+		<-published
+	}
 	handlers := link.Handlers{Subscribe: func(ctx context.Context, _ string, m *link.Messages) { s.publish.Serve(ctx, m) }}
 	s.network.carryFrames(controlHost + ":1")
 	node, err := link.Listen(s.networkOf(controlHost), controlHost+":1", link.Identity{Name: "control"}, clock, handlers, nil)
@@ -336,6 +345,7 @@
 		s.endTarget(name, slots)
 	}
 	_ = s.control.Close()
+	s.stopPublish()
 	for _, h := range s.clients {
 		h.CloseIdleConnections()
 	}
--- a/internal/relay/publishing.go
+++ b/internal/relay/publishing.go
@@ -19,6 +19,7 @@
 )
 
 // Publishing serves subscribers from a publisher and collects their reports.
+// Its Run publishes what is put.
 type Publishing struct {
 	mu          sync.Mutex
 	publisher   *distribution.Publisher
@@ -32,8 +33,9 @@
 	// consensus neither waits for it nor tells of its commits later.
 	queue   sync.Mutex
 	waiting []publication
-	working bool
-	// last is the state that was packed last; only the worker uses it.
+	// woken holds a token when something waits.
+	woken chan struct{}
+	// last is the state that was packed last; only Run uses it.
 	last steering.State
 }
 
@@ -67,7 +69,7 @@
 )
 
 // NewPublishing returns a publishing of a state. The function age tells how
-// old the word of control is.
+// old the word of control is. Run must follow.
 func NewPublishing(s steering.State, age func() time.Duration, stamp func() *wire.Clock) *Publishing {
 	return &Publishing{
 		publisher:   distribution.NewPublisher(s),
@@ -75,25 +77,39 @@
 		reports:     make(map[string]boxReport),
 		age:         age,
 		stamp:       stamp,
+		woken:       make(chan struct{}, 1),
 		last:        s,
 	}
 }
 
-// Put has the next state published, in the order of the calls.
+// Put has the next state published by Run, in the order of the calls. It does
+// not wait for it.
 func (p *Publishing) Put(s steering.State, commands []*wire.Command) {
 	p.queue.Lock()
-	defer p.queue.Unlock()
 	p.waiting = append(p.waiting, publication{s, commands})
-	if p.working {
-		return
+	p.queue.Unlock()
+	select {
+	case p.woken <- struct{}{}:
+	default:
 	}
-	p.working = true
-	go p.work()
 }
 
-// work packs and publishes what waits.
-func (p *Publishing) work() {
-	for {
+// Run packs and publishes what is put. It returns when the context ends; what
+// waits then is dropped.
+func (p *Publishing) Run(ctx context.Context) error {
+	defer p.forgetWaiting()
+	for ctx.Err() == nil {
+		p.publishWaiting(ctx)
+		select {
+		case <-ctx.Done():
+		case <-p.woken:
+		}
+	}
+	return ctx.Err()
+}
+
+func (p *Publishing) publishWaiting(ctx context.Context) {
+	for ctx.Err() == nil {
 		next, ok := p.next()
 		if !ok {
 			return
@@ -110,7 +126,6 @@
 	p.queue.Lock()
 	defer p.queue.Unlock()
 	if len(p.waiting) == 0 {
-		p.working = false
 		return publication{}, false
 	}
 	out := p.waiting[0]
@@ -118,6 +133,12 @@
 	return out, true
 }
 
+func (p *Publishing) forgetWaiting() {
+	p.queue.Lock()
+	defer p.queue.Unlock()
+	p.waiting = nil
+}
+
 func (p *Publishing) publish(s steering.State, commands []*wire.Command) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/publishing_test.go
+++ b/internal/relay/publishing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"testing"
@@ -20,6 +21,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		p := NewPublishing(steering.State{}, func() time.Duration { return 0 }, func() *wire.Clock { return nil })
+		ran := make(chan error, 1)
+		go func() { ran <- p.Run(ctx) }()
 		near, far := net.Pipe()
 		served := make(chan struct{})
 		go func() {
@@ -63,6 +66,7 @@
 		cancel()
 		_ = subscriber.Close()
 		<-served
+		<-ran
 	})
 }
 
@@ -73,6 +77,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		p := NewPublishing(steering.State{}, func() time.Duration { return 0 }, func() *wire.Clock { return nil })
+		ran := make(chan error, 1)
+		go func() { ran <- p.Run(ctx) }()
 		state := steering.State{}
 		put := func(zone string) {
 			c := &wire.Command{Evacuation: &wire.EvacuationCommand{Zone: zone}}
@@ -102,5 +108,47 @@
 		cancel()
 		_ = subscriber.Close()
 		<-served
+		<-ran
+	})
+}
+
+// Put waits for nothing and keeps the order; Run ends with its context, and
+// nothing that waits then is published.
+func TestPublishingEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPublishing(steering.State{}, func() time.Duration { return 0 }, func() *wire.Clock { return nil })
+		state := steering.State{}
+		put := func(n int) {
+			for range n {
+				c := bulky(100 + int(state.Version()))
+				state, _ = state.Apply(c)
+				p.Put(state, []*wire.Command{c})
+			}
+		}
+		version := func() uint64 { return p.update(p.publisher.Update, 0).Version }
+		put(100)
+		if v := version(); v != 0 {
+			t.Errorf("version %d is published without Run", v)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ran := make(chan error, 1)
+		go func() { ran <- p.Run(ctx) }()
+		synctest.Wait()
+		if u := p.update(p.publisher.Update, 0); u.Version != 100 || len(u.Commands) != 100 {
+			t.Errorf("version %d with %d commands is published, want 100", u.Version, len(u.Commands))
+		}
+		cancel()
+		if err := <-ran; !errors.Is(err, context.Canceled) {
+			t.Errorf("ended with %v", err)
+		}
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		put(100)
+		if err := p.Run(ended); !errors.Is(err, context.Canceled) {
+			t.Errorf("ended with %v", err)
+		}
+		if v := version(); v != 100 || len(p.waiting) != 0 {
+			t.Errorf("version %d, %d states wait after the end", v, len(p.waiting))
+		}
 	})
 }
--- a/internal/relay/transfer_test.go
+++ b/internal/relay/transfer_test.go
@@ -89,10 +89,13 @@
 		p := &replicaPair{network: linktest.Network{BytesPerSecond: boxBytes, SocketBuffer: 1 << 16}}
 		seam := link.Network{Listen: p.network.Listen, Dial: p.network.Dial}
 		clock := timeline.NewClock(time.Now)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 3)
 		addresses := [2]string{"a", "b"}
 		var sources []distribution.Source
 		for i, a := range addresses {
 			p.states[i] = NewPublishing(steering.State{}, func() time.Duration { return 0 }, clock.Stamp)
+			go func() { ended <- p.states[i].Run(ctx) }()
 			handlers := link.Handlers{Subscribe: func(ctx context.Context, _ string, m *link.Messages) {
 				p.served[i].Add(1)
 				defer func() { p.served[i].Add(-1) }()
@@ -133,13 +136,14 @@
 				}
 			},
 		})
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan error, 1)
-		p.stop = cancel
-		go func() { ended <- p.following.Run(ctx) }()
+		following, stop := context.WithCancel(ctx)
+		p.stop = stop
+		go func() { ended <- p.following.Run(following) }()
 		run(t, p, inForce)
 		cancel()
-		<-ended
+		for range cap(ended) {
+			<-ended
+		}
 	})
 }
 
