consensus: send what is under way once, and bound it by bytes

Cause: what was not acknowledged within a heartbeat was queued again with every heartbeat, behind itself; a batch was bounded by 64 entries whatever their bytes, so that 64 long ones made a message that no replica could read.

Change: entries under way to a replica are bounded by 256 KB, a single longer entry aside, and so is a batch. Heartbeats travel behind them, at 4 Mbit/s for 0.5 s, half of the election timeout; 4 MB would hold them back for 8 s. Entries are sent again after a heartbeat and the time that what is under way takes at 4 Mbit/s without anything acknowledged. What is lost is seen sooner: the empty heartbeat behind it is rejected and has it sent from there, as rejections always did. Only what was queued counts as under way, not what a new leader finds in its log.

Ruled out: a longer fixed time (too short for long entries, too long for lost short ones); the time since the last send alone (what is acknowledged part by part would be sent again in the middle).

A lost append of 1.5 MB is committed within two heartbeats and six ticks.

Each taken out and seen to fail: the time that grows, the bound, one entry at least, an acknowledgement that renews the time (TestAcknowledgedPartsKeepTheRestUnderWay), the count from what was queued (TestNewLeaderSendsBehindALongLog).

Conclusion: a long append is sent once. An entry above 256 KB still holds heartbeats back for as long as it travels.

--- a/pkg/consensus/cluster_test.go
+++ b/pkg/consensus/cluster_test.go
@@ -175,8 +175,9 @@
 					c.round()
 				}
 			},
-			"propose": func(*rapid.T) { c.do(pick("to"), Propose{Data: []byte("x")}) },
-			"crash":   func(*rapid.T) { pick("dies").alive = false },
+			"propose":     func(*rapid.T) { c.do(pick("to"), Propose{Data: []byte("x")}) },
+			"proposeLong": func(*rapid.T) { c.do(pick("to"), Propose{Data: make([]byte, maxUnderWay*2/3)}) },
+			"crash":       func(*rapid.T) { pick("dies").alive = false },
 			"start": func(*rapid.T) {
 				if m := pick("starts"); !m.alive {
 					c.start(m)
--- a/pkg/consensus/longappend_test.go
+++ b/pkg/consensus/longappend_test.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -86,3 +87,120 @@
 		t.Errorf("%d bytes are queued for one replica, want at most %d", sum, longestQueue)
 	}
 }
+
+// TestLostLongAppendIsRepaired loses an append and checks that the heartbeat
+// behind it has it sent again, long before its time has run out.
+func TestLostLongAppendIsRepaired(t *testing.T) {
+	c := newCluster(3, 1)
+	leader := c.elect(t)
+	for range 10 {
+		c.round()
+	}
+	c.do(leader, Propose{Data: make([]byte, longEntry)})
+	for _, m := range c.members {
+		m.inbox = nil
+	}
+	index := leader.replica.log.lastIndex()
+	began := c.now
+	for leader.replica.commit < index && c.now.Sub(began) < time.Minute {
+		c.round()
+	}
+	if took, most := c.now.Sub(began), 2*leader.replica.config.HeartbeatInterval+6*tick; took > most {
+		t.Errorf("committed %v after it was lost, want at most %v", took, most)
+	}
+	if c.leader() != leader {
+		t.Error("another one leads")
+	}
+}
+
+// TestManyLongEntriesArrive has a replica that was cut off catch up with long
+// entries, which each exceed what may be under way, and short ones between them.
+func TestManyLongEntriesArrive(t *testing.T) {
+	c := newCluster(3, 1)
+	leader := c.elect(t)
+	behind := c.members[(slices.Index(c.members, leader)+1)%len(c.members)]
+	c.cut[behind.id] = true
+	for i := range 40 {
+		c.do(leader, Propose{Data: make([]byte, i%2*(maxUnderWay+1)+i)})
+		c.round()
+	}
+	delete(c.cut, behind.id)
+	began := c.now
+	for behind.replica.commit < c.leader().replica.log.lastIndex() && c.now.Sub(began) < time.Minute {
+		c.round()
+	}
+	if took := c.now.Sub(began); took > 10*time.Second {
+		t.Errorf("caught up after %v", took)
+	}
+	if err := c.check(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestNewLeaderSendsBehindALongLog checks that the entries that a new leader
+// finds in its log don't count as under way.
+func TestNewLeaderSendsBehindALongLog(t *testing.T) {
+	c := newCluster(3, 1)
+	old := c.elect(t)
+	for range 4 {
+		c.do(old, Propose{Data: make([]byte, maxUnderWay)})
+		c.round()
+	}
+	for range 10 {
+		c.round()
+	}
+	old.alive = false
+	next := c.elect(t)
+	for _, id := range next.replica.others() {
+		if n := next.replica.underWay(next.replica.progress[id]); n > maxUnderWay/2 {
+			t.Errorf("%d bytes count as under way to %s", n, id)
+		}
+	}
+	out := next.replica.Handle(c.now, Propose{Data: []byte("x")})
+	if !slices.ContainsFunc(out.Messages, func(m *wire.ConsensusMessage) bool { return len(m.Entries) > 0 }) {
+		t.Error("a proposal waits though nothing is under way")
+	}
+}
+
+// TestAcknowledgedPartsKeepTheRestUnderWay has entries acknowledged one by one
+// as a link of the least rate carries them.
+func TestAcknowledgedPartsKeepTheRestUnderWay(t *testing.T) {
+	const (
+		parts = 8
+		part  = leastRate * 3 / 50 // bytes of 60 ms
+		each  = 3 * tick
+	)
+	c := newCluster(3, 1)
+	leader := c.elect(t)
+	for range 10 {
+		c.round()
+	}
+	r := leader.replica
+	r.config.HeartbeatInterval = 200 * time.Millisecond
+	r.config.ElectionTimeout = time.Minute
+	r.quorumCheckAt = c.now.Add(time.Minute)
+	to, first := r.others()[0], r.log.lastIndex()+1
+	sent := 0
+	do := func(e Event) {
+		for _, m := range r.Handle(c.now, e).Messages {
+			if m.To == to {
+				sent += len(m.Entries)
+			}
+		}
+	}
+	for range parts {
+		do(Propose{Data: make([]byte, part)})
+	}
+	for i := range uint64(parts) {
+		for range each / tick {
+			c.now = c.now.Add(tick)
+			do(Tick{})
+		}
+		do(Receive{&wire.ConsensusMessage{
+			Kind: wire.MessageKind_MESSAGE_KIND_APPEND_ANSWER, From: to, To: r.config.ID, Term: r.term, LogIndex: first + i, Round: r.round,
+		}})
+	}
+	if p := r.progress[to]; sent != parts || p.match != r.log.lastIndex() {
+		t.Errorf("%d entries were sent, %d exist; %d of %d are acknowledged", sent, parts, p.match, r.log.lastIndex())
+	}
+}
--- a/pkg/consensus/membership.go
+++ b/pkg/consensus/membership.go
@@ -66,7 +66,8 @@
 	for _, id := range r.others() {
 		p := r.progress[id]
 		if p == nil {
-			p = &progress{next: r.log.lastIndex() + 1, heard: r.now}
+			p = &progress{heard: r.now}
+			p.setBack(r.log.lastIndex() + 1)
 		}
 		kept[id] = p
 	}
--- a/pkg/consensus/replica.go
+++ b/pkg/consensus/replica.go
@@ -37,7 +37,7 @@
 	// HeartbeatInterval is how often a leader writes to each replica. Default
 	// a fifth of ElectionTimeout.
 	HeartbeatInterval time.Duration
-	// MaxBatch bounds the entries of one message. Default 64.
+	// MaxBatch bounds the entries of one message, beside their bytes. Default 64.
 	MaxBatch int
 	// Trailing is how many entries below a snapshot are kept. Default 256.
 	Trailing uint64
--- a/pkg/consensus/replication.go
+++ b/pkg/consensus/replication.go
@@ -9,9 +9,12 @@
 
 // progress is what a leader knows of one replica's log.
 type progress struct {
-	match    uint64
-	next     uint64
-	heard    time.Time
+	match uint64
+	next  uint64
+	heard time.Time
+	// queued is the first index that was queued since next was last set back.
+	queued uint64
+	// sentAt is when something was last sent or acknowledged.
 	sentAt   time.Time
 	round    uint64
 	snapshot uint64
@@ -19,6 +22,13 @@
 	told uint64
 }
 
+// setBack has entries sent from next on.
+func (p *progress) setBack(next uint64) {
+	p.next = next
+	p.queued = next
+	p.snapshot = 0
+}
+
 type pendingRead struct {
 	token uint64
 	index uint64
@@ -43,9 +53,8 @@
 	r.round++
 	for _, id := range r.others() {
 		p := r.progress[id]
-		if p.next > p.match+1 && r.now.Sub(p.sentAt) >= r.config.HeartbeatInterval {
-			p.next = p.match + 1
-			p.snapshot = 0
+		if p.next > p.match+1 && r.now.Sub(p.sentAt) >= r.resendAfter(p) {
+			p.setBack(p.match + 1)
 		}
 		r.sendAppend(id)
 	}
@@ -96,7 +105,9 @@
 	r.out.Entries = append(r.out.Entries, e)
 	r.syncProgress()
 	for _, id := range r.others() {
-		r.sendAppend(id)
+		if !r.isFull(r.progress[id]) {
+			r.sendAppend(id)
+		}
 	}
 	r.advanceCommit()
 	return e.Index
@@ -106,13 +117,10 @@
 func (r *Replica) sendAppend(id string) {
 	p := r.progress[id]
 	before, held := r.log.term(p.next - 1)
-	if p.snapshot == 0 && (!held || r.log.snapshotIsSmaller(p.next)) {
+	if !held || p.snapshot == 0 && r.log.snapshotIsSmaller(p.next) {
 		r.sendSnapshot(id, p)
 		return
 	}
-	if !held {
-		return
-	}
 	m := &wire.ConsensusMessage{
 		Kind:     wire.MessageKind_MESSAGE_KIND_APPEND,
 		To:       id,
@@ -122,7 +130,7 @@
 		Round:    r.round,
 	}
 	if p.snapshot == 0 {
-		m.Entries = r.log.from(p.next, r.config.MaxBatch)
+		m.Entries = r.nextEntries(p)
 	}
 	if len(m.Entries) > 0 {
 		p.next += uint64(len(m.Entries))
@@ -137,8 +145,8 @@
 	if s == nil {
 		return
 	}
+	p.setBack(s.Index + 1)
 	p.snapshot = s.Index
-	p.next = s.Index + 1
 	p.sentAt = r.now
 	r.send(&wire.ConsensusMessage{
 		Kind:     wire.MessageKind_MESSAGE_KIND_SNAPSHOT,
@@ -256,14 +264,14 @@
 	r.answerReads()
 	if m.Reject {
 		if m.LogIndex > p.match && m.LogIndex < p.next {
-			p.next = max(min(m.Hint+1, m.LogIndex), p.match+1)
-			p.snapshot = 0
+			p.setBack(max(min(m.Hint+1, m.LogIndex), p.match+1))
 			r.sendAppend(m.From)
 		}
 		return
 	}
 	if m.LogIndex > p.match {
 		p.match = m.LogIndex
+		p.sentAt = r.now
 		p.next = max(p.next, p.match+1)
 		r.advanceCommit()
 	}
@@ -273,7 +281,7 @@
 	if r.role != Leader {
 		return
 	}
-	if p.next <= r.log.lastIndex() || p.told < min(r.commit, p.match) {
+	if p.next <= r.log.lastIndex() && !r.isFull(p) || p.told < min(r.commit, p.match) {
 		r.sendAppend(m.From)
 	}
 	r.continueTransfer(m.From, p)
