gateway: test what is lost beside an overdue request, by a panic, and of long failures

Seen failing, four tests: TestTargetWithAnOverdueRequestIsTriedAgain: 7 of 7 requests got 503 "none can be used" while one connection to their only target was silent; two targets of four slots with long requests refused a further one; nothing tried a target that had been left out. TestPanicOfAnAttemptEndsItsRequestOnly: "panic: write" ended the process, in a goroutine begun by (*call).launch. TestLongFailureIsPassedOnWhereNothingBetterComes: got 502 "unknown\n", 8 bytes, want the 524288 of the target, in four cases; the same for a short body that comes slowly. TestRetryIsTakenOnlyWithATarget: got 502 "unknown\n" after 0s, want "second".

Passing, and to stay so: an overdue request holds its slot until it ends; a long failure gives way to a better answer and is not begun once the time is over; an answer that breaks while it is passed on breaks off towards the caller. Ruled out: nothing yet; the tests are the trace.

--- a/internal/gateway/patience_test.go
+++ b/internal/gateway/patience_test.go
@@ -617,3 +617,289 @@
 		}
 	})
 }
+
+// Seen: all requests to the only target of a route were refused for as long as one
+// request was overdue there, up to the route's time-out, while the target was sound.
+// How: one connection had gone silent; the target answered on all others.
+// Cause: a target that is left out is tried by one request at once, and the overdue
+// request counted as that one until it ended.
+// Proof: once the time is over for which the target is left out, it gets requests
+// while the overdue one is still there.
+func TestTargetWithAnOverdueRequestIsTriedAgain(t *testing.T) {
+	t.Run("one connection is silent", targetWithASilentConnection)
+	t.Run("all targets are at work", targetsAtWork)
+	t.Run("by one request at once", targetThatIsTried)
+}
+
+// leftOut is how long the balancer leaves a target out the first time.
+const leftOut = 250 * time.Millisecond
+
+func targetWithASilentConnection(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 1)
+		list := []script{s.silent()}
+		for range 7 {
+			list = append(list, s.answers(0, "answer"))
+		}
+		s.scripts = scripts(list...)
+		done := make(chan result, 1)
+		go func() { done <- s.ask(t.Context(), "/long/", "") }()
+		time.Sleep(patience + time.Millisecond)
+		if r := s.ask(t.Context(), "/long/", ""); r.status != http.StatusServiceUnavailable {
+			t.Errorf("the target is not left out: %d %q", r.status, r.body)
+		}
+		time.Sleep(leftOut)
+		for i := range 7 {
+			if r := s.ask(t.Context(), "/long/", ""); r.status != http.StatusOK {
+				t.Errorf("request %d: %d %q", i, r.status, r.body)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		<-done
+		s.wantNoneCounted(t)
+	})
+}
+
+// Two targets of four slots that have long requests take a further one.
+func targetsAtWork(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		config := testConfig()
+		config.RetryShare, config.RetryExtra = 0, 0
+		s := newScene(t, config, 2)
+		s.scripts = make(chan script, 8)
+		done := make(chan result, 8)
+		begun := make(map[*target]bool)
+		asked := 0
+		for len(begun) < 2 {
+			asked++
+			s.scripts <- s.answers(4*time.Second, "long")
+			go func() { done <- s.ask(t.Context(), "/long/", "") }()
+			begun[<-s.reached] = true
+		}
+		time.Sleep(atWork)
+		s.scripts <- s.answers(0, "short")
+		s.wantAnswer(t, s.ask(t.Context(), "/long/", ""), "short", 0)
+		for range asked {
+			if r := <-done; r.status != http.StatusOK || r.body != "long" {
+				t.Errorf("got %d %q", r.status, r.body)
+			}
+		}
+		s.wantNoneCounted(t)
+	})
+}
+
+// While one request tries a target that was left out, no other is sent there, and
+// if that one is overdue too, the target is left out again, for twice as long.
+func targetThatIsTried(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 1)
+		s.scripts = scripts(s.silent(), s.silent(), s.answers(0, "third"))
+		done := make(chan result, 2)
+		ask := func() { done <- s.ask(t.Context(), "/long/", "") }
+		go ask()
+		time.Sleep(patience + leftOut + time.Millisecond)
+		go ask()
+		synctest.Wait()
+		s.wantReached(t, 2)
+		for _, wait := range []time.Duration{0, patience, 2*leftOut - 2*time.Millisecond} {
+			time.Sleep(wait)
+			if r := s.ask(t.Context(), "/long/", ""); r.status != http.StatusServiceUnavailable {
+				t.Errorf("got %d %q", r.status, r.body)
+			}
+			s.wantReached(t, 2)
+		}
+		time.Sleep(3 * time.Millisecond)
+		s.wantAnswer(t, s.ask(t.Context(), "/long/", ""), "third", 0)
+		<-done
+		<-done
+		s.wantNoneCounted(t)
+	})
+}
+
+func (s *scene) wantReached(t *testing.T, want int) {
+	t.Helper()
+	if got := len(s.reached); got != want {
+		t.Fatalf("%d requests reached targets, want %d", got, want)
+	}
+}
+
+// Seen: a 5xx answer that was long or slow was replaced by 502 of the box's own.
+// How: the target was the only one, or the others broke or turned the request away.
+// Cause: an answer whose body had not been collected whole was given up before a
+// better one was known.
+// Proof: the caller gets it whole where nothing better comes.
+func TestLongFailureIsPassedOnWhereNothingBetterComes(t *testing.T) {
+	long := strings.Repeat("x", 2*wholeAnswer)
+	t.Run("the only target", func(t *testing.T) {
+		passesFailure(t, 1, long, func(s *scene) []script { return []script{s.fails(long)} })
+	})
+	t.Run("the only target is slow", func(t *testing.T) {
+		passesFailure(t, 1, "abcdef", func(s *scene) []script { return []script{s.fails("ab", "cd", "ef")} })
+	})
+	t.Run("the second turns away", func(t *testing.T) {
+		passesFailure(t, 2, long, func(s *scene) []script { return []script{s.fails(long), s.turnsAway()} })
+	})
+	t.Run("the second breaks", func(t *testing.T) {
+		passesFailure(t, 2, long, func(s *scene) []script { return []script{s.fails(long), s.breaks(0)} })
+	})
+	t.Run("beside one that breaks", func(t *testing.T) {
+		passesFailure(t, 2, long, func(s *scene) []script { return []script{s.breaks(atWork), s.fails(long)} })
+	})
+}
+
+// passesFailure checks that the caller gets a failure whole.
+func passesFailure(t *testing.T, targets int, body string, list func(s *scene) []script) {
+	t.Helper()
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), targets)
+		s.scripts = scripts(list(s)...)
+		got := s.ask(t.Context(), "/long/", "")
+		if got.status != http.StatusInternalServerError || got.body != body {
+			t.Errorf("got %d %.20q, %d bytes, want %d", got.status, got.body, len(got.body), len(body))
+		}
+		s.wantSettled(t, targets, 0)
+	})
+}
+
+// fails tells a failure whose body comes in parts, each of which takes longer than
+// the time for which an answer is collected.
+func (s *scene) fails(parts ...string) script {
+	return func(r *http.Request, c net.Conn) bool {
+		fmt.Fprintf(c, "HTTP/1.1 500 X\r\nTest-Id: %s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("Test-Id"), len(strings.Join(parts, "")))
+		for i, p := range parts {
+			if i > 0 {
+				time.Sleep(2 * collectTime)
+			}
+			if _, err := io.WriteString(c, p); err != nil {
+				s.ended <- r.Header.Get("Test-Id")
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// A long failure that was put aside for a better answer ends with it.
+func TestLongFailureGivesWayToABetterAnswer(t *testing.T) {
+	long := strings.Repeat("x", 2*wholeAnswer)
+	for name, list := range map[string]func(s *scene) []script{
+		"one after the other": func(s *scene) []script { return []script{s.fails(long), s.answers(0, "better")} },
+		"beside":              func(s *scene) []script { return []script{s.answers(atWork, "better"), s.fails(long)} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				s := newScene(t, testConfig(), 2)
+				s.scripts = scripts(list(s)...)
+				if got := s.ask(t.Context(), "/long/", ""); got.status != http.StatusOK || got.body != "better" {
+					t.Errorf("got %d %.20q", got.status, got.body)
+				}
+				s.wantSettled(t, 2, 1)
+			})
+		})
+	}
+}
+
+// A long failure can't be read any more once the time of the request is over: a
+// whole answer of the box's own is better than a broken one.
+func TestLongFailureIsNotBegunWhenTheTimeIsOver(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 2)
+		s.scripts = scripts(s.fails(strings.Repeat("x", 2*wholeAnswer)), s.silent())
+		if got := s.ask(t.Context(), "/long/", ""); got.status != http.StatusGatewayTimeout || got.took != 5*time.Second {
+			t.Errorf("got %d %.20q after %s", got.status, got.body, got.took)
+		}
+		s.wantSettled(t, 2, 2)
+	})
+}
+
+// Seen: a request that found no second target took a retry from the budget, which
+// another request that had a second target then lacked.
+// Cause: the retry was taken before a target was chosen.
+// Proof: with a budget of one retry, a request without another target leaves it to
+// the next one.
+func TestRetryIsTakenOnlyWithATarget(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		config := testConfig()
+		config.RetryShare, config.RetryExtra = 0, 1.5
+		s := newScene(t, config, 2)
+		s.scripts = scripts(s.breaks(0), s.breaks(0), s.answers(0, "second"), s.breaks(0))
+		s.register(t, "0")
+		if got := s.ask(t.Context(), "/long/", ""); got.status != http.StatusBadGateway {
+			t.Fatalf("got %d %q", got.status, got.body)
+		}
+		s.register(t, "0", "1")
+		s.wantAnswer(t, s.ask(t.Context(), "/long/", ""), "second", 0)
+		if got := s.ask(t.Context(), "/long/", ""); got.status != http.StatusBadGateway {
+			t.Fatalf("the budget has more than one retry: got %d %q", got.status, got.body)
+		}
+	})
+}
+
+// panicking is a connection on which the first write panics.
+type panicking struct {
+	net.Conn
+	closed chan struct{}
+}
+
+// Write implements net.Conn.
+func (p *panicking) Write([]byte) (int, error) { panic("write") }
+
+// Close implements net.Conn.
+func (p *panicking) Close() error {
+	close(p.closed)
+	return p.Conn.Close()
+}
+
+// Seen: a panic in an attempt ended the box with all its requests.
+// Cause: net/http recovers panics of its handlers only; attempts run in goroutines
+// of their own.
+// Proof: the request of the attempt ends as one that may have run, its connection
+// is closed, the log has the stack, and the box serves the next request.
+func TestPanicOfAnAttemptEndsItsRequestOnly(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 1)
+		var lines bytes.Buffer
+		s.daemon.log = zerolog.New(&lines)
+		dial := s.daemon.connections.dial
+		bad := &panicking{closed: make(chan struct{})}
+		s.daemon.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			s.daemon.connections.dial = dial
+			conn, err := dial(ctx, network, address)
+			bad.Conn = conn
+			return bad, err
+		}
+		s.scripts = scripts(s.answers(0, "next"))
+		if got := s.ask(t.Context(), "/once/", ""); got.status != http.StatusBadGateway || got.body != "unknown\n" {
+			t.Errorf("got %d %q", got.status, got.body)
+		}
+		<-bad.closed
+		for _, want := range []string{`"kind":"panic"`, `"panic":"write"`, "(*panicking).Write", `"mayHaveRun":true`} {
+			if !strings.Contains(lines.String(), want) {
+				t.Errorf("%s is not in the log: %s", want, lines.String())
+			}
+		}
+		s.wantAnswer(t, s.ask(t.Context(), "/once/", ""), "next", 0)
+		s.wantNoneCounted(t)
+	})
+}
+
+// An answer that breaks while it is passed on breaks off towards the caller too,
+// who must not take it for whole; that panic is for net/http and not recovered.
+func TestBrokenLongAnswerBreaksOffTowardsTheCaller(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 1)
+		s.scripts = scripts(func(r *http.Request, c net.Conn) bool {
+			body := strings.Repeat("x", 2*wholeAnswer)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Test-Id"), len(body)+1, body)
+			return false
+		})
+		defer func() {
+			if p := recover(); p != http.ErrAbortHandler {
+				t.Errorf("the handler ended with %v", p)
+			}
+			s.wantNoneCounted(t)
+		}()
+		got := s.ask(t.Context(), "/once/", "")
+		t.Errorf("a broken answer of %d bytes ended as whole", len(got.body))
+	})
+}
--- a/pkg/balance/balancer_test.go
+++ b/pkg/balance/balancer_test.go
@@ -346,3 +346,24 @@
 		}
 	}
 }
+
+// An overdue request holds its slot until it ends, however it ends and whatever the
+// target did meanwhile.
+func TestOverdueRequestHoldsItsSlot(t *testing.T) {
+	for _, o := range []Outcome{Answered, TurnedAway, Stuck, Broken, Dropped} {
+		w := newWorld(t, 1, 0)
+		c := w.choose(w.request("a"))
+		r := Report{TargetID: c.Target.ID, Route: "r", Outcome: o, Took: time.Second}
+		w.balancer.Overdue(w.now, r)
+		if got := w.balancer.byID["near0"].load(w.now); got != 1 {
+			t.Errorf("%v: with an overdue request the load is %g", o, got)
+		}
+		w.now = w.now.Add(firstEjection)
+		r.ToldOverdue = true
+		w.balancer.Done(w.now, r)
+		w.now = w.now.Add(time.Minute)
+		if got := w.choose(w.request("a")); got.Load > 0.01 {
+			t.Errorf("%v: with no request the load is %g", o, got.Load)
+		}
+	}
+}
