balance: try a target again while an overdue request is still there

Cause: a target that is left out is tried by one request at once, so it stays out while any is in flight. Overdue leaves a target out while its request stays in flight: a sound target with one silent connection was out up to the route's time-out, and so were targets that are slow at one request. Ruled out: to count an overdue request no longer as in flight: it holds its slot as far as is known, and load and the reckoned wait go by that. Change: overdue requests are counted apart, from Overdue to their Done, never more than those in flight; only the others keep a target out after its time. While one tries the target no other is sent there; if that is overdue too the target is out for twice as long. Not changed: requests that are overdue at the same moment each double the time for which their target is left out, as lost ones did before. Not measured: load.

--- a/pkg/balance/balancer_test.go
+++ b/pkg/balance/balancer_test.go
@@ -367,3 +367,49 @@
 		}
 	}
 }
+
+// A request that was overdue while its target answered others does not keep the
+// target out after another failure.
+func TestOverdueRequestOfATargetThatAnswersOthers(t *testing.T) {
+	w := newWorld(t, 1, 0)
+	overdue := w.choose(w.request("a"))
+	report := Report{TargetID: overdue.Target.ID, Route: "r", Outcome: Stuck, Took: time.Second}
+	w.now = w.now.Add(500 * time.Millisecond)
+	w.done(w.choose(w.request("a")), Answered)
+	w.now = w.now.Add(500 * time.Millisecond)
+	if got := w.balancer.Overdue(w.now, report); got != Unchanged {
+		t.Error("a target that has just answered is left out")
+	}
+	lost := w.choose(w.request("a"))
+	w.now = w.now.Add(time.Second)
+	w.done(lost, Unreachable)
+	if _, err := w.balancer.Choose(w.now, w.request("a")); err == nil {
+		t.Error("a target that can't be reached is not left out")
+	}
+	w.now = w.now.Add(firstEjection)
+	w.choose(w.request("a"))
+	if _, err := w.balancer.Choose(w.now, w.request("a")); err == nil {
+		t.Error("a target that was left out is tried by two requests at once")
+	}
+	report.ToldOverdue = true
+	w.balancer.Done(w.now, report)
+	if _, err := w.balancer.Choose(w.now, w.request("a")); err == nil {
+		t.Error("the overdue request counts after its end")
+	}
+}
+
+// An overdue request that was sent before its target was registered anew counts
+// neither as in flight nor as overdue there.
+func TestOverdueRequestOfATargetRegisteredAnew(t *testing.T) {
+	w := newWorld(t, 1, 0)
+	old := w.choose(w.request("a"))
+	w.balancer.SetTargets(w.now, nil)
+	w.balancer.SetTargets(w.now, w.targets)
+	report := Report{TargetID: old.Target.ID, Route: "r", Outcome: Stuck, Took: time.Second}
+	w.balancer.Overdue(w.now, report)
+	w.now = w.now.Add(firstEjection)
+	w.choose(w.request("a"))
+	if _, err := w.balancer.Choose(w.now, w.request("a")); err == nil {
+		t.Error("a target that was left out is tried by two requests at once")
+	}
+}
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -55,11 +55,15 @@
 )
 
 // Overdue takes that a request which is counted at a target, and stays so until Done,
-// has had no answer for as long as one is waited for. The target is left out unless
-// it has answered another request since.
+// has had no answer for as long as one is waited for. The target is left out for a
+// while unless it has answered another request since.
 func (b *Balancer) Overdue(now time.Time, r Report) Change {
 	t := b.byID[r.TargetID]
-	if t == nil || t.answeredSince(now.Add(-r.Took)) {
+	if t == nil {
+		return Unchanged
+	}
+	t.noteOverdue()
+	if t.answeredSince(now.Add(-r.Took)) {
 		return Unchanged
 	}
 	t.noteUnreachable(now)
@@ -76,7 +80,7 @@
 		t.noteLoad(now, r.Load)
 	}
 	b.noteDistance(t.Region, r.Connect)
-	t.inFlight = max(t.inFlight-1, 0)
+	t.noteEnd(r.ToldOverdue)
 	if r.Outcome == Answered || r.Outcome == TurnedAway {
 		b.service(t.Service).crowd.note(b.crowdLoad(t, r))
 	}
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -65,8 +65,10 @@
 // targetState is what the box knows of one target.
 type targetState struct {
 	Target
-	hash      uint64
-	inFlight  int
+	hash     uint64
+	inFlight int
+	// overdue are those in flight whose answer is overdue.
+	overdue   int
 	foreign   float64
 	foreignAt time.Time
 	// failures in a row, and until when the target is left out for them.
@@ -133,12 +135,25 @@
 func (t *targetState) answeredSince(at time.Time) bool { return t.answeredAt.After(at) }
 
 // isOut reports whether the target is left out. After its time one request at
-// once tries it.
+// once tries it; those that are overdue try nothing any more.
 func (t *targetState) isOut(now time.Time) bool {
 	if t.failures == 0 {
 		return false
 	}
-	return now.Before(t.ejectedUntil) || t.inFlight > 0
+	return now.Before(t.ejectedUntil) || t.inFlight > t.overdue
+}
+
+// noteOverdue takes that a request in flight is overdue. One that was sent before
+// the target was registered anew is not counted in flight.
+func (t *targetState) noteOverdue() { t.overdue = min(t.overdue+1, t.inFlight) }
+
+// noteEnd takes that a request has ended.
+func (t *targetState) noteEnd(wasOverdue bool) {
+	t.inFlight = max(t.inFlight-1, 0)
+	if wasOverdue {
+		t.overdue = max(t.overdue-1, 0)
+	}
+	t.overdue = min(t.overdue, t.inFlight)
 }
 
 func (t *targetState) isCold(now time.Time) bool { return now.Before(t.coldUntil) }
