gateway: recover a panic of an attempt, which ended the box

Cause: attempts run in goroutines of their own since another target is asked beside an overdue one. net/http recovers panics of its own goroutines only, so a panic in an attempt ended the box with all its requests. Change: the goroutine of an attempt recovers and gives an end like that of a broken answer: the request may have run, its connection is closed, the log has a line of kind panic with up to 8 KiB of the stack, within the bound of such lines. Ruled out: that http.ErrAbortHandler is swallowed. It is raised where an answer is passed on, in the goroutine of net/http; TestBrokenLongAnswerBreaksOffTowardsTheCaller, which passed before too, checks that it gets there. TestPanicOfAnAttemptEndsItsRequestOnly ended the test process before and passes: 502 "unknown", and the next request is served. Both pass 20 times over, also with the race detector. One of two runs of the package failed in TestRequestThatCrossesTheStopIsServed ("connection reset by peer"), which this change does not touch as far as is known; it then passed 300 times over with the change. Not cleared up. Left: the goroutine that sends the rest of a long body, which is older, recovers nothing.

--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -50,13 +50,25 @@
 	u := &underWay{attempt: a, choice: choice, began: time.Now(), ctx: ctx, cancel: cancel}
 	c.tried = append(c.tried, choice.Target.ID)
 	c.underWay = append(c.underWay, u)
-	go func() {
-		out, failure := a.run(ctx)
-		c.ended <- attemptEnd{underWay: u, out: out, failure: failure, took: time.Since(u.began)}
-	}()
+	go func() { c.ended <- u.run() }()
 	c.watch()
 }
 
+// run runs the attempt. A panic ends it as one whose target may have run the
+// request: net/http recovers those of its own goroutines only, and the box would end
+// with all its requests.
+func (u *underWay) run() (e attemptEnd) {
+	defer func() {
+		e.took = time.Since(u.began)
+		if p := recover(); p != nil {
+			e.out, e.failure = nil, u.attempt.notePanic(p)
+		}
+	}()
+	e.underWay = u
+	e.out, e.failure = u.attempt.run(u.ctx)
+	return e
+}
+
 // watch sets the alarm to when the attempt that began last is overdue.
 func (c *call) watch() {
 	if !c.mayRunBeside() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,9 @@
 	collectTime = 40 * time.Millisecond
 	// maxSkipped bounds the answers to earlier requests that are passed over.
 	maxSkipped = 4
+	// panicStack bounds the stack of a panic in the log, in bytes: some forty calls,
+	// more than an attempt is deep.
+	panicStack = 8 << 10
 )
 
 // answer is what a target answered.
@@ -70,6 +74,28 @@
 	left time.Duration
 	// connect is how long a new connection took; zero if it was not new.
 	connect time.Duration
+	// connection is what the request was sent on, nil before.
+	connection *connection
+}
+
+// panicError says that an attempt panicked.
+type panicError struct{ value any }
+
+// Error implements error.
+func (e *panicError) Error() string { return fmt.Sprintf("panic: %v", e.value) }
+
+// notePanic logs a panic of the attempt, ends its connection and returns its failure.
+func (a *attempt) notePanic(value any) *attemptError {
+	if a.gateway.otherLines.take(time.Now()) {
+		stack := make([]byte, panicStack)
+		stack = stack[:runtime.Stack(stack, false)]
+		a.gateway.log.Error().Str("kind", "panic").Str("request", a.id).Str("target", a.target.ID).
+			Str("panic", fmt.Sprint(value)).Bytes("stack", stack).Msg("an attempt panicked")
+	}
+	if a.connection != nil {
+		_ = a.connection.Close() // what is under way on it is of no use
+	}
+	return &attemptError{outcome: balance.Broken, sent: true, err: &panicError{value}}
 }
 
 // run sends the request and reads the answer. The context ends when the caller
@@ -80,6 +106,7 @@
 	if err != nil {
 		return nil, &attemptError{outcome: a.unless(ctx, balance.Unreachable), err: err}
 	}
+	a.connection = c
 	if !c.used {
 		a.connect = time.Since(began)
 	}
