gateway: keep a long failure until a better answer comes

Cause: a 5xx answer whose body had not been collected whole was finished before another target was known, and its caller got 502 of the box's own. Change: it is put aside like a short one, with its connection open, and passed on where nothing better comes, whether it came alone or beside another attempt. It ends when a better answer is passed on or the request ends. What is left of it can't be read once the time is over; the box then answers 504 as before. Ruled out: to seek the other target first, which does not help where that one breaks or turns the request away. TestLongFailureIsPassedOnWhereNothingBetterComes failed in five cases (502) and passes; with the tests that a long failure gives way to a better answer and is not begun too late, 20 times over. Not measured: what targets bear whose answer waits while another is asked.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -17,6 +17,7 @@
 	c.ended = make(chan attemptEnd)
 	c.alarm = time.NewTimer(time.Until(c.ends))
 	defer c.alarm.Stop()
+	defer c.dropFallback()
 	for {
 		choice, err := c.gateway.choose(c.wanted())
 		if err != nil {
@@ -78,8 +79,8 @@
 
 // conclude answers a request for which no further target may be tried.
 func (c *call) conclude(cause error) {
-	if c.fallback != nil && c.request.Context().Err() == nil {
-		c.pass(c.fallback)
+	if c.hasFallback() && c.request.Context().Err() == nil {
+		c.passFallback()
 		return
 	}
 	c.giveUp(cause)
--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -153,18 +153,39 @@
 	c.gateway.done(report)
 }
 
-// putAside takes what an attempt gave that ended while another is under way. A
-// failure that its target told is kept for the case that no better answer comes.
+// putAside takes an answer that a better one is sought for. A failure that its
+// target told is kept for the case that none comes, one that is not read to its end
+// with its connection.
 func (c *call) putAside(e attemptEnd) {
 	if e.out == nil {
 		return
 	}
-	if e.out.rest != nil {
-		e.out.finish(false)
+	if c.notRun(e.out) {
+		e.out.drop()
 		return
 	}
-	if !c.notRun(e.out) {
-		c.fallback = e.out
+	c.dropFallback()
+	c.fallback = e.out
+}
+
+// hasFallback reports whether there is an answer in place of a better one. What is
+// left of it to be read can't be had once the time is over.
+func (c *call) hasFallback() bool {
+	return c.fallback != nil && (c.fallback.rest == nil || time.Now().Before(c.ends))
+}
+
+// passFallback hands the caller the answer that was put aside.
+func (c *call) passFallback() {
+	out := c.fallback
+	c.fallback = nil
+	c.pass(out)
+}
+
+// dropFallback ends an answer that was put aside and is not passed on.
+func (c *call) dropFallback() {
+	if c.fallback != nil {
+		c.fallback.drop()
+		c.fallback = nil
 	}
 }
 
@@ -178,8 +199,8 @@
 	for len(c.underWay) > 0 {
 		e := <-c.ended
 		c.settle(e)
-		if e.out != nil && e.out.rest != nil {
-			e.out.finish(false)
+		if e.out != nil {
+			e.out.drop()
 		}
 	}
 	c.last = won
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -41,6 +41,13 @@
 	finish func(whole bool)
 }
 
+// drop ends an answer that is not passed on.
+func (o *answer) drop() {
+	if o.rest != nil {
+		o.finish(false)
+	}
+}
+
 // attemptError says how an attempt at a target failed.
 type attemptError struct {
 	outcome balance.Outcome
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -63,12 +63,11 @@
 // pass hands a target's answer to the caller.
 func (c *call) pass(out *answer) {
 	if c.notRun(out) && out.status != http.StatusBadRequest {
-		if out.rest != nil {
-			out.finish(false)
-		}
+		out.drop()
 		c.passRefusal()
 		return
 	}
+	c.dropFallback()
 	if out.length >= 0 {
 		c.gateway.longAnswers.note(c.route.Name, out.length)
 	}
@@ -93,8 +92,8 @@
 // earlier target may have run must not be called not run.
 func (c *call) passRefusal() {
 	switch {
-	case c.fallback != nil:
-		c.pass(c.fallback)
+	case c.hasFallback():
+		c.passFallback()
 	case c.mayHaveRun:
 		c.fail(http.StatusBadGateway, "unknown", errTurnedAway)
 	default:
