gateway: take a retry only with a target, also one after the other

Cause: where a target had failed, a retry was taken from the budget before another target was known; without one it was lost to other requests. Change: the budget is asked whether it allows a retry, which is taken together with the target, as for attempts beside an overdue one. A target that can't be reached still takes none. If the last retry goes to another request between the two steps, this one ends as without a target. Ruled out: to choose the target in the first step: the reasons of refusals would change.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -19,7 +19,7 @@
 	defer c.alarm.Stop()
 	defer c.dropFallback()
 	for {
-		choice, err := c.gateway.choose(c.wanted())
+		choice, err := c.choose()
 		if err != nil {
 			c.conclude(err)
 			return
@@ -31,6 +31,14 @@
 	}
 }
 
+// choose chooses a target. A retry is taken from the budget only if there is one.
+func (c *call) choose() (balance.Choice, error) {
+	if c.retry {
+		return c.gateway.chooseRetry(c.wanted())
+	}
+	return c.gateway.choose(c.wanted())
+}
+
 // await takes the ends of the attempts that are under way and reports whether
 // the caller has been answered; if not, another target may be tried.
 func (c *call) await(ctx context.Context) bool {
@@ -184,8 +192,8 @@
 	return out.status >= http.StatusInternalServerError && c.route.Repeat != catalog.Unrepeatable && c.mayGoOn(nil)
 }
 
-// mayGoOn reports whether another target may be tried; it takes a retry from
-// the budget if so.
+// mayGoOn reports whether another target may be tried, and notes whether that
+// takes a retry from the budget.
 func (c *call) mayGoOn(failure *attemptError) bool {
 	if c.mayHaveRun && c.route.Repeat == catalog.Unrepeatable {
 		return false
@@ -193,8 +201,9 @@
 	if time.Until(c.ends) < leastLeft || !c.body.repeatable() {
 		return false
 	}
-	if failure != nil && !failure.sent {
+	c.retry = failure == nil || failure.sent
+	if !c.retry {
 		return c.dials < maxDials
 	}
-	return c.sent < c.route.MaxAttempts && c.gateway.takeRetry(c.service)
+	return c.sent < c.route.MaxAttempts && c.gateway.allowsRetry(c.service)
 }
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -25,11 +25,12 @@
 	d.budget(service).First(time.Since(d.started))
 }
 
-// takeRetry takes a retry from this box's part of the budget of all boxes.
-func (d *Daemon) takeRetry(service string) bool {
+// allowsRetry reports whether a retry is left in this box's part of the budget of
+// all boxes.
+func (d *Daemon) allowsRetry(service string) bool {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	return d.budget(service).Take(time.Since(d.started), d.retryExtra())
+	return d.budget(service).Allows(time.Since(d.started), d.retryExtra())
 }
 
 // retryExtra is this box's part of the retries that are free; below zero where
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -39,7 +39,9 @@
 	sent       int
 	dials      int
 	mayHaveRun bool
-	last       attemptRecord
+	// retry tells that the next target takes a retry from the budget.
+	retry bool
+	last  attemptRecord
 	// underWay are the attempts that have not ended; their ends come on ended.
 	underWay []*underWay
 	ended    chan attemptEnd
