entry: keep a told failure when the attempt beside it is refused

Cause: the last answer that came was kept, also a refusal after a failure that a target had told. Ruled out: a change of the plan; it decides when to end, not which answer is the better. Change: a refusal takes nothing from an answer of a target. Before: TestToldFailureIsKeptWhenTheHedgeIsRefused failed with 504; now it passes, with all tests of internal/entry, the fault matrix among them.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -90,10 +90,7 @@
 		defer e.box.budgets.Unlock()
 		return e.plan.Tick(time.Now())
 	case end := <-e.ends:
-		if end.answer != nil {
-			e.last.discard()
-			e.last = end.answer
-		}
+		e.keep(end.answer)
 		if end.target != "" {
 			e.exclude = append(e.exclude, end.target)
 		}
@@ -103,6 +100,21 @@
 	}
 }
 
+// keep keeps the answer that is given if no better one comes. A refusal takes
+// nothing from an answer that a target gave: the caller would be told less than is
+// known.
+func (e *execution) keep(a *answer) {
+	if a == nil {
+		return
+	}
+	if e.last != nil && e.last.outcome != caller.NotRun && a.outcome == caller.NotRun {
+		a.discard()
+		return
+	}
+	e.last.discard()
+	e.last = a
+}
+
 func (e *execution) launch(ctx context.Context, number int) {
 	if number > 1 {
 		e.box.retries.WithLabelValues(e.request.service).Inc()
