--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -195,7 +196,7 @@
 	defer a.discard()
 	rest, err := io.ReadAll(io.LimitReader(a.stream, maxBody))
 	if err != nil {
-		return unknown("the answer broke off")
+		return unknown(fmt.Sprintf("the answer broke off: %v", err))
 	}
 	whole := *a
 	whole.stream = nil
@@ -208,7 +209,7 @@
 func (k *keys) record(m *wire.WitnessRequest) {
 	key, err := requestkey.Parse(m.Key)
 	if err != nil {
-		return
+		return // the owner machine holds only keys that were read
 	}
 	starts := m.State == wire.KeyState_KEY_STATE_STARTED
 	tries := resultTries
@@ -257,7 +258,7 @@
 	m := &wire.WitnessRequest{Action: wire.WitnessRequest_ACTION_ASK, Key: r.key, Digest: r.digest()}
 	a, err := k.ask(ctx, key, m)
 	if err != nil {
-		return unknown("neither the entry box of the key nor its witness can be reached")
+		return unknown(fmt.Sprintf("neither the entry box of the key nor its witness can be reached: %v", err))
 	}
 	switch a.State {
 	case wire.KeyState_KEY_STATE_RAN:
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -67,7 +67,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), voteTimeout)
 			defer cancel()
 			a, err := d.node.Call(ctx, b.PeerAddress, &wire.CallRequest{Lease: q.Message})
-			if err == nil && a.Lease != nil {
+			if err == nil && a.Lease != nil { // a vote that does not come counts as none
 				p.inbox <- poolLeaseAnswer{a.Lease}
 			}
 		}()
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -120,7 +120,7 @@
 	}
 	defer m.Close()
 	if at, ok := ctx.Deadline(); ok {
-		_ = stream.SetDeadline(at)
+		_ = stream.SetDeadline(at) // one that has ended fails at the write
 	}
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stop()
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -170,9 +170,9 @@
 		return
 	}
 	use := make([]byte, 1)
-	_ = c.SetReadDeadline(time.Now().Add(helloTimeout))
+	_ = c.SetReadDeadline(time.Now().Add(helloTimeout)) // one that has ended fails at the read
 	if _, err := io.ReadFull(c, use); err != nil {
-		_ = c.Close()
+		_ = c.Close() // its peer has left or says nothing, and dials again if it wants to
 		return
 	}
 	_ = c.SetReadDeadline(time.Time{})
@@ -236,9 +236,9 @@
 	defer n.running.Done()
 	m := NewMessages(stream)
 	hello := &wire.StreamHello{}
-	_ = stream.SetReadDeadline(time.Now().Add(helloTimeout))
+	_ = stream.SetReadDeadline(time.Now().Add(helloTimeout)) // one that has ended fails at the read
 	if err := m.Read(hello); err != nil {
-		_ = stream.Close()
+		_ = stream.Close() // the side that opened it sees its end
 		return
 	}
 	_ = stream.SetReadDeadline(time.Time{})
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -172,11 +172,11 @@
 
 // begin keeps the full file beside a new one.
 func (f *eventFile) begin() {
-	_ = f.file.Close()
-	_ = os.Rename(f.path, f.path+".1")
+	_ = f.file.Close()                 // nothing depends on what it holds
+	_ = os.Rename(f.path, f.path+".1") // else the new events follow the old ones
 	next, err := openEventFile(f.path)
 	if err != nil {
-		return
+		return // tried again at the next event
 	}
 	*f = *next
 }
--- a/pkg/settings/tree.go
+++ b/pkg/settings/tree.go
@@ -199,7 +199,7 @@
 	for _, e := range slices.Backward(edits) {
 		p, err := ParsePath(e.Path)
 		if err != nil {
-			continue
+			continue // only accepted edits are undone, and their paths can be read
 		}
 		value, had := t.At(p, e.Key)
 		out = append(out, &wire.Edit{Path: e.Path, Key: e.Key, Value: value, Unset: !had})
