--- a/internal/relay/publishing_test.go
+++ b/internal/relay/publishing_test.go
@@ -152,3 +152,28 @@
 		}
 	})
 }
+
+// Seen: by a review. After its service had started again a publishing told
+// subscribers that all was fresh, with the version before, until the next change.
+// How: what waited when the service ended was dropped and never put again.
+// Proof: a state that is put before the end, and a new start.
+func TestPublishingThatStartsAgainHasTheLatestState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPublishing(steering.State{}, func() time.Duration { return 0 }, func() *wire.Clock { return nil })
+		c := &wire.Command{Evacuation: &wire.EvacuationCommand{Zone: "a"}}
+		state, _ := steering.State{}.Apply(c)
+		p.Put(state, []*wire.Command{c})
+		over, end := context.WithCancel(t.Context())
+		end()
+		_ = p.Run(over) // its context had ended
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- p.Run(ctx) }()
+		synctest.Wait()
+		if got := p.update(p.publisher.Update, 0).Version; got != state.Version() {
+			t.Errorf("published version %d of %d", got, state.Version())
+		}
+		cancel()
+		<-ended
+	})
+}
--- a/pkg/catalog/pack_test.go
+++ b/pkg/catalog/pack_test.go
@@ -269,3 +269,27 @@
 		})
 	}
 }
+
+// Seen: by a review. A difference whose text has 1,024 bytes could not be unpacked
+// by anyone.
+// How: at that length the frame told a window that is one byte more than the
+// decoder was given.
+// Proof: the lengths around the powers of two, to documents of several lengths.
+func TestEveryLengthCanBeUnpacked(t *testing.T) {
+	text := bytes.Repeat([]byte("0123456789abcdef"), 8<<10)
+	for _, before := range []int{0, 1, 50, 2000, 100_000} {
+		var base *wire.RoutesDocument
+		if before > 0 {
+			base = &wire.RoutesDocument{Number: 1, Text: text[:before]}
+		}
+		for power := 1; power <= len(text); power *= 2 {
+			for _, n := range []int{power - 1, power, min(power+1, len(text))} {
+				next := &wire.RoutesDocument{Number: 2, Text: text[:n]}
+				got, err := Unpack(base, Pack(base, next))
+				if err != nil || !bytes.Equal(got.Text, next.Text) {
+					t.Errorf("%d bytes after %d: %v", n, before, err)
+				}
+			}
+		}
+	}
+}
