--- a/internal/relay/publishing.go
+++ b/internal/relay/publishing.go
@@ -33,6 +33,8 @@
 	// consensus neither waits for it nor tells of its commits later.
 	queue   sync.Mutex
 	waiting []publication
+	// newest is the state that was put last.
+	newest steering.State
 	// woken holds a token when something waits.
 	woken chan struct{}
 	// last is the state that was packed last; only Run uses it.
@@ -87,6 +89,7 @@
 func (p *Publishing) Put(s steering.State, commands []*wire.Command) {
 	p.queue.Lock()
 	p.waiting = append(p.waiting, publication{s, commands})
+	p.newest = s
 	p.queue.Unlock()
 	select {
 	case p.woken <- struct{}{}:
@@ -98,6 +101,7 @@
 // waits then is dropped.
 func (p *Publishing) Run(ctx context.Context) error {
 	defer p.forgetWaiting()
+	p.catchUp()
 	for ctx.Err() == nil {
 		p.publishWaiting(ctx)
 		select {
@@ -108,6 +112,19 @@
 	return ctx.Err()
 }
 
+// catchUp publishes the latest state if a Run before dropped it: subscribers would
+// be told until the next change that the version before is fresh.
+func (p *Publishing) catchUp() {
+	p.queue.Lock()
+	newest, waits := p.newest, len(p.waiting) > 0
+	p.queue.Unlock()
+	if waits || newest.Version() <= p.last.Version() {
+		return
+	}
+	p.publish(newest, nil)
+	p.last = newest
+}
+
 func (p *Publishing) publishWaiting(ctx context.Context) {
 	for ctx.Err() == nil {
 		next, ok := p.next()
--- a/pkg/catalog/pack.go
+++ b/pkg/catalog/pack.go
@@ -138,6 +138,7 @@
 		zstd.WithEncoderConcurrency(1),
 		zstd.WithEncoderLevel(zstd.SpeedDefault),
 		zstd.WithLowerEncoderMem(true),
+		zstd.WithSingleSegment(true), // else a frame of some lengths tells a longer window than its text
 		zstd.WithWindowSize(window(len(dictionary) + length)),
 	}
 	if len(dictionary) > 0 {
--- a/pkg/consensus/replication.go
+++ b/pkg/consensus/replication.go
@@ -12,8 +12,10 @@
 	match uint64
 	next  uint64
 	heard time.Time
-	// queued is the first index that was queued since next was last set back.
+	// queued is the first index that was queued since next was last set back, and
+	// since the round from which appends tell of what was queued then.
 	queued uint64
+	since  uint64
 	// sentAt is when something was last sent or acknowledged.
 	sentAt   time.Time
 	round    uint64
@@ -242,7 +244,11 @@
 	}
 	r.acceptLeader(m)
 	answer := &wire.ConsensusMessage{Kind: wire.MessageKind_MESSAGE_KIND_APPEND_ANSWER, To: m.From, Round: m.Round}
-	if m.Snapshot.Index > r.commit {
+	switch term, held := r.log.term(m.Snapshot.Index); {
+	case held && term == m.Snapshot.Term:
+		// What follows it here may have been acknowledged and committed with that.
+		r.commitTo(m.Snapshot.Index)
+	case m.Snapshot.Index > r.commit:
 		r.log.reset(m.Snapshot)
 		r.commit = m.Snapshot.Index
 		r.memberships = []membershipAt{{m.Snapshot.Index, m.Snapshot.Membership}}
@@ -263,7 +269,11 @@
 	p.round = max(p.round, m.Round)
 	r.answerReads()
 	if m.Reject {
-		if m.LogIndex > p.match && m.LogIndex < p.next {
+		// Those of earlier rounds are about appends behind the same loss: each would
+		// send it all again.
+		if m.LogIndex > p.match && m.LogIndex < p.next && m.Round >= p.since {
+			r.round++
+			p.since = r.round
 			p.setBack(max(min(m.Hint+1, m.LogIndex), p.match+1))
 			r.sendAppend(m.From)
 		}
