caller: test that the key of a sent request is told where no box is left

Cause: found by reading, with a trial: a request that may not be repeated was sent once, then no box answered the look-up; the outcome is unknown and the key empty. Change: the test, which fails: told the key "".

--- /dev/null
+++ b/pkg/caller/client_test.go
@@ -0,0 +1,52 @@
+package caller_test
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"ledgesill.dev/ledgesill/pkg/caller"
+)
+
+// boxThatGoes answers one look-up, breaks the request that follows and nothing
+// after it.
+type boxThatGoes struct {
+	*entryBox
+	lookups int
+}
+
+var errGone = errors.New("the box is gone")
+
+// RoundTrip implements http.RoundTripper.
+func (b *boxThatGoes) RoundTrip(r *http.Request) (*http.Response, error) {
+	if !strings.HasPrefix(r.URL.Path, caller.LookupPath) {
+		return nil, errGone
+	}
+	if b.lookups++; b.lookups > 1 {
+		return nil, errGone
+	}
+	return b.entryBox.RoundTrip(r)
+}
+
+// Seen: by reading and a trial. A request was sent once, then no box answered the
+// look-up; its outcome was unknown and its key empty, so that it could not be sent
+// again without the risk of a second run.
+// How: the key was told where the time ran out, not where no box was found.
+func TestKeyIsToldWhereNoBoxIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := caller.NewClient(caller.Config{
+			Boxes: []string{"10.0.0.1:7600"}, Service: "orders", Home: "east",
+			HTTP: &http.Client{Transport: &boxThatGoes{entryBox: newEntryBox()}}, Nonce: func() string { return "order-17" },
+		})
+		a, err := c.Do(t.Context(), caller.Request{Method: http.MethodPost, Path: "/new"})
+		var none *caller.NoBoxError
+		if !errors.As(err, &none) || a.Outcome != caller.Unknown {
+			t.Fatalf("got %+v, %v", a, err)
+		}
+		if a.Key != "east.7~order-17" {
+			t.Errorf("told the key %q", a.Key)
+		}
+	})
+}
