caller: tell the key of a sent request where no box is left

Cause: Do returned without the key when the look-up found no box in time. Ruled out: another outcome; the request was sent, so unknown is true. Change: the key is told there too. Before: TestKeyIsToldWhereNoBoxIsLeft failed; now it passes.

--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -174,6 +174,7 @@
 		look, err := c.Lookup(ctx)
 		if err != nil {
 			if !wait(ctx, pause) {
+				out.Key = key // with it the request can be sent again without a second run
 				return out, err
 			}
 			pause = min(2*pause, maxPause)
