--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -8,6 +8,7 @@
 
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/lookup"
+	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -154,3 +155,12 @@
 	defer d.mu.Unlock()
 	d.learning.Heard(time.Now())
 }
+
+// forPublishing returns a command that led to a state as publishers take it: the
+// document with the text that the state holds, to be made a difference.
+func forPublishing(c *wire.Command, s steering.State) *wire.Command {
+	if c.GetRoutes() == nil {
+		return c
+	}
+	return &wire.Command{Routes: &wire.RoutesCommand{BaseNumber: c.Routes.BaseNumber, Document: s.Catalog().Document()}}
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -347,15 +347,6 @@
 	return nil
 }
 
-// forPublishing returns a command that led to a state as publishers take it: the
-// document with the text that the state holds, to be made a difference.
-func forPublishing(c *wire.Command, s steering.State) *wire.Command {
-	if c.GetRoutes() == nil {
-		return c
-	}
-	return &wire.Command{Routes: &wire.RoutesCommand{BaseNumber: c.Routes.BaseNumber, Document: s.Catalog().Document()}}
-}
-
 func (r *replica) answer(e *wire.Entry, o outcome) {
 	w, ok := r.waiting[e.Index]
 	if !ok {
--- /dev/null
+++ b/internal/gateway/failures_test.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The failure that the only target told is the answer where there is no other.
+func TestFailureOfATargetIsPassedOnWhereThereIsNoOther(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 1)
+		s.scripts = scripts(s.status(0, http.StatusInternalServerError))
+		if got := s.ask(t.Context(), "/long/", ""); got.status != http.StatusInternalServerError || got.body != "no" {
+			t.Fatalf("got %d %q", got.status, got.body)
+		}
+	})
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 2)
+		s.scripts = scripts(s.status(0, http.StatusInternalServerError), s.turnsAway())
+		if got := s.ask(t.Context(), "/long/", ""); got.status != http.StatusInternalServerError || got.body != "no" {
+			t.Fatalf("the second turned it away: got %d %q", got.status, got.body)
+		}
+	})
+}
+
+// Seen: a 5xx answer that was long or slow was replaced by 502 of the box's own.
+// How: the target was the only one, or the others broke or turned the request away.
+// Cause: an answer whose body had not been collected whole was given up before a
+// better one was known.
+// Proof: the caller gets it whole where nothing better comes.
+func TestLongFailureIsPassedOnWhereNothingBetterComes(t *testing.T) {
+	long := strings.Repeat("x", 2*wholeAnswer)
+	t.Run("the only target", func(t *testing.T) {
+		passesFailure(t, 1, long, func(s *scene) []script { return []script{s.fails(long)} })
+	})
+	t.Run("the only target is slow", func(t *testing.T) {
+		passesFailure(t, 1, "abcdef", func(s *scene) []script { return []script{s.fails("ab", "cd", "ef")} })
+	})
+	t.Run("the second turns away", func(t *testing.T) {
+		passesFailure(t, 2, long, func(s *scene) []script { return []script{s.fails(long), s.turnsAway()} })
+	})
+	t.Run("the second breaks", func(t *testing.T) {
+		passesFailure(t, 2, long, func(s *scene) []script { return []script{s.fails(long), s.breaks(0)} })
+	})
+	t.Run("beside one that breaks", func(t *testing.T) {
+		passesFailure(t, 2, long, func(s *scene) []script { return []script{s.breaks(atWork), s.fails(long)} })
+	})
+}
+
+// passesFailure checks that the caller gets a failure whole.
+func passesFailure(t *testing.T, targets int, body string, list func(s *scene) []script) {
+	t.Helper()
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), targets)
+		s.scripts = scripts(list(s)...)
+		got := s.ask(t.Context(), "/long/", "")
+		if got.status != http.StatusInternalServerError || got.body != body {
+			t.Errorf("got %d %.20q, %d bytes, want %d", got.status, got.body, len(got.body), len(body))
+		}
+		s.wantSettled(t, targets, 0)
+	})
+}
+
+// fails tells a failure whose body comes in parts, each of which takes longer than
+// the time for which an answer is collected.
+func (s *scene) fails(parts ...string) script {
+	return func(r *http.Request, c net.Conn) bool {
+		fmt.Fprintf(c, "HTTP/1.1 500 X\r\nTest-Id: %s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("Test-Id"), len(strings.Join(parts, "")))
+		for i, p := range parts {
+			if i > 0 {
+				time.Sleep(2 * collectTime)
+			}
+			if _, err := io.WriteString(c, p); err != nil {
+				s.ended <- r.Header.Get("Test-Id")
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// A long failure that was put aside for a better answer ends with it.
+func TestLongFailureGivesWayToABetterAnswer(t *testing.T) {
+	long := strings.Repeat("x", 2*wholeAnswer)
+	for name, list := range map[string]func(s *scene) []script{
+		"one after the other": func(s *scene) []script { return []script{s.fails(long), s.answers(0, "better")} },
+		"beside":              func(s *scene) []script { return []script{s.answers(atWork, "better"), s.fails(long)} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				s := newScene(t, testConfig(), 2)
+				s.scripts = scripts(list(s)...)
+				if got := s.ask(t.Context(), "/long/", ""); got.status != http.StatusOK || got.body != "better" {
+					t.Errorf("got %d %.20q", got.status, got.body)
+				}
+				s.wantSettled(t, 2, 1)
+			})
+		})
+	}
+}
+
+// A long failure can't be read any more once the time of the request is over: a
+// whole answer of the box's own is better than a broken one.
+func TestLongFailureIsNotBegunWhenTheTimeIsOver(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 2)
+		s.scripts = scripts(s.fails(strings.Repeat("x", 2*wholeAnswer)), s.silent())
+		if got := s.ask(t.Context(), "/long/", ""); got.status != http.StatusGatewayTimeout || got.took != 5*time.Second {
+			t.Errorf("got %d %.20q after %s", got.status, got.body, got.took)
+		}
+		s.wantSettled(t, 2, 2)
+	})
+}
+
+// Seen: a request that found no second target took a retry from the budget, which
+// another request that had a second target then lacked.
+// Cause: the retry was taken before a target was chosen.
+// Proof: with a budget of one retry, a request without another target leaves it to
+// the next one.
+func TestRetryIsTakenOnlyWithATarget(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		config := testConfig()
+		config.RetryShare, config.RetryExtra = 0, 1.5
+		s := newScene(t, config, 2)
+		s.scripts = scripts(s.breaks(0), s.breaks(0), s.answers(0, "second"), s.breaks(0))
+		s.register(t, "0")
+		if got := s.ask(t.Context(), "/long/", ""); got.status != http.StatusBadGateway {
+			t.Fatalf("got %d %q", got.status, got.body)
+		}
+		s.register(t, "0", "1")
+		s.wantAnswer(t, s.ask(t.Context(), "/long/", ""), "second", 0)
+		if got := s.ask(t.Context(), "/long/", ""); got.status != http.StatusBadGateway {
+			t.Fatalf("the budget has more than one retry: got %d %q", got.status, got.body)
+		}
+	})
+}
+
+// An answer that breaks while it is passed on breaks off towards the caller too,
+// who must not take it for whole; that panic is for net/http and not recovered.
+func TestBrokenLongAnswerBreaksOffTowardsTheCaller(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 1)
+		s.scripts = scripts(func(r *http.Request, c net.Conn) bool {
+			body := strings.Repeat("x", 2*wholeAnswer)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Test-Id"), len(body)+1, body)
+			return false
+		})
+		defer func() {
+			if p := recover(); p != http.ErrAbortHandler {
+				t.Errorf("the handler ended with %v", p)
+			}
+			s.wantNoneCounted(t)
+		}()
+		got := s.ask(t.Context(), "/once/", "")
+		t.Errorf("a broken answer of %d bytes ended as whole", len(got.body))
+	})
+}
--- /dev/null
+++ b/internal/gateway/panic_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+)
+
+// panicking is a connection on which the first write panics.
+type panicking struct {
+	net.Conn
+	closed chan struct{}
+}
+
+// Write implements net.Conn.
+func (p *panicking) Write([]byte) (int, error) { panic("write") }
+
+// Close implements net.Conn.
+func (p *panicking) Close() error {
+	close(p.closed)
+	return p.Conn.Close()
+}
+
+// Seen: a panic in an attempt ended the box with all its requests.
+// Cause: net/http recovers panics of its handlers only; attempts run in goroutines
+// of their own.
+// Proof: the request of the attempt ends as one that may have run, its connection
+// is closed, the log has the stack, and the box serves the next request.
+func TestPanicOfAnAttemptEndsItsRequestOnly(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 1)
+		var lines bytes.Buffer
+		s.daemon.log = zerolog.New(&lines)
+		dial := s.daemon.connections.dial
+		bad := &panicking{closed: make(chan struct{})}
+		s.daemon.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			s.daemon.connections.dial = dial
+			conn, err := dial(ctx, network, address)
+			bad.Conn = conn
+			return bad, err
+		}
+		s.scripts = scripts(s.answers(0, "next"))
+		if got := s.ask(t.Context(), "/once/", ""); got.status != http.StatusBadGateway || got.body != "unknown\n" {
+			t.Errorf("got %d %q", got.status, got.body)
+		}
+		<-bad.closed
+		for _, want := range []string{`"kind":"panic"`, `"panic":"write"`, "(*panicking).Write", `"mayHaveRun":true`} {
+			if !strings.Contains(lines.String(), want) {
+				t.Errorf("%s is not in the log: %s", want, lines.String())
+			}
+		}
+		s.wantAnswer(t, s.ask(t.Context(), "/once/", ""), "next", 0)
+		s.wantNoneCounted(t)
+	})
+}
--- /dev/null
+++ b/internal/gateway/scene_test.go
@@ -0,0 +1,228 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/balance"
+	"ledgesill.dev/ledgesill/pkg/catalog"
+)
+
+const (
+	// patience is what the balancer gives a target of these routes, which nothing
+	// is known of: three times 5/4 of the objective.
+	patience = 750 * time.Millisecond
+	// atWork is longer than the patience and ends long before the time-out.
+	atWork = 2 * time.Second
+)
+
+// patientRoutes are those of these tests: /long/ may be repeated, /once/ not,
+// and /single/ has one attempt.
+func patientRoutes([]byte) (catalog.Document, error) {
+	route := func(name string, repeat catalog.Repeat, attempts int) catalog.Route {
+		return catalog.Route{
+			Name: name, Prefix: "/" + name + "/", Repeat: repeat, Objective: 200 * time.Millisecond, Timeout: 5 * time.Second,
+			MaxAttempts: attempts, Destinations: []catalog.Destination{{Service: "s", Weight: 1}},
+		}
+	}
+	return catalog.Document{
+		Number: 1,
+		Hosts: []catalog.Host{{Name: "a.example", Routes: []catalog.Route{
+			route("long", catalog.Repeatable, 2), route("once", catalog.Unrepeatable, 2), route("single", catalog.Repeatable, 1),
+		}}},
+		Services: []catalog.Service{{Name: "s"}},
+	}, nil
+}
+
+// script is what a target does with a request; it returns whether the connection
+// is kept.
+type script func(r *http.Request, c net.Conn) bool
+
+// scene is a box in virtual time with targets behind a network in memory. The
+// n-th request that reaches any target gets the n-th script; one more gets no answer.
+type scene struct {
+	daemon  *Daemon
+	targets []*target
+	scripts chan script
+	// reached are the targets in the order in which requests reached them, and
+	// ended the requests whose connection ended at their target.
+	reached chan *target
+	ended   chan string
+}
+
+func newScene(t *testing.T, config Config, targets int) *scene {
+	t.Helper()
+	config.DecodeRoutes = patientRoutes
+	s := &scene{reached: make(chan *target, 8), ended: make(chan string, 8)}
+	addresses := make([]string, 0, targets)
+	for i := range targets {
+		one := &target{}
+		one.script = func(_ int, r *http.Request, c net.Conn) bool { return s.play(one, r, c) }
+		s.targets = append(s.targets, one)
+		addresses = append(addresses, fmt.Sprint(i))
+	}
+	s.daemon = newDaemon(t, config, addresses...)
+	s.daemon.connections.dial = func(_ context.Context, _, address string) (net.Conn, error) {
+		var n int
+		if _, err := fmt.Sscan(address, &n); err != nil {
+			return nil, err
+		}
+		near, far := net.Pipe()
+		s.targets[n].conns.Add(1)
+		go s.targets[n].serve(far)
+		return near, nil
+	}
+	t.Cleanup(func() {
+		s.daemon.connections.close()
+		_ = s.daemon.callers.listener.Close()
+		_ = s.daemon.ready.Close()
+	})
+	return s
+}
+
+func (s *scene) play(at *target, r *http.Request, c net.Conn) bool {
+	s.reached <- at
+	_, _ = io.Copy(io.Discard, r.Body)
+	next, ok := <-s.scripts
+	return ok && next(r, c)
+}
+
+// scripts returns what targets do with the requests that reach them, in order.
+func scripts(list ...script) chan script {
+	out := make(chan script, len(list))
+	for _, s := range list {
+		out <- s
+	}
+	close(out)
+	return out
+}
+
+// answers works for a time, then answers with a body, unless its connection ends
+// before.
+func (s *scene) answers(after time.Duration, body string) script {
+	return func(r *http.Request, c net.Conn) bool {
+		if s.endsWithin(after, r, c) {
+			return false
+		}
+		answerWith(c, r.Header.Get("Test-Id"), body)
+		return true
+	}
+}
+
+// status answers with a status after a time.
+func (s *scene) status(after time.Duration, code int) script {
+	return func(r *http.Request, c net.Conn) bool {
+		if s.endsWithin(after, r, c) {
+			return false
+		}
+		fmt.Fprintf(c, "HTTP/1.1 %d X\r\nTest-Id: %s\r\nContent-Length: 2\r\n\r\nno", code, r.Header.Get("Test-Id"))
+		return true
+	}
+}
+
+// silent never answers.
+func (s *scene) silent() script {
+	return func(r *http.Request, c net.Conn) bool { return !s.endsWithin(time.Hour, r, c) }
+}
+
+func (s *scene) turnsAway() script {
+	return func(r *http.Request, c net.Conn) bool { return turnAway(0, r, c) }
+}
+
+// breaks ends the connection after a time.
+func (s *scene) breaks(after time.Duration) script {
+	return func(r *http.Request, c net.Conn) bool {
+		s.endsWithin(after, r, c)
+		return false
+	}
+}
+
+// endsWithin reports whether the connection ends within a time.
+func (s *scene) endsWithin(d time.Duration, r *http.Request, c net.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(d))
+	_, err := c.Read(make([]byte, 1))
+	_ = c.SetReadDeadline(time.Time{})
+	if e, ok := err.(net.Error); ok && e.Timeout() {
+		return false
+	}
+	s.ended <- r.Header.Get("Test-Id")
+	return true
+}
+
+// result is what a caller got, and after how long.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	took   time.Duration
+}
+
+// ask sends a request; its caller waits for 5 s.
+func (s *scene) ask(ctx context.Context, path, body string) result {
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader(body))
+	r.Host = "a.example"
+	r.Header.Set("Test-Id", "id1")
+	r.Header.Set("Test-Deadline", "5000")
+	w := httptest.NewRecorder()
+	began := time.Now()
+	s.daemon.ServeHTTP(w, r)
+	return result{status: w.Code, header: w.Header(), body: w.Body.String(), took: time.Since(began)}
+}
+
+func (s *scene) wantAnswer(t *testing.T, got result, body string, took time.Duration) {
+	t.Helper()
+	if got.status != http.StatusOK || got.body != body {
+		t.Fatalf("got %d %q after %s, want %q", got.status, got.body, got.took, body)
+	}
+	if got.took != took {
+		t.Fatalf("answered after %s, want %s", got.took, took)
+	}
+}
+
+// wantSettled checks that as many requests reached targets, each another one,
+// that as many connections ended there, and that the balancer counts none.
+func (s *scene) wantSettled(t *testing.T, reached, ended int) {
+	t.Helper()
+	synctest.Wait()
+	if len(s.reached) != reached || len(s.ended) != ended {
+		t.Fatalf("%d requests reached targets and %d connections ended there, want %d and %d", len(s.reached), len(s.ended), reached, ended)
+	}
+	seen := make(map[*target]bool)
+	for range reached {
+		at := <-s.reached
+		if seen[at] {
+			t.Fatal("a target got the request twice")
+		}
+		seen[at] = true
+	}
+	s.wantNoneCounted(t)
+}
+
+// wantNoneCounted checks that the balancer counts no request at any target. What
+// targets told of their load is forgotten before, and none is left out by then
+// unless a request counts as being there.
+func (s *scene) wantNoneCounted(t *testing.T) {
+	t.Helper()
+	time.Sleep(time.Minute)
+	var tried []string
+	for range s.targets {
+		c, err := s.daemon.choose(balance.Request{Service: "s", Route: "count", Objective: time.Hour, Left: time.Hour, Tried: tried})
+		if err != nil {
+			t.Fatalf("a target is left out: %v", err)
+		}
+		if c.Load > 0.01 {
+			t.Fatalf("the balancer counts %v requests that have ended", c.Load)
+		}
+		tried = append(tried, c.Target.ID)
+	}
+}
+
+func inVirtualTime(t *testing.T, run func(t *testing.T)) { t.Helper(); synctest.Test(t, run) }
