--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -40,6 +40,7 @@
 		RetryShare:   c.RetryShare / 100,
 		RetryExtra:   c.RetryExtra,
 		RetryWindow:  c.RetryWindow,
+		Restarted:    true, // nothing tells the first start of a system from a later one
 		LinkBytes:    c.LinkBytes,
 		StopTime:     c.StopTime,
 		LogLevel:     c.Level(),
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -117,6 +117,7 @@
 		RetryShare:   s.RetryShare,
 		RetryExtra:   s.RetryExtra,
 		RetryWindow:  s.RetryWindow,
+		Restarted:    !s.FirstStart,
 		LinkBytes:    s.LinkBytes,
 		StopTime:     s.StopTime,
 		LogLevel:     zerolog.InfoLevel,
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -34,11 +34,16 @@
 }
 
 // retryExtra is this box's part of the retries that are free; below zero where
-// it does not know of the boxes yet, which forbids all.
+// it does not know of the boxes yet, which forbids all. A process that follows
+// another one has none for the length of a window: the one before may have taken
+// them, and when all boxes are stopped in turn that would double what all take.
 func (d *Daemon) retryExtra() float64 {
 	if d.balancing.boxes == 0 {
 		return math.Inf(-1)
 	}
+	if d.config.Restarted && time.Since(d.started) < d.config.RetryWindow {
+		return 0
+	}
 	return d.config.RetryExtra / float64(d.balancing.boxes)
 }
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -33,6 +33,9 @@
 	RetryShare  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// Restarted tells that a process may have served here before this one, and so
+	// may have taken this box's part of RetryExtra.
+	Restarted bool
 	// LinkBytes is how many bytes a second the box's link carries; zero for no bound.
 	LinkBytes float64
 	// StopTime is how long after SIGTERM the process is killed.
