link, control: reach processes that start, and tell of a new leader, at once

Change: a connection attempt gets another one beside it each 0.15 s; a replica notes the leader when it meets it. TestProcessThatStartsIsReachedSoon: not reached within 0.5 s before, after 0.37 s now.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -141,6 +141,9 @@
 		syncTime.Add(took.Seconds())
 	}
 	d.replica.noticed = func(n consensus.Notice) {
+		if n.Leader != "" {
+			d.noteHeard(0) // what subscribers are told would else lag by viewInterval
+		}
 		detail := fmt.Sprintf("%s in term %d: %s", n.Role, n.Term, n.Reason)
 		d.process.StateChange(&wire.TimelineEvent{Kind: "role", Box: id, Detail: detail})
 	}
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -75,7 +75,7 @@
 func (n *Node) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, err := n.network.Dial(ctx, address)
+	c, err := dialRepeatedly(ctx, n.network.Dial, address)
 	if err != nil {
 		return nil, fmt.Errorf("reaching %s: %w", address, err)
 	}
--- /dev/null
+++ b/internal/link/redial_test.go
@@ -0,0 +1,123 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// starting is a network on which a process listens from some time on. What is sent
+// to it before is lost, and the one who sent it hears nothing.
+type starting struct {
+	from   time.Time
+	dials  atomic.Int64
+	ended  atomic.Int64
+	closed atomic.Int64
+}
+
+// counting counts its closing.
+type counting struct {
+	net.Conn
+	closed *atomic.Int64
+}
+
+func (c counting) Close() error {
+	c.closed.Add(1)
+	return c.Conn.Close()
+}
+
+const startingRoundTrip = 70 * time.Millisecond
+
+func (s *starting) dial(ctx context.Context, _ string) (net.Conn, error) {
+	s.dials.Add(1)
+	defer s.ended.Add(1)
+	if time.Now().Before(s.from) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	select {
+	case <-time.After(startingRoundTrip):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	near, _ := net.Pipe()
+	return counting{near, &s.closed}, nil
+}
+
+// Seen: after all machines were off, boxes that came back 0.3 s before the replicas
+// served 0.8 s after their start. How: "i/o timeout" 0.5 s after the start, for
+// replicas that had listened for 0.1 s by then.
+// Cause: the opening packet to a machine that is off is lost, and nothing was sent
+// again until the attempt was given up.
+// Proof: a process that begins to listen 0.25 s after the first attempt.
+func TestProcessThatStartsIsReachedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &starting{from: time.Now().Add(250 * time.Millisecond)}
+		ctx, cancel := context.WithTimeout(t.Context(), dialTimeout)
+		defer cancel()
+		began := time.Now()
+		c, err := dialRepeatedly(ctx, s.dial, "a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.Close()
+		if took, most := time.Since(began), 250*time.Millisecond+redialInterval+startingRoundTrip; took > most {
+			t.Errorf("took %s, at most %s is due", took, most)
+		}
+		if s.dials.Load() != s.ended.Load() {
+			t.Errorf("%d attempts, %d have ended", s.dials.Load(), s.ended.Load())
+		}
+	})
+}
+
+// One that listens is asked once, one that is gone a few times only, and what comes
+// up beside the first connection is closed.
+func TestDialRepeatedlyLeavesNothingBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &starting{from: time.Now()}
+		if _, err := dialRepeatedly(t.Context(), s.dial, "a"); err != nil || s.dials.Load() != 1 {
+			t.Errorf("%v after %d attempts", err, s.dials.Load())
+		}
+		gone := &starting{from: time.Now().Add(time.Hour)}
+		ctx, cancel := context.WithTimeout(t.Context(), dialTimeout)
+		defer cancel()
+		if _, err := dialRepeatedly(ctx, gone.dial, "a"); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("got %v", err)
+		}
+		if n := gone.dials.Load(); n > 4 || n != gone.ended.Load() {
+			t.Errorf("%d attempts, %d have ended", n, gone.ended.Load())
+		}
+		refused := 0
+		_, err := dialRepeatedly(t.Context(), func(context.Context, string) (net.Conn, error) {
+			refused++
+			return nil, net.ErrClosed
+		}, "a")
+		if !errors.Is(err, net.ErrClosed) || refused != 1 {
+			t.Errorf("%v after %d attempts", err, refused)
+		}
+	})
+}
+
+// Two attempts that come up at once give one connection.
+func TestDialRepeatedlyGivesOneConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var closed atomic.Int64
+		dials := 0
+		c, err := dialRepeatedly(t.Context(), func(context.Context, string) (net.Conn, error) {
+			dials++
+			time.Sleep(2*redialInterval + 10*time.Millisecond - time.Duration(dials)*redialInterval)
+			near, _ := net.Pipe()
+			return counting{near, &closed}, nil
+		}, "a")
+		if err != nil || c == nil {
+			t.Fatal(err)
+		}
+		if dials != 2 || closed.Load() != 1 {
+			t.Errorf("%d attempts, %d connections closed", dials, closed.Load())
+		}
+	})
+}
