--- a/internal/link/redial_test.go
+++ b/internal/link/redial_test.go
@@ -91,13 +91,13 @@
 		if n := gone.dials.Load(); n > 4 || n != gone.ended.Load() {
 			t.Errorf("%d attempts, %d have ended", n, gone.ended.Load())
 		}
-		refused := 0
+		var refused atomic.Int64
 		_, err := dialRepeatedly(t.Context(), func(context.Context, string) (net.Conn, error) {
-			refused++
+			refused.Add(1)
 			return nil, net.ErrClosed
 		}, "a")
-		if !errors.Is(err, net.ErrClosed) || refused != 1 {
-			t.Errorf("%v after %d attempts", err, refused)
+		if !errors.Is(err, net.ErrClosed) || refused.Load() != 1 {
+			t.Errorf("%v after %d attempts", err, refused.Load())
 		}
 	})
 }
@@ -105,19 +105,18 @@
 // Two attempts that come up at once give one connection.
 func TestDialRepeatedlyGivesOneConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var closed atomic.Int64
-		dials := 0
+		var closed, dials atomic.Int64
 		c, err := dialRepeatedly(t.Context(), func(context.Context, string) (net.Conn, error) {
-			dials++
-			time.Sleep(2*redialInterval + 10*time.Millisecond - time.Duration(dials)*redialInterval)
+			n := dials.Add(1)
+			time.Sleep(2*redialInterval + 10*time.Millisecond - time.Duration(n)*redialInterval)
 			near, _ := net.Pipe()
 			return counting{near, &closed}, nil
 		}, "a")
 		if err != nil || c == nil {
 			t.Fatal(err)
 		}
-		if dials != 2 || closed.Load() != 1 {
-			t.Errorf("%d attempts, %d connections closed", dials, closed.Load())
+		if dials.Load() != 2 || closed.Load() != 1 {
+			t.Errorf("%d attempts, %d connections closed", dials.Load(), closed.Load())
 		}
 	})
 }
