link, gateway: say by structure how repeated attempts end

Cause: read again, the loop of attempts compared a result with an empty one to know whether it had one, and the pace of an answer that was held up was told nowhere. Change: the loop returns with the first end; a comment. No change of behaviour; tests of both packages pass, under the race detector those of the first.

--- a/internal/gateway/shaper.go
+++ b/internal/gateway/shaper.go
@@ -71,7 +71,8 @@
 	return &passage{shaper: s, left: bytes, due: now.Add(s.reserve(now, int(bytes)))}
 }
 
-// wait returns how long to wait before a number of bytes may be sent.
+// wait returns how long to wait before a number of bytes may be sent. An answer that
+// was held up, by its target or its caller, may catch up with what it booked.
 func (p *passage) wait(now time.Time, bytes int) time.Duration {
 	if p.left <= 0 {
 		return p.shaper.reserve(now, bytes)
--- a/internal/link/redial.go
+++ b/internal/link/redial.go
@@ -36,20 +36,24 @@
 		}()
 	}
 	attempt()
-	var first dialResult
-	for first == (dialResult{}) {
+	for {
 		select {
-		case first = <-ends:
-			open--
+		case end := <-ends:
+			cancel()
+			closeLate(ends, open-1)
+			return end.conn, end.err
 		case <-ticker.C:
 			attempt()
 		}
 	}
-	cancel()
+}
+
+// closeLate waits for a number of attempts and closes what they have brought:
+// nothing was sent on it.
+func closeLate(ends <-chan dialResult, open int) {
 	for range open {
 		if late := <-ends; late.conn != nil {
-			_ = late.conn.Close() // nothing was sent on it
+			_ = late.conn.Close()
 		}
 	}
-	return first.conn, first.err
 }
