--- a/contrib/soak/main.go
+++ b/contrib/soak/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -34,6 +35,7 @@
 	targets := flag.Int("targets", 6, "targets")
 	clients := flag.Int("clients", 8, "clients")
 	network := flag.Int("network", 0, "number of the first loopback network, so that several soaks can run at once")
+	allOff := flag.Bool("all-off", false, "kill all boxes and replicas at once in the middle of a run, as a loss of power does")
 	keep := flag.String("keep", "", "folder for the logs of runs that fail")
 	flag.Parse()
 	list, err := seedList(*seeds)
@@ -43,7 +45,7 @@
 	}
 	failed := 0
 	for i, seed := range list {
-		n := size{*controls, *entries, *targets, *clients}
+		n := size{controls: *controls, entries: *entries, targets: *targets, clients: *clients, allOff: *allOff}
 		if err := runSeed(*binary, (*network+i)%networks, seed, n, *length, *keep); err != nil {
 			fmt.Printf("seed %d failed:\n%v\n", seed, err)
 			failed++
@@ -111,7 +113,7 @@
 	}
 	w, err := newWorld(binary, folder, run, seed, n)
 	if err == nil {
-		w.play(n.clients, length)
+		w.play(n, length)
 	}
 	w.close()
 	if err != nil {
@@ -133,15 +135,21 @@
 
 // play forms the system, disturbs it under traffic and looks at it once all is
 // well again.
-func (w *world) play(clients int, length time.Duration) {
+func (w *world) play(n size, length time.Duration) {
 	if !w.changeConfig(formTime) {
 		w.promises.broken("the first document was not taken in %s", formTime)
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	seen := make(chan []attemptRecord, 1)
-	go func() { seen <- w.traffic(ctx, clients) }()
-	w.disturbances(length)
+	go func() { seen <- w.traffic(ctx, n.clients) }()
+	if n.allOff {
+		w.disturbances(length / 2)
+		w.restartAll(append(slices.Clone(w.controls), w.entries...))
+		w.disturbances(length / 2)
+	} else {
+		w.disturbances(length)
+	}
 	time.Sleep(quietTime)
 	good := time.Now()
 	if !w.changeConfig(formTime) && !w.readBack() {
--- a/contrib/soak/world.go
+++ b/contrib/soak/world.go
@@ -25,8 +25,12 @@
 	stopBound     = 6500 * time.Millisecond
 )
 
-// size says how many processes and stand-ins a run has.
-type size struct{ controls, entries, targets, clients int }
+// size says how many processes and stand-ins a run has, and whether all processes
+// end at once in its middle.
+type size struct {
+	controls, entries, targets, clients int
+	allOff                              bool
+}
 
 // world is one run: real processes, stand-ins and what was seen of them.
 type world struct {
