catalog, gateway, platform: know workspaces by their keys

Cause: the document's workspaces were not read. Change: documents have workspaces with keys, priority, limit and regions, checked whole with the workspace's name in the error; a request is 401 without a known key, before its body is read; the key stays at the box, the name is told whatever the caller sent; regions of route and workspace both bind. Keys stand in no log or error, and are left out of what people are shown, which can't be put in force by mistake. Tests: seen failing with isOwn without key, without name, without the workspace's regions, and with 401 said without word of control. Limits are kept by nothing yet.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -110,7 +110,7 @@
 		Service:   c.service,
 		Route:     c.route.Name,
 		Key:       c.key(),
-		Regions:   c.route.Regions,
+		Regions:   c.regions,
 		Near:      c.route.Repeat == catalog.Download,
 		Objective: c.route.Objective,
 		Left:      left,
--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -46,7 +46,10 @@
 // launch begins an attempt, whose end comes on the channel of the call.
 func (c *call) launch(ctx context.Context, choice balance.Choice) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{gateway: c.gateway, request: c.request, id: c.id, body: c.body, target: choice.Target, left: time.Until(c.ends)}
+	a := &attempt{
+		gateway: c.gateway, request: c.request, id: c.id, body: c.body, target: choice.Target,
+		workspace: c.workspaceName(), left: time.Until(c.ends),
+	}
 	u := &underWay{attempt: a, choice: choice, began: time.Now(), ctx: ctx, cancel: cancel}
 	c.tried = append(c.tried, choice.Target.ID)
 	c.underWay = append(c.underWay, u)
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -26,6 +26,7 @@
 type inForce struct {
 	document catalog.Document
 	table    *catalog.Table
+	keys     *catalog.KeyTable
 	// version is that of the replicated state.
 	version uint64
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -77,6 +77,8 @@
 	id      string
 	body    *requestBody
 	target  balance.Target
+	// workspace is the name of the one whose request it is; empty for none.
+	workspace string
 	// left is what the target is told to have.
 	left time.Duration
 	// connect is how long a new connection took; zero if it was not new.
@@ -147,7 +149,8 @@
 }
 
 func (a *attempt) exchange(c *connection) (*answer, error) {
-	sent := a.body.send(c, a.gateway.config.Protocol.requestHead(a.request, a.target.ID, a.left, a.body.length))
+	words := headWords{target: a.target.ID, workspace: a.workspace, left: a.left, length: a.body.length}
+	sent := a.body.send(c, a.gateway.config.Protocol.requestHead(a.request, words))
 	for range maxSkipped {
 		response, err := readFinal(c, a.request)
 		if err != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -141,7 +141,12 @@
 	for _, s := range targets {
 		addresses = append(addresses, s.listener.Addr().String())
 	}
-	d := newDaemon(t, testConfig(), addresses...)
+	return serveDaemon(t, newDaemon(t, testConfig(), addresses...))
+}
+
+// serveDaemon serves requests of callers by a box until the test ends.
+func serveDaemon(t *testing.T, d *Daemon) *gateway {
+	t.Helper()
 	g := &gateway{daemon: d, server: httptest.NewServer(d)}
 	t.Cleanup(func() {
 		g.server.Close()
--- a/internal/gateway/head.go
+++ b/internal/gateway/head.go
@@ -45,9 +45,20 @@
 	return out
 }
 
-// requestHead writes the head of a request as it goes to a target. A length
-// below zero stands for a body in chunks.
-func (p Protocol) requestHead(r *http.Request, target string, left time.Duration, length int64) []byte {
+// headWords are what the box tells a target in the head of a request.
+type headWords struct {
+	// target is the id of the one that the request is meant for.
+	target string
+	// workspace is whose request it is; empty for nobody's.
+	workspace string
+	// left is how long the sender will wait.
+	left time.Duration
+	// length is that of the body; below zero for one in chunks.
+	length int64
+}
+
+// requestHead writes the head of a request as it goes to a target.
+func (p Protocol) requestHead(r *http.Request, words headWords) []byte {
 	const usualHead = 512
 	out := make([]byte, 0, usualHead)
 	out = append(out, r.Method...)
@@ -64,20 +75,25 @@
 			out = appendLine(out, name, v)
 		}
 	}
-	out = appendLine(out, p.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
-	out = appendLine(out, p.ExpectTarget, target)
+	out = appendLine(out, p.Deadline, strconv.FormatInt(max(words.left.Milliseconds(), 1), 10))
+	out = appendLine(out, p.ExpectTarget, words.target)
+	if words.workspace != "" {
+		out = appendLine(out, p.Workspace, words.workspace)
+	}
 	switch {
-	case length < 0:
+	case words.length < 0:
 		out = appendLine(out, "Transfer-Encoding", "chunked")
-	case length > 0 || r.Header.Get("Content-Length") != "" || len(r.TransferEncoding) > 0:
-		out = appendLine(out, "Content-Length", strconv.FormatInt(length, 10))
+	case words.length > 0 || r.Header.Get("Content-Length") != "" || len(r.TransferEncoding) > 0:
+		out = appendLine(out, "Content-Length", strconv.FormatInt(words.length, 10))
 	}
 	return append(out, "\r\n"...)
 }
 
-// isOwn tells the headers that the box sets itself.
+// isOwn tells the headers that the box sets itself, and the key, which is for the
+// box only: a caller's word on them does not go on.
 func (p Protocol) isOwn(name string) bool {
-	return strings.EqualFold(name, p.Deadline) || strings.EqualFold(name, p.ExpectTarget)
+	return strings.EqualFold(name, p.Deadline) || strings.EqualFold(name, p.ExpectTarget) ||
+		strings.EqualFold(name, p.Workspace) || strings.EqualFold(name, p.Key)
 }
 
 func appendLine(out []byte, name, value string) []byte {
--- a/internal/gateway/ownprotocol.go
+++ b/internal/gateway/ownprotocol.go
@@ -23,6 +23,8 @@
 		NotExecuted:  "Ledgesill-Not-Run",
 		Load:         "Ledgesill-Load",
 		ColdLeft:     "Ledgesill-Cold-Millis",
+		Key:          "Ledgesill-Key",
+		Workspace:    "Ledgesill-Workspace",
 		ParseLoad:    ParseLoad,
 		ParseCold:    parseColdMillis,
 		NewRequestID: rand.Text,
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -21,6 +21,10 @@
 	Deadline string
 	// ExpectTarget is the id of the target that a request is meant for.
 	ExpectTarget string
+	// Key is the key of a caller's workspace, which targets never get; Workspace
+	// is the name of the workspace, which the box tells targets.
+	Key       string
+	Workspace string
 	// NotExecuted marks answers of targets that did not run the request.
 	NotExecuted string
 	// Load and ColdLeft are what a target says of itself.
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -21,6 +21,9 @@
 	if c.rules != nil {
 		line = line.Uint64("routes", c.rules.document.Number).Uint64("stateVersion", c.rules.version)
 	}
+	if c.workspace != nil {
+		line = line.Str("workspace", c.workspace.Name)
+	}
 	line = line.Dur("controlAge", d.controlAge())
 	if reason != "" {
 		line = line.Str("reason", reason)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -30,7 +30,11 @@
 	id    string
 	rules *inForce
 	route catalog.Route
-	body  *requestBody
+	// workspace is the one whose key the request carries, nil for none, and
+	// regions are those that may serve it; all if it is empty.
+	workspace *catalog.Workspace
+	regions   []string
+	body      *requestBody
 	// service is the destination that the request is for.
 	service string
 	tried   []string
@@ -109,10 +113,13 @@
 	}
 	route, ok := c.rules.table.Match(c.request.Host, c.request.URL.EscapedPath())
 	if !ok {
-		c.answerUnknownRoute()
+		c.deny(http.StatusNotFound, "noRoute")
 		return
 	}
 	c.route = route
+	if !c.identify() {
+		return
+	}
 	if limit := c.rules.document.Limits.BodyBytes; limit > 0 && c.request.ContentLength > limit {
 		c.fail(http.StatusRequestEntityTooLarge, "bodyTooLarge", nil)
 		return
@@ -137,17 +144,6 @@
 	c.attempts(ctx)
 }
 
-// answerUnknownRoute denies a request at no known route. A box without word of
-// control can't tell a wrong path from a route that was added meanwhile: callers of
-// the route would give up for good, so they are told to come back.
-func (c *call) answerUnknownRoute() {
-	if age := c.gateway.controlAge(); age > staleAfter {
-		c.refuse("routesMayBeOld", min(age, longestRoutesWait))
-		return
-	}
-	c.fail(http.StatusNotFound, "noRoute", nil)
-}
-
 // deadline is how long the caller will wait.
 func (c *call) deadline() time.Duration {
 	text := c.request.Header.Get(c.gateway.config.Protocol.Deadline)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -23,7 +23,7 @@
 	}
 	before := d.rules.Load()
 	if before != nil && before.document.Number == text.Number {
-		d.rules.Store(&inForce{document: before.document, table: before.table, version: version})
+		d.rules.Store(&inForce{document: before.document, table: before.table, keys: before.keys, version: version})
 		return
 	}
 	document, err := d.config.DecodeRoutes(text.Text)
@@ -31,7 +31,7 @@
 		d.log.Error().Str("kind", "routes").Uint64("number", text.Number).Err(err).Msg("can't read the document of routes; the one before stays in force")
 		return
 	}
-	next := &inForce{document: document, table: catalog.NewTable(document), version: version}
+	next := &inForce{document: document, table: catalog.NewTable(document), keys: catalog.NewKeyTable(document), version: version}
 	d.setCold(document.Services)
 	d.rules.Store(next)
 	d.forgetRoutes(document)
--- a/pkg/catalog/document.go
+++ b/pkg/catalog/document.go
@@ -54,6 +54,8 @@
 	MaxAttempts int
 	// Regions are the only ones that may serve the route; all if it is empty.
 	Regions []string
+	// Public tells that requests need no key of a workspace.
+	Public bool
 }
 
 // Host holds the routes of one host name.
@@ -94,23 +96,31 @@
 	Limits   Limits
 	Hosts    []Host
 	Services []Service
+	// Workspaces are those whose keys requests must carry; without any no
+	// request needs a key.
+	Workspaces []Workspace
 }
 
 // MaxTimeout is the longest time-out that a route may have (the users' rule).
 const MaxTimeout = 10 * time.Minute
 
-// InvalidError says what is wrong with a document.
+// InvalidError says what is wrong with a document, and with which of its routes
+// or workspaces.
 type InvalidError struct {
-	Route  string
-	Reason string
+	Route     string
+	Workspace string
+	Reason    string
 }
 
 // Error implements error.
 func (e *InvalidError) Error() string {
-	if e.Route == "" {
-		return "the document of routes is not valid: " + e.Reason
+	switch {
+	case e.Route != "":
+		return fmt.Sprintf("the document of routes is not valid: route %s: %s", e.Route, e.Reason)
+	case e.Workspace != "":
+		return fmt.Sprintf("the document of routes is not valid: workspace %s: %s", e.Workspace, e.Reason)
 	}
-	return fmt.Sprintf("the document of routes is not valid: route %s: %s", e.Route, e.Reason)
+	return "the document of routes is not valid: " + e.Reason
 }
 
 // Check reports the first thing that is wrong with the document by itself.
@@ -137,7 +147,7 @@
 			prefixes[r.Prefix] = true
 		}
 	}
-	return nil
+	return d.checkWorkspaces()
 }
 
 func (r Route) check(services map[string]bool) error {
--- a/pkg/catalog/format.go
+++ b/pkg/catalog/format.go
@@ -19,6 +19,17 @@
 	Limits   limitsText    `json:"limits"`
 	Hosts    []hostText    `json:"hosts"`
 	Services []serviceText `json:"services"`
+
+	Workspaces []workspaceText `json:"workspaces,omitempty"`
+}
+
+type workspaceText struct {
+	Name      string   `json:"name"`
+	Keys      []string `json:"keys"`
+	Priority  int      `json:"priority,omitempty"`
+	PerSecond float64  `json:"perSecond,omitempty"`
+	Burst     float64  `json:"burst,omitempty"`
+	Regions   []string `json:"regions,omitempty"`
 }
 
 type limitsText struct {
@@ -44,6 +55,7 @@
 	TimeoutMillis   int64             `json:"timeoutMillis"`
 	MaxAttempts     int               `json:"maxAttempts"`
 	Regions         []string          `json:"regions,omitempty"`
+	Public          bool              `json:"public,omitempty"`
 }
 
 type destinationText struct {
@@ -101,9 +113,38 @@
 			ColdRate:       s.ColdRate,
 		})
 	}
+	for _, w := range t.Workspaces {
+		d.Workspaces = append(d.Workspaces, w.workspace())
+	}
 	return d, nil
 }
 
+func (t workspaceText) workspace() Workspace {
+	return Workspace{
+		Name:     t.Name,
+		Keys:     t.Keys,
+		Priority: t.Priority,
+		Limit:    RateLimit{PerSecond: t.PerSecond, Burst: t.Burst},
+		Regions:  t.Regions,
+	}
+}
+
+// textOfWorkspace leaves the keys out: the text is for people to read.
+func textOfWorkspace(w Workspace) workspaceText {
+	keys := make([]string, len(w.Keys))
+	for i := range keys {
+		keys[i] = RedactedKey
+	}
+	return workspaceText{
+		Name:      w.Name,
+		Keys:      keys,
+		Priority:  w.Priority,
+		PerSecond: w.Limit.PerSecond,
+		Burst:     w.Limit.Burst,
+		Regions:   w.Regions,
+	}
+}
+
 func (t routeText) route() (Route, error) {
 	repeat := slices.Index(repeatNames, t.Repeat)
 	if repeat < 0 {
@@ -120,6 +161,7 @@
 		Timeout:     millis(t.TimeoutMillis),
 		MaxAttempts: t.MaxAttempts,
 		Regions:     t.Regions,
+		Public:      t.Public,
 	}
 	for _, d := range t.Destinations {
 		r.Destinations = append(r.Destinations, Destination(d))
@@ -127,7 +169,8 @@
 	return r, nil
 }
 
-// Text returns the document in the project's own format, for people to read.
+// Text returns the document in the project's own format, for people to read: in
+// place of each key stands RedactedKey.
 func (d Document) Text() []byte {
 	t := documentText{
 		Number: d.Number,
@@ -157,6 +200,9 @@
 			ColdRate:       s.ColdRate,
 		})
 	}
+	for _, w := range d.Workspaces {
+		t.Workspaces = append(t.Workspaces, textOfWorkspace(w))
+	}
 	text, err := json.MarshalIndent(t, "", "  ")
 	if err != nil {
 		panic(err) // only a weight that is no number can't be written, and none is read
@@ -176,6 +222,7 @@
 		TimeoutMillis:   r.Timeout.Milliseconds(),
 		MaxAttempts:     r.MaxAttempts,
 		Regions:         r.Regions,
+		Public:          r.Public,
 	}
 	for _, d := range r.Destinations {
 		t.Destinations = append(t.Destinations, destinationText(d))
