catalog, balance, platform: tell lives of a target apart, and take no word of another writer

A state that is not known counted as ready, what a word lacked as nothing, and a word with a service that the document does not have could end a sound target by taking its address. Ruled out: a word without a birth where the target tells one (another writer's, or late); births out of order by stepped clocks beyond a minute ahead (refused); to ask for a birth, which the targets of the present deployments don't tell. Change: a life is an id and a birth. Words are ordered by birth, then sequence; departures keep the life; an earlier life can't take the address of a later one; boxes know targets by their life and rank them by their id. A leave names no life: where eight more words of the same life come, it is taken in again.

--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -175,7 +175,7 @@
 	if err != nil {
 		return nil, err
 	}
-	calls := platform.Control{Register: d.Register, Leave: d.Leave, PutRoutes: d.PutRoutes, Routes: d.Routes, Evacuate: d.Evacuate}
+	calls := platform.Control{Register: d.Register, Leave: d.Leave, PutRoutes: d.PutRoutes, Routes: d.Routes, Evacuate: d.Evacuate, Unread: d.NoteUnread}
 	if s.Operators != "" {
 		if err := d.AddHandler("calls", s.Operators, calls.Handler()); err != nil {
 			return nil, err
--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -18,6 +18,32 @@
 // Error implements error.
 func (e *UnknownZoneError) Error() string { return fmt.Sprintf("there is no zone %q", e.Zone) }
 
+// UnknownServiceError says that a target names a service that the document in force
+// does not have.
+type UnknownServiceError struct {
+	Service string
+	Number  uint64
+}
+
+// Error implements error.
+func (e *UnknownServiceError) Error() string {
+	return fmt.Sprintf("document %d has no service %q", e.Number, e.Service)
+}
+
+// FutureBirthError says that a target tells a start that lies ahead by more than
+// clocks differ.
+type FutureBirthError struct{ Ahead time.Duration }
+
+// Error implements error.
+func (e *FutureBirthError) Error() string {
+	return fmt.Sprintf("the target tells that it starts in %s", e.Ahead)
+}
+
+// mostAhead is how far ahead of this replica's time of day a target's start may lie.
+// Clocks of the users' deployments step by seconds. A word with a later start would
+// shut the target's own words out until then.
+const mostAhead = time.Minute
+
 // NoDocumentError says that no document of routes has been put in force yet.
 type NoDocumentError struct{}
 
@@ -41,6 +67,10 @@
 		return &UnavailableError{Cause: err}
 	}
 	r := c.Registration
+	if err := d.checkWord(state, c); err != nil {
+		d.NoteUnread(r.Id, err)
+		return err
+	}
 	if !state.Catalog().News(r, c.Leave) {
 		return nil
 	}
@@ -51,11 +81,32 @@
 		line = d.process.Log.Warn().Err(err)
 	}
 	line.Str("kind", "registration").Str("target", r.Id).Str("service", r.Service).Str("address", r.Address).
-		Bool("draining", r.Draining).Bool("leaves", c.Leave).Int64("coldMillis", r.ColdMilli).Uint64("sequence", r.Sequence).
+		Bool("draining", r.Draining).Bool("leaves", c.Leave).Int64("coldMillis", r.ColdMilli).Uint64("sequence", r.Sequence).Int64("born", r.BornUnixMilli).
 		Uint64("stateVersion", state.Version()).Dur("took", time.Since(began)).Msg("a target's word was settled")
 	return err
 }
 
+// checkWord reports a word that names no target which could be used.
+func (d *Daemon) checkWord(s steering.State, c *wire.RegistrationCommand) error {
+	if c.Leave {
+		return nil
+	}
+	if ahead := time.Until(time.UnixMilli(c.Registration.BornUnixMilli)); ahead > mostAhead {
+		return &FutureBirthError{Ahead: ahead.Round(time.Second)}
+	}
+	return d.document.checkService(s.Catalog().Document(), c.Registration.Service)
+}
+
+// NoteUnread counts a target's word that can't be used. Of those that come at once
+// some have a line in the log.
+func (d *Daemon) NoteUnread(id string, cause error) {
+	d.unreadWords.Inc()
+	if !d.unreadLines.Take(time.Now()) {
+		return
+	}
+	d.process.Log.Warn().Str("kind", "registration").Str("target", id).Err(cause).Msg("a target's word can't be used; what is known of it holds")
+}
+
 // PutRoutes puts a document of routes in force. The text is what a read gives
 // back; between replicas and in the log it is packed.
 func (d *Daemon) PutRoutes(ctx context.Context, document catalog.Document, text []byte) error {
--- a/internal/control/catalogapi.go
+++ b/internal/control/catalogapi.go
@@ -107,6 +107,7 @@
 			Draining:   r.Draining,
 			ColdMillis: r.ColdMilli,
 			Sequence:   r.Sequence,
+			BornMillis: r.BornUnixMilli,
 		})
 	}
 	_ = c.JSON(out) // the client sees a broken answer
@@ -132,6 +133,8 @@
 		Draining:  t.Draining,
 		ColdMilli: t.ColdMillis,
 		Sequence:  t.Sequence,
+
+		BornUnixMilli: t.BornMillis,
 	}
 	d.answerCatalog(c, d.settle(c, func(ctx context.Context) error { return d.Register(ctx, r) }), t)
 }
@@ -182,6 +185,8 @@
 	var invalid *catalog.InvalidError
 	var refused *RefusedError
 	var zone *UnknownZoneError
+	var service *UnknownServiceError
+	var birth *FutureBirthError
 	var none *NoDocumentError
 	switch {
 	case errors.As(err, &invalid):
@@ -190,6 +195,8 @@
 		fail(c, http.StatusConflict, operator.CodeConflict, err.Error())
 	case errors.As(err, &refused):
 		fail(c, http.StatusBadRequest, operator.CodeInvalid, err.Error())
+	case errors.As(err, &service), errors.As(err, &birth):
+		fail(c, http.StatusBadRequest, operator.CodeInvalid, err.Error())
 	case errors.As(err, &zone), errors.As(err, &none):
 		fail(c, http.StatusNotFound, operator.CodeNotFound, err.Error())
 	default:
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"ledgesill.dev/ledgesill/internal/config"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/process"
@@ -34,8 +36,13 @@
 	node       *link.Node
 	transport  *transport
 	publishing *relay.Publishing
-	operators  net.Listener
-	extra      []process.Service
+	document   *documentInForce
+	// unreadWords counts words of targets that can't be used, and unreadLines
+	// bounds their log lines.
+	unreadWords prometheus.Counter
+	unreadLines *process.LineLimit
+	operators   net.Listener
+	extra       []process.Service
 
 	started time.Time
 	// heard is when a leader was last heard of, in nanoseconds after started;
@@ -108,6 +115,7 @@
 		d.process.StateChange(&wire.TimelineEvent{Kind: "journalCut", Detail: detail})
 	}
 	d.publishing = relay.NewPublishing(r.state, d.age, d.process.Clock.Stamp)
+	d.document = &documentInForce{decode: d.decodeRoutes, failed: d.noteUnreadDocument}
 	secure, err := d.config.TLS()
 	if err != nil {
 		return err
@@ -130,6 +138,8 @@
 func (d *Daemon) connect(id string) {
 	syncs := d.process.Counter("journal_syncs_total", "Syncs of the journal.").WithLabelValues()
 	syncTime := d.process.Counter("journal_sync_seconds_total", "Time spent in syncs of the journal.").WithLabelValues()
+	d.unreadWords = d.process.Counter("target_words_unread_total", "Words of targets that can't be used.").WithLabelValues()
+	d.unreadLines = process.NewLineLimit(unreadLinesPerSecond)
 	settled := d.process.Counter("changes_settled_total", "Changes that got a verdict, by verdict.", "verdict")
 	d.replica.send = func(m *wire.ConsensusMessage) {
 		m.FromAddress = d.config.PeerAddress
@@ -288,6 +298,9 @@
 
 const neverHeard = -1
 
+// unreadLinesPerSecond bounds the log lines on words of targets that can't be used.
+const unreadLinesPerSecond = 5
+
 func (d *Daemon) serveConsensus(ctx context.Context, _ string, m *link.Messages) {
 	stop := context.AfterFunc(ctx, func() { _ = m.Close() })
 	defer stop()
--- /dev/null
+++ b/internal/control/word_test.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// A word that names a service which the document does not have took the address of
+// a sound target and ended it; one whose start lies ahead would shut the target's own
+// words out until then.
+func TestWordsThatNameNothingUsableAreRefused(t *testing.T) {
+	d := &Daemon{document: &documentInForce{
+		decode: func([]byte) (catalog.Document, error) {
+			return catalog.Document{Number: 1, Services: []catalog.Service{{Name: "s"}}}, nil
+		},
+		failed: func(uint64, error) {},
+	}}
+	empty := steering.State{}
+	state, _ := empty.Apply(&wire.Command{Routes: &wire.RoutesCommand{Document: &wire.RoutesDocument{Number: 1, Text: []byte("x")}}})
+	check := func(s steering.State, r *wire.Registration, leave bool) error {
+		return d.checkWord(s, &wire.RegistrationCommand{Registration: r, Leave: leave})
+	}
+	var service *UnknownServiceError
+	if err := check(state, &wire.Registration{Id: "i", Service: "none"}, false); !errors.As(err, &service) {
+		t.Errorf("an unknown service: %v", err)
+	}
+	var birth *FutureBirthError
+	ahead := time.Now().Add(2 * mostAhead).UnixMilli()
+	if err := check(state, &wire.Registration{Id: "i", Service: "s", BornUnixMilli: ahead}, false); !errors.As(err, &birth) {
+		t.Errorf("a start that lies ahead: %v", err)
+	}
+	for name, err := range map[string]error{
+		"a known service":     check(state, &wire.Registration{Id: "i", Service: "s", BornUnixMilli: time.Now().UnixMilli()}, false),
+		"before any document": check(empty, &wire.Registration{Id: "i", Service: "none"}, false),
+		"a leave":             check(state, &wire.Registration{Id: "i"}, true),
+	} {
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -47,8 +47,8 @@
 	shaper      *shaper
 	longAnswers *linkQueue
 	metrics     *metrics
-	servedLines *lineLimit
-	otherLines  *lineLimit
+	servedLines *process.LineLimit
+	otherLines  *process.LineLimit
 	callers     *callers
 	ready       net.Listener
 	exposed     net.Listener
@@ -91,8 +91,8 @@
 		log:         p.Log,
 		started:     time.Now(),
 		metrics:     newMetrics(p.Metrics),
-		servedLines: newLineLimit(servedLines),
-		otherLines:  newLineLimit(otherLines),
+		servedLines: process.NewLineLimit(servedLines),
+		otherLines:  process.NewLineLimit(otherLines),
 		reportDue:   make(chan struct{}, 1),
 	}
 	d.balancing.balancer = balance.New(balance.Config{Box: c.Name, Zone: c.Zone, Region: c.Region})
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -95,7 +95,7 @@
 
 // notePanic logs a panic of the attempt, ends its connection and returns its failure.
 func (a *attempt) notePanic(value any) *attemptError {
-	if a.gateway.otherLines.take(time.Now()) {
+	if a.gateway.otherLines.Take(time.Now()) {
 		stack := make([]byte, panicStack)
 		stack = stack[:runtime.Stack(stack, false)]
 		a.gateway.log.Error().Str("kind", "panic").Str("request", a.id).Str("target", a.target.ID).
@@ -149,7 +149,7 @@
 }
 
 func (a *attempt) exchange(c *connection) (*answer, error) {
-	words := headWords{target: a.target.ID, workspace: a.workspace, left: a.left, length: a.body.length}
+	words := headWords{target: a.target.Name, workspace: a.workspace, left: a.left, length: a.body.length}
 	sent := a.body.send(c, a.gateway.config.Protocol.requestHead(a.request, words))
 	for range maxSkipped {
 		response, err := readFinal(c, a.request)
--- a/internal/gateway/loglimit.go
+++ b/internal/gateway/loglimit.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,49 +14,13 @@
 	otherLines  = 200
 )
 
-// lineLimit bounds the lines of one kind: what goes beyond it is counted.
-type lineLimit struct {
-	rate   float64
-	mu     sync.Mutex
-	tokens float64
-	at     time.Time
-	left   uint64
-}
-
-func newLineLimit(rate float64) *lineLimit {
-	return &lineLimit{rate: rate, tokens: rate, at: time.Now()}
-}
-
-// take reports whether a line may be written.
-func (l *lineLimit) take(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.tokens = min(l.tokens+l.rate*now.Sub(l.at).Seconds(), l.rate)
-	l.at = now
-	if l.tokens < 1 {
-		l.left++
-		return false
-	}
-	l.tokens--
-	return true
-}
-
-// leftOut returns how many lines were left out since the last call.
-func (l *lineLimit) leftOut() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := l.left
-	l.left = 0
-	return n
-}
-
 // requestLine begins the line of a request, or returns nil if it is left out.
 func (d *Daemon) requestLine(served bool) *zerolog.Event {
 	limit := d.otherLines
 	if served {
 		limit = d.servedLines
 	}
-	if !limit.take(time.Now()) {
+	if !limit.Take(time.Now()) {
 		return nil
 	}
 	if served {
@@ -68,7 +31,7 @@
 
 // noteLeftOut tells how many lines were left out.
 func (d *Daemon) noteLeftOut() {
-	served, others := d.servedLines.leftOut(), d.otherLines.leftOut()
+	served, others := d.servedLines.LeftOut(), d.otherLines.LeftOut()
 	if served+others == 0 {
 		return
 	}
--- /dev/null
+++ b/internal/gateway/reborn_test.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// All that a box learned of a target was kept by its id, also when the target had
+// crashed and started again: its load, its failures in a row, what was under way, and
+// connections that its former life had. Proof: the new life takes requests at once
+// though the former was left out, by its own connections, and is asked for by its id.
+func TestTargetThatStartsAgainIsNewToTheBox(t *testing.T) {
+	expected := make(chan string, 1)
+	s := newTarget(t, func(n int, r *http.Request, c net.Conn) bool {
+		expected <- r.Header.Get("Test-Expect")
+		return served(n, r, c)
+	})
+	dead := newTarget(t, served)
+	_ = dead.listener.Close()
+	g := newGateway(t)
+	d := g.daemon
+	state := steering.State{}
+	apply := func(born int64, sequence uint64, address string) {
+		state, _ = state.Apply(&wire.Command{Registration: &wire.RegistrationCommand{Registration: &wire.Registration{
+			Id: "t0", Service: "s", Address: address, Zone: "z", Slots: 4, Sequence: sequence, BornUnixMilli: born,
+		}}})
+		d.putInForce(state, nil)
+	}
+	apply(100, 57, dead.listener.Addr().String())
+	for i := range 3 {
+		if response, _ := g.do(t, "POST", "/unsafe/", fmt.Sprint("before", i), ""); response.StatusCode != http.StatusServiceUnavailable {
+			t.Fatalf("the former life answered %d", response.StatusCode)
+		}
+	}
+	apply(200, 1, s.listener.Addr().String())
+	if response, _ := g.do(t, "POST", "/unsafe/", "after", ""); response.StatusCode != http.StatusOK {
+		t.Fatalf("the new life is left out: %d", response.StatusCode)
+	}
+	if got := <-expected; got != "t0" {
+		t.Errorf("the target was asked for as %q", got)
+	}
+	former, latter := catalog.Life{ID: "t0", Born: 100}, catalog.Life{ID: "t0", Born: 200}
+	if d.knows(former.String()) || !d.knows(latter.String()) {
+		t.Error("the box goes by the former life")
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -71,7 +71,7 @@
 	}
 	now := time.Now()
 	d.balancing.Lock()
-	d.balancing.balancer.ChangeTargets(now, changed, ended)
+	d.balancing.balancer.ChangeTargets(now, changed, names(ended))
 	d.balancing.balancer.SetEvacuated(now, c.Evacuated())
 	d.balancing.Unlock()
 	d.log.Info().Str("kind", "targets").Int("targets", len(c.Targets())).Int("draining", draining(c.Targets())).
@@ -81,7 +81,8 @@
 
 func (d *Daemon) target(r *wire.Registration) balance.Target {
 	return balance.Target{
-		ID:       r.Id,
+		ID:       catalog.LifeOf(r).String(),
+		Name:     r.Id,
 		Service:  r.Service,
 		Address:  r.Address,
 		Zone:     r.Zone,
@@ -93,6 +94,14 @@
 	}
 }
 
+func names(list []catalog.Life) []string {
+	out := make([]string, 0, len(list))
+	for _, l := range list {
+		out = append(out, l.String())
+	}
+	return out
+}
+
 func draining(list []*wire.Registration) (n int) {
 	for _, r := range list {
 		if r.Draining {
@@ -147,7 +156,7 @@
 
 // noteTarget tells that a target was lost or is back.
 func (d *Daemon) noteTarget(change balance.Change, r balance.Report) {
-	if change == balance.Unchanged || !d.otherLines.take(time.Now()) {
+	if change == balance.Unchanged || !d.otherLines.Take(time.Now()) {
 		return
 	}
 	line := d.log.Warn().Str("kind", "target").Str("target", r.TargetID).Str("outcome", r.Outcome.String()).Dur("took", r.Took)
--- a/internal/operator/catalog.go
+++ b/internal/operator/catalog.go
@@ -18,6 +18,8 @@
 	ColdMillis int64 `json:"coldMillis,omitempty"`
 	// Sequence grows with every word of the target.
 	Sequence uint64 `json:"sequence"`
+	// BornMillis is when the target started, in Unix milliseconds; 0 if not told.
+	BornMillis int64 `json:"bornMillis,omitempty"`
 }
 
 // Evacuations are the zones whose targets get nothing.
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -11,6 +11,7 @@
 package balance
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,7 +26,11 @@
 
 // Target is one registered target.
 type Target struct {
+	// ID is unique to one life of the target: a target that starts again is another
+	// one, of which nothing is known. Name is what all its lives have in common, by
+	// which it ranks for objects; the ID stands for it where it is empty.
 	ID      string
+	Name    string
 	Service string
 	Address string
 	Zone    string
@@ -93,7 +98,7 @@
 }
 
 func newTargetState(t Target) *targetState {
-	return &targetState{Target: t, hash: xxhash.Sum64String(t.ID), pace: 1}
+	return &targetState{Target: t, hash: xxhash.Sum64String(cmp.Or(t.Name, t.ID)), pace: 1}
 }
 
 // load is how many requests the target is thought to have, by own count and by
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -15,8 +15,8 @@
 	// maxAccepted is how many accepted documents are recognised when they are
 	// sent again: several times the hundreds of changes of a busy day.
 	maxAccepted = 1024
-	// maxDeparted is how many ids of departed targets are kept, so that a late
-	// word of one of them does not bring it back.
+	// maxDeparted is how many departures of targets are kept, so that a late word
+	// of one of them does not bring it back.
 	maxDeparted = 1024
 )
 
@@ -26,7 +26,7 @@
 	accepted  []uint64
 	evacuated []string
 	targets   []*wire.Registration
-	departed  []string
+	departed  []*wire.Departure
 }
 
 // ConflictError says that a document was made against another one than the
@@ -55,23 +55,26 @@
 }
 
 // TargetsSince returns the registrations that an earlier state does not have, and the
-// ids of those that it has and this one has not. Registrations are compared by
+// lives of targets that it has and this one has not. Registrations are compared by
 // identity: of states that follow each other by commands it returns what changed,
 // of states that were decoded apart all. A registration that moved in the list may be
 // returned as both.
-func (s State) TargetsSince(earlier State) (changed []*wire.Registration, ended []string) {
+func (s State) TargetsSince(earlier State) (changed []*wire.Registration, ended []Life) {
 	if sharesList(s.targets, earlier.targets) {
 		return nil, nil
 	}
 	next := 0
 	for _, r := range earlier.targets {
 		if next == len(s.targets) || s.targets[next].Id != r.Id {
-			ended = append(ended, r.Id)
+			ended = append(ended, LifeOf(r))
 			continue
 		}
 		if s.targets[next] != r {
 			changed = append(changed, s.targets[next])
 		}
+		if LifeOf(s.targets[next]) != LifeOf(r) {
+			ended = append(ended, LifeOf(r))
+		}
 		next++
 	}
 	return append(changed, s.targets[next:]...), ended
@@ -90,9 +93,6 @@
 	return s.targets[i], true
 }
 
-// Departed reports whether a target has left.
-func (s State) Departed(id string) bool { return slices.Contains(s.departed, id) }
-
 func (s State) indexOf(id string) int {
 	return slices.IndexFunc(s.targets, func(r *wire.Registration) bool { return r.Id == id })
 }
@@ -139,59 +139,6 @@
 	return s, true
 }
 
-// ApplyRegistration enters, changes or ends a registration. A word that is
-// older than what is known of the target, or comes after its leave, changes
-// nothing; a target that takes the address of another one ends that one.
-func (s State) ApplyRegistration(c *wire.RegistrationCommand) (State, bool) {
-	r := c.Registration
-	if r == nil || !s.News(r, c.Leave) {
-		return s, false
-	}
-	if c.Leave {
-		return s.depart(r.Id), true
-	}
-	for _, other := range s.targets {
-		if other.Address == r.Address && other.Id != r.Id {
-			s = s.depart(other.Id)
-		}
-	}
-	i := s.indexOf(r.Id)
-	s.targets = slices.Clone(s.targets)
-	if i < 0 {
-		s.targets = append(s.targets, r)
-		return s, true
-	}
-	s.targets[i] = r
-	return s, true
-}
-
-// News reports whether a target's word would change the state.
-func (s State) News(r *wire.Registration, leave bool) bool {
-	if s.Departed(r.Id) {
-		return false
-	}
-	known, ok := s.Target(r.Id)
-	if leave {
-		return true
-	}
-	if !ok {
-		return true
-	}
-	if r.Sequence <= known.Sequence || known.Draining && !r.Draining {
-		return false
-	}
-	coldSame := (r.ColdMilli > 0) == (known.ColdMilli > 0)
-	same := r.Service == known.Service && r.Address == known.Address && r.Zone == known.Zone &&
-		r.Slots == known.Slots && r.Draining == known.Draining && coldSame
-	return !same
-}
-
-func (s State) depart(id string) State {
-	s.targets = slices.DeleteFunc(slices.Clone(s.targets), func(r *wire.Registration) bool { return r.Id == id })
-	s.departed = appendBounded(s.departed, id, maxDeparted)
-	return s
-}
-
 // Encode returns the state as a message.
 func (s State) Encode() *wire.Catalog {
 	if s.empty() {
@@ -202,7 +149,7 @@
 		Accepted:      s.accepted,
 		Evacuated:     s.evacuated,
 		Registrations: s.targets,
-		Departed:      s.departed,
+		Departures:    s.departed,
 	}
 }
 
@@ -229,7 +176,7 @@
 		accepted:  m.Accepted,
 		evacuated: m.Evacuated,
 		targets:   m.Registrations,
-		departed:  m.Departed,
+		departed:  append(departuresOf(m.Departed), m.Departures...),
 	}, nil
 }
 
