--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -156,6 +156,7 @@
 		syncs.Inc()
 		syncTime.Add(took.Seconds())
 	}
+	d.replica.disk = d.noteDisk
 	d.replica.noticed = func(n consensus.Notice) {
 		if n.Leader != "" {
 			d.noteHeard(0) // what subscribers are told would else lag by viewInterval
@@ -174,6 +175,15 @@
 	d.process.Gauge("control_age_seconds", "Age of the word of a leader with a quorum; a replica that is cut off shows it growing.", func() float64 { return d.age().Seconds() })
 }
 
+// noteDisk tells that the disk is full or has room again.
+func (d *Daemon) noteDisk(full *FullDiskError) {
+	if full != nil {
+		d.process.StateChange(&wire.TimelineEvent{Kind: "diskFull", Box: d.replica.id, Detail: "takes no part until there is room: " + full.Cause.Error()})
+		return
+	}
+	d.process.StateChange(&wire.TimelineEvent{Kind: "diskRoom", Box: d.replica.id, Detail: "the disk has room again; goes on from what it holds"})
+}
+
 func (d *Daemon) noteSettled(c *wire.Command, result steering.Result) {
 	switch {
 	case c.Change != nil:
--- a/internal/control/disk_test.go
+++ b/internal/control/disk_test.go
@@ -26,6 +26,8 @@
 	random  *rand.Rand
 	names   map[string]*fakeFile
 	durable map[string]*fakeFile
+	// torn has a write that fails leave half of its bytes.
+	torn bool
 	// before is called ahead of every operation; an error makes it fail.
 	before func(operation, name string) error
 }
@@ -94,6 +96,9 @@
 	return journal.File{
 		Write: func(b []byte) (int, error) {
 			if err := d.before("write", name); err != nil {
+				if d.torn {
+					f.data = append(f.data, b[:len(b)/2]...)
+				}
 				return 0, err
 			}
 			f.data = append(f.data, b...)
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -59,6 +60,23 @@
 	}}
 }
 
+// fullDiskFault has a disk take no bytes for a while; one write leaves half of its
+// bytes.
+func fullDiskFault(length time.Duration) fault {
+	return fault{on: func(w *world, n *node) {
+		until := w.now.Add(length)
+		before, disk := n.disk.before, n.disk
+		disk.torn = true
+		disk.before = func(operation, name string) error {
+			if operation == "write" && w.now.Before(until) {
+				return fmt.Errorf("write %s: %w", name, syscall.ENOSPC)
+			}
+			disk.torn = false
+			return before(operation, name)
+		}
+	}}
+}
+
 func cutFault(out, in bool, length time.Duration) fault {
 	return fault{
 		on:    func(w *world, n *node) { w.cutZone(n.zone, out, in, length) },
@@ -73,6 +91,7 @@
 		named("torn write", killFault(time.Second, true)),
 		named("failed sync", diskFault("sync")),
 		named("full disk", diskFault("write")),
+		named("full disk for a while", fullDiskFault(4*time.Second)),
 		named("disk lost", fault{on: func(w *world, n *node) {
 			w.loseDisk(n, time.Second)
 			panic(crashed{n})
--- /dev/null
+++ b/internal/control/fulldisk.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/consensus"
+)
+
+// roomInterval is how often a replica whose disk is full looks for room. Others
+// elect a leader after 0.8 s without its word.
+const roomInterval = 100 * time.Millisecond
+
+// FullDiskError says that a replica can store nothing because its disk is full.
+type FullDiskError struct{ Cause error }
+
+// Error implements error.
+func (e *FullDiskError) Error() string {
+	return fmt.Sprintf("this replica can store nothing, its disk is full: %v", e.Cause)
+}
+
+// Unwrap returns what the disk said.
+func (e *FullDiskError) Unwrap() error { return e.Cause }
+
+// isFull reports whether a disk refused a write for want of room, which passes. A
+// disk that fails otherwise ends the replica: what it holds is not known.
+func isFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
+// rest has the replica take no part while its disk is full. What the machine has
+// decided and not stored must not be acted on: nothing is sent, so that others elect
+// a leader, and no vote counts that was not stored. What was applied is kept and goes
+// on being shown.
+func (r *replica) rest(cause error) {
+	r.full = &FullDiskError{cause}
+	r.nextLook = r.now().Add(roomInterval)
+	for token, reply := range r.tokens {
+		delete(r.tokens, token)
+		reply <- outcome{err: &LostError{}} // what was being stored may be there after all
+	}
+	r.failWaiting()
+	for token, reply := range r.reads {
+		delete(r.reads, token)
+		reply <- readOutcome{r.state, &consensus.NotLeaderError{}}
+	}
+	r.disk(r.full)
+}
+
+// decline takes a message while the disk is full. Another replica may lead, which
+// this one would not know of.
+func (r *replica) decline(m message) {
+	switch m := m.(type) {
+	case proposal:
+		m.reply <- outcome{err: &consensus.NotLeaderError{}}
+	case membershipChange:
+		m.reply <- outcome{err: &consensus.NotLeaderError{}}
+	case reading:
+		m.reply <- readOutcome{r.state, &consensus.NotLeaderError{}}
+	case viewing:
+		m.reply <- view{consensus.Status{ID: r.id, CutOff: true}, r.state, r.machine.Membership()}
+	}
+}
+
+// tick tells the machine of the time, or looks for room on the disk.
+func (r *replica) tick() (consensus.Output, error) {
+	if r.full == nil {
+		return r.machine.Handle(r.now(), consensus.Tick{}), nil
+	}
+	if r.now().Before(r.nextLook) {
+		return consensus.Output{}, nil
+	}
+	r.nextLook = r.now().Add(roomInterval)
+	err := r.resume()
+	if isFull(err) {
+		return consensus.Output{}, nil
+	}
+	return consensus.Output{}, err
+}
+
+// resume goes on from what the disk holds, like a replica that starts, but for what
+// was applied already.
+func (r *replica) resume() error {
+	found, err := r.journal.Reopen()
+	if err != nil {
+		return fmt.Errorf("opening the journal again: %w", err)
+	}
+	if err := r.journal.Append(found.HardState, nil); err != nil {
+		return fmt.Errorf("looking for room on the disk: %w", err)
+	}
+	stored := consensus.Stored{HardState: found.HardState, Snapshot: found.Snapshot, Entries: found.Entries}
+	machine, err := consensus.New(r.now(), r.config, stored)
+	if err != nil {
+		return err
+	}
+	if s := found.Snapshot; s != nil && s.Index > r.applied {
+		if err := r.restoreSnapshot(s); err != nil {
+			return err
+		}
+		r.publish(r.state, nil)
+	}
+	r.machine = machine
+	r.hardState = found.HardState
+	r.snapshot = found.Snapshot.GetIndex()
+	r.full = nil
+	r.disk(nil)
+	return nil
+}
--- a/internal/control/packed_test.go
+++ b/internal/control/packed_test.go
@@ -57,6 +57,7 @@
 	r.noticed = func(consensus.Notice) {}
 	r.settled = func(_ *wire.Command, result steering.Result) { l.results = append(l.results, result) }
 	r.synced = func(time.Duration) {}
+	r.disk = func(*FullDiskError) {}
 	now = now.Add(3 * time.Second) // nobody leads: it is elected
 	if err := r.carryOut(r.machine.Handle(now, consensus.Tick{})); err != nil {
 		t.Fatal(err)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -104,6 +104,12 @@
 	noticed func(consensus.Notice)
 	settled func(*wire.Command, steering.Result)
 	synced  func(time.Duration)
+	// disk is told that the disk is full, and with nil that it has room again.
+	disk func(*FullDiskError)
+
+	// full tells that the disk takes nothing; room is looked for at nextLook.
+	full     *FullDiskError
+	nextLook time.Time
 }
 
 const (
@@ -153,7 +159,7 @@
 }
 
 // run is the loop. It returns when the context ends or the disk fails: a
-// replica that can't sync must not go on.
+// replica that can't sync must not go on. A full disk is waited for.
 func (r *replica) run(ctx context.Context) error {
 	tick := time.NewTimer(r.untilTick())
 	defer tick.Stop()
@@ -163,7 +169,11 @@
 			return ctx.Err()
 		case <-tick.C:
 			tick.Reset(r.untilTick())
-			if err := r.carryOut(r.machine.Handle(r.now(), consensus.Tick{})); err != nil {
+			out, err := r.tick()
+			if err != nil {
+				return err
+			}
+			if err := r.carryOut(out); err != nil {
 				return err
 			}
 		case m := <-r.inbox:
@@ -184,6 +194,9 @@
 		timeout = time.Second
 	}
 	usual := timeout / ticksPerElection
+	if r.full != nil {
+		return usual
+	}
 	if due := r.machine.NextElection().Sub(r.now()); due > 0 {
 		return min(usual, due)
 	}
@@ -206,6 +219,10 @@
 }
 
 func (r *replica) handle(m message) consensus.Output {
+	if r.full != nil {
+		r.decline(m)
+		return consensus.Output{}
+	}
 	now := r.now()
 	switch m := m.(type) {
 	case received:
@@ -261,11 +278,21 @@
 	return consensus.Output{HardState: hs, Snapshot: s}
 }
 
-// carryOut does what an output asks for: first the disk, then all else.
+// carryOut does what an output asks for. If the disk has no room, the replica rests.
 func (r *replica) carryOut(out consensus.Output) error {
+	err := r.carryOutStored(out)
+	if !isFull(err) {
+		return err
+	}
+	r.rest(err)
+	return nil
+}
+
+// carryOutStored stores what must be durable, then does all else.
+func (r *replica) carryOutStored(out consensus.Output) error {
 	if out.Durable() {
 		if err := r.store(out); err != nil {
-			return fmt.Errorf("replica stops, its disk failed: %w", err)
+			return fmt.Errorf("storing: %w", err)
 		}
 	}
 	if out.Snapshot != nil {
@@ -389,7 +416,7 @@
 		hs = &wire.HardState{Term: status.Term}
 	}
 	if err := r.journal.SaveSnapshot(s, hs, r.machine.EntriesAfter(s.Index)); err != nil {
-		return fmt.Errorf("replica stops, its disk failed: %w", err)
+		return fmt.Errorf("storing: %w", err)
 	}
 	r.snapshot = s.Index
 	r.machine.Handle(r.now(), consensus.Compact{Snapshot: s})
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -156,6 +156,7 @@
 	r.noticed = func(notice consensus.Notice) { w.noticed(n, notice) }
 	r.settled = func(c *wire.Command, _ steering.Result) { w.settled(n, c) }
 	r.synced = func(time.Duration) {}
+	r.disk = func(*FullDiskError) {}
 	n.disk.before = func(operation, name string) error {
 		if operation == "rename" && name == "snapshot" {
 			w.hook("snapshot", n)
@@ -225,6 +226,18 @@
 	guarded(n, func() { w.store(n, out) })
 }
 
+// tick tells a node of the time.
+func (w *world) tick(n *node) {
+	guarded(n, func() {
+		out, err := n.replica.tick()
+		if err != nil {
+			w.kill(n, false, time.Second)
+			return
+		}
+		w.store(n, out)
+	})
+}
+
 func (w *world) store(n *node, out consensus.Output) {
 	if err := n.replica.carryOut(out); err != nil {
 		w.kill(n, false, time.Second)
@@ -358,10 +371,10 @@
 	}
 	if n.alive && !w.now.Before(n.nextAt) {
 		n.nextAt = w.now.Add(replicaTick)
-		w.carryOut(n, n.replica.machine.Handle(w.now, consensus.Tick{}))
+		w.tick(n)
 		w.repair(n)
 	}
-	if !n.alive {
+	if !n.alive || n.replica.full != nil {
 		return
 	}
 	s := n.replica.machine.Status(w.now)
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -6,8 +6,8 @@
 // before the next is written. A bad frame that nothing follows is therefore
 // the torn tail of a crash and is cut off; a bad frame that a whole frame
 // follows is damage, and Open refuses with a DamageError and changes nothing.
-// A failed write or sync breaks the journal for good: what the disk holds is
-// no longer known, so every later call fails.
+// A failed write or sync breaks the journal: what the disk holds is no longer known,
+// so every later call fails until Reopen has read it.
 package journal
 
 import (
@@ -311,6 +311,26 @@
 	return old.Close()
 }
 
+// Reopen recovers from a failure of the disk that has passed, like Open: of the
+// writes that failed it keeps those that the disk holds whole, synced. The folder
+// stays this process's.
+func (j *Journal) Reopen() (*Recovered, error) {
+	if err := j.file.Close(); err != nil {
+		return nil, fmt.Errorf("closing the journal: %w", err)
+	}
+	j.broken = true
+	j.sequence, j.size = 0, 0
+	found, err := j.recover("")
+	if err != nil {
+		return nil, err
+	}
+	if err := j.file.Sync(); err != nil {
+		return nil, fmt.Errorf("syncing the journal: %w", err)
+	}
+	j.broken = false
+	return found, nil
+}
+
 // Size returns the length of the journal file in bytes.
 func (j *Journal) Size() int64 { return j.size }
 
