gateway: set no issuers beside the loop in a test

Only the test did so; the loop and take set them under the lock. Change: the line goes, take sets the issuers anyway.

--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -139,7 +139,6 @@
 	inVirtualTime(t, func(t *testing.T) {
 		s, r := limitedScene(t, 2, map[string]int{"a": 2})
 		s.scripts = scripts(s.breaks(0), s.answers(0, "second"))
-		s.daemon.permits.stock.SetIssuers([]string{"a"})
 		until := time.Now().Add(time.Second)
 		s.daemon.permits.putBack("north", until)
 		s.daemon.permits.putBack("north", until)
