--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -100,6 +100,10 @@
 	return d.document.checkService(s.Catalog().Document(), c.Registration.Service)
 }
 
+// unreadLinesPerSecond bounds the log lines on words of targets that can't be used: a
+// few show what comes, the counter tells how many.
+const unreadLinesPerSecond = 5
+
 // NoteUnread counts a target's word that can't be used. Of those that come at once
 // some have a line in the log.
 func (d *Daemon) NoteUnread(id string, cause error) {
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -177,15 +177,6 @@
 	d.process.Gauge("control_age_seconds", "Age of the word of a leader with a quorum; a replica that is cut off shows it growing.", func() float64 { return d.age().Seconds() })
 }
 
-// noteDisk tells that the disk is full or has room again.
-func (d *Daemon) noteDisk(full *FullDiskError) {
-	if full != nil {
-		d.process.StateChange(&wire.TimelineEvent{Kind: "diskFull", Box: d.replica.id, Detail: "takes no part until there is room: " + full.Cause.Error()})
-		return
-	}
-	d.process.StateChange(&wire.TimelineEvent{Kind: "diskRoom", Box: d.replica.id, Detail: "the disk has room again; goes on from what it holds"})
-}
-
 func (d *Daemon) noteSettled(c *wire.Command, result steering.Result) {
 	switch {
 	case c.Change != nil:
@@ -316,9 +307,6 @@
 
 const neverHeard = -1
 
-// unreadLinesPerSecond bounds the log lines on words of targets that can't be used.
-const unreadLinesPerSecond = 5
-
 func (d *Daemon) serveConsensus(ctx context.Context, _ string, m *link.Messages) {
 	stop := context.AfterFunc(ctx, func() { _ = m.Close() })
 	defer stop()
--- a/internal/control/fulldisk.go
+++ b/internal/control/fulldisk.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ledgesill.dev/ledgesill/pkg/consensus"
+	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
 // roomInterval is how often a replica whose disk is full looks for room. Others
@@ -121,3 +122,12 @@
 	r.disk(nil)
 	return nil
 }
+
+// noteDisk tells that the disk is full or has room again.
+func (d *Daemon) noteDisk(full *FullDiskError) {
+	if full != nil {
+		d.process.StateChange(&wire.TimelineEvent{Kind: "diskFull", Box: d.replica.id, Detail: "takes no part until there is room: " + full.Cause.Error()})
+		return
+	}
+	d.process.StateChange(&wire.TimelineEvent{Kind: "diskRoom", Box: d.replica.id, Detail: "the disk has room again; goes on from what it holds"})
+}
