control: tell a document with its keys only to who has the token

Cause, by reading the change again: the text of the document as it was written holds the keys of workspaces, and the operators' address told it to anyone. Change: the query text=true needs the operators' token, where one is set. Test: TestDocumentWithKeysNeedsTheToken, seen failing with the guard taken out.

--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -93,16 +93,20 @@
 }
 
 func (d *Daemon) authorized(c iris.Context) {
-	if d.config.Token == "" {
+	if d.hasToken(c) {
 		c.Next()
-		return
 	}
+}
+
+// hasToken reports whether a call has the operators' token; one that lacks it has
+// been answered.
+func (d *Daemon) hasToken(c iris.Context) bool {
 	want := "Bearer " + d.config.Token
-	if subtle.ConstantTimeCompare([]byte(c.GetHeader("Authorization")), []byte(want)) != 1 {
-		fail(c, http.StatusUnauthorized, operator.CodeUnauthorized, "this needs the operators' token")
-		return
+	if d.config.Token == "" || subtle.ConstantTimeCompare([]byte(c.GetHeader("Authorization")), []byte(want)) == 1 {
+		return true
 	}
-	c.Next()
+	fail(c, http.StatusUnauthorized, operator.CodeUnauthorized, "this needs the operators' token")
+	return false
 }
 
 func readBody(c iris.Context, into any) bool {
--- a/internal/control/catalogapi.go
+++ b/internal/control/catalogapi.go
@@ -40,8 +40,13 @@
 }
 
 // getRoutes answers with the document in force: as it was written if the query
-// says text=true, else in the project's format.
+// says text=true, else in the project's format without keys. What was written holds
+// the keys of workspaces, so that it needs the operators' token.
 func (d *Daemon) getRoutes(c iris.Context) {
+	asWritten := c.URLParam("text") == "true"
+	if asWritten && !d.hasToken(c) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), readTimeout)
 	defer cancel()
 	text, err := d.Routes(ctx)
@@ -49,7 +54,7 @@
 		d.failCatalog(c, err)
 		return
 	}
-	if c.URLParam("text") != "true" {
+	if !asWritten {
 		document, err := d.decodeRoutes(text)
 		if err != nil {
 			d.failCatalog(c, err)
--- a/internal/control/word_test.go
+++ b/internal/control/word_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"errors"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/kataras/iris/v12"
+
+	"ledgesill.dev/ledgesill/internal/config"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -44,3 +49,19 @@
 		}
 	}
 }
+
+// The document as it was written holds the keys of workspaces, and was told to anyone
+// who reached the operators' address.
+func TestDocumentWithKeysNeedsTheToken(t *testing.T) {
+	d := &Daemon{config: config.Control{Token: "secret"}}
+	app := iris.New()
+	d.addCatalog(app)
+	if err := app.Build(); err != nil {
+		t.Fatal(err)
+	}
+	w := httptest.NewRecorder()
+	app.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/routes?text=true", nil))
+	if w.Code != http.StatusUnauthorized {
+		t.Errorf("without the token: status %d", w.Code)
+	}
+}
