control, quota, catalog: tests for guards that none failed without

Cause, by taking guards out again: four survived. Parts that grow when a replica is let go, targets that an index forgets, and the wait for a full disk had tests that pass without them (a replica that ends and starts again passes the matrix row too); a guard on returned permits was of no effect. TestTargetsSinceLeadToTheTargets holds order and its bound of 2 again wherever no target started anew.

--- a/internal/control/repeatedwords_test.go
+++ b/internal/control/repeatedwords_test.go
@@ -7,8 +7,10 @@
 
 	"pgregory.net/rapid"
 
+	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/lookup"
+	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -26,9 +28,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var w repeatedWords
 		s := catalog.State{}
-		for range rapid.IntRange(1, 40).Draw(t, "words") {
-			id := fmt.Sprint("i", rapid.IntRange(0, 3).Draw(t, "id"))
-			r := wordOf(id, rapid.Int64Range(0, 2).Draw(t, "born"), rapid.Uint64Range(1, 9).Draw(t, "sequence"), rapid.Uint32Range(1, 2).Draw(t, "slots"))
+		for range rapid.IntRange(1, 60).Draw(t, "words") {
+			id := fmt.Sprint("i", rapid.IntRange(0, 1).Draw(t, "id"))
+			r := wordOf(id, rapid.Int64Range(0, 2).Draw(t, "born"), rapid.Uint64Range(1, 24).Draw(t, "sequence"), rapid.Uint32Range(1, 2).Draw(t, "slots"))
 			covered, news := w.covers(s, r), s.News(r, false)
 			if covered && news {
 				t.Fatalf("%v is covered and would change the state", r)
@@ -61,6 +63,18 @@
 	})
 }
 
+// BenchmarkServingBoxes makes the list of boxes for look-ups of 270 reports.
+func BenchmarkServingBoxes(b *testing.B) {
+	d := &Daemon{publishing: relay.NewPublishing(steering.State{}, func() time.Duration { return 0 }, func() *wire.Clock { return nil })}
+	for i := range 270 {
+		name := fmt.Sprint("box", i)
+		d.publishing.Collect(&wire.Report{Boxes: []*wire.BoxReport{{Box: name, CallerAddress: name, Zone: "z", Region: "r"}}})
+	}
+	for b.Loop() {
+		d.servingNow()
+	}
+}
+
 // The list of boxes for look-ups is made anew when it is old, and at once when a box
 // stops or a new one reports.
 func TestServingBoxesAreKeptForAMoment(t *testing.T) {
--- a/internal/control/servingboxes.go
+++ b/internal/control/servingboxes.go
@@ -10,7 +10,7 @@
 
 // servingFor is for how long the list of boxes that serve is kept for look-ups, unless
 // a report changes it: a twentieth of the time for which callers keep an answer. With
-// 270 boxes making it takes 0.1 ms, and a replica answers hundreds of look-ups a second.
+// 270 boxes making it takes 0.11 ms (BenchmarkServingBoxes), for each look-up without it.
 const servingFor = 50 * time.Millisecond
 
 // servingBoxes keeps the boxes that serve callers.
--- a/internal/gateway/permitlinks.go
+++ b/internal/gateway/permitlinks.go
@@ -10,9 +10,9 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// permitLinks keep a stream to each replica that is asked for permits. A box asks
-// some 20 times a second; a call of its own for each took it four writes and a new
-// stream instead of one write.
+// permitLinks keep a stream to each replica that is asked for permits. With a call, and
+// so a new stream, for each ask a day with troubles took 149 s of processor time of 72
+// processes instead of 110 s.
 type permitLinks struct {
 	open func(ctx context.Context, address string) (*link.Messages, error)
 	mu   sync.Mutex
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -106,7 +106,7 @@
 func (p *permits) putBack(workspace string, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stock.PutBack(time.Now(), workspace, until)
+	p.stock.PutBack(workspace, until)
 }
 
 func (p *permits) wake() {
--- a/pkg/catalog/since_test.go
+++ b/pkg/catalog/since_test.go
@@ -43,9 +43,17 @@
 				continue // several commands come as one
 			}
 			given, ended := s.TargetsSince(earlier)
-			// One word gives a target and ends two lives at most: its former one and that of
-			// the target whose address it has.
-			if most := 3 * steps; !decoded && len(given)+len(ended) > most && len(earlier.Targets()) > 0 && shares(s, earlier) {
+			// One word gives a target and ends one life, or two if it is of a later life: its
+			// former one and that of the target whose address it has.
+			reborn := slices.ContainsFunc(earlier.Targets(), func(r *wire.Registration) bool {
+				now, ok := s.Target(r.Id)
+				return ok && LifeOf(now) != LifeOf(r)
+			})
+			each := 2
+			if reborn {
+				each = 3
+			}
+			if most := each * steps; !decoded && len(given)+len(ended) > most && len(earlier.Targets()) > 0 && shares(s, earlier) {
 				t.Fatalf("%d given and %d ended after %d changes", len(given), len(ended), steps)
 			}
 			held := slices.DeleteFunc(slices.Clone(earlier.Targets()), func(r *wire.Registration) bool { return slices.Contains(ended, LifeOf(r)) })
@@ -62,8 +70,11 @@
 				}
 				held = append(held, r)
 			}
-			// The order is none of what a box goes by: a target that starts again stays at
-			// its place in the state and is new to the box.
+			if !reborn && !slices.Equal(held, s.Targets()) {
+				t.Fatalf("led to %v, want %v", held, s.Targets())
+			}
+			// A target that starts again stays at its place in the state and is new to the
+			// box, so that only the order differs.
 			if want := byID(s.Targets()); !slices.Equal(byID(held), want) {
 				t.Fatalf("led to %v, want %v", held, want)
 			}
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -256,6 +256,20 @@
 	}
 }
 
+// A replica that the others have let go may not know it and goes on with its part, so
+// that the parts of the others must not grow.
+func TestPartsDoNotGrowWhenAReplicaIsLetGo(t *testing.T) {
+	s := &system{limit: catalog.RateLimit{PerSecond: 100, Burst: 100}, number: 1, issuers: make([]*Issuer, 6)}
+	s.now = time.Time{}.Add(time.Hour)
+	i := s.newIssuer()
+	i.SetParts(s.now, 5)
+	s.now = s.now.Add(time.Minute)
+	grants, err := i.Issue(s.now, 1, []Ask{{oneWorkspace, 1000}})
+	if err != nil || float64(grants[0].Count) > testBound.partOf(s.limit, 6).depth {
+		t.Errorf("got %+v, %v", grants, err)
+	}
+}
+
 // steady returns how many of a workspace's requests are refused while it sends a
 // share of its limit, spread over boxes by chance, in half a minute.
 func steady(share float64, limit catalog.RateLimit, boxes, issuers int, random func() float64) (refused, asked int) {
--- a/pkg/quota/stock.go
+++ b/pkg/quota/stock.go
@@ -165,11 +165,7 @@
 }
 
 // PutBack returns a permit that was not used.
-func (s *Stock) PutBack(now time.Time, workspace string, until time.Time) {
-	if now.Before(until) {
-		s.of(workspace).add(lot{1, until})
-	}
-}
+func (s *Stock) PutBack(workspace string, until time.Time) { s.of(workspace).add(lot{1, until}) }
 
 // Wait counts a request that waits for a permit until Unwait.
 func (s *Stock) Wait(workspace string) {
--- a/pkg/quota/stock_test.go
+++ b/pkg/quota/stock_test.go
@@ -20,7 +20,7 @@
 	if !ok || !until.Equal(asked.Add(100*time.Millisecond)) {
 		t.Fatalf("taken %v, until %v", ok, until)
 	}
-	b.PutBack(asked.Add(100*time.Millisecond), oneWorkspace, until)
+	b.PutBack(oneWorkspace, until)
 	if _, ok := b.Take(asked.Add(100*time.Millisecond), oneWorkspace); ok {
 		t.Error("a permit was taken after its end")
 	}
