catalog, distribution: apply words of targets that come together in one pass

Cause: each word of an update went through all targets several times and copied their list, at each box, up to 25 times a second. Ruled out: an index that is kept beside the immutable state (it would be shared by readers of older states). Change: ApplyRegistrations goes through targets and departures once for all words; ApplyRegistration and News are the case of one word. A property test has the former code as its reference.

--- a/pkg/catalog/bench_test.go
+++ b/pkg/catalog/bench_test.go
@@ -89,3 +89,22 @@
 		})
 	}
 }
+
+// BenchmarkRegistrations is what twenty words that come together cost, half of
+// targets that join and half of such that leave.
+func BenchmarkRegistrations(b *testing.B) {
+	for _, n := range benchTargets {
+		s := sizedState(n)
+		var words []*wire.RegistrationCommand
+		for i := range 10 {
+			leave := &wire.RegistrationCommand{Registration: &wire.Registration{Id: fmt.Sprint("i", i)}, Leave: true}
+			words = append(words, word(fmt.Sprint("new", i), fmt.Sprint("b", i), 1, false), leave)
+		}
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				s.ApplyRegistrations(words)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/catalog/editing_test.go
@@ -0,0 +1,155 @@
+package catalog
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// reference applies words as the state did before they were applied together: one by
+// one, with a pass over all targets for each question.
+type reference struct {
+	targets  []*wire.Registration
+	departed []*wire.Departure
+}
+
+func (s *reference) apply(c *wire.RegistrationCommand) bool {
+	r := c.Registration
+	if r == nil || !s.isNews(r, c.Leave) {
+		return false
+	}
+	if c.Leave {
+		s.depart(r.Id)
+		return true
+	}
+	for _, other := range slices.Clone(s.targets) {
+		if other.Address == r.Address && other.Id != r.Id {
+			s.depart(other.Id)
+		}
+	}
+	if i := s.indexOf(r.Id); i >= 0 {
+		s.targets[i] = r
+		return true
+	}
+	s.targets = append(s.targets, r)
+	return true
+}
+
+func (s *reference) indexOf(id string) int {
+	return slices.IndexFunc(s.targets, func(r *wire.Registration) bool { return r.Id == id })
+}
+
+func (s *reference) isNews(r *wire.Registration, leave bool) bool {
+	i := s.indexOf(r.Id)
+	if s.hasLeft(r, leave, i >= 0) {
+		return false
+	}
+	if leave {
+		return i < 0 || r.BornUnixMilli == 0 || compareBirths(r.BornUnixMilli, s.targets[i].BornUnixMilli) >= 0
+	}
+	older := slices.ContainsFunc(s.targets, func(other *wire.Registration) bool {
+		return other.Address == r.Address && other.Id != r.Id && r.BornUnixMilli > 0 && r.BornUnixMilli < other.BornUnixMilli
+	})
+	if older || i < 0 {
+		return !older
+	}
+	if order := compareBirths(r.BornUnixMilli, s.targets[i].BornUnixMilli); order != 0 {
+		return order > 0
+	}
+	return !Repeats(s.targets[i], r)
+}
+
+func (s *reference) hasLeft(r *wire.Registration, leave, registered bool) bool {
+	i := slices.IndexFunc(s.departed, func(d *wire.Departure) bool { return d.Id == r.Id })
+	if i < 0 {
+		return false
+	}
+	if leave {
+		return !registered
+	}
+	d := s.departed[i]
+	order := compareBirths(r.BornUnixMilli, d.BornUnixMilli)
+	alive := order == 0 && r.BornUnixMilli > 0 && !r.Draining && r.Sequence >= d.Sequence+aliveWords
+	return order <= 0 && !alive
+}
+
+func (s *reference) depart(id string) {
+	d := &wire.Departure{Id: id}
+	if i := s.indexOf(id); i >= 0 {
+		d.BornUnixMilli, d.Sequence = s.targets[i].BornUnixMilli, s.targets[i].Sequence
+		s.targets = slices.Delete(s.targets, i, i+1)
+	}
+	s.departed = slices.DeleteFunc(s.departed, func(other *wire.Departure) bool { return other.Id == id })
+	s.departed = append(s.departed, d)
+	if extra := len(s.departed) - maxDeparted; extra > 0 {
+		s.departed = s.departed[extra:]
+	}
+}
+
+func drawWord(t *rapid.T, ids int, sequence uint64) *wire.RegistrationCommand {
+	return &wire.RegistrationCommand{
+		Leave: rapid.IntRange(0, 3).Draw(t, "leave") == 0,
+		Registration: &wire.Registration{
+			Id:       fmt.Sprint("t", rapid.IntRange(0, ids).Draw(t, "id")),
+			Address:  fmt.Sprint("a", rapid.IntRange(0, ids).Draw(t, "address")),
+			Service:  "s",
+			Draining: rapid.IntRange(0, 5).Draw(t, "draining") == 0,
+			Sequence: sequence - min(sequence, uint64(rapid.IntRange(0, 5).Draw(t, "late"))),
+
+			BornUnixMilli: int64(rapid.IntRange(0, 3).Draw(t, "born")),
+		},
+	}
+}
+
+// Words that are applied together lead to the same as one by one, in the same order of
+// targets and departures, also where the oldest departures are let go meanwhile.
+func TestWordsTogetherLeadToTheSameAsOneByOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := &reference{}
+		s := State{}
+		if rapid.Bool().Draw(t, "full") {
+			for i := range maxDeparted - 2 {
+				want.departed = append(want.departed, &wire.Departure{Id: fmt.Sprint("t", i)})
+			}
+			s.departed = slices.Clone(want.departed)
+		}
+		sequence := uint64(0)
+		for range rapid.IntRange(1, 12).Draw(t, "batches") {
+			var words []*wire.RegistrationCommand
+			for range rapid.IntRange(1, 16).Draw(t, "words") {
+				sequence++
+				words = append(words, drawWord(t, 14, sequence))
+			}
+			before, targets, departed := s, slices.Clone(s.targets), slices.Clone(s.departed)
+			next, changed := s.ApplyRegistrations(words)
+			any := false
+			for i, c := range words {
+				did := want.apply(c)
+				any = any || did
+				if changed[i] != did {
+					t.Fatalf("word %d (%v) changed: %v, want %v", i, c, changed[i], did)
+				}
+			}
+			if !slices.Equal(next.targets, want.targets) {
+				t.Fatalf("targets %v, want %v", next.targets, want.targets)
+			}
+			sameDeparture := func(a, b *wire.Departure) bool {
+				return a.Id == b.Id && a.BornUnixMilli == b.BornUnixMilli && a.Sequence == b.Sequence
+			}
+			if !slices.EqualFunc(next.departed, want.departed, sameDeparture) {
+				t.Fatalf("departures %v, want %v", next.departed, want.departed)
+			}
+			if !slices.Equal(before.targets, targets) || !slices.Equal(before.departed, departed) {
+				t.Fatal("the state before has changed")
+			}
+			if !any && !next.SharesTargets(before) {
+				t.Fatal("words without news made a new list")
+			}
+			s = next
+		}
+	})
+}
--- a/pkg/catalog/registration.go
+++ b/pkg/catalog/registration.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -51,47 +50,27 @@
 // older than what is known of the target, or comes after its leave, changes
 // nothing; a target that takes the address of another one ends that one.
 func (s State) ApplyRegistration(c *wire.RegistrationCommand) (State, bool) {
-	r := c.Registration
-	if r == nil || !s.News(r, c.Leave) {
-		return s, false
-	}
-	if c.Leave {
-		return s.depart(r.Id), true
-	}
-	for _, other := range s.targets {
-		if other.Address == r.Address && other.Id != r.Id {
-			s = s.depart(other.Id)
-		}
-	}
-	i := s.indexOf(r.Id)
-	s.targets = slices.Clone(s.targets)
-	if i < 0 {
-		s.targets = append(s.targets, r)
-		return s, true
-	}
-	s.targets[i] = r
-	return s, true
+	next, changed := s.ApplyRegistrations([]*wire.RegistrationCommand{c})
+	return next, changed[0]
+}
+
+// ApplyRegistrations applies words of targets one after the other and tells of each
+// whether it changed the state. It goes through the targets and copies their list
+// once, however many words there are: an update with twenty words costs a box with
+// 1,356 targets 0.15 ms of a core instead of 0.89 ms and leaves 59 KB of garbage
+// instead of 387 KB (BenchmarkTargetsReplaced of the gateway).
+func (s State) ApplyRegistrations(words []*wire.RegistrationCommand) (State, []bool) {
+	e := newEditing(s, words)
+	changed := make([]bool, len(words))
+	for i, c := range words {
+		changed[i] = e.apply(c)
+	}
+	return e.state(), changed
 }
 
 // News reports whether a target's word would change the state.
 func (s State) News(r *wire.Registration, leave bool) bool {
-	if s.hasLeft(r, leave) {
-		return false
-	}
-	known, ok := s.Target(r.Id)
-	if leave {
-		return !ok || r.BornUnixMilli == 0 || compareBirths(r.BornUnixMilli, known.BornUnixMilli) >= 0
-	}
-	if s.isOlderThanOwner(r) {
-		return false
-	}
-	if !ok {
-		return true
-	}
-	if order := compareBirths(r.BornUnixMilli, known.BornUnixMilli); order != 0 {
-		return order > 0
-	}
-	return !Repeats(known, r)
+	return newEditing(s, []*wire.RegistrationCommand{{Registration: r, Leave: leave}}).isNews(r, leave)
 }
 
 // Repeats reports whether a word of the same life as a known one says nothing new:
@@ -108,42 +87,6 @@
 		r.Slots == known.Slots && r.Draining == known.Draining && coldSame
 }
 
-// hasLeft reports whether a word is of a life that has departed.
-func (s State) hasLeft(r *wire.Registration, leave bool) bool {
-	i := slices.IndexFunc(s.departed, func(d *wire.Departure) bool { return d.Id == r.Id })
-	if i < 0 {
-		return false
-	}
-	d := s.departed[i]
-	if leave {
-		_, back := s.Target(r.Id)
-		return !back
-	}
-	order := compareBirths(r.BornUnixMilli, d.BornUnixMilli)
-	alive := order == 0 && r.BornUnixMilli > 0 && !r.Draining && r.Sequence >= d.Sequence+aliveWords
-	return order <= 0 && !alive
-}
-
-// isOlderThanOwner reports whether the address of a word belongs to another target
-// that started later.
-func (s State) isOlderThanOwner(r *wire.Registration) bool {
-	return slices.ContainsFunc(s.targets, func(other *wire.Registration) bool {
-		return other.Address == r.Address && other.Id != r.Id && r.BornUnixMilli > 0 && r.BornUnixMilli < other.BornUnixMilli
-	})
-}
-
-func (s State) depart(id string) State {
-	d := &wire.Departure{Id: id}
-	if known, ok := s.Target(id); ok {
-		d.BornUnixMilli = known.BornUnixMilli
-		d.Sequence = known.Sequence
-	}
-	s.targets = slices.DeleteFunc(slices.Clone(s.targets), func(r *wire.Registration) bool { return r.Id == id })
-	others := slices.DeleteFunc(slices.Clone(s.departed), func(other *wire.Departure) bool { return other.Id == id })
-	s.departed = appendBounded(others, d, maxDeparted)
-	return s
-}
-
 // departuresOf returns ids of targets that have left as departures.
 func departuresOf(ids []string) []*wire.Departure {
 	var out []*wire.Departure
--- a/pkg/distribution/advance.go
+++ b/pkg/distribution/advance.go
@@ -35,14 +35,12 @@
 		return s, nil, &GapError{s.Version(), u.FromVersion, u.Version}
 	}
 	commands := u.Commands[s.Version()-u.FromVersion:]
-	next := s
-	for _, c := range commands {
-		var result steering.Result
-		next, result = next.Apply(c)
-		if needsWhole(result.Err) {
-			return s, nil, result.Err
+	next, results := s.ApplyAll(commands)
+	for _, r := range results {
+		if needsWhole(r.Err) {
+			return s, nil, r.Err
 		}
-		if !result.Changed {
+		if !r.Changed {
 			return s, nil, &GapError{s.Version(), u.FromVersion, u.Version}
 		}
 	}
--- a/pkg/steering/state.go
+++ b/pkg/steering/state.go
@@ -99,6 +99,49 @@
 	return s, Result{Err: fmt.Errorf("a command without content")}
 }
 
+// ApplyAll returns the state after commands, one after the other, with what each
+// gave. Words of targets that follow each other are applied together.
+func (s State) ApplyAll(commands []*wire.Command) (State, []Result) {
+	results := make([]Result, 0, len(commands))
+	for len(commands) > 0 {
+		words := leadingWords(commands)
+		if len(words) == 0 {
+			var result Result
+			s, result = s.Apply(commands[0])
+			results = append(results, result)
+			commands = commands[1:]
+			continue
+		}
+		var changed []bool
+		s.catalog, changed = s.catalog.ApplyRegistrations(words)
+		for _, c := range changed {
+			results = append(results, Result{Changed: c})
+			if c {
+				s.version++
+			}
+		}
+		commands = commands[len(words):]
+	}
+	return s, results
+}
+
+// leadingWords returns the words of targets that commands begin with.
+func leadingWords(commands []*wire.Command) []*wire.RegistrationCommand {
+	var out []*wire.RegistrationCommand
+	for _, c := range commands {
+		if !isWord(c) {
+			break
+		}
+		out = append(out, c.Registration)
+	}
+	return out
+}
+
+// isWord reports whether a command is nothing but a target's word.
+func isWord(c *wire.Command) bool {
+	return c.Registration != nil && c.Change == nil && c.Shift == nil && c.Routes == nil && c.Evacuation == nil
+}
+
 func (s State) applyCatalog(c *wire.Command) (State, Result) {
 	var result Result
 	switch {
