consensus: send commands that are proposed together in one message

Cause: a leader sent each command to each replica by itself, with an answer and a word of the commit for each: about 32 messages a command with nine replicas. Change: ProposeAll appends all commands first and sends once; the sync was shared already.

--- a/pkg/consensus/event.go
+++ b/pkg/consensus/event.go
@@ -6,7 +6,7 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Event is one input of a Replica: Tick, Receive, Propose, Read,
+// Event is one input of a Replica: Tick, Receive, Propose, ProposeAll, Read,
 // ChangeMembership, Transfer or Compact.
 type Event interface{ event() }
 
@@ -23,6 +23,11 @@
 	Data  []byte
 }
 
+// ProposeAll asks for commands to be appended one after the other. They travel
+// together: eight other replicas get one message for up to Config.MaxBatch
+// commands, and send one answer, instead of one for each.
+type ProposeAll struct{ Proposals []Propose }
+
 // Read asks for an index that is safe to read at. Token comes back in
 // Output.Reads.
 type Read struct{ Token uint64 }
@@ -45,6 +50,7 @@
 func (Tick) event()             {}
 func (Receive) event()          {}
 func (Propose) event()          {}
+func (ProposeAll) event()       {}
 func (Read) event()             {}
 func (ChangeMembership) event() {}
 func (Transfer) event()         {}
--- a/pkg/consensus/replica.go
+++ b/pkg/consensus/replica.go
@@ -174,6 +174,8 @@
 		r.receive(e.Message)
 	case Propose:
 		r.propose(e)
+	case ProposeAll:
+		r.propose(e.Proposals...)
 	case Read:
 		r.read(e)
 	case ChangeMembership:
--- a/pkg/consensus/replication.go
+++ b/pkg/consensus/replication.go
@@ -79,13 +79,18 @@
 	return heard >= r.quorum()
 }
 
-func (r *Replica) propose(e Propose) {
+func (r *Replica) propose(proposals ...Propose) {
 	if err := r.mayPropose(); err != nil {
-		r.out.Proposals = append(r.out.Proposals, Proposal{Token: e.Token, Err: err})
+		for _, e := range proposals {
+			r.out.Proposals = append(r.out.Proposals, Proposal{Token: e.Token, Err: err})
+		}
 		return
 	}
-	index := r.appendOwn(wire.EntryKind_ENTRY_KIND_COMMAND, e.Data)
-	r.out.Proposals = append(r.out.Proposals, Proposal{Token: e.Token, Index: index, Term: r.term})
+	for _, e := range proposals {
+		index := r.addOwn(wire.EntryKind_ENTRY_KIND_COMMAND, e.Data)
+		r.out.Proposals = append(r.out.Proposals, Proposal{Token: e.Token, Index: index, Term: r.term})
+	}
+	r.sendNew()
 }
 
 func (r *Replica) mayPropose() error {
@@ -100,19 +105,35 @@
 
 // appendOwn adds an entry of the leader's term and sends it to all.
 func (r *Replica) appendOwn(kind wire.EntryKind, data []byte) uint64 {
+	index := r.addOwn(kind, data)
+	r.sendNew()
+	return index
+}
+
+// addOwn adds an entry of the leader's term; sendNew must follow.
+func (r *Replica) addOwn(kind wire.EntryKind, data []byte) uint64 {
 	e := &wire.Entry{Index: r.log.lastIndex() + 1, Term: r.term, Kind: kind, Data: data}
 	if err := r.appendEntry(e); err != nil {
 		panic(err) // the leader encoded the membership itself
 	}
 	r.out.Entries = append(r.out.Entries, e)
+	return e.Index
+}
+
+// sendNew sends the entries that were added to all replicas that have room for them.
+func (r *Replica) sendNew() {
 	r.syncProgress()
 	for _, id := range r.others() {
-		if !r.isFull(r.progress[id]) {
+		p := r.progress[id]
+		if r.isFull(p) {
+			continue
+		}
+		r.sendAppend(id)
+		for p.snapshot == 0 && p.next <= r.log.lastIndex() && !r.isFull(p) {
 			r.sendAppend(id)
 		}
 	}
 	r.advanceCommit()
-	return e.Index
 }
 
 // sendAppend sends what id lacks, or an empty heartbeat.
