--- /dev/null
+++ b/internal/control/words_test.go
@@ -0,0 +1,235 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/consensus"
+	"ledgesill.dev/ledgesill/pkg/journal"
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// runWords runs a function in virtual time with words that settle tries to settle.
+func runWords(t *testing.T, settle func(context.Context, []*waitingWord) []error, run func(t *testing.T, w *words)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWords()
+		w.settle = settle
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- w.run(ctx) }()
+		run(t, w)
+		stop()
+		<-ended
+	})
+}
+
+func wordNumber(id string, sequence uint64) *wire.RegistrationCommand {
+	return &wire.RegistrationCommand{Registration: &wire.Registration{Id: id, Sequence: sequence}}
+}
+
+func TestWordToldAgainWhileItWaitsIsSettledOnce(t *testing.T) {
+	settled := 0
+	settle := func(_ context.Context, batch []*waitingWord) []error {
+		time.Sleep(300 * time.Millisecond)
+		settled += len(batch)
+		return make([]error, len(batch))
+	}
+	runWords(t, settle, func(t *testing.T, w *words) {
+		var telling sync.WaitGroup
+		for range 3 {
+			telling.Go(func() {
+				if err := w.tell(t.Context(), wordNumber("a", 1), false); err != nil {
+					t.Error(err)
+				}
+			})
+			time.Sleep(50 * time.Millisecond)
+		}
+		telling.Wait()
+	})
+	if settled != 1 {
+		t.Errorf("settled %d times", settled)
+	}
+}
+
+// A word is tried until its asker gives up, and no longer.
+func TestWordIsTriedWhileItsAskerWaits(t *testing.T) {
+	var tries []time.Duration
+	began := time.Time{}
+	settle := func(_ context.Context, batch []*waitingWord) []error {
+		tries = append(tries, time.Since(began))
+		return all(len(batch), &consensus.NotLeaderError{})
+	}
+	runWords(t, settle, func(t *testing.T, w *words) {
+		began = time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := w.tell(ctx, wordNumber("a", 1), false); err == nil {
+			t.Error("settled by nobody")
+		}
+		time.Sleep(10 * time.Second)
+	})
+	if len(tries) < 10 {
+		t.Errorf("tried %d times in a second", len(tries))
+	}
+	if last := tries[len(tries)-1]; last > time.Second {
+		t.Errorf("tried after %v, the asker waited for 1 s", last)
+	}
+}
+
+// A word that another replica has handed on is not handed on again, so that no word
+// goes round among replicas that each hold the other to be the leader.
+func TestForwardedWordIsTriedOnce(t *testing.T) {
+	tries := 0
+	settle := func(_ context.Context, batch []*waitingWord) []error {
+		tries++
+		return all(len(batch), &consensus.NotLeaderError{})
+	}
+	runWords(t, settle, func(t *testing.T, w *words) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var unavailable *UnavailableError
+		if err := w.tell(ctx, wordNumber("a", 1), true); !errors.As(err, &unavailable) {
+			t.Errorf("got %v", err)
+		}
+	})
+	if tries != 1 {
+		t.Errorf("tried %d times", tries)
+	}
+}
+
+// aloneReplica returns the only replica of a quorum, which leads and whose loop does
+// not run.
+func aloneReplica(t *testing.T) *replica {
+	t.Helper()
+	j, found, err := journal.Open("folder", "a", newFakeDisk(1).files())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(0, 0)
+	r, err := openReplica(func() time.Time { return now }, consensus.Config{}, j, found, snapshotEvery)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.send = func(*wire.ConsensusMessage) {}
+	r.publish = func(steering.State, []*wire.Command) {}
+	r.noticed = func(consensus.Notice) {}
+	r.settled = func(*wire.Command, steering.Result) {}
+	r.synced = func(time.Duration) {}
+	out := r.handle(bootstrap{&wire.Membership{Voters: []*wire.Replica{{Id: r.id, Address: "a"}}}})
+	for r.machine.Status(now).Role != consensus.Leader {
+		if err := r.carryOut(out); err != nil {
+			t.Fatal(err)
+		}
+		now = now.Add(50 * time.Millisecond)
+		if out, err = r.tick(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := r.carryOut(out); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// An order whose asker has gone while it waited for the loop is not done.
+func TestOrderWithoutAskerIsNotProposed(t *testing.T) {
+	r := aloneReplica(t)
+	var dropped []string
+	r.waited = func(kind string, _ time.Duration, abandoned bool) {
+		if abandoned {
+			dropped = append(dropped, kind)
+		}
+	}
+	gone, leave := context.WithCancel(t.Context())
+	reply := make(chan outcome, 2)
+	for _, ctx := range []context.Context{gone, t.Context()} {
+		if err := r.inbox.put(ctx, proposal{&wire.Command{Evacuation: &wire.EvacuationCommand{Zone: "z"}}, reply}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	leave()
+	a, _ := r.inbox.next()
+	out := r.drain(a)
+	if len(out.Entries) != 1 || len(dropped) != 1 || dropped[0] != "order" {
+		t.Errorf("%d entries, dropped %v; want 1 and an order", len(out.Entries), dropped)
+	}
+	if err := r.carryOut(out); err != nil {
+		t.Fatal(err)
+	}
+	if o := <-reply; o.err != nil || !o.result.Changed {
+		t.Errorf("the other order: %+v", o)
+	}
+}
+
+// However many words wait, messages of other replicas and orders are taken first.
+func TestWordsWaitBehindMessagesAndOrders(t *testing.T) {
+	i := newInbox()
+	for range wordRoom {
+		if !i.offer(wordBatch{}) {
+			t.Fatal("no room")
+		}
+	}
+	if i.offer(wordBatch{}) {
+		t.Error("words took more than their room")
+	}
+	if !i.offer(reading{}) || !i.offer(received{}) {
+		t.Fatal("words left no room for others")
+	}
+	var got []string
+	for a, ok := i.next(); ok && len(got) < 3; a, ok = i.next() {
+		got = append(got, kind(a.message))
+	}
+	if len(got) != 3 || got[0] != "consensus" || got[1] != "question" || got[2] != "words" {
+		t.Errorf("taken in the order %v", got)
+	}
+}
+
+// More committed entries than are applied at once are applied by the following turns,
+// and a read waits for those that it is to show.
+func TestLongCommitIsAppliedInTurns(t *testing.T) {
+	r := aloneReplica(t)
+	const count = 3*maxApplied + 5
+	reply := make(chan wordOutcome, count)
+	batch := wordBatch{reply: reply}
+	for i := range count {
+		id := string(rune('a'+i%26)) + string(rune('a'+i/26))
+		batch.words = append(batch.words, &wire.Command{Registration: &wire.RegistrationCommand{Registration: &wire.Registration{Id: id, Address: id, Sequence: 1}}})
+	}
+	read := make(chan readOutcome, 1)
+	if err := r.carryOut(r.handle(batch)); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(r.state.Catalog().Targets()); n != maxApplied {
+		t.Fatalf("%d targets after one turn, want %d", n, maxApplied)
+	}
+	if err := r.carryOut(r.handle(reading{read})); err != nil {
+		t.Fatal(err)
+	}
+	for turns := 0; len(r.committed) > 0; turns++ {
+		select {
+		case <-read:
+			t.Fatal("a read was answered by a state that lacks what was committed before it")
+		default:
+		}
+		if turns > count/maxApplied {
+			t.Fatalf("%d entries wait after %d turns", len(r.committed), turns)
+		}
+		if err := r.carryOut(r.drainWaiting(consensus.Output{})); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if o := <-read; o.err != nil || len(o.state.Catalog().Targets()) != count {
+		t.Errorf("read %d targets: %v", len(o.state.Catalog().Targets()), o.err)
+	}
+	for range count {
+		if o := <-reply; o.err != nil {
+			t.Errorf("word %d: %v", o.place, o.err)
+		}
+	}
+}
--- a/pkg/catalog/editing_test.go
+++ b/pkg/catalog/editing_test.go
@@ -113,7 +113,11 @@
 		s := State{}
 		if rapid.Bool().Draw(t, "full") {
 			for i := range maxDeparted - 2 {
-				want.departed = append(want.departed, &wire.Departure{Id: fmt.Sprint("t", i)})
+				id := fmt.Sprint("x", i)
+				if i < 7 {
+					id = fmt.Sprint("t", i) // the oldest, whose words come
+				}
+				want.departed = append(want.departed, &wire.Departure{Id: id})
 			}
 			s.departed = slices.Clone(want.departed)
 		}
