control: hand words on one by one to a leader of an earlier version

Cause: an earlier version answers words that come together with an error for all of them, so that targets' news at a renewed replica would not be settled while control is renewed one by one. Change: such an answer has each word submitted by itself; the test failed with the way out taken away.

--- a/internal/control/words.go
+++ b/internal/control/words.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/pkg/batch"
 	"ledgesill.dev/ledgesill/pkg/consensus"
@@ -290,12 +291,32 @@
 		return out
 	}
 	answer, err := d.node.Call(ctx, leader, &wire.CallRequest{Words: request})
+	var earlier *link.RemoteError
+	if errors.As(err, &earlier) {
+		d.handOnSingly(ctx, leader, batch, out)
+		return out
+	}
 	for n, i := range places {
 		out[i] = outcomeOf(answer.GetWords(), n, err)
 	}
 	return out
 }
 
+// handOnSingly hands words on to a leader of an earlier version, which takes no words
+// together: one that knows them answers each, and no error for all.
+func (d *Daemon) handOnSingly(ctx context.Context, leader string, batch []*waitingWord, out []error) {
+	var running sync.WaitGroup
+	for i, word := range batch {
+		if word.forwarded {
+			continue
+		}
+		running.Go(func() {
+			_, out[i] = d.node.Call(ctx, leader, &wire.CallRequest{Submit: &wire.Command{Registration: word.command}})
+		})
+	}
+	running.Wait()
+}
+
 // WordRefusedError says why the leader did not settle a word.
 type WordRefusedError struct{ Reason string }
 
--- a/internal/control/words_test.go
+++ b/internal/control/words_test.go
@@ -8,9 +8,11 @@
 	"testing/synctest"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/journal"
 	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/timeline"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -103,6 +105,39 @@
 	}
 }
 
+// A leader of an earlier version, which knows no words that are handed on together,
+// gets each by itself.
+func TestWordsAreHandedOnSinglyToAnEarlierVersion(t *testing.T) {
+	var mu sync.Mutex
+	got := make(map[string]int)
+	handlers := link.Handlers{Call: func(_ context.Context, _ string, r *wire.CallRequest) *wire.CallAnswer {
+		if r.Submit == nil {
+			return &wire.CallAnswer{Error: "a control replica does not answer this"}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		got[r.Submit.Registration.Registration.Id]++
+		return &wire.CallAnswer{Submit: &wire.SubmitAnswer{}}
+	}}
+	clock := timeline.NewClock(time.Now)
+	leader, err := link.Listen(link.TCP(), "127.0.0.1:0", link.Identity{Name: "old"}, clock, handlers, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &Daemon{node: link.Dialer(link.Identity{Name: "new"}, clock, nil)}
+	words := []*waitingWord{{command: wordNumber("a", 1)}, {command: wordNumber("b", 1), forwarded: true}, {command: wordNumber("c", 1)}}
+	outcomes := d.handOn(t.Context(), leader.Address(), words)
+	if outcomes[0] != nil || outcomes[1] == nil || outcomes[2] != nil {
+		t.Errorf("outcomes %v", outcomes)
+	}
+	if err := errors.Join(d.node.Close(), leader.Close()); err != nil {
+		t.Error(err)
+	}
+	if len(got) != 2 || got["a"] != 1 || got["c"] != 1 {
+		t.Errorf("the leader got %v", got)
+	}
+}
+
 // aloneReplica returns the only replica of a quorum, which leads and whose loop does
 // not run.
 func aloneReplica(t *testing.T) *replica {
