quota, control, command: show what is used of the limits of workspaces

Cause: an operator who is told that a workspace is refused below its limit had only counters of single boxes. Change: issuers count permits and refused asks, in all and in the last window; a replica sums what all replicas say (GET /v1/workspaces), the command shows it, with -parts by replica, and names the replicas that do not answer. Measured: golden file of the command; the own interface's test shows at least as many permits as requests that were served.

--- a/internal/control/catalogapi.go
+++ b/internal/control/catalogapi.go
@@ -32,6 +32,7 @@
 	app.Put("/v1/targets/{id}", d.authorized, d.putTarget)
 	app.Delete("/v1/targets/{id}", d.authorized, d.deleteTarget)
 	app.Get("/v1/gateways", d.getGateways)
+	app.Get("/v1/workspaces", d.getWorkspaces)
 }
 
 // decodeRoutes reads a document of routes in the deployment's format.
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -363,6 +363,8 @@
 		return d.serveSubmit(ctx, request)
 	case request.Read != nil:
 		return d.serveRead(ctx, request)
+	case request.Workspaces != nil:
+		return &wire.CallAnswer{Workspaces: d.ownWorkspaces()}
 	case request.Words != nil:
 		return d.serveWords(ctx, request.Words)
 	}
--- a/internal/gateway/ownlimits_test.go
+++ b/internal/gateway/ownlimits_test.go
@@ -64,4 +64,15 @@
 	if counts[http.StatusTooManyRequests] == 0 {
 		t.Errorf("none was refused: %v", counts)
 	}
+	var shown operator.Workspaces
+	if err := s.do(http.MethodGet, "/v1/workspaces", nil, &shown); err != nil || len(shown.Workspaces) != 1 || len(shown.Missing) != 0 {
+		t.Fatalf("shown %+v: %v", shown, err)
+	}
+	w := shown.Workspaces[0]
+	if w.Name != "north" || w.PerSecond != 50 || w.Burst != 3 || len(w.Parts) != 1 || w.Parts[0].Number != 1 {
+		t.Errorf("shown %+v", w)
+	}
+	if w.Issued < uint64(counts[http.StatusOK]) || w.Refused == 0 {
+		t.Errorf("%d permits issued and %d asks refused; %v", w.Issued, w.Refused, counts)
+	}
 }
--- a/internal/operator/catalog.go
+++ b/internal/operator/catalog.go
@@ -32,3 +32,41 @@
 	Addresses []string `json:"addresses"`
 	TTLMillis int64    `json:"ttlMillis"`
 }
+
+// Workspaces is what the control replicas know of workspaces and their limits.
+type Workspaces struct {
+	Workspaces []WorkspaceUsage `json:"workspaces"`
+	// Missing are the replicas that did not answer; their parts of the limits are not
+	// counted, and boxes that reach no other get nothing of them.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// WorkspaceUsage is what is used of one workspace's limit.
+type WorkspaceUsage struct {
+	Name string `json:"name"`
+	// PerSecond and Burst are the limit; no limit if they are 0.
+	PerSecond float64 `json:"perSecond"`
+	Burst     float64 `json:"burst"`
+	// IssuedPerSecond are the permits of the last window that is over, and
+	// RefusedPerSecond the asks of boxes that got none, over all replicas.
+	IssuedPerSecond  float64 `json:"issuedPerSecond"`
+	RefusedPerSecond float64 `json:"refusedPerSecond"`
+	// Issued and Refused count them since the replicas' starts.
+	Issued  uint64          `json:"issued"`
+	Refused uint64          `json:"refused"`
+	Parts   []WorkspacePart `json:"parts"`
+}
+
+// WorkspacePart is what one replica holds of a limit.
+type WorkspacePart struct {
+	Replica string `json:"replica"`
+	// Number is that of the document of routes whose limits the replica goes by, and
+	// AgeMillis how long ago it heard of a leader.
+	Number    uint64 `json:"number"`
+	AgeMillis int64  `json:"ageMillis"`
+	// PerSecond is its part, and Room what it could issue at once now.
+	PerSecond        float64 `json:"perSecond"`
+	Room             float64 `json:"room"`
+	IssuedPerSecond  float64 `json:"issuedPerSecond"`
+	RefusedPerSecond float64 `json:"refusedPerSecond"`
+}
--- a/pkg/quota/issuer.go
+++ b/pkg/quota/issuer.go
@@ -48,6 +48,7 @@
 	number  uint64
 	limits  map[string]catalog.RateLimit
 	buckets map[string]*bucket
+	tallies map[string]*tally
 }
 
 // bucket is an issuer's part of a limit. It starts empty: what a process before
@@ -62,7 +63,10 @@
 
 // NewIssuer returns the issuer of one of a number of replicas. It has no limits yet.
 func NewIssuer(b Bound, parts int) *Issuer {
-	return &Issuer{bound: b, parts: parts, limits: make(map[string]catalog.RateLimit), buckets: make(map[string]*bucket)}
+	return &Issuer{
+		bound: b, parts: parts,
+		limits: make(map[string]catalog.RateLimit), buckets: make(map[string]*bucket), tallies: make(map[string]*tally),
+	}
 }
 
 // SetParts tells how many replicas there are. It never becomes fewer: one that the
@@ -99,6 +103,7 @@
 		if !known[name] {
 			delete(i.limits, name)
 			delete(i.buckets, name)
+			delete(i.tallies, name)
 		}
 	}
 }
@@ -114,7 +119,11 @@
 	}
 	out := make([]Grant, 0, len(asks))
 	for _, a := range asks {
-		out = append(out, i.grant(now, a))
+		g := i.grant(now, a)
+		if _, known := i.limits[a.Workspace]; known {
+			i.count(now, g)
+		}
+		out = append(out, g)
 	}
 	return out, nil
 }
--- /dev/null
+++ b/pkg/quota/usage_test.go
@@ -0,0 +1,57 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/catalog"
+)
+
+func TestUsageTellsOfTheLastWindow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	i := NewIssuer(testBound, 2)
+	i.SetLimits(now, 7, []catalog.Workspace{
+		{Name: "b", Limit: catalog.RateLimit{PerSecond: 10, Burst: 4}},
+		{Name: "a"},
+	})
+	ask := func(name string, count int) int {
+		t.Helper()
+		grants, err := i.Issue(now, 7, []Ask{{name, count}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return grants[0].Count
+	}
+	now = now.Add(testBound.Window)
+	issued := ask("b", 5)
+	if issued != 5 || ask("b", 1000) == 0 || ask("b", 1) != 0 || ask("a", 3) != 3 || ask("nobody", 1) != 0 {
+		t.Fatal("the bucket is not as deep as it should be")
+	}
+	list := i.Usage(now)
+	if len(list) != 2 || list[0].Workspace != "a" || list[1].Workspace != "b" {
+		t.Fatalf("usage of %+v", list)
+	}
+	if a := list[0]; a.Issued != 3 || a.Refused != 0 || a.PartPerSecond != 0 {
+		t.Errorf("a workspace without limit: %+v", a)
+	}
+	b := list[1]
+	if b.Refused != 1 || b.Issued < 6 || b.PartPerSecond != 5 || b.Room >= 1 {
+		t.Errorf("a workspace with a limit: %+v", b)
+	}
+	if b.IssuedPerSecond != 0 {
+		t.Errorf("the present window is counted before it is over: %+v", b)
+	}
+	now = now.Add(testBound.Window)
+	perSecond := float64(b.Issued) / testBound.Window.Seconds()
+	if got := i.Usage(now)[1]; got.IssuedPerSecond != perSecond || got.RefusedPerSecond != 1/testBound.Window.Seconds() {
+		t.Errorf("after a window: %+v, want %v a second", got, perSecond)
+	}
+	now = now.Add(2 * testBound.Window)
+	if got := i.Usage(now)[1]; got.IssuedPerSecond != 0 || got.Issued != b.Issued {
+		t.Errorf("long after: %+v", got)
+	}
+	i.SetLimits(now, 8, nil)
+	if list := i.Usage(now); len(list) != 0 {
+		t.Errorf("a workspace that is gone is shown: %+v", list)
+	}
+}
