--- a/internal/control/words.go
+++ b/internal/control/words.go
@@ -30,7 +30,8 @@
 // waitingWord is a target's word whose askers wait for what becomes of it.
 type waitingWord struct {
 	command *wire.RegistrationCommand
-	// deadline is when the last of its askers gives up.
+	// deadline is when its first asker gives up. Who joined it later and still waits
+	// then tells it again.
 	deadline time.Time
 	// forwarded tells that another replica has handed it on: it isn't handed on again.
 	forwarded bool
