--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(CURDIR)/bin
 export GOFLAGS := -buildvcs=false
 
-.PHONY: build demo demo-portal drill soak test faults fault-pairs measure generate
+.PHONY: build demo demo-portal drill soak test faults fault-pairs measure regress generate
 
 build:
 	go build -o $(GOBIN)/ledgesill .
@@ -45,5 +45,12 @@
 	go run ./contrib/measure -seeds $(SEEDS)
 	go run ./contrib/measure -objects -seeds $(SEEDS)
 
+# Scores of deployments and what became of them since the last ones of another commit:
+# BENCH=PROGRAM SITES="FILE FILE" make regress. Without SITES the journal alone is read.
+regress:
+	@test -z "$(SITES)" || test -n "$(BENCH)" || { echo "BENCH names the program that plays the sites"; exit 2; }
+	@for s in $(SITES); do $(BENCH) score $$s --jobs 2 --why "regression run" || exit 1; done
+	go run ./contrib/regress
+
 generate:
 	buf generate
