--- a/contrib/regress/compare.go
+++ b/contrib/regress/compare.go
@@ -38,10 +38,21 @@
 	Ended bool     `json:"ok"`
 	At    []string `json:"at"`
 	Days  []day    `json:"days"`
+	// Arguments are those of the play.
+	Arguments []string `json:"argv"`
 }
 
-// readEntries reads the scores of a journal that were played to their ends, the oldest
-// first.
+// partial are the arguments of scores that don't compare with whole ones.
+var partial = []string{"--small", "--quick", "--no-cpu"}
+
+// isWhole reports whether an entry is a score that was played to its end on all
+// standard days as they are.
+func (e entry) isWhole() bool {
+	part := slices.ContainsFunc(e.Arguments, func(a string) bool { return slices.Contains(partial, a) })
+	return e.Verb == "score" && e.Ended && e.Site != "" && len(e.At) > 0 && !part
+}
+
+// readEntries reads the whole scores of a journal, the oldest first.
 func readEntries(folder string) ([]entry, error) {
 	paths, err := filepath.Glob(filepath.Join(folder, "*.json"))
 	if err != nil {
@@ -57,7 +68,7 @@
 		if err := json.Unmarshal(text, &e); err != nil {
 			return nil, fmt.Errorf("entry %s: %w", filepath.Base(path), err)
 		}
-		if e.Verb == "score" && e.Ended && e.Site != "" && len(e.At) > 0 {
+		if e.isWhole() {
 			out = append(out, e)
 		}
 	}
--- a/contrib/regress/compare_test.go
+++ b/contrib/regress/compare_test.go
@@ -72,6 +72,21 @@
 	}
 }
 
+func TestPartialScoresAreLeftOut(t *testing.T) {
+	folder := write(t, dayOf(0.6, true, "{}"))
+	small := `{"id":"s","cmd":"score","site":"shop","ok":true,"head":"h","at":["2026-02-01"],"argv":["shop.toml","--small"],"days":[]}`
+	unfinished := `{"id":"u","cmd":"score","site":"shop","ok":false,"head":"h","at":["2026-02-02"],"days":[]}`
+	for i, text := range []string{small, unfinished} {
+		if err := os.WriteFile(filepath.Join(folder, fmt.Sprintf("p%d.json", i)), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	entries, err := readEntries(folder)
+	if err != nil || len(entries) != 1 || entries[0].ID != "e0" {
+		t.Errorf("%d entries: %v", len(entries), err)
+	}
+}
+
 func TestBrokenEntryIsNamed(t *testing.T) {
 	folder := write(t, dayOf(0.6, true, "{}"))
 	if err := os.WriteFile(filepath.Join(folder, "broken.json"), []byte("{"), 0o600); err != nil {
