quarantine, gateway, control: keep requests from targets that ended under them

Callers saw: while one request came again and again over a tenth of all others were not served; 58 targets ended, each arrival took two more. Cause: failures are booked to whoever answered, not to what was asked. A box forgot a request with its end, no box heard of another's, and nothing stood between it and all targets but the budget of retries. Change: a request is known by a digest of what a target gets of it and who asks. A target that ended while it ran the request (it broke off and refuses connections twice) is evidence, a whole answer clears it. Boxes keep what they saw (package quarantine, Guard), tell all control replicas, and the leader puts a request on the replicated list: watched from two ended targets on, held from three. Held ones are refused at once, before a permit, a slot or a retry is taken.

--- a/internal/control/catalogapi.go
+++ b/internal/control/catalogapi.go
@@ -33,6 +33,8 @@
 	app.Delete("/v1/targets/{id}", d.authorized, d.deleteTarget)
 	app.Get("/v1/gateways", d.getGateways)
 	app.Get("/v1/workspaces", d.getWorkspaces)
+	app.Get("/v1/quarantine", d.getQuarantine)
+	app.Delete("/v1/quarantine/{digest}", d.authorized, d.deleteQuarantined)
 }
 
 // decodeRoutes reads a document of routes in the deployment's format.
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -40,6 +40,7 @@
 	document   *documentInForce
 	repeated   repeatedWords
 	words      *words
+	suspicions *suspicions
 	leadership *leadership
 	serving    servingBoxes
 	// unreadWords counts words of targets that can't be used, and unreadLines
@@ -123,6 +124,7 @@
 	d.document = &documentInForce{decode: d.decodeRoutes, failed: d.noteUnreadDocument}
 	d.leadership = newLeadership()
 	d.words = newWords()
+	d.suspicions = newSuspicions()
 	d.words.settle = d.settleWords
 	d.permits = &permits{bound: d.config.LimitBound, document: d.document}
 	d.permits.put(r.state)
@@ -179,6 +181,7 @@
 			settled.WithLabelValues(verdictName(v.Kind)).Inc()
 		}
 	}
+	d.process.Gauge("quarantine_suspects", "Requests under which targets ended, as boxes told.", func() float64 { return float64(d.suspicions.len()) })
 	d.process.Gauge("control_bytes_sent", "Bytes sent to other processes.", func() float64 { return float64(d.node.Control.Sent.Load()) })
 	d.process.Gauge("control_bytes_received", "Bytes received from other processes.", func() float64 { return float64(d.node.Control.Received.Load()) })
 	d.process.Gauge("control_age_seconds", "Age of the word of a leader with a quorum; a replica that is cut off shows it growing.", func() float64 { return d.age().Seconds() })
@@ -226,6 +229,7 @@
 	root := d.process.Supervisor()
 	root.Add(process.Service{Name: "publishing", Run: d.publishing.Run})
 	root.Add(process.Service{Name: "words", Run: d.words.run})
+	root.Add(process.Service{Name: "quarantine", Run: d.keepQuarantine})
 	root.Add(process.Service{Name: "forming", Run: d.form})
 	root.Add(process.Service{Name: "repair", Run: d.every(repairInterval, d.repair)})
 	root.Add(process.Service{Name: "shifts", Run: d.planShifts})
@@ -367,6 +371,8 @@
 		return &wire.CallAnswer{Workspaces: d.ownWorkspaces()}
 	case request.Words != nil:
 		return d.serveWords(ctx, request.Words)
+	case request.Evidence != nil:
+		return d.serveEvidence(request.Evidence)
 	}
 	return &wire.CallAnswer{Error: "a control replica does not answer this"}
 }
--- /dev/null
+++ b/internal/control/quarantine.go
@@ -0,0 +1,191 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"ledgesill.dev/ledgesill/internal/operator"
+	"ledgesill.dev/ledgesill/pkg/consensus"
+	"ledgesill.dev/ledgesill/pkg/quarantine"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+const (
+	// quarantineInterval is how often a leader looks what is due. Evidence is looked at
+	// at once.
+	quarantineInterval = 200 * time.Millisecond
+	// quarantineSubmit bounds the wait for one order: what was not settled is due again.
+	quarantineSubmit = 2 * time.Second
+)
+
+// suspicions hosts the ledger of requests under which targets ended.
+type suspicions struct {
+	mu     sync.Mutex
+	ledger *quarantine.Ledger
+	due    chan struct{}
+}
+
+func newSuspicions() *suspicions {
+	return &suspicions{ledger: quarantine.NewLedger(), due: make(chan struct{}, 1)}
+}
+
+func (s *suspicions) wake() {
+	select {
+	case s.due <- struct{}{}:
+	default:
+	}
+}
+
+// take takes what a box tells.
+func (s *suspicions) take(now time.Time, e *wire.Evidence) {
+	ago := func(milli int64) time.Time { return now.Add(-time.Duration(max(milli, 0)) * time.Millisecond) }
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range e.Ends {
+		end := quarantine.End{
+			Caller: quarantine.Caller(r.Caller), Life: r.Life, Route: r.Route, Service: r.Service,
+			Began: ago(r.BeganAgoMilli), Ended: ago(r.EndedAgoMilli),
+		}
+		copy(end.Request[:], r.Digest)
+		s.ledger.Ended(now, end)
+	}
+	for _, a := range e.Answers {
+		var d quarantine.Digest
+		copy(d[:], a.Digest)
+		s.ledger.Answered(now, d, quarantine.Caller(a.Caller), ago(a.EndedAgoMilli))
+	}
+	s.wake()
+}
+
+// orders returns what is due, given the list in force.
+func (s *suspicions) orders(now time.Time, list []*wire.Quarantined) []quarantine.Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ledger.Len() == 0 && len(list) == 0 {
+		return nil
+	}
+	return s.ledger.Due(now, now, quarantine.EntriesOf(list))
+}
+
+func (s *suspicions) len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Len()
+}
+
+// serveEvidence takes what a box tells of requests under which targets ended.
+func (d *Daemon) serveEvidence(e *wire.Evidence) *wire.CallAnswer {
+	d.suspicions.take(time.Now(), e)
+	return &wire.CallAnswer{}
+}
+
+// keepQuarantine has what is due put on the list, while this replica leads.
+func (d *Daemon) keepQuarantine(ctx context.Context) error {
+	ticker := time.NewTicker(quarantineInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case <-d.suspicions.due:
+		}
+		d.orderQuarantine(ctx)
+	}
+}
+
+// orderQuarantine looks what is due, also where another replica leads: what left the
+// list is forgotten by all.
+func (d *Daemon) orderQuarantine(ctx context.Context) {
+	orders := d.suspicions.orders(time.Now(), d.latest().Catalog().Quarantined())
+	if len(orders) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, quarantineSubmit)
+	defer cancel()
+	v, err := d.replica.view(ctx)
+	if err != nil || v.status.Role != consensus.Leader {
+		return // the leader knows as much
+	}
+	for _, o := range orders {
+		if !d.settleOrder(ctx, o) {
+			return
+		}
+	}
+}
+
+// settleOrder has an order settled and reports whether that is known.
+func (d *Daemon) settleOrder(ctx context.Context, o quarantine.Order) bool {
+	command := &wire.QuarantineCommand{Request: o.Entry.Message(), Release: o.Release}
+	_, err := d.replica.submit(ctx, &wire.Command{Quarantine: command})
+	line := d.process.Log.Warn()
+	if err != nil {
+		line = line.Err(err)
+	}
+	line.Str("kind", "quarantine").Str("digest", o.Entry.Request.String()).Str("action", actionName(o)).Str("reason", o.Reason).
+		Str("route", o.Entry.Route).Str("service", o.Entry.Service).Bool("allCallers", o.Entry.Caller == quarantine.AnyCaller).
+		Strs("endedTargets", o.Entry.Lives).Time("until", o.Entry.Until).Msg("a request under which targets ended")
+	return err == nil
+}
+
+func actionName(o quarantine.Order) string {
+	switch {
+	case o.Release:
+		return "release"
+	case o.Entry.Held:
+		return "hold"
+	}
+	return "watch"
+}
+
+// getQuarantine lists the requests that are watched or held.
+func (d *Daemon) getQuarantine(c iris.Context) {
+	state, ok := d.catalogState(c)
+	if !ok {
+		return
+	}
+	out := []operator.Quarantined{}
+	for _, e := range quarantine.EntriesOf(state.Quarantined()) {
+		out = append(out, operator.Quarantined{
+			Digest: e.Request.String(), AllCallers: e.Caller == quarantine.AnyCaller, Held: e.Held, Route: e.Route, Service: e.Service,
+			EndedTargets: e.Lives, UntilUnixMilli: e.Until.UnixMilli(),
+		})
+	}
+	_ = c.JSON(out) // the client sees a broken answer
+}
+
+// deleteQuarantined lets a request go, for all callers.
+func (d *Daemon) deleteQuarantined(c iris.Context) {
+	digest, err := quarantine.ParseDigest(c.Params().Get("digest"))
+	if err != nil {
+		fail(c, http.StatusBadRequest, operator.CodeBadRequest, err.Error())
+		return
+	}
+	state, ok := d.catalogState(c)
+	if !ok {
+		return
+	}
+	found := false
+	for _, e := range quarantine.EntriesOf(state.Quarantined()) {
+		if e.Request != digest {
+			continue
+		}
+		found = true
+		command := &wire.Command{Quarantine: &wire.QuarantineCommand{Request: e.Message(), Release: true}}
+		if err := d.settle(c, func(ctx context.Context) error { return d.Submit(ctx, command) }); err != nil {
+			d.failCatalog(c, err)
+			return
+		}
+		d.process.Log.Warn().Str("kind", "quarantine").Str("digest", digest.String()).Str("action", "release").
+			Str("reason", "an operator asked for it").Msg("a request under which targets ended")
+	}
+	if !found {
+		fail(c, http.StatusNotFound, operator.CodeNotFound, "no request with this digest is watched or held")
+		return
+	}
+	_ = c.JSON(operator.Quarantined{Digest: digest.String()}) // the client sees a broken answer
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -138,6 +138,37 @@
 	}
 }
 
+// noteRun notes what the end of an attempt says of the request: a whole answer, or a
+// connection that broke while a target may have run it.
+func (c *call) noteRun(e attemptEnd) {
+	switch {
+	case e.failure != nil:
+		if c.last.outcome == balance.Broken {
+			c.noteBroken(e)
+		}
+	case c.notRun(e.out):
+	case e.out.rest == nil:
+		c.noteWhole()
+	default:
+		c.noteStream(e)
+	}
+}
+
+// noteStream notes how an answer that is passed on as it comes has ended.
+func (c *call) noteStream(e attemptEnd) {
+	finish := e.out.finish
+	e.out.finish = func(whole bool) {
+		wanted := c.request.Context().Err() == nil && e.ctx.Err() == nil
+		finish(whole)
+		switch {
+		case whole:
+			c.noteWhole()
+		case wanted:
+			c.noteBroken(e)
+		}
+	}
+}
+
 // judgeFailure tells what a failed attempt says of its target. One that was ended
 // after its patience had run out counts as stuck, whoever ended it: that is how a
 // target is noticed that has gone silent.
@@ -200,7 +231,7 @@
 	if c.mayHaveRun && c.route.Repeat == catalog.Unrepeatable {
 		return false
 	}
-	if time.Until(c.ends) < leastLeft || !c.body.repeatable() {
+	if time.Until(c.ends) < leastLeft || !c.body.repeatable() || !c.mayRepeat() {
 		return false
 	}
 	c.retry = failure == nil || failure.sent
--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -91,7 +91,7 @@
 	if c.route.Repeat == catalog.Unrepeatable || !c.body.whole() {
 		return false
 	}
-	if time.Until(c.ends) < leastLeft || c.dials >= maxDials {
+	if time.Until(c.ends) < leastLeft || c.dials >= maxDials || !c.mayRepeat() {
 		return false
 	}
 	return c.sent+len(c.underWay) < c.route.MaxAttempts
@@ -161,6 +161,7 @@
 	}
 	c.last.outcome = report.Outcome
 	c.records = append(c.records, c.last)
+	c.noteRun(e)
 	c.gateway.done(report)
 }
 
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -48,6 +48,7 @@
 	longAnswers *linkQueue
 	permits     *permits
 	permitLinks *permitLinks
+	isolation   *isolation
 	// reportWord and permitWord tell which replicas take reports and issue permits.
 	reportWord  silences
 	permitWord  silences
@@ -115,6 +116,9 @@
 	d.permits.replicas = d.controls.all
 	d.permits.number = d.documentNumber
 	d.permits.answered = d.notePermits
+	d.isolation = newIsolation()
+	d.connectIsolation()
+	p.Gauge("quarantine_suspects", "Requests under which a target ended at this box.", func() float64 { return float64(d.isolation.suspects()) })
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(c.Name + p.Incarnation)) // a hash takes every write
 	d.following = relay.NewFollowing(relay.Subscriber{
@@ -210,6 +214,7 @@
 		process.Service{Name: "controls", Run: d.keepControls},
 		process.Service{Name: "reports", Run: d.report},
 		process.Service{Name: "permits", Run: d.permits.run},
+		process.Service{Name: "isolation", Run: d.isolation.run},
 		process.Service{Name: "ready", Run: func(ctx context.Context) error {
 			return process.ServeHTTP(ctx, d.ready, d.config.ReadyHandler(d.isReady))
 		}},
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,11 @@
 	beside      prometheus.Counter
 	connections prometheus.Counter
 	permitAsks  *prometheus.CounterVec
+	// looks, endedRuns, evidenceLost and held are about requests that end targets.
+	looks        *prometheus.CounterVec
+	endedRuns    prometheus.Counter
+	evidenceLost prometheus.Counter
+	held         prometheus.Gauge
 }
 
 // latencyBuckets are in seconds; the objectives of the users' routes lie
@@ -41,7 +46,19 @@
 	m.permitAsks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ledgesill_permit_asks_total", Help: "Calls for permits of workspaces with limits, by whether they were answered.",
 	}, []string{"answered"})
-	r.MustRegister(m.requests, m.latency, m.attempts, m.beside, m.connections, m.permitAsks)
+	m.looks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ledgesill_target_looks_total", Help: "Targets that were looked at after a connection broke, by whether they had ended.",
+	}, []string{"found"})
+	m.endedRuns = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "ledgesill_ended_runs_total", Help: "Requests that were at work at a target when it ended.",
+	})
+	m.evidenceLost = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "ledgesill_quarantine_evidence_lost_total", Help: "Evidence against requests that a control replica could not be told.",
+	})
+	m.held = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "ledgesill_quarantine_held", Help: "Requests that reach no target as targets ended under them.",
+	})
+	r.MustRegister(m.requests, m.latency, m.attempts, m.beside, m.connections, m.permitAsks, m.looks, m.endedRuns, m.evidenceLost, m.held)
 	return m
 }
 
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -32,6 +32,13 @@
 func newMortals(t *testing.T, targets int) *mortals {
 	t.Helper()
 	m := &mortals{scene: newScene(t, testConfig(), targets), reached: make(chan time.Time, 1000), ended: make([]atomic.Bool, targets)}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- m.scene.daemon.isolation.run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
 	for i, one := range m.scene.targets {
 		one.script = func(_ int, r *http.Request, c net.Conn) bool { return m.play(i, r, c) }
 	}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -35,6 +35,7 @@
 	}
 	line = c.addBeside(line)
 	line = c.addRefusal(line)
+	line = c.addQuarantine(line)
 	if cause == nil {
 		cause = c.last.err
 	}
@@ -62,14 +63,26 @@
 	if c.beside.none != nil {
 		line = line.Str("noneBeside", c.beside.none.Error())
 	}
+	if others := c.otherTargets(); len(others) > 0 {
+		line = line.Strs("otherTargets", others)
+	}
 	if c.beside.count == 0 {
 		return line
 	}
-	var others []string
-	for _, r := range c.records {
-		if r.target.ID != c.last.target.ID {
-			others = append(others, r.target.ID+" "+r.outcome.String())
-		}
+	return line.Int("beside", c.beside.count).Dur("besideAfter", c.beside.after)
+}
+
+// addQuarantine adds by what the request is known again, where that was worked out, and
+// what is known against it.
+func (c *call) addQuarantine(line *zerolog.Event) *zerolog.Event {
+	if c.known != nil {
+		line = line.Str("digest", c.known.digest.String())
+	}
+	if c.probation {
+		line = line.Bool("onProbation", true)
+	}
+	if c.verdict != nil {
+		line = line.Int("endedTargets", c.verdict.Lives).Bool("listed", c.verdict.Listed)
 	}
-	return line.Int("beside", c.beside.count).Dur("besideAfter", c.beside.after).Strs("otherTargets", others)
+	return line
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -8,6 +8,7 @@
 
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/quarantine"
 )
 
 const (
@@ -67,6 +68,12 @@
 	// request was told to wait.
 	none *balance.NoTargetError
 	told time.Duration
+	// known is what the request is known by when it comes again, nil until it is needed.
+	// probation tells that it may run at one target only, and verdict why it was kept
+	// from targets.
+	known     *identity
+	probation bool
+	verdict   *quarantine.Verdict
 }
 
 // attemptRecord is what the log tells of the last attempt.
@@ -132,13 +139,15 @@
 	c.ends = c.began.Add(min(c.deadline(), route.Timeout))
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.ends)
 	defer cancel()
+	if !c.passQuarantine() {
+		return
+	}
+	defer c.leaveQuarantine()
 	if !c.obtainPermit(ctx) {
 		return
 	}
 	defer c.returnPermits()
-	var err error
-	if c.body, err = readBody(c.request); err != nil {
-		c.fail(http.StatusBadRequest, "bodyBroken", err)
+	if !c.takeBody() {
 		return
 	}
 	booked, wait, ok := c.gateway.longAnswers.admit(c.began, route.Name, route.Objective)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -13,6 +13,9 @@
 func (d *Daemon) putInForce(s steering.State, _ []*wire.Command) {
 	c := s.Catalog()
 	d.putRoutes(c, s.Version())
+	if d.steered == nil || !c.SharesQuarantined(*d.steered) {
+		d.putQuarantine(c.Quarantined(), s.Version())
+	}
 	d.putTargets(c, s.Version())
 }
 
@@ -118,6 +121,13 @@
 	return d.balancing.balancer.Knows(target)
 }
 
+// isLeaving reports whether a target is to end, or has ended, as planned.
+func (d *Daemon) isLeaving(target string) bool {
+	d.balancing.Lock()
+	defer d.balancing.Unlock()
+	return d.balancing.balancer.IsLeaving(target)
+}
+
 // setBoxes takes the entry boxes that serve.
 func (d *Daemon) setBoxes(boxes []*wire.EntryBox) {
 	out := make([]balance.Box, 0, len(boxes))
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -159,6 +159,20 @@
 	Missing []string `json:"missing,omitempty"`
 }
 
+// Quarantined is a request under which targets ended.
+type Quarantined struct {
+	// Digest names the request, as it stands in logs.
+	Digest string `json:"digest"`
+	// AllCallers tells that it is about whoever sends it, not one caller.
+	AllCallers bool `json:"allCallers"`
+	// Held tells that it reaches no target; else it is watched.
+	Held           bool     `json:"held"`
+	Route          string   `json:"route"`
+	Service        string   `json:"service"`
+	EndedTargets   []string `json:"endedTargets"`
+	UntilUnixMilli int64    `json:"untilUnixMilli"`
+}
+
 // Failure is the body of every error answer.
 type Failure struct {
 	// Code is a short name of the error that does not change.
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -192,6 +192,12 @@
 // Knows reports whether a target is registered.
 func (b *Balancer) Knows(id string) bool { return b.byID[id] != nil }
 
+// IsLeaving reports whether a target ends as planned: it drains, or has left.
+func (b *Balancer) IsLeaving(id string) bool {
+	t := b.byID[id]
+	return t == nil || t.Draining
+}
+
 func (b *Balancer) service(name string) *service {
 	s := b.services[name]
 	if s == nil {
--- /dev/null
+++ b/pkg/catalog/quarantine.go
@@ -0,0 +1,59 @@
+package catalog
+
+import (
+	"bytes"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// maxQuarantined bounds the list of quarantined requests: 512 of some 150 bytes are
+// 77 KB of a whole state, 0.15 s of a link of 4 Mbit/s. Each has ended two targets at
+// least.
+const maxQuarantined = 512
+
+// Quarantined returns the requests that are watched or held, oldest first. The caller
+// must not change them.
+func (s State) Quarantined() []*wire.Quarantined { return s.quarantined }
+
+// SharesQuarantined reports whether the quarantined requests are those of an earlier
+// state: each change of them makes a new list.
+func (s State) SharesQuarantined(earlier State) bool {
+	return sharesList(s.quarantined, earlier.quarantined)
+}
+
+// ApplyQuarantine enters, changes or lets go of a quarantined request. One that is held
+// stays held until it is let go. Where there is no room, one that is only watched goes
+// before one that is held, and of those the oldest.
+func (s State) ApplyQuarantine(c *wire.QuarantineCommand) (State, bool) {
+	i := slices.IndexFunc(s.quarantined, func(q *wire.Quarantined) bool {
+		return q.Caller == c.GetRequest().GetCaller() && bytes.Equal(q.Digest, c.GetRequest().GetDigest())
+	})
+	switch {
+	case c.Release && i < 0, c.GetRequest() == nil:
+		return s, false
+	case c.Release:
+		s.quarantined = slices.Delete(slices.Clone(s.quarantined), i, i+1)
+		return s, true
+	case i >= 0 && (s.quarantined[i].Held && !c.Request.Held || proto.Equal(s.quarantined[i], c.Request)):
+		return s, false
+	}
+	next := slices.Clone(s.quarantined)
+	if i >= 0 {
+		next[i] = c.Request
+		s.quarantined = next
+		return s, true
+	}
+	next = append(next, c.Request)
+	if len(next) > maxQuarantined {
+		out := max(slices.IndexFunc(next, func(q *wire.Quarantined) bool { return !q.Held }), 0)
+		if out == maxQuarantined {
+			return s, false // the new one itself
+		}
+		next = slices.Delete(next, out, out+1)
+	}
+	s.quarantined = next
+	return s, true
+}
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -27,6 +27,8 @@
 	evacuated []string
 	targets   []*wire.Registration
 	departed  []*wire.Departure
+	// quarantined are the requests that are watched or held, oldest first.
+	quarantined []*wire.Quarantined
 }
 
 // ConflictError says that a document was made against another one than the
@@ -150,11 +152,13 @@
 		Evacuated:     s.evacuated,
 		Registrations: s.targets,
 		Departures:    s.departed,
+		Quarantined:   s.quarantined,
 	}
 }
 
 func (s State) empty() bool {
-	return s.document == nil && len(s.evacuated) == 0 && len(s.targets) == 0 && len(s.departed) == 0 && len(s.accepted) == 0
+	return s.document == nil && len(s.evacuated) == 0 && len(s.targets) == 0 && len(s.departed) == 0 && len(s.accepted) == 0 &&
+		len(s.quarantined) == 0
 }
 
 // Decode builds a state from a message, which may be nil. A document that is
@@ -177,6 +181,8 @@
 		evacuated: m.Evacuated,
 		targets:   m.Registrations,
 		departed:  append(departuresOf(m.Departed), m.Departures...),
+
+		quarantined: m.Quarantined,
 	}, nil
 }
 
--- /dev/null
+++ b/pkg/quarantine/ledger.go
@@ -0,0 +1,161 @@
+package quarantine
+
+import (
+	"bytes"
+	"slices"
+	"time"
+)
+
+const (
+	// maxSuspects bounds the requests of which a replica has evidence: 4,096 of some
+	// 400 bytes are 1.6 MB. A box with 20 requests at each of 200 targets that end
+	// together leaves as many.
+	maxSuspects = 4096
+	// maxOrders bounds the orders of one call, so that the log is not filled by them.
+	maxOrders = 16
+)
+
+// Order changes the replicated list: it enters or changes an entry, or lets it go.
+type Order struct {
+	Entry   Entry
+	Release bool
+	// Reason is why, for the log.
+	Reason string
+}
+
+// suspect is what a replica knows of one request.
+type suspect struct {
+	record
+	// listed tells that it was seen on the list.
+	listed bool
+}
+
+// Ledger keeps at a control replica what boxes tell of requests under which targets
+// ended. Each replica is told all, so that any may lead. The caller provides locking.
+type Ledger struct {
+	suspects map[Digest]*suspect
+}
+
+// NewLedger returns a ledger without evidence.
+func NewLedger() *Ledger { return &Ledger{suspects: make(map[Digest]*suspect)} }
+
+// Len returns how many requests there is evidence about.
+func (l *Ledger) Len() int { return len(l.suspects) }
+
+// Ended takes an end that a box tells.
+func (l *Ledger) Ended(now time.Time, e End) { l.of(e.Request).add(now, e) }
+
+// Answered takes that a suspected request was answered.
+func (l *Ledger) Answered(now time.Time, d Digest, c Caller, at time.Time) {
+	l.of(d).answer(now, c, at)
+}
+
+func (l *Ledger) of(d Digest) *suspect {
+	s := l.suspects[d]
+	if s != nil {
+		return s
+	}
+	if len(l.suspects) >= maxSuspects {
+		delete(l.suspects, leastTelling(l.suspects, func(s *suspect) *record { return &s.record }))
+	}
+	s = &suspect{}
+	l.suspects[d] = s
+	return s
+}
+
+// Due returns what a leader has to change on the list; wall is the time of day. It is
+// returned again until the list shows it.
+func (l *Ledger) Due(now, wall time.Time, list []Entry) []Order {
+	known := byDigest(list)
+	var out []Order
+	for _, e := range list {
+		if !wall.Before(e.Until) {
+			out = append(out, Order{Entry: e, Release: true, Reason: "its time is over"})
+		}
+	}
+	for d, s := range l.suspects {
+		if !l.see(now, d, s, len(known[d]) > 0) {
+			continue
+		}
+		out = append(out, s.orders(now, wall, known[d])...)
+	}
+	slices.SortStableFunc(out, func(a, b Order) int { return bytes.Compare(a.Entry.Request[:], b.Entry.Request[:]) })
+	return out[:min(len(out), maxOrders)]
+}
+
+// see notes whether a suspect is on the list and reports whether it is still one: what
+// left the list was let go, and the evidence goes with it.
+func (l *Ledger) see(now time.Time, d Digest, s *suspect, listed bool) bool {
+	if s.listed && !listed || !listed && s.isOld(now) {
+		delete(l.suspects, d)
+		return false
+	}
+	if listed && !s.listed {
+		s.listed = true
+		s.watchedSince = now
+	}
+	return true
+}
+
+// orders returns what is to be changed of one request.
+func (s *suspect) orders(now, wall time.Time, entries []Entry) []Order {
+	against, lives := s.worst(now)
+	if lives >= holdLives && s.mayHold(now, against) && !isHeld(entries, against) {
+		e := s.entry(against)
+		e.Held = true
+		e.Until = wall.Add(holdTime)
+		return []Order{{Entry: e, Reason: "targets ended under it one after the other"}}
+	}
+	if lives >= watchLives && len(entries) == 0 {
+		e := s.entry(AnyCaller)
+		e.Until = wall.Add(watchTime)
+		return []Order{{Entry: e, Reason: "two targets ended under it"}}
+	}
+	return s.releases(now, entries, lives)
+}
+
+// releases lets go of entries whose callers were answered.
+func (s *suspect) releases(now time.Time, entries []Entry, lives int) []Order {
+	var out []Order
+	for _, e := range entries {
+		if s.clears(now, e, lives) {
+			out = append(out, Order{Entry: e, Release: true, Reason: "it was answered"})
+		}
+	}
+	return out
+}
+
+// clears reports whether answers speak against an entry. A replica that has started
+// since knows of no ends, so that silence is no answer.
+func (s *suspect) clears(now time.Time, e Entry, lives int) bool {
+	if e.Caller != AnyCaller {
+		_, answered := s.answerTo(e.Caller)
+		return answered && !slices.ContainsFunc(s.ends, func(end End) bool { return end.Caller == e.Caller })
+	}
+	if len(s.answers) == 0 {
+		return false
+	}
+	if e.Held {
+		return s.livesSinceAnswer(now) < holdLives
+	}
+	return lives < watchLives
+}
+
+func isHeld(entries []Entry, c Caller) bool {
+	return slices.ContainsFunc(entries, func(e Entry) bool { return e.Held && e.Covers(c) })
+}
+
+// entry returns the entry of the request against a caller.
+func (s *suspect) entry(c Caller) Entry {
+	out := Entry{Caller: c}
+	for _, e := range s.ends {
+		if !e.against(c) {
+			continue
+		}
+		out.Request, out.Route, out.Service = e.Request, e.Route, e.Service
+		if !slices.Contains(out.Lives, e.Life) {
+			out.Lives = append(out.Lives, e.Life)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/quarantine/record.go
@@ -0,0 +1,184 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// watchLives is from how many ended targets on a request is watched: run by a box
+	// once at a time and not repeated by it. An innocent one gets there if two targets
+	// end under it in a row.
+	watchLives = 2
+	// holdLives is from how many ended targets on a request reaches no target. With a
+	// part p of the targets ending in the time of a run, an innocent request that is
+	// repeated three times is held with p^3: 0.003 where 0.15 of them end.
+	holdLives = 3
+	// Memory is how long evidence counts. A request that comes less often ends a
+	// target every Memory at most.
+	Memory = 10 * time.Minute
+	// maxEnds and maxAnswers bound what is kept of one request.
+	maxEnds    = 8
+	maxAnswers = 8
+	// settleTime is for how long a watched request with enough ended targets may still
+	// be cleared: targets that ended at one moment are one piece of evidence, and a
+	// request that many ask for is answered many times in it. Telling all boxes takes
+	// 0.2 to 0.5 s.
+	settleTime = time.Second
+)
+
+// End is a run of a request that ended with the life of its target.
+type End struct {
+	Request Digest
+	Caller  Caller
+	// Life is that of the target.
+	Life    string
+	Route   string
+	Service string
+	// Began and Ended are those of the run.
+	Began time.Time
+	Ended time.Time
+}
+
+// answered is the last whole answer to a caller.
+type answered struct {
+	caller Caller
+	at     time.Time
+}
+
+// record is what is known of one request.
+type record struct {
+	ends    []End
+	answers []answered
+	// changed is when something was learned last.
+	changed time.Time
+	// watchedSince is since when the request is watched, zero if it is not.
+	watchedSince time.Time
+}
+
+// add takes an end and reports whether it counts.
+func (r *record) add(now time.Time, e End) bool {
+	if at, ok := r.answerTo(e.Caller); ok && !e.Ended.After(at) {
+		return false
+	}
+	if slices.ContainsFunc(r.ends, func(known End) bool { return known.Life == e.Life && known.Caller == e.Caller }) {
+		return false
+	}
+	r.changed = now
+	r.ends = append(r.ends, e)
+	if len(r.ends) > maxEnds {
+		r.ends = slices.Delete(r.ends, 0, 1)
+	}
+	return true
+}
+
+// answer takes a whole answer to a caller: what was held against it before counts no
+// longer.
+func (r *record) answer(now time.Time, c Caller, at time.Time) {
+	r.changed = now
+	r.ends = slices.DeleteFunc(r.ends, func(e End) bool { return e.Caller == c && !e.Ended.After(at) })
+	i := slices.IndexFunc(r.answers, func(a answered) bool { return a.caller == c })
+	if i >= 0 {
+		r.answers[i].at = later(r.answers[i].at, at)
+		return
+	}
+	r.answers = append(r.answers, answered{c, at})
+	if len(r.answers) > maxAnswers {
+		r.answers = slices.Delete(r.answers, 0, 1)
+	}
+}
+
+func (r *record) answerTo(c Caller) (at time.Time, ok bool) {
+	for _, a := range r.answers {
+		if a.caller == c {
+			return a.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// lastAnswer is when any caller was answered last.
+func (r *record) lastAnswer() (at time.Time) {
+	for _, a := range r.answers {
+		at = later(at, a.at)
+	}
+	return at
+}
+
+// worst returns whom the evidence is against and how many targets it names: one caller,
+// or all if several lost targets and none was answered since. Ends that are older than
+// Memory don't count.
+func (r *record) worst(now time.Time) (c Caller, lives int) {
+	byCaller := make(map[Caller]map[string]bool)
+	for _, e := range r.ends {
+		if now.Sub(e.Ended) > Memory {
+			continue
+		}
+		if byCaller[e.Caller] == nil {
+			byCaller[e.Caller] = make(map[string]bool)
+		}
+		byCaller[e.Caller][e.Life] = true
+	}
+	for caller, own := range byCaller {
+		if len(own) > lives || len(own) == lives && caller < c {
+			c, lives = caller, len(own)
+		}
+	}
+	if all := r.livesSinceAnswer(now); len(byCaller) > 1 && all > lives {
+		return AnyCaller, all
+	}
+	return c, lives
+}
+
+// livesSinceAnswer counts the targets that ended under requests of any caller since one
+// was answered last.
+func (r *record) livesSinceAnswer(now time.Time) int {
+	lives := make(map[string]bool)
+	last := r.lastAnswer()
+	for _, e := range r.ends {
+		if now.Sub(e.Ended) <= Memory && e.Ended.After(last) {
+			lives[e.Life] = true
+		}
+	}
+	return len(lives)
+}
+
+// mayHold reports whether a watched request has had the time to be cleared: a target
+// ended under a run that began after it was watched, or that time is over and nobody was
+// answered in it. Where others are, this caller may not have had its turn.
+func (r *record) mayHold(now time.Time, against Caller) bool {
+	if r.watchedSince.IsZero() {
+		return false
+	}
+	if now.Sub(r.watchedSince) >= settleTime && !r.lastAnswer().After(r.watchedSince) {
+		return true
+	}
+	return slices.ContainsFunc(r.ends, func(e End) bool { return e.against(against) && e.Began.After(r.watchedSince) })
+}
+
+// against reports whether an end is part of the evidence against a caller.
+func (e End) against(c Caller) bool { return c == AnyCaller || e.Caller == c }
+
+// isOld reports whether nothing of the record counts any more.
+func (r *record) isOld(now time.Time) bool { return now.Sub(r.changed) > Memory }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// leastTelling returns the digest of the record that is forgotten first where there is
+// no room: one with the fewest ended targets, and of those the oldest. Many requests
+// with one end each push out none that has more.
+func leastTelling[R any](records map[Digest]R, of func(R) *record) (out Digest) {
+	var least *record
+	for d, one := range records {
+		r := of(one)
+		if least == nil || len(r.ends) < len(least.ends) || len(r.ends) == len(least.ends) && r.changed.Before(least.changed) {
+			out, least = d, r
+		}
+	}
+	return out
+}
--- a/pkg/steering/state.go
+++ b/pkg/steering/state.go
@@ -93,7 +93,7 @@
 		return s.applyChange(c.Change)
 	case c.Shift != nil:
 		return s.applyShift(c.Shift)
-	case c.Routes != nil, c.Evacuation != nil, c.Registration != nil:
+	case c.Routes != nil, c.Evacuation != nil, c.Registration != nil, c.Quarantine != nil:
 		return s.applyCatalog(c)
 	}
 	return s, Result{Err: fmt.Errorf("a command without content")}
@@ -139,7 +139,7 @@
 
 // isWord reports whether a command is nothing but a target's word.
 func isWord(c *wire.Command) bool {
-	return c.Registration != nil && c.Change == nil && c.Shift == nil && c.Routes == nil && c.Evacuation == nil
+	return c.Registration != nil && c.Change == nil && c.Shift == nil && c.Routes == nil && c.Evacuation == nil && c.Quarantine == nil
 }
 
 func (s State) applyCatalog(c *wire.Command) (State, Result) {
@@ -151,6 +151,8 @@
 		s.catalog, result.Changed = s.catalog.ApplyEvacuation(c.Evacuation)
 	case c.Registration != nil:
 		s.catalog, result.Changed = s.catalog.ApplyRegistration(c.Registration)
+	case c.Quarantine != nil:
+		s.catalog, result.Changed = s.catalog.ApplyQuarantine(c.Quarantine)
 	}
 	if result.Changed {
 		s.version++
