boottime: tests of what counts after a machine was suspended, failing

Cause: all times of the hosts rest on the steady clock, which stands still while a machine is suspended.

--- /dev/null
+++ b/internal/boottime/boottime.go
@@ -0,0 +1,127 @@
+// Package boottime tells the time by a clock that counts the seconds for which the
+// machine was suspended and that does not step.
+//
+// Time of this language rests on the steady clock, which stands still while a machine is
+// suspended: a lease or a permit that ran out meanwhile would still count, and word of
+// control would look as fresh as before. The time of day counts those seconds, but it
+// steps. CLOCK_BOOTTIME counts them and does not step; Now is the steady clock with what
+// CLOCK_BOOTTIME is ahead of it since the process started. Without a suspension it is
+// time.Now.
+//
+// Times of Now compare with each other only: Since and Until go with it, and WithDeadline
+// turns one into a deadline of a context. Timers and contexts still rest on the steady
+// clock, so they end late by at most what was left of them when the machine was
+// suspended; what they lead to is decided by Now.
+package boottime
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// leastSuspension is the shortest suspension that counts. Between two readings of
+	// clocks a busy process may stand still for a tenth of this.
+	leastSuspension = 10 * time.Millisecond
+	// lookInterval is how often the clocks are compared at least. A look takes three
+	// system calls; in between a suspension shows itself at once by the time of day,
+	// which time.Now reads anyway, unless the time of day steps back by as much.
+	lookInterval = 250 * time.Millisecond
+	// firstLooks is how often the clocks are compared at the start.
+	firstLooks = 3
+)
+
+// meter measures for how long the machine was suspended.
+type meter struct {
+	// ahead returns how far CLOCK_BOOTTIME is ahead of the steady clock, never too much.
+	ahead func() time.Duration
+	// always has the clocks compared at each reading.
+	always bool
+
+	origin time.Time
+	// lost is for how long the machine was suspended since the start. gap is what the
+	// time of day was ahead of the steady clock at the last look, and at when that was by
+	// the steady clock; all in nanoseconds since the start.
+	lost atomic.Int64
+	gap  atomic.Int64
+	at   atomic.Int64
+
+	mu    sync.Mutex
+	first time.Duration
+}
+
+func newMeter(ahead func() time.Duration) *meter {
+	m := &meter{ahead: ahead, origin: time.Now()}
+	m.first = ahead()
+	for range firstLooks - 1 {
+		m.first = max(m.first, ahead())
+	}
+	return m
+}
+
+// suspended returns for how long the machine was suspended, as of a reading of time.Now.
+func (m *meter) suspended(now time.Time) time.Duration {
+	steady := int64(now.Sub(m.origin))
+	gap := now.UnixNano() - m.origin.UnixNano() - steady
+	if !m.always && near(gap, m.gap.Load()) && steady-m.at.Load() < int64(lookInterval) {
+		return time.Duration(m.lost.Load())
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gap.Store(gap)
+	m.at.Store(steady)
+	if lost := m.ahead() - m.first; lost-time.Duration(m.lost.Load()) >= leastSuspension {
+		m.lost.Store(int64(lost))
+	}
+	return time.Duration(m.lost.Load())
+}
+
+func near(a, b int64) bool {
+	return a-b < int64(leastSuspension) && b-a < int64(leastSuspension)
+}
+
+var machine atomic.Pointer[meter]
+
+func init() { machine.Store(newMeter(ahead)) }
+
+// Now returns the present time. Its time of day is that of time.Now plus all suspensions,
+// so it is not to be shown to anyone.
+func Now() time.Time {
+	now := time.Now()
+	return now.Add(machine.Load().suspended(now))
+}
+
+// Since returns the time that has passed since a time of Now.
+func Since(t time.Time) time.Duration { return Now().Sub(t) }
+
+// Until returns the time that is left until a time of Now.
+func Until(t time.Time) time.Duration { return t.Sub(Now()) }
+
+// Suspended returns for how long the machine was suspended since the process started.
+func Suspended() time.Duration { return machine.Load().suspended(time.Now()) }
+
+// WithDeadline returns a context that ends at a time of Now.
+func WithDeadline(ctx context.Context, t time.Time) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, Until(t))
+}
+
+// Deadline returns when a context ends as a time of Now.
+func Deadline(ctx context.Context) (t time.Time, ok bool) {
+	at, ok := ctx.Deadline()
+	if !ok {
+		return t, false
+	}
+	return Now().Add(time.Until(at)), true
+}
+
+// Simulate has a test say for how long the machine was suspended, which must not shrink.
+// It returns what ends that.
+func Simulate(suspended func() time.Duration) (end func()) {
+	before := machine.Load()
+	m := newMeter(suspended)
+	m.always = true
+	machine.Store(m)
+	return func() { machine.Store(before) }
+}
--- /dev/null
+++ b/internal/entry/suspension_test.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/pkg/admission"
+	"ledgesill.dev/ledgesill/pkg/lease"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// Seen: by reading, a box whose machine was suspended for longer than its lease on a pool
+// went on granting slots while another box held the lease.
+// Cause: the steady clock, which stands still in a suspension.
+// Proof: seconds pass in a suspension only, and the pool is no longer held.
+func TestLeaseEndsInASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asleep time.Duration
+		defer boottime.Simulate(func() time.Duration { return asleep })()
+		p := newPool("s", "box", "i", 1)
+		p.changed = func(bool) {}
+		p.refused = func(admission.Reason) {}
+		var asked []lease.Request
+		p.ask = func(list []lease.Request) { asked = append(asked, list...) }
+		p.lease = lease.NewHolder(boottime.Now(), lease.Config{Pool: "s@z", Name: "box", Incarnation: "i", Voters: []string{"box"}, Duration: time.Second, Seed: 1})
+		p.handle(poolEvent{admission.Tick{}})
+		for range 20 {
+			if len(asked) > 0 {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+			p.handle(poolEvent{admission.Tick{}})
+		}
+		if len(asked) == 0 {
+			t.Fatal("no vote was asked for")
+		}
+		last := asked[len(asked)-1].Message
+		p.handle(poolLeaseAnswer{&wire.LeaseAnswer{Pool: "s@z", Voter: "box", Ballot: last.Ballot, Granted: true, Holder: "box", Incarnation: "i"}})
+		if !p.held {
+			t.Fatal("the lease is not held before the suspension")
+		}
+		asleep = 5 * time.Second
+		p.handle(poolEvent{admission.Tick{}})
+		if p.held {
+			t.Error("the lease is held after a suspension that is longer")
+		}
+	})
+}
--- /dev/null
+++ b/internal/gateway/suspension_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"ledgesill.dev/ledgesill/internal/boottime"
+)
+
+// Seen: after a machine was suspended for seconds, by reading, what had run out
+// meanwhile still counted: the steady clock stands still in a suspension.
+//
+// Proof: each test lets seconds pass in a suspension only, in which virtual time stands
+// still as the steady clock does.
+
+// suspensions lets a test suspend the machine.
+func suspensions(t *testing.T) (suspend func(time.Duration)) {
+	t.Helper()
+	var asleep time.Duration
+	t.Cleanup(boottime.Simulate(func() time.Duration { return asleep }))
+	return func(d time.Duration) { asleep += d }
+}
+
+// A permit of a window that is over would count in two windows.
+func TestPermitIsNotUsedAfterASuspension(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		suspend := suspensions(t)
+		s, r := limitedScene(t, 1, map[string]int{"a": 1, "b": 0})
+		s.scripts = scripts(s.turnsAway(), s.answers(0, "old"))
+		// The target turned it away, so that its permit is in stock again.
+		wantRefusal(t, s.ask(t.Context(), "/once/", ""), http.StatusServiceUnavailable)
+		suspend(5 * time.Second)
+		wantRefusal(t, s.ask(t.Context(), "/once/", ""), http.StatusTooManyRequests)
+		if n := r.issued(1); n != 1 {
+			t.Fatalf("%d permits were issued", n)
+		}
+	})
+}
+
+// A target closes what rests longer than it told; a request sent on it then may be lost.
+func TestIdleConnectionIsNotUsedAfterASuspension(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		suspend := suspensions(t)
+		s := newScene(t, testConfig(), 1)
+		s.scripts = scripts(s.answers(0, "first"), s.answers(0, "second"), s.answers(0, "third"))
+		s.wantAnswer(t, s.ask(t.Context(), "/long/", ""), "first", 0)
+		s.wantAnswer(t, s.ask(t.Context(), "/long/", ""), "second", 0)
+		if n := s.targets[0].conns.Load(); n != 1 {
+			t.Fatalf("%d connections before the suspension", n)
+		}
+		suspend(defaultIdle)
+		s.wantAnswer(t, s.ask(t.Context(), "/long/", ""), "third", 0)
+		if n := s.targets[0].conns.Load(); n != 2 {
+			t.Fatalf("%d connections after the suspension, want a new one", n)
+		}
+	})
+}
+
+// What a box earned of retries before belongs to a window that is over.
+func TestRetriesEarnedBeforeASuspensionHaveExpired(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		suspend := suspensions(t)
+		config := testConfig()
+		config.RetryShare, config.RetryExtra = 1, 0
+		s := newScene(t, config, 2)
+		for range 4 {
+			s.daemon.countFirst("s")
+		}
+		if !s.daemon.allowsRetry("s") {
+			t.Fatal("no retry is allowed before the suspension")
+		}
+		suspend(config.RetryWindow)
+		if s.daemon.allowsRetry("s") {
+			t.Fatal("retries that were earned before the suspension are allowed after it")
+		}
+	})
+}
+
+// A request whose caller's time is over is not sent on.
+func TestRequestIsNotSentAfterItsTime(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		suspend := suspensions(t)
+		s := newScene(t, testConfig(), 2)
+		s.scripts = scripts(func(*http.Request, net.Conn) bool {
+			suspend(10 * time.Second)
+			return false // the first target breaks off as the machine wakes
+		}, s.answers(0, "late"))
+		if got := s.ask(t.Context(), "/long/", ""); got.status != http.StatusGatewayTimeout {
+			t.Fatalf("got %d %q, want a time out", got.status, got.body)
+		}
+		if len(s.reached) != 1 {
+			t.Fatalf("%d targets were reached", len(s.reached))
+		}
+	})
+}
