internal, platform: go by a clock that counts suspensions

Callers would have seen: after a suspension of seconds a box sent what a permit of a past window allowed, and on connections that targets had closed; it took word of control of 5.1 s ago for one of 0.1 s; a lease that had run out was held. Cause: time.Now, Since and Until rest on the steady clock, which stands still in a suspension. Ruled out: a process that ends itself when it wakes (it would lose the requests under way and count as an exit); CLOCK_BOOTTIME at each reading (two system calls, some 10 readings a request): it is read each 0.25 s, and at once where the time of day has gone ahead of the steady clock, which time.Now tells anyway. Change: all hosts go by package boottime. Left on the time of day, with the reason beside each: stamps for people, starts told by targets, request keys, the ends of quarantine; on the steady clock: deadlines of connections.

--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -209,7 +209,7 @@
 		BaseVersion:   body.BaseVersion,
 		Edits:         toEdits(body.Edits),
 		Author:        body.Author,
-		TimeUnixMilli: time.Now().UnixMilli(),
+		TimeUnixMilli: time.Now().UnixMilli(), // time of day: for people
 	}
 	d.process.Event(&wire.TimelineEvent{Kind: "changeProposed", Change: body.ID})
 	o, err := d.replica.submit(ctx, &wire.Command{Change: change})
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/config"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/process"
@@ -92,7 +93,7 @@
 		config:    c,
 		process:   p,
 		journal:   j,
-		started:   time.Now(),
+		started:   boottime.Now(),
 		addresses: make(map[string]string),
 		joining:   make(map[string]*wire.Replica),
 		repairs:   make(map[string]consensus.RepairStep),
@@ -110,7 +111,7 @@
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(found.ID + d.process.Incarnation)) // a hash takes every write
 	cc := consensus.Config{ElectionTimeout: d.config.ElectionTimeout, Seed: seed.Sum64()}
-	r, err := openReplica(time.Now, cc, d.journal, found, d.config.SnapshotEvery)
+	r, err := openReplica(boottime.Now, cc, d.journal, found, d.config.SnapshotEvery)
 	if err != nil {
 		return err
 	}
@@ -309,12 +310,12 @@
 	if at == neverHeard {
 		return time.Hour
 	}
-	return max(time.Since(d.started)-time.Duration(at), 0)
+	return max(boottime.Since(d.started)-time.Duration(at), 0)
 }
 
 // noteHeard notes that a leader was heard of some time ago.
 func (d *Daemon) noteHeard(ago time.Duration) {
-	d.heard.Store(int64(max(time.Since(d.started)-ago, 0)))
+	d.heard.Store(int64(max(boottime.Since(d.started)-ago, 0)))
 }
 
 const neverHeard = -1
@@ -412,7 +413,7 @@
 	if err != nil {
 		return
 	}
-	d.permits.setParts(time.Now(), v.membership)
+	d.permits.setParts(boottime.Now(), v.membership)
 	if v.status.Role == consensus.Leader {
 		d.noteHeard(0)
 		return
@@ -426,7 +427,7 @@
 		d.reportedTo = v.status.Leader
 		d.filter = relay.NewReportFilter()
 	}
-	report := &wire.Report{Boxes: d.filter.News(time.Now(), d.publishing.Reports(), v.state.Shifting())}
+	report := &wire.Report{Boxes: d.filter.News(boottime.Now(), d.publishing.Reports(), v.state.Shifting())}
 	if len(report.Boxes) == 0 {
 		return
 	}
--- a/internal/control/inbox.go
+++ b/internal/control/inbox.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"ledgesill.dev/ledgesill/internal/boottime"
 )
 
 const (
@@ -58,7 +60,7 @@
 // message that still waits then is not handled.
 func (i inbox) put(ctx context.Context, m message) error {
 	select {
-	case i.line(m) <- arrival{m, time.Now(), ctx}:
+	case i.line(m) <- arrival{m, boottime.Now(), ctx}:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -68,7 +70,7 @@
 // offer hands a message to the loop if there is room for it.
 func (i inbox) offer(m message) (taken bool) {
 	select {
-	case i.line(m) <- arrival{message: m, at: time.Now()}:
+	case i.line(m) <- arrival{message: m, at: boottime.Now()}:
 		return true
 	default:
 		return false
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/steering"
@@ -91,7 +92,7 @@
 		if err := m.Read(r); err != nil {
 			return // the box has left, or opens another stream
 		}
-		if err := m.Write(d.permits.issue(time.Now(), r)); err != nil {
+		if err := m.Write(d.permits.issue(boottime.Now(), r)); err != nil {
 			return
 		}
 	}
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -8,6 +8,7 @@
 
 	"github.com/kataras/iris/v12"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/operator"
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/quarantine"
@@ -61,14 +62,14 @@
 	s.wake()
 }
 
-// orders returns what is due, given the list in force.
-func (s *suspicions) orders(now time.Time, list []*wire.Quarantined) []quarantine.Order {
+// orders returns what is due, given the list in force; wall is the time of day.
+func (s *suspicions) orders(now, wall time.Time, list []*wire.Quarantined) []quarantine.Order {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ledger.Len() == 0 && len(list) == 0 {
 		return nil
 	}
-	return s.ledger.Due(now, now, quarantine.EntriesOf(list))
+	return s.ledger.Due(now, wall, quarantine.EntriesOf(list))
 }
 
 func (s *suspicions) len() int {
@@ -79,7 +80,7 @@
 
 // serveEvidence takes what a box tells of requests under which targets ended.
 func (d *Daemon) serveEvidence(e *wire.Evidence) *wire.CallAnswer {
-	d.suspicions.take(time.Now(), e)
+	d.suspicions.take(boottime.Now(), e)
 	return &wire.CallAnswer{}
 }
 
@@ -101,7 +102,8 @@
 // orderQuarantine looks what is due, also where another replica leads: what left the
 // list is forgotten by all.
 func (d *Daemon) orderQuarantine(ctx context.Context) {
-	orders := d.suspicions.orders(time.Now(), d.latest().Catalog().Quarantined())
+	wall := time.Now() // time of day: boxes go by it too
+	orders := d.suspicions.orders(boottime.Now(), wall, d.latest().Catalog().Quarantined())
 	if len(orders) == 0 {
 		return
 	}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/journal"
 	"ledgesill.dev/ledgesill/pkg/steering"
@@ -196,7 +197,7 @@
 // the asker has asked again, and doing both would add to what made it wait.
 func (r *replica) takeArrival(a arrival) consensus.Output {
 	abandoned := a.abandoned()
-	r.waited(kind(a.message), time.Since(a.at), abandoned)
+	r.waited(kind(a.message), boottime.Since(a.at), abandoned)
 	if abandoned {
 		return consensus.Output{}
 	}
@@ -328,8 +329,8 @@
 }
 
 func (r *replica) store(out consensus.Output) error {
-	began := time.Now()
-	defer func() { r.synced(time.Since(began)) }()
+	began := boottime.Now()
+	defer func() { r.synced(boottime.Since(began)) }()
 	if out.HardState != nil {
 		r.hardState = out.HardState
 	}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -11,6 +11,7 @@
 
 	"github.com/kataras/iris/v12"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/operator"
 	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/pkg/consensus"
@@ -129,10 +130,10 @@
 	}
 	since, ok := d.lagging[b.Name]
 	if !ok {
-		since = time.Now()
+		since = boottime.Now()
 		d.lagging[b.Name] = since
 	}
-	out.LagMillis = time.Since(since).Milliseconds()
+	out.LagMillis = boottime.Since(since).Milliseconds()
 	return out
 }
 
--- a/internal/control/submit.go
+++ b/internal/control/submit.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/steering"
@@ -131,11 +132,11 @@
 // leftMilli is how much longer a context lasts, for the process that is asked; zero
 // if it has no end.
 func leftMilli(ctx context.Context) int64 {
-	deadline, ok := ctx.Deadline()
+	deadline, ok := boottime.Deadline(ctx)
 	if !ok {
 		return 0
 	}
-	return max(time.Until(deadline).Milliseconds(), 1)
+	return max(boottime.Until(deadline).Milliseconds(), 1)
 }
 
 // forAsker returns a context that ends when the asker of another process gives up.
--- a/internal/control/wordcalls.go
+++ b/internal/control/wordcalls.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -44,7 +45,7 @@
 	out := all(len(batch), &consensus.NotLeaderError{})
 	request := &wire.WordsRequest{}
 	var places []int
-	now := time.Now()
+	now := boottime.Now()
 	for i, word := range batch {
 		if word.forwarded {
 			continue
--- a/internal/control/workspaces.go
+++ b/internal/control/workspaces.go
@@ -9,6 +9,7 @@
 
 	"github.com/kataras/iris/v12"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/operator"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -33,7 +34,7 @@
 }
 
 func (d *Daemon) ownWorkspaces() *wire.WorkspacesAnswer {
-	number, list := d.permits.usage(time.Now())
+	number, list := d.permits.usage(boottime.Now())
 	return &wire.WorkspacesAnswer{Number: number, AgeMilli: d.age().Milliseconds(), Workspaces: list}
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/caller"
 	"ledgesill.dev/ledgesill/pkg/retry"
@@ -62,9 +63,9 @@
 // run hosts the plan until it is final.
 func (e *execution) run(ctx context.Context) *answer {
 	e.box.budgets.Lock()
-	out := e.plan.Begin(time.Now())
+	out := e.plan.Begin(boottime.Now())
 	e.box.budgets.Unlock()
-	timer := time.NewTimer(time.Until(out.Wake))
+	timer := time.NewTimer(boottime.Until(out.Wake))
 	defer timer.Stop()
 	for {
 		if out.Launch > 0 {
@@ -74,7 +75,7 @@
 			return e.final(ctx, out)
 		}
 		if !out.Wake.IsZero() {
-			timer.Reset(time.Until(out.Wake))
+			timer.Reset(boottime.Until(out.Wake))
 		}
 		out = e.next(ctx, timer)
 	}
@@ -88,7 +89,7 @@
 	case <-timer.C:
 		e.box.budgets.Lock()
 		defer e.box.budgets.Unlock()
-		return e.plan.Tick(time.Now())
+		return e.plan.Tick(boottime.Now())
 	case end := <-e.ends:
 		e.keep(end.answer)
 		if end.target != "" {
@@ -96,7 +97,7 @@
 		}
 		e.box.budgets.Lock()
 		defer e.box.budgets.Unlock()
-		return e.plan.Ended(time.Now(), end.number, end.end)
+		return e.plan.Ended(boottime.Now(), end.number, end.end)
 	}
 }
 
@@ -119,7 +120,7 @@
 	if number > 1 {
 		e.box.retries.WithLabelValues(e.request.service).Inc()
 	}
-	ctx, cancel := context.WithDeadline(ctx, e.request.deadline)
+	ctx, cancel := boottime.WithDeadline(ctx, e.request.deadline)
 	e.cancels[number] = cancel
 	exclude := append([]string(nil), e.exclude...)
 	go func() { e.ends <- e.attempt(ctx, cancel, number, exclude) }()
@@ -181,7 +182,7 @@
 		cancel()
 		return attemptEnd{number: number, end: retry.Refused, answer: refusal(string(got.refused.Reason), got.refused.RetryAfter)}
 	}
-	slot := &slot{pool: e.pool, id: id, began: time.Now(), cancel: cancel}
+	slot := &slot{pool: e.pool, id: id, began: boottime.Now(), cancel: cancel}
 	a, end, result := e.box.askTarget(ctx, e.request, got.address, slot)
 	if a != nil {
 		a.target = got.target
@@ -204,7 +205,7 @@
 func (s *slot) free(r admission.Result) {
 	s.once.Do(func() {
 		s.cancel()
-		s.pool.finish(admission.Finish{ID: s.id, Result: r, Latency: time.Since(s.began)})
+		s.pool.finish(admission.Finish{ID: s.id, Result: r, Latency: boottime.Since(s.began)})
 	})
 }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/thejerf/suture/v4"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/config"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/process"
@@ -107,7 +108,7 @@
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(c.Name + p.Incarnation)) // a hash takes every write
 	d := &Daemon{config: c, process: p, seed: seed.Sum64(), network: network}
-	d.votes.voter = lease.NewVoter(time.Now(), c.Name, longestLease)
+	d.votes.voter = lease.NewVoter(boottime.Now(), c.Name, longestLease)
 	d.budgets.byService = make(map[string]*retry.Budget)
 	d.pools.byService = make(map[string]*runningPool)
 	d.leaving.addresses = make(map[string]bool)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/caller"
 	"ledgesill.dev/ledgesill/pkg/retry"
@@ -48,7 +49,7 @@
 		visit.noWait = r.noWait || config.NoWait(i, len(places) > 1 && places[1].region == d.config.Region)
 		a := place.run(ctx, &visit)
 		d.budgets.Lock()
-		decision := failover.Ended(time.Now(), a.result())
+		decision := failover.Ended(boottime.Now(), a.result())
 		d.budgets.Unlock()
 		if decision.Keep {
 			kept.discard()
@@ -153,7 +154,7 @@
 	h.URL.Host = b.PeerAddress
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	ctx, cancel := boottime.WithDeadline(ctx, r.deadline)
 	response, err := d.toPeers.RoundTrip(h.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		cancel()
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/caller"
 	"ledgesill.dev/ledgesill/pkg/requestkey"
 	"ledgesill.dev/ledgesill/pkg/settings"
@@ -57,7 +58,7 @@
 
 // scope issues a scope for request keys.
 func (k *keys) scope() string {
-	s := requestkey.Scope{Owner: k.box.config.Name, OwnerIncarnation: k.box.process.Incarnation, IssuedAt: time.Now()}
+	s := requestkey.Scope{Owner: k.box.config.Name, OwnerIncarnation: k.box.process.Incarnation, IssuedAt: time.Now()} // time of day: keys tell by it when they were issued
 	if w, ok := k.box.peers.witness(); ok {
 		s.Witness = w.name
 		s.WitnessIncarnation = w.incarnation
@@ -69,7 +70,7 @@
 func (k *keys) testify(m *wire.WitnessRequest) *wire.WitnessAnswer {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.witness.Handle(time.Now(), m)
+	return k.witness.Handle(time.Now(), m) // time of day: keys tell by it when they were issued
 }
 
 // serve runs a request that carries a key, or returns what became of it.
@@ -145,7 +146,7 @@
 // handle gives an event to the owner machine and carries out what it asks for.
 // The lock is held.
 func (k *keys) handle(e requestkey.Event) {
-	out := k.owner.Handle(time.Now(), e)
+	out := k.owner.Handle(time.Now(), e) // time of day: keys tell by it when they were issued
 	for _, r := range out.Reply {
 		if reply, ok := k.waiting[r.Token]; ok {
 			delete(k.waiting, r.Token)
@@ -166,7 +167,7 @@
 
 // run makes the one attempt of a key. It goes on if the caller leaves.
 func (k *keys) run(key requestkey.Key, r *request) {
-	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
+	ctx, cancel := boottime.WithDeadline(context.Background(), r.deadline)
 	defer cancel()
 	a := k.box.dispatch(ctx, r.withoutKey())
 	if a.stream != nil {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/settings"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -78,7 +79,7 @@
 		v := p.get(b.Name)
 		if !v.watched {
 			v.watched = true
-			v.watchedAt = time.Now()
+			v.watchedAt = boottime.Now()
 		}
 	}
 	return watched
@@ -142,14 +143,14 @@
 	v := p.get(b.Name)
 	v.incarnation = a.Hello.Incarnation
 	v.stopping = a.Hello.Stopping
-	v.heardAt = time.Now()
+	v.heardAt = boottime.Now()
 }
 
 // failed notes that a request to a box failed.
 func (p *peers) failed(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.get(name).failedAt = time.Now()
+	p.get(name).failedAt = boottime.Now()
 }
 
 // usable reports whether a box may be sent to.
@@ -160,7 +161,7 @@
 	if v == nil {
 		return true
 	}
-	now := time.Now()
+	now := boottime.Now()
 	if v.stopping && now.Sub(v.heardAt) < deadAfter {
 		return false
 	}
@@ -177,7 +178,7 @@
 	defer p.mu.Unlock()
 	for _, name := range p.order {
 		v := p.byName[name]
-		if v.incarnation != "" && !v.stopping && time.Since(v.heardAt) < deadAfter {
+		if v.incarnation != "" && !v.stopping && boottime.Since(v.heardAt) < deadAfter {
 			return *v, true
 		}
 	}
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/lease"
 	"ledgesill.dev/ledgesill/pkg/lookup"
@@ -110,13 +111,13 @@
 		case m := <-p.inbox:
 			wake = p.handle(m)
 		}
-		timer.Reset(max(time.Until(wake), 0))
+		timer.Reset(max(boottime.Until(wake), 0))
 	}
 }
 
 // handle takes one message and returns when the loop must wake.
 func (p *pool) handle(m poolMessage) time.Time {
-	now := time.Now()
+	now := boottime.Now()
 	switch m := m.(type) {
 	case poolEvent:
 		if c, ok := m.event.(admission.Cancel); ok {
@@ -149,7 +150,7 @@
 // release stops granting and, when nothing runs any more, gives the lease up.
 func (p *pool) release(done chan<- struct{}) {
 	p.resting = true
-	now := time.Now()
+	now := boottime.Now()
 	p.carryOut(now, p.admission.Handle(now, admission.Hold{}))
 	if p.admission.Load(now).Busy > 0 {
 		return
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/pkg/lease"
 	"ledgesill.dev/ledgesill/pkg/retry"
@@ -15,7 +16,7 @@
 func (d *Daemon) vote(m *wire.LeaseRequest) *wire.LeaseAnswer {
 	d.votes.Lock()
 	defer d.votes.Unlock()
-	return d.votes.voter.Handle(time.Now(), m)
+	return d.votes.voter.Handle(boottime.Now(), m)
 }
 
 // holder returns the box that holds a pool of this zone, as far as this box's
@@ -23,7 +24,7 @@
 func (d *Daemon) holder(service string) (settings.Box, bool) {
 	f := d.current.Load()
 	d.votes.Lock()
-	name, ok := d.votes.voter.Holder(time.Now(), poolName(service, d.config.Zone))
+	name, ok := d.votes.voter.Holder(boottime.Now(), poolName(service, d.config.Zone))
 	d.votes.Unlock()
 	if !ok && !slices.Contains(f.zone.Voters(), d.config.Name) {
 		name, ok = d.toldHolder(service)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/caller"
 )
@@ -230,7 +231,7 @@
 	if len(r.body) == 0 {
 		h.Body = http.NoBody
 	}
-	h.Header.Set(caller.HeaderDeadline, strconv.FormatInt(max(time.Until(r.deadline).Milliseconds(), 1), 10))
+	h.Header.Set(caller.HeaderDeadline, strconv.FormatInt(max(boottime.Until(r.deadline).Milliseconds(), 1), 10))
 	h.Header.Set(caller.HeaderRequestID, r.id)
 	if r.repeatable {
 		return
--- a/internal/entry/stopping.go
+++ b/internal/entry/stopping.go
@@ -11,6 +11,7 @@
 	"github.com/kataras/iris/v12"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/drain"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -47,20 +48,20 @@
 func (s *stopping) begin(ttl, longest time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stop.Begin(time.Now(), ttl, longest)
+	s.stop.Begin(boottime.Now(), ttl, longest)
 }
 
 func (s *stopping) update(inFlight *atomic.Int64) drain.Phase {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	phase, _ := s.stop.Update(time.Now(), int(inFlight.Load()))
+	phase, _ := s.stop.Update(boottime.Now(), int(inFlight.Load()))
 	return phase
 }
 
 func (s *stopping) progress() drain.Progress {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stop.Progress(time.Now())
+	return s.stop.Progress(boottime.Now())
 }
 
 // stopAsPlanned leaves the look-ups, serves until cached answers have run out,
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -2,10 +2,10 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/retry"
 )
@@ -22,7 +22,7 @@
 func (d *Daemon) countFirst(service string) {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	d.budget(service).First(time.Since(d.started))
+	d.budget(service).First(boottime.Since(d.started))
 }
 
 // allowsRetry reports whether a retry is left in this box's part of the budget of
@@ -30,7 +30,7 @@
 func (d *Daemon) allowsRetry(service string) bool {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	return d.budget(service).Allows(time.Since(d.started), d.retryExtra())
+	return d.budget(service).Allows(boottime.Since(d.started), d.retryExtra())
 }
 
 // retryExtra is this box's part of the retries that are free; below zero where
@@ -41,7 +41,7 @@
 	if d.balancing.boxes == 0 {
 		return math.Inf(-1)
 	}
-	if d.config.Restarted && time.Since(d.started) < d.config.RetryWindow {
+	if d.config.Restarted && boottime.Since(d.started) < d.config.RetryWindow {
 		return 0
 	}
 	return d.config.RetryExtra / float64(d.balancing.boxes)
@@ -55,12 +55,12 @@
 func (d *Daemon) chooseRetry(r balance.Request) (balance.Choice, error) {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	at, extra := time.Since(d.started), d.retryExtra()
+	at, extra := boottime.Since(d.started), d.retryExtra()
 	budget := d.budget(r.Service)
 	if !budget.Allows(at, extra) {
 		return balance.Choice{}, errNoRetries
 	}
-	choice, err := d.balancing.balancer.Choose(time.Now(), r)
+	choice, err := d.balancing.balancer.Choose(boottime.Now(), r)
 	if err != nil {
 		return balance.Choice{}, err
 	}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"ledgesill.dev/ledgesill/internal/boottime"
 )
 
 const (
@@ -69,7 +71,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s == http.StateIdle {
-		c.idle[conn] = time.Now()
+		c.idle[conn] = boottime.Now()
 		return
 	}
 	delete(c.idle, conn)
@@ -120,7 +122,7 @@
 	ticker := time.NewTicker(endIdleTick)
 	defer ticker.Stop()
 	for {
-		c.closeIdle(time.Now())
+		c.closeIdle(boottime.Now())
 		if c.resting() == 0 {
 			return
 		}
@@ -143,13 +145,13 @@
 // while kept answers of look-ups may still name it, then takes no more
 // connections and waits for the requests that it has read.
 func (d *Daemon) leave() {
-	began := time.Now()
+	began := boottime.Now()
 	d.stopping.Store(true)
 	d.log.Info().Str("kind", "stopping").Int64("inFlight", d.inFlight.Load()).Msg("told to stop; leaves the look-ups")
 	d.reportToAll(context.Background())
 	total := d.config.StopTime - stopReserve
 	time.Sleep(min(acceptTime, total/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(total))
+	ctx, cancel := boottime.WithDeadline(context.Background(), began.Add(total))
 	defer cancel()
 	if err := d.callers.end(ctx); err != nil {
 		d.log.Warn().Str("kind", "stopping").Err(err).Int64("inFlight", d.inFlight.Load()).Msg("requests are cut off, the time to stop is over")
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"ledgesill.dev/ledgesill/internal/boottime"
 )
 
 const (
@@ -62,7 +64,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.idleUntil) && isQuiet(c.Conn) {
+		if boottime.Now().Before(c.idleUntil) && isQuiet(c.Conn) {
 			return c, nil
 		}
 		_ = c.Close() // nothing is under way on it
@@ -92,7 +94,7 @@
 // put keeps a connection on which nothing is under way.
 func (p *connections) put(target string, c *connection, idle time.Duration) {
 	c.used = true
-	c.idleUntil = time.Now().Add(time.Duration(float64(idle) * idlePart))
+	c.idleUntil = boottime.Now().Add(time.Duration(float64(idle) * idlePart))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle[target]) >= maxIdle {
@@ -125,7 +127,7 @@
 }
 
 func (p *connections) close() {
-	p.sweep(time.Now(), func(string) bool { return false })
+	p.sweep(boottime.Now(), func(string) bool { return false })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/internal/relay"
@@ -95,7 +96,7 @@
 		process:     p,
 		lines:       lines,
 		log:         p.Log,
-		started:     time.Now(),
+		started:     boottime.Now(),
 		metrics:     newMetrics(p.Metrics),
 		servedLines: process.NewLineLimit(servedLines),
 		otherLines:  process.NewLineLimit(otherLines),
@@ -239,7 +240,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := boottime.Now()
 			d.connections.sweep(now, d.knows)
 			d.callers.sweep(now)
 			d.permits.forget(now)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
 )
 
@@ -95,7 +96,7 @@
 
 // notePanic logs a panic of the attempt, ends its connection and returns its failure.
 func (a *attempt) notePanic(value any) *attemptError {
-	if a.gateway.otherLines.Take(time.Now()) {
+	if a.gateway.otherLines.Take(boottime.Now()) {
 		stack := make([]byte, panicStack)
 		stack = stack[:runtime.Stack(stack, false)]
 		a.gateway.log.Error().Str("kind", "panic").Str("request", a.id).Str("target", a.target.ID).
@@ -110,14 +111,14 @@
 // run sends the request and reads the answer. The context ends when the caller
 // leaves, the time is over or another target has answered.
 func (a *attempt) run(ctx context.Context) (*answer, *attemptError) {
-	began := time.Now()
+	began := boottime.Now()
 	c, err := a.gateway.connections.get(ctx, a.target.ID, a.target.Address)
 	if err != nil {
 		return nil, &attemptError{outcome: a.unless(ctx, balance.Unreachable), err: err}
 	}
 	a.connection = c
 	if !c.used {
-		a.connect = time.Since(began)
+		a.connect = boottime.Since(began)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	out, err := a.exchange(c)
@@ -204,8 +205,8 @@
 		}
 		_ = c.Close()
 	}
-	began := time.Now()
-	slow := func() bool { return time.Since(began) > collectTime }
+	began := boottime.Now()
+	slow := func() bool { return boottime.Since(began) > collectTime }
 	body, more, err := readUpTo(response.Body, response.ContentLength, wholeAnswer, slow)
 	if err != nil {
 		return nil, errors.Wrap(err, "reading the body of the answer")
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
 )
 
@@ -28,7 +29,7 @@
 		c.refuse(none.Reason, none.RetryAfter)
 	case !c.mayHaveRun:
 		c.refuse("notRun", c.retryAfter())
-	case !time.Now().Before(c.ends):
+	case !boottime.Now().Before(c.ends):
 		c.fail(http.StatusGatewayTimeout, "timeOut", cause)
 	default:
 		c.fail(http.StatusBadGateway, "unknown", cause)
@@ -74,7 +75,7 @@
 	c.dropFallback()
 	if out.length >= 0 {
 		c.gateway.longAnswers.note(c.route.Name, out.length)
-		c.booked.settle(time.Now(), out.length)
+		c.booked.settle(boottime.Now(), out.length)
 	}
 	c.writeHead(out)
 	_, err := c.writer.Write(out.body)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/quota"
 )
 
@@ -30,7 +31,7 @@
 		return true
 	}
 	until, err := c.gateway.permits.take(ctx, c.workspace.Name)
-	c.permitWait = time.Since(c.began)
+	c.permitWait = boottime.Since(c.began)
 	if err == nil {
 		c.permits = append(c.permits, until)
 		return true
--- a/internal/gateway/loglimit.go
+++ b/internal/gateway/loglimit.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/rs/zerolog"
+
+	"ledgesill.dev/ledgesill/internal/boottime"
 )
 
 const (
@@ -20,7 +20,7 @@
 	if served {
 		limit = d.servedLines
 	}
-	if !limit.Take(time.Now()) {
+	if !limit.Take(boottime.Now()) {
 		return nil
 	}
 	if served {
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -50,7 +51,7 @@
 // take returns a permit of a workspace, for which it may wait. The error is an
 // OverLimitError or SilentError of package quota, or the context's.
 func (p *permits) take(ctx context.Context, workspace string) (until time.Time, err error) {
-	now := time.Now()
+	now := boottime.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stock.Count(now, workspace)
@@ -64,14 +65,14 @@
 	p.stock.Wait(workspace)
 	defer p.stock.Unwait(workspace)
 	for {
-		if err := p.stock.Refusal(time.Now(), workspace); err != nil {
+		if err := p.stock.Refusal(boottime.Now(), workspace); err != nil {
 			return time.Time{}, err
 		}
 		p.wake()
 		if err := p.await(ctx, latest.C); err != nil {
-			return time.Time{}, errors.CombineErrors(p.stock.Refusal(time.Now(), workspace), err)
+			return time.Time{}, errors.CombineErrors(p.stock.Refusal(boottime.Now(), workspace), err)
 		}
-		if until, ok := p.stock.Take(time.Now(), workspace); ok {
+		if until, ok := p.stock.Take(boottime.Now(), workspace); ok {
 			return until, nil
 		}
 	}
@@ -99,7 +100,7 @@
 func (p *permits) takeNow(workspace string) (until time.Time, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.stock.Take(time.Now(), workspace)
+	return p.stock.Take(boottime.Now(), workspace)
 }
 
 // putBack returns a permit that was not used.
@@ -166,7 +167,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stock.SetIssuers(replicas)
-	return p.stock.Asks(time.Now())
+	return p.stock.Asks(boottime.Now())
 }
 
 func (p *permits) waiting() bool {
@@ -192,11 +193,11 @@
 	defer p.mu.Unlock()
 	defer p.tellLocked()
 	if e.err != nil {
-		p.stock.Unanswered(time.Now(), e.asks)
+		p.stock.Unanswered(boottime.Now(), e.asks)
 		return
 	}
 	if e.answer.GetBehind() {
-		p.stock.Behind(time.Now(), e.asks)
+		p.stock.Behind(boottime.Now(), e.asks)
 		return
 	}
 	grants := make([]quota.Grant, 0, len(e.answer.GetGrants()))
@@ -206,7 +207,7 @@
 			Life: time.Duration(g.LifeMilli) * time.Millisecond, Wait: time.Duration(g.WaitMilli) * time.Millisecond,
 		})
 	}
-	p.stock.Answered(time.Now(), e.asks, grants)
+	p.stock.Answered(boottime.Now(), e.asks, grants)
 }
 
 // tell has waiting requests look again.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/quarantine"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -117,15 +118,15 @@
 			if telling > 0 {
 				continue // told with the next
 			}
-			if e := i.gathered(time.Now()); e != nil {
+			if e := i.gathered(boottime.Now()); e != nil {
 				telling++
 				running.Go(func() { report(ctx, told, i.tell(ctx, e)) })
 			}
 		case <-told:
 			telling--
 			i.wake()
-		case now := <-forget.C:
-			i.forget(now)
+		case <-forget.C:
+			i.forget(boottime.Now())
 		}
 	}
 }
@@ -178,7 +179,7 @@
 	}
 	for _, r := range runs {
 		i.mu.Lock()
-		news := i.guard.Ended(time.Now(), r.end)
+		news := i.guard.Ended(boottime.Now(), r.end)
 		i.idle.Store(i.guard.IsIdle())
 		if news && len(i.ends) < maxTold {
 			i.ends = append(i.ends, r.end)
@@ -201,7 +202,7 @@
 
 // answered takes a whole answer to a request.
 func (i *isolation) answered(d quarantine.Digest, c quarantine.Caller) {
-	now := time.Now()
+	now := boottime.Now()
 	i.mu.Lock()
 	tell := i.guard.Answered(now, d, c)
 	if tell && len(i.answers) < maxTold {
@@ -263,10 +264,10 @@
 }
 
 func (i *isolation) admit(d quarantine.Digest, c quarantine.Caller) quarantine.Verdict {
-	now := time.Now()
+	now, wall := boottime.Now(), time.Now() // time of day: the list tells by it until when it holds
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.guard.Admit(now, now, d, c)
+	return i.guard.Admit(now, wall, d, c)
 }
 
 func (i *isolation) finish(d quarantine.Digest) {
@@ -276,10 +277,10 @@
 }
 
 func (i *isolation) mayRepeat(d quarantine.Digest, c quarantine.Caller) bool {
-	now := time.Now()
+	now, wall := boottime.Now(), time.Now() // time of day: the list tells by it until when it holds
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.guard.MayRepeat(now, now, d, c)
+	return i.guard.MayRepeat(now, wall, d, c)
 }
 
 // connectIsolation gives the isolation its ways out.
@@ -333,7 +334,7 @@
 
 func (d *Daemon) noteEnded(r brokenRun) {
 	d.metrics.endedRuns.Inc()
-	if !d.otherLines.Take(time.Now()) {
+	if !d.otherLines.Take(boottime.Now()) {
 		return
 	}
 	d.log.Warn().Str("kind", "targetEnded").Str("request", r.request).Str("digest", r.end.Request.String()).
@@ -449,7 +450,7 @@
 // noteBroken takes that the connection of an attempt broke: its target may have ended.
 func (c *call) noteBroken(e attemptEnd) {
 	id := c.identity()
-	now := time.Now()
+	now := boottime.Now()
 	c.gateway.isolation.broke(brokenRun{
 		end: quarantine.End{
 			Request: id.digest, Caller: id.caller, Life: e.choice.Target.ID, Route: c.route.Name, Service: c.service,
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -23,7 +24,7 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	for {
-		now := time.Now()
+		now := boottime.Now()
 		schedule.SetInterval(lookup.ReportInterval(d.boxCount()))
 		schedule.SetReplicas(now, d.controls.all())
 		due, next := schedule.Due(now)
@@ -36,7 +37,7 @@
 				}
 			})
 		}
-		wake := time.NewTimer(time.Until(next))
+		wake := time.NewTimer(boottime.Until(next))
 		if next.IsZero() {
 			wake.Stop()
 		}
@@ -45,9 +46,9 @@
 			wake.Stop()
 			return ctx.Err()
 		case <-d.reportDue:
-			schedule.Changed(time.Now())
+			schedule.Changed(boottime.Now())
 		case e := <-ended:
-			schedule.Ended(time.Now(), e.address, e.err == nil)
+			schedule.Ended(boottime.Now(), e.address, e.err == nil)
 		case <-wake.C:
 		}
 		wake.Stop()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/quarantine"
@@ -97,7 +97,7 @@
 
 // ServeHTTP takes a request of a caller.
 func (d *Daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{gateway: d, request: r, writer: w, began: time.Now(), rules: d.rules.Load()}
+	c := &call{gateway: d, request: r, writer: w, began: boottime.Now(), rules: d.rules.Load()}
 	c.id = d.config.Protocol.requestID(r)
 	if d.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -137,7 +137,7 @@
 		return
 	}
 	c.ends = c.began.Add(min(c.deadline(), route.Timeout))
-	ctx, cancel := context.WithDeadline(c.request.Context(), c.ends)
+	ctx, cancel := boottime.WithDeadline(c.request.Context(), c.ends)
 	defer cancel()
 	if !c.passQuarantine() {
 		return
@@ -156,7 +156,7 @@
 		return
 	}
 	c.booked = booked
-	defer func() { booked.settle(time.Now(), 0) }()
+	defer func() { booked.settle(boottime.Now(), 0) }()
 	c.service = c.gateway.destination(route)
 	c.gateway.countFirst(c.service)
 	c.attempts(ctx)
--- a/internal/gateway/shaper.go
+++ b/internal/gateway/shaper.go
@@ -5,6 +5,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"ledgesill.dev/ledgesill/internal/boottime"
 )
 
 const (
@@ -94,7 +96,7 @@
 // copy passes a long answer on, piece by piece. Left is how many bytes are still to
 // come, below zero if that is not known.
 func (s *shaper) copy(ctx context.Context, to io.Writer, from io.Reader, left int64) error {
-	p := s.book(time.Now(), left)
+	p := s.book(boottime.Now(), left)
 	defer p.end()
 	piece := make([]byte, shapedPiece)
 	for {
@@ -114,7 +116,7 @@
 }
 
 func (p *passage) write(ctx context.Context, to io.Writer, piece []byte) error {
-	if wait := p.wait(time.Now(), len(piece)); wait > 0 {
+	if wait := p.wait(boottime.Now(), len(piece)); wait > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/steering"
@@ -72,7 +73,7 @@
 	for _, r := range registrations {
 		changed = append(changed, d.target(r))
 	}
-	now := time.Now()
+	now := boottime.Now()
 	d.balancing.Lock()
 	d.balancing.balancer.ChangeTargets(now, changed, names(ended))
 	d.balancing.balancer.SetEvacuated(now, c.Evacuated())
@@ -144,13 +145,13 @@
 func (d *Daemon) choose(r balance.Request) (balance.Choice, error) {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	return d.balancing.balancer.Choose(time.Now(), r)
+	return d.balancing.balancer.Choose(boottime.Now(), r)
 }
 
 func (d *Daemon) done(r balance.Report) {
 	d.metrics.attempts.WithLabelValues(r.Outcome.String()).Inc()
 	d.balancing.Lock()
-	change := d.balancing.balancer.Done(time.Now(), r)
+	change := d.balancing.balancer.Done(boottime.Now(), r)
 	d.balancing.Unlock()
 	d.noteTarget(change, r)
 }
@@ -159,14 +160,14 @@
 // than it is waited for; the request stays under way.
 func (d *Daemon) overdue(r balance.Report) {
 	d.balancing.Lock()
-	change := d.balancing.balancer.Overdue(time.Now(), r)
+	change := d.balancing.balancer.Overdue(boottime.Now(), r)
 	d.balancing.Unlock()
 	d.noteTarget(change, r)
 }
 
 // noteTarget tells that a target was lost or is back.
 func (d *Daemon) noteTarget(change balance.Change, r balance.Report) {
-	if change == balance.Unchanged || !d.otherLines.Take(time.Now()) {
+	if change == balance.Unchanged || !d.otherLines.Take(boottime.Now()) {
 		return
 	}
 	line := d.log.Warn().Str("kind", "target").Str("target", r.TargetID).Str("outcome", r.Outcome.String()).Dur("took", r.Took)
@@ -180,14 +181,14 @@
 func (d *Daemon) noteCold(target string, left time.Duration) {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	d.balancing.balancer.NoteCold(time.Now(), target, left)
+	d.balancing.balancer.NoteCold(boottime.Now(), target, left)
 }
 
 // retryAfter is when a request that a target did not run may come back.
 func (d *Daemon) retryAfter(target, route string) time.Duration {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	return d.balancing.balancer.RetryAfter(time.Now(), target, route)
+	return d.balancing.balancer.RetryAfter(boottime.Now(), target, route)
 }
 
 const (
@@ -205,7 +206,7 @@
 
 // untilRoutes is when a caller may come back to a box that has no routes yet.
 func (d *Daemon) untilRoutes() time.Duration {
-	left := routesTime - time.Since(d.started)
+	left := routesTime - boottime.Since(d.started)
 	if left < 0 {
 		return routesOverdue
 	}
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -125,7 +125,7 @@
 		return nil, err
 	}
 	defer m.Close()
-	if at, ok := ctx.Deadline(); ok {
+	if at, ok := ctx.Deadline(); ok { // steady clock: deadlines of connections go by it
 		_ = stream.SetDeadline(at) // one that has ended fails at the write
 	}
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -171,7 +171,7 @@
 		return
 	}
 	use := make([]byte, 1)
-	_ = c.SetReadDeadline(time.Now().Add(helloTimeout)) // one that has ended fails at the read
+	_ = c.SetReadDeadline(time.Now().Add(helloTimeout)) // steady clock: deadlines of connections go by it; one that has ended fails at the read
 	if _, err := io.ReadFull(c, use); err != nil {
 		_ = c.Close() // its peer has left or says nothing, and dials again if it wants to
 		return
@@ -237,7 +237,7 @@
 	defer n.running.Done()
 	m := NewMessages(stream)
 	hello := &wire.StreamHello{}
-	_ = stream.SetReadDeadline(time.Now().Add(helloTimeout)) // one that has ended fails at the read
+	_ = stream.SetReadDeadline(time.Now().Add(helloTimeout)) // steady clock: deadlines of connections go by it; one that has ended fails at the read
 	if err := m.Read(hello); err != nil {
 		_ = stream.Close() // the side that opened it sees its end
 		return
--- a/internal/process/linelimit.go
+++ b/internal/process/linelimit.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"ledgesill.dev/ledgesill/internal/boottime"
 )
 
 // LineLimit bounds the log lines of one kind: what goes beyond it is counted.
@@ -16,7 +18,7 @@
 
 // NewLineLimit returns a limit of a number of lines a second, and as many at once.
 func NewLineLimit(rate float64) *LineLimit {
-	return &LineLimit{rate: rate, tokens: rate, at: time.Now()}
+	return &LineLimit{rate: rate, tokens: rate, at: boottime.Now()}
 }
 
 // Take reports whether a line may be written.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -55,7 +55,7 @@
 		Name:        name,
 		Incarnation: newIncarnation(),
 		Metrics:     prometheus.NewRegistry(),
-		Clock:       timeline.NewClock(time.Now),
+		Clock:       timeline.NewClock(time.Now), // time of day: stamps are shown to people
 	}
 	p.Log = zerolog.New(log).Level(level).With().Timestamp().Str("process", name).Logger()
 	p.Metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/relay/following.go
+++ b/internal/relay/following.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/pkg/distribution"
 	"ledgesill.dev/ledgesill/pkg/steering"
@@ -79,9 +80,9 @@
 func NewFollowing(s Subscriber) *Following {
 	f := &Following{
 		subscriber: s,
-		machine:    distribution.NewFollower(time.Now(), s.Seed),
+		machine:    distribution.NewFollower(boottime.Now(), s.Seed),
 		inbox:      make(chan distribution.Event, followInbox),
-		started:    time.Now(),
+		started:    boottime.Now(),
 		reads:      make(chan openedStream, 1),
 		opened:     make(chan openedStream, 1),
 		changed:    make(chan struct{}, 1),
@@ -99,7 +100,7 @@
 	if at == 0 {
 		return time.Hour
 	}
-	return time.Since(f.started) - time.Duration(at)
+	return boottime.Since(f.started) - time.Duration(at)
 }
 
 // SourcesChanged has the sources asked for anew.
@@ -143,7 +144,7 @@
 }
 
 func (f *Following) handle(ctx context.Context, e distribution.Event) {
-	f.carryOut(ctx, f.machine.Handle(time.Now(), e))
+	f.carryOut(ctx, f.machine.Handle(boottime.Now(), e))
 }
 
 // renewSources asks for the sources after what has come by the subscription is
@@ -220,8 +221,8 @@
 		f.cancel = cancel
 		go f.subscribe(worker, *out.Subscribe)
 	}
-	if age := f.machine.Age(time.Now()); f.heard.Load() > 0 || age < followTick {
-		f.heard.Store(int64(max(time.Since(f.started)-age, 1)))
+	if age := f.machine.Age(boottime.Now()); f.heard.Load() > 0 || age < followTick {
+		f.heard.Store(int64(max(boottime.Since(f.started)-age, 1)))
 	}
 	if out.State == nil {
 		return
@@ -272,7 +273,7 @@
 			f.put(ctx, distribution.Lost{Attempt: s.Attempt})
 			return
 		}
-		at := time.Now()
+		at := boottime.Now()
 		f.subscriber.Clock.Observe(u.Clock)
 		if first {
 			first = false
@@ -301,7 +302,7 @@
 	if f.stream == nil || f.subscriber.Reports == nil {
 		return
 	}
-	news := f.filter.News(time.Now(), f.subscriber.Reports(), f.machine.State().Shifting())
+	news := f.filter.News(boottime.Now(), f.subscriber.Reports(), f.machine.State().Shifting())
 	if len(news) == 0 {
 		return
 	}
--- a/internal/relay/publishing.go
+++ b/internal/relay/publishing.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/pkg/distribution"
 	"ledgesill.dev/ledgesill/pkg/lookup"
@@ -201,7 +202,7 @@
 		if err := m.Write(u); err != nil {
 			return
 		}
-		sent := time.Now()
+		sent := boottime.Now()
 		version = max(version, u.Version)
 		due = false
 		select {
@@ -218,7 +219,7 @@
 			return
 		case <-ended:
 			return
-		case <-time.After(time.Until(sent.Add(updateSpacing))):
+		case <-time.After(boottime.Until(sent.Add(updateSpacing))):
 		}
 	}
 }
@@ -271,7 +272,7 @@
 // Fresh returns the reports that are not older than within, by the names of
 // their boxes.
 func (p *Publishing) Fresh(within time.Duration) []*wire.BoxReport {
-	now := time.Now()
+	now := boottime.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []*wire.BoxReport
@@ -296,7 +297,7 @@
 
 // Collect takes the reports of a subtree. The newest report of a box counts.
 func (p *Publishing) Collect(r *wire.Report) {
-	now := time.Now()
+	now := boottime.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, b := range r.Boxes {
@@ -310,7 +311,7 @@
 
 // Reports returns the collected reports with their present age.
 func (p *Publishing) Reports() []*wire.BoxReport {
-	now := time.Now()
+	now := boottime.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make([]*wire.BoxReport, 0, len(p.reports))
