isolation, entry, soak: keep requests that end targets from them at both kinds of entry box

Cause: as in internal/gateway; both hosts booked failures to targets alone. Change: what the gateway did with package quarantine is package isolation, used by both; each run of the soak has such a request, from a client of its own at any box, and checks that it reaches 3 more targets at most later than 4 s after the third and the last fault, and that no other request is kept from targets.

--- a/contrib/soak/clients.go
+++ b/contrib/soak/clients.go
@@ -104,6 +104,9 @@
 	if answer.StatusCode == http.StatusOK && !bytes.Equal(text, want) {
 		c.world.promises.broken("%s got another answer: %.60q", r.Header.Get("X-Ledgesill-Attempt-Id"), text)
 	}
+	if bytes.HasPrefix(text, []byte(heldBody)) {
+		c.world.promises.broken("%s was kept from targets", r.Header.Get("X-Ledgesill-Attempt-Id"))
+	}
 	refused := answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests
 	if refused && answer.Header.Get("Retry-After") == "" {
 		c.world.promises.broken("a refusal without a time to come back")
--- a/contrib/soak/main.go
+++ b/contrib/soak/main.go
@@ -141,8 +141,15 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	seen := make(chan []attemptRecord, 1)
-	go func() { seen <- w.traffic(ctx, n.clients) }()
+	type traffic struct {
+		records []attemptRecord
+		fatal   []string
+	}
+	seen := make(chan traffic, 1)
+	go func() {
+		records, fatal := w.traffics(ctx, n.clients)
+		seen <- traffic{records, fatal}
+	}()
 	if n.allOff {
 		w.disturbances(length / 2)
 		w.restartAll(append(slices.Clone(w.controls), w.entries...))
@@ -150,6 +157,7 @@
 	} else {
 		w.disturbances(length)
 	}
+	calmSince := time.Now()
 	time.Sleep(quietTime)
 	good := time.Now()
 	if !w.changeConfig(formTime) && !w.readBack() {
@@ -157,7 +165,9 @@
 	}
 	time.Sleep(quietTime / 2)
 	cancel()
-	records := <-seen
+	all := <-seen
+	records := all.records
+	w.checkFatal(all.fatal, calmSince)
 	w.checkRuns(records)
 	w.checkServed(records, good)
 	if !w.readBack() {
--- a/contrib/soak/world.go
+++ b/contrib/soak/world.go
@@ -47,6 +47,7 @@
 
 	mu      sync.Mutex
 	targets []*standin.Served
+	closed  bool
 	next    int
 	run     int
 	config  configState
@@ -145,6 +146,8 @@
 	}
 	s.Announced = x.address()
 	s.Controls = w.controlAddresses
+	s.EndsUnder = fatalPath
+	s.Ended = func() { w.replaceEnded(id, x) }
 	w.proxies[id] = x
 	w.targets = append(w.targets, s)
 	s.Start()
@@ -167,6 +170,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.closed = true
 	for _, t := range w.targets {
 		t.Close()
 	}
--- a/contrib/standin/served.go
+++ b/contrib/standin/served.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -55,6 +56,10 @@
 	Announced string
 	// Controls returns the addresses that it may call.
 	Controls func() []string
+	// EndsUnder is the end of the path of requests under which it ends, and Ended is told
+	// of that; empty for none.
+	EndsUnder string
+	Ended     func()
 
 	ledger   *Ledger
 	listener net.Listener
@@ -65,6 +70,7 @@
 
 	mu       sync.Mutex
 	draining bool
+	ended    bool
 	sequence uint64
 	// DrainedAt is when its drain was acknowledged; zero if it was not.
 	drainedAt time.Time
@@ -212,6 +218,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(s.work)
+	if s.EndsUnder != "" && strings.HasSuffix(r.URL.Path, s.EndsUnder) {
+		go s.end()
+		<-s.ctx.Done()
+		panic(http.ErrAbortHandler)
+	}
 	if s.loses() {
 		panic(http.ErrAbortHandler)
 	}
@@ -234,6 +245,19 @@
 	return s.loseShare > 0 && s.requests%s.loseShare == 0
 }
 
+// end ends it under a request. Of several that come together one ends it.
+func (s *Served) end() {
+	s.mu.Lock()
+	first := !s.ended
+	s.ended = true
+	s.mu.Unlock()
+	if !first {
+		return
+	}
+	s.Close()
+	s.Ended()
+}
+
 // Close ends it at once, as a crash does.
 func (s *Served) Close() {
 	s.cancel()
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -184,6 +184,12 @@
 	}
 	slot := &slot{pool: e.pool, id: id, began: boottime.Now(), cancel: cancel}
 	a, end, result := e.box.askTarget(ctx, e.request, got.address, slot)
+	switch {
+	case end == retry.Failed && a != nil && a.outcome == caller.Unknown:
+		e.broke(ctx, slot, got.target, got.address)
+	case end == retry.Answered && a.stream == nil:
+		e.whole()
+	}
 	if a != nil {
 		a.target = got.target
 	}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -20,6 +20,7 @@
 
 	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/config"
+	"ledgesill.dev/ledgesill/internal/isolation"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/internal/relay"
@@ -58,6 +59,7 @@
 	keys       *keys
 	peers      *peers
 	stop       *stopping
+	isolation  *isolation.Isolation
 	current    atomic.Pointer[inForce]
 	nextID     atomic.Uint64
 	inFlight   atomic.Int64
@@ -118,6 +120,7 @@
 	d.keys = newKeys(d)
 	d.peers = newPeers(d)
 	d.stop = &stopping{}
+	d.isolation = d.newIsolation()
 	d.registerMetrics()
 	return d, d.listen()
 }
@@ -209,6 +212,7 @@
 	root.Add(process.Service{Name: "following", Run: d.following.Run})
 	root.Add(process.Service{Name: "peers", Run: d.peers.run})
 	root.Add(process.Service{Name: "health", Run: d.probeTargets})
+	root.Add(process.Service{Name: "isolation", Run: d.isolation.Run})
 	root.Add(process.Service{Name: "platform", Run: d.watchPlatform})
 	if d.operators != nil {
 		root.Add(process.Service{Name: "operators", Run: d.serveOperators})
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -115,7 +115,7 @@
 		return refusal("deadline", minRetryAfter)
 	}
 	if v.held {
-		return d.runHere(ctx, p, r, v)
+		return d.runUnlessHeld(ctx, p, r, v)
 	}
 	b, ok := d.holder(r.service)
 	if !ok || b.Name == d.config.Name || r.hops >= maxHops {
--- a/internal/entry/following.go
+++ b/internal/entry/following.go
@@ -6,6 +6,7 @@
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/pkg/distribution"
+	"ledgesill.dev/ledgesill/pkg/quarantine"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -28,6 +29,9 @@
 }
 
 func (d *Daemon) putInForce(s steering.State, commands []*wire.Command) {
+	if before := d.current.Load().state.Catalog(); !s.Catalog().SharesQuarantined(before) {
+		d.isolation.SetList(quarantine.EntriesOf(s.Catalog().Quarantined()))
+	}
 	d.put(s)
 	d.publishing.Put(s, commands)
 	d.configurePools()
--- a/internal/entry/network_test.go
+++ b/internal/entry/network_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -46,7 +47,7 @@
 }
 
 var (
-	errRefused = errors.New("connection refused")
+	errRefused = fmt.Errorf("connection: %w", syscall.ECONNREFUSED)
 	errReset   = errors.New("connection reset")
 )
 
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -52,6 +52,8 @@
 	nonce       int
 	// platform is the address of the platform's list, if there is one.
 	platform string
+	// onEvidence takes what boxes tell control of requests under which targets ended.
+	onEvidence func(*wire.Evidence)
 
 	mu       sync.Mutex
 	problems []string
@@ -160,7 +162,15 @@
 		cancel()
 		<-published
 	}
-	handlers := link.Handlers{Subscribe: func(ctx context.Context, _ string, m *link.Messages) { s.publish.Serve(ctx, m) }}
+	handlers := link.Handlers{
+		Subscribe: func(ctx context.Context, _ string, m *link.Messages) { s.publish.Serve(ctx, m) },
+		Call: func(_ context.Context, _ string, r *wire.CallRequest) *wire.CallAnswer {
+			if r.Evidence != nil && s.onEvidence != nil {
+				s.onEvidence(r.Evidence)
+			}
+			return &wire.CallAnswer{}
+		},
+	}
 	s.network.carryFrames(controlHost + ":1")
 	node, err := link.Listen(s.networkOf(controlHost), controlHost+":1", link.Identity{Name: "control"}, clock, handlers, nil)
 	if err != nil {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/isolation"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/internal/relay"
@@ -49,7 +50,7 @@
 	longAnswers *linkQueue
 	permits     *permits
 	permitLinks *permitLinks
-	isolation   *isolation
+	isolation   *isolation.Isolation
 	// reportWord and permitWord tell which replicas take reports and issue permits.
 	reportWord  silences
 	permitWord  silences
@@ -117,9 +118,8 @@
 	d.permits.replicas = d.controls.all
 	d.permits.number = d.documentNumber
 	d.permits.answered = d.notePermits
-	d.isolation = newIsolation()
-	d.connectIsolation()
-	p.Gauge("quarantine_suspects", "Requests under which a target ended at this box.", func() float64 { return float64(d.isolation.suspects()) })
+	d.isolation = d.newIsolation()
+	p.Gauge("quarantine_suspects", "Requests under which a target ended at this box.", func() float64 { return float64(d.isolation.Suspects()) })
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(c.Name + p.Incarnation)) // a hash takes every write
 	d.following = relay.NewFollowing(relay.Subscriber{
@@ -215,7 +215,7 @@
 		process.Service{Name: "controls", Run: d.keepControls},
 		process.Service{Name: "reports", Run: d.report},
 		process.Service{Name: "permits", Run: d.permits.run},
-		process.Service{Name: "isolation", Run: d.isolation.run},
+		process.Service{Name: "isolation", Run: d.isolation.Run},
 		process.Service{Name: "ready", Run: func(ctx context.Context) error {
 			return process.ServeHTTP(ctx, d.ready, d.config.ReadyHandler(d.isReady))
 		}},
