gateway, boottime: look once more before a request is sent, and end waiting requests on waking

Callers would have seen: a request that waited when the machine was suspended went on waiting for what was left of its time by the steady clock; one whose target was chosen before was sent after its time, with the time that was left when it was chosen; and a permit that was taken before was used in a later window. Cause: what was decided before a suspension or a freeze was carried out after it. Change: contexts with a deadline end with the first reading after it; time and permit are looked at again when the connection is there, and the target is told what is left then; a body that takes longer than a permit lasts costs another permit.

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -9,8 +9,8 @@
 // time.Now.
 //
 // Times of Now compare with each other only: Since and Until go with it, and WithDeadline
-// turns one into a deadline of a context. Timers and contexts still rest on the steady
-// clock, so they end late by at most what was left of them when the machine was
+// turns one into a deadline of a context. Timers and other contexts still rest on the
+// steady clock, so they end late by at most what was left of them when the machine was
 // suspended; what they lead to is decided by Now.
 package boottime
 
@@ -74,6 +74,7 @@
 	m.at.Store(steady)
 	if lost := m.ahead() - m.first; lost-time.Duration(m.lost.Load()) >= leastSuspension {
 		m.lost.Store(int64(lost))
+		deadlines.wake(now.Add(lost))
 	}
 	return time.Duration(m.lost.Load())
 }
@@ -102,9 +103,56 @@
 // Suspended returns for how long the machine was suspended since the process started.
 func Suspended() time.Duration { return machine.Load().suspended(time.Now()) }
 
-// WithDeadline returns a context that ends at a time of Now.
+// WithDeadline returns a context that ends at a time of Now. If that passes while the
+// machine is suspended, it ends with the first reading of Now after that, with the cause
+// context.DeadlineExceeded. Its cancel function must be called.
 func WithDeadline(ctx context.Context, t time.Time) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, Until(t))
+	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, stop := context.WithTimeout(ctx, Until(t))
+	d := &deadline{t, cancel}
+	deadlines.add(d)
+	return ctx, func() {
+		deadlines.remove(d)
+		stop()
+		cancel(nil)
+	}
+}
+
+// deadline is a context that has not been cancelled.
+type deadline struct {
+	at  time.Time
+	end context.CancelCauseFunc
+}
+
+// deadlineSet are the contexts of WithDeadline.
+type deadlineSet struct {
+	mu  sync.Mutex
+	all map[*deadline]bool
+}
+
+var deadlines = deadlineSet{all: make(map[*deadline]bool)}
+
+func (s *deadlineSet) add(d *deadline) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all[d] = true
+}
+
+func (s *deadlineSet) remove(d *deadline) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.all, d)
+}
+
+// wake ends the contexts whose time has passed.
+func (s *deadlineSet) wake(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for d := range s.all {
+		if !now.Before(d.at) {
+			d.end(context.DeadlineExceeded)
+		}
+	}
 }
 
 // Deadline returns when a context ends as a time of Now.
--- a/internal/boottime/boottime_test.go
+++ b/internal/boottime/boottime_test.go
@@ -39,6 +39,32 @@
 	})
 }
 
+// A context ends when its deadline passes in a suspension, at the next reading, and not
+// when what was left by the steady clock is over.
+func TestDeadlineEndsOnWaking(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asleep time.Duration
+		defer Simulate(func() time.Duration { return asleep })()
+		ctx, cancel := WithDeadline(context.Background(), Now().Add(3*time.Second))
+		defer cancel()
+		later, cancelLater := WithDeadline(context.Background(), Now().Add(time.Minute))
+		defer cancelLater()
+		asleep = 5 * time.Second
+		Now()
+		if ctx.Err() == nil || context.Cause(ctx) != context.DeadlineExceeded {
+			t.Errorf("after the suspension: %v", context.Cause(ctx))
+		}
+		if later.Err() != nil {
+			t.Errorf("one whose deadline lies ahead: %v", context.Cause(later))
+		}
+		cancel()
+		cancelLater()
+		if n := len(deadlines.all); n != 0 {
+			t.Errorf("%d deadlines are kept", n)
+		}
+	})
+}
+
 // A step of the time of day is no suspension, and what a busy process loses between two
 // readings is none.
 func TestOnlySuspensionsCount(t *testing.T) {
--- a/internal/control/suspension_test.go
+++ b/internal/control/suspension_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,11 +17,11 @@
 func TestReplicaCountsASuspension(t *testing.T) {
 	const length = 5 * time.Second
 	runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
-		var asleep time.Duration
-		defer boottime.Simulate(func() time.Duration { return asleep })()
+		var asleep atomic.Int64
+		defer boottime.Simulate(func() time.Duration { return time.Duration(asleep.Load()) })()
 		for _, d := range s.daemons {
 			age, now := d.age(), d.replica.now()
-			asleep += length
+			asleep.Add(int64(length))
 			if got := d.replica.now().Sub(now); got < length {
 				t.Errorf("%s: its clock went on by %s in a suspension of %s", d.config.Name, got, length)
 			}
--- a/internal/entry/suspension_test.go
+++ b/internal/entry/suspension_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,8 +18,8 @@
 // Proof: seconds pass in a suspension only, and the pool is no longer held.
 func TestLeaseEndsInASuspension(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var asleep time.Duration
-		defer boottime.Simulate(func() time.Duration { return asleep })()
+		var asleep atomic.Int64
+		defer boottime.Simulate(func() time.Duration { return time.Duration(asleep.Load()) })()
 		p := newPool("s", "box", "i", 1)
 		p.changed = func(bool) {}
 		p.refused = func(admission.Reason) {}
@@ -41,7 +42,7 @@
 		if !p.held {
 			t.Fatal("the lease is not held before the suspension")
 		}
-		asleep = 5 * time.Second
+		asleep.Store(int64(5 * time.Second))
 		p.handle(poolEvent{admission.Tick{}})
 		if p.held {
 			t.Error("the lease is held after a suspension that is longer")
--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := &attempt{
 		gateway: c.gateway, request: c.request, id: c.id, body: c.body, target: choice.Target,
-		workspace: c.workspaceName(), left: boottime.Until(c.ends),
+		workspace: c.workspaceName(), ends: c.ends, permitEnds: c.permitEnds(),
 	}
 	u := &underWay{attempt: a, choice: choice, began: boottime.Now(), ctx: ctx, cancel: cancel}
 	c.tried = append(c.tried, choice.Target.ID)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -80,8 +80,10 @@
 	target  balance.Target
 	// workspace is the name of the one whose request it is; empty for none.
 	workspace string
-	// left is what the target is told to have.
-	left time.Duration
+	// ends is when the request's time is over, and permitEnds when the permit of this run
+	// is, zero if it needs none.
+	ends       time.Time
+	permitEnds time.Time
 	// connect is how long a new connection took; zero if it was not new.
 	connect time.Duration
 	// connection is what the request was sent on, nil before.
@@ -116,6 +118,10 @@
 	if err != nil {
 		return nil, &attemptError{outcome: a.unless(ctx, balance.Unreachable), err: err}
 	}
+	if err := a.tooLate(boottime.Now()); err != nil {
+		_ = c.Close() // nothing was sent on it
+		return nil, &attemptError{outcome: balance.Dropped, err: err}
+	}
 	a.connection = c
 	if !c.used {
 		a.connect = boottime.Since(began)
@@ -140,6 +146,25 @@
 	return out, nil
 }
 
+// tooLateError says that a request was not sent, as its time or that of its permit was
+// over when a connection was had.
+type tooLateError struct{ of string }
+
+// Error implements error.
+func (e *tooLateError) Error() string { return "not sent: the time of the " + e.of + " is over" }
+
+// tooLate looks once more before a request is sent: a connection may take its time, and
+// the machine may have been frozen or suspended since the target was chosen.
+func (a *attempt) tooLate(now time.Time) error {
+	switch {
+	case a.ends.Sub(now) < leastLeft:
+		return &tooLateError{"request"}
+	case !a.permitEnds.IsZero() && !now.Before(a.permitEnds):
+		return &tooLateError{"permit"}
+	}
+	return nil
+}
+
 // unless returns the outcome of a failure, which is another one if the context
 // has ended.
 func (a *attempt) unless(ctx context.Context, o balance.Outcome) balance.Outcome {
@@ -150,7 +175,7 @@
 }
 
 func (a *attempt) exchange(c *connection) (*answer, error) {
-	words := headWords{target: a.target.Name, workspace: a.workspace, left: a.left, length: a.body.length}
+	words := headWords{target: a.target.Name, workspace: a.workspace, left: boottime.Until(a.ends), length: a.body.length}
 	sent := a.body.send(c, a.gateway.config.Protocol.requestHead(a.request, words))
 	for range maxSkipped {
 		response, err := readFinal(c, a.request)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,6 +52,27 @@
 	return false
 }
 
+// permitEnds is when the permit of the next run ends; zero if it needs none.
+func (c *call) permitEnds() time.Time {
+	if i := c.possibleRuns + len(c.underWay); i < len(c.permits) {
+		return c.permits[i]
+	}
+	return time.Time{}
+}
+
+// renewPermit gets another permit for the next run where the one at hand is over: the
+// body took its time, or the machine was frozen or suspended. It reports whether the
+// request may go on; if not, it has been answered.
+func (c *call) renewPermit(ctx context.Context) bool {
+	ends := c.permitEnds()
+	if ends.IsZero() || boottime.Now().Before(ends) {
+		return true
+	}
+	i := c.possibleRuns + len(c.underWay)
+	c.permits = slices.Delete(c.permits, i, i+1)
+	return c.obtainPermit(ctx)
+}
+
 // permitsAnother reports whether one more target may run the request. Each that
 // may have run it or may be running it takes a permit; one that is not in stock is
 // not waited for.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -157,6 +157,9 @@
 	}
 	c.booked = booked
 	defer func() { booked.settle(boottime.Now(), 0) }()
+	if !c.renewPermit(ctx) {
+		return
+	}
 	c.service = c.gateway.destination(route)
 	c.gateway.countFirst(c.service)
 	c.attempts(ctx)
--- a/internal/gateway/suspension_test.go
+++ b/internal/gateway/suspension_test.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"context"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,9 +22,9 @@
 // suspensions lets a test suspend the machine.
 func suspensions(t *testing.T) (suspend func(time.Duration)) {
 	t.Helper()
-	var asleep time.Duration
-	t.Cleanup(boottime.Simulate(func() time.Duration { return asleep }))
-	return func(d time.Duration) { asleep += d }
+	var asleep atomic.Int64
+	t.Cleanup(boottime.Simulate(func() time.Duration { return time.Duration(asleep.Load()) }))
+	return func(d time.Duration) { asleep.Add(int64(d)) }
 }
 
 // A permit of a window that is over would count in two windows.
@@ -95,3 +99,96 @@
 		}
 	})
 }
+
+// A request that waits for its target when the machine is suspended is answered when it
+// wakes, not when what was left of its time by the steady clock is over.
+func TestWaitingRequestEndsOnWaking(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		suspend := suspensions(t)
+		s := newScene(t, testConfig(), 1)
+		s.scripts = scripts(s.silent())
+		answered := make(chan result, 1)
+		go func() { answered <- s.ask(t.Context(), "/single/", "") }()
+		time.Sleep(time.Second)
+		suspend(10 * time.Second)
+		boottime.Now() // as the next request does
+		time.Sleep(time.Millisecond)
+		select {
+		case got := <-answered:
+			if got.status != http.StatusGatewayTimeout {
+				t.Fatalf("got %d %q, want a time out", got.status, got.body)
+			}
+		default:
+			t.Fatal("the request still waits")
+		}
+	})
+}
+
+// A request whose target was chosen before the suspension, and that was not sent, is not
+// sent after its time; it has not run.
+func TestChosenRequestIsNotSentAfterItsTime(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		suspend := suspensions(t)
+		s := newScene(t, testConfig(), 1)
+		s.scripts = scripts(s.answers(0, "late"))
+		dial := s.daemon.connections.dial
+		s.daemon.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			suspend(10 * time.Second)
+			return dial(ctx, network, address)
+		}
+		if got := s.ask(t.Context(), "/once/", ""); got.status != http.StatusServiceUnavailable {
+			t.Fatalf("got %d %q, want a word that it has not run", got.status, got.body)
+		}
+		if len(s.reached) != 0 {
+			t.Fatalf("%d targets were reached", len(s.reached))
+		}
+	})
+}
+
+// A permit that was taken before the suspension and not used counts for a window that is
+// over: the request is not sent on it.
+func TestTakenPermitIsNotUsedAfterASuspension(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		suspend := suspensions(t)
+		s, _ := limitedScene(t, 1, map[string]int{"a": 1, "b": 0})
+		s.scripts = scripts(s.answers(0, "old"))
+		dial := s.daemon.connections.dial
+		s.daemon.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			suspend(2 * time.Second) // within the request's time
+			return dial(ctx, network, address)
+		}
+		if got := s.ask(t.Context(), "/once/", ""); got.status != http.StatusServiceUnavailable {
+			t.Fatalf("got %d %q, want a word that it has not run", got.status, got.body)
+		}
+		if len(s.reached) != 0 {
+			t.Fatalf("%d targets were reached", len(s.reached))
+		}
+	})
+}
+
+// slowBody is a body whose end comes late.
+type slowBody struct{ wait time.Duration }
+
+// Read implements io.Reader.
+func (b *slowBody) Read([]byte) (int, error) {
+	time.Sleep(b.wait)
+	return 0, io.EOF
+}
+
+// A body that takes longer than a permit lasts costs another permit, not the request.
+func TestSlowBodyGetsAnotherPermit(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s, r := limitedScene(t, 1, map[string]int{"a": 2, "b": 0})
+		s.scripts = scripts(s.answers(0, "served"))
+		request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/once/", &slowBody{2 * time.Second})
+		request.Host = "a.example"
+		request.Header.Set("Test-Id", "id1")
+		request.Header.Set("Test-Deadline", "5000")
+		request.Header.Set("Test-Secret", s.key)
+		w := httptest.NewRecorder()
+		s.daemon.ServeHTTP(w, request)
+		if w.Code != http.StatusOK || r.issued(2) != 2 {
+			t.Fatalf("got %d %q with %d permits", w.Code, w.Body.String(), r.issued(2))
+		}
+	})
+}
--- a/internal/relay/suspension_test.go
+++ b/internal/relay/suspension_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,13 +17,13 @@
 func TestWordAndReportsAgeInASuspension(t *testing.T) {
 	const length = 5 * time.Second
 	followPair(t, func(t *testing.T, p *replicaPair, _ <-chan uint64) {
-		var asleep time.Duration
-		defer boottime.Simulate(func() time.Duration { return asleep })()
+		var asleep atomic.Int64
+		defer boottime.Simulate(func() time.Duration { return time.Duration(asleep.Load()) })()
 		time.Sleep(3 * heartbeatInterval)
 		publishing := NewPublishing(steering.State{}, func() time.Duration { return 0 }, func() *wire.Clock { return nil })
 		publishing.Collect(&wire.Report{Boxes: []*wire.BoxReport{{Box: "b"}}})
 		before := p.following.Age()
-		asleep += length
+		asleep.Add(int64(length))
 		if age := p.following.Age(); age < before+length {
 			t.Errorf("word of control that was %s old is %s old after a suspension of %s", before, age, length)
 		}
