quarantine: test five guards that no test failed without

Found by taking each of 21 guards out by itself: five failed no test (a fresh end holds at once, time holds nothing while others are answered, evidence told twice counts once, an answer here before the list, telling again after a call that failed). Change: a test for each, and none of the code.

--- /dev/null
+++ b/pkg/quarantine/guards_test.go
@@ -0,0 +1,130 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// watchedBy returns a ledger whose request is on the list, watched since now.
+func watchedBy(now time.Time, ends ...End) (*Ledger, []Entry) {
+	l := NewLedger()
+	for _, e := range ends {
+		l.Ended(now, e)
+	}
+	list := []Entry{l.Due(now, now, nil)[0].Entry}
+	l.Due(now, now, list)
+	return l, list
+}
+
+// A target that ended under a run that began after the request was watched holds it at
+// once; without that the time to be cleared must pass.
+func TestFreshEndHoldsAtOnce(t *testing.T) {
+	now := morning.Add(time.Minute)
+	l, list := watchedBy(now, endOf(alice, "1", 0), endOf(alice, "2", time.Second))
+	now = now.Add(settleTime / 2)
+	fresh := endOf(alice, "3", 0)
+	fresh.Began, fresh.Ended = now.Add(-100*time.Millisecond), now
+	l.Ended(now, fresh)
+	if due := l.Due(now, now, list); len(due) != 1 || !due[0].Entry.Held {
+		t.Fatalf("got %+v", due)
+	}
+}
+
+// While others are answered, a caller whose targets ended at one moment may not have had
+// its turn yet: time alone does not hold its request.
+func TestTimeHoldsNothingWhileOthersAreAnswered(t *testing.T) {
+	now := morning.Add(time.Minute)
+	l, list := watchedBy(now, endOf(alice, "1", 0), endOf(alice, "2", 0), endOf(alice, "3", 0))
+	l.Answered(now, fatal, bob, now.Add(settleTime/2))
+	now = now.Add(2 * settleTime)
+	if due := l.Due(now, now, list); len(due) != 0 {
+		t.Fatalf("got %+v", due)
+	}
+	fresh := endOf(alice, "4", 0)
+	fresh.Began, fresh.Ended = now.Add(-100*time.Millisecond), now
+	l.Ended(now, fresh)
+	if due := l.Due(now, now, list); len(due) != 1 || !due[0].Entry.Held || due[0].Entry.Caller != alice {
+		t.Fatalf("after its turn: %+v", due)
+	}
+}
+
+// Evidence that is told again, as the answer to the call was lost, counts once and pushes
+// out no other.
+func TestEvidenceCountsOnce(t *testing.T) {
+	l := NewLedger()
+	l.Ended(morning, endOf(alice, "1", 0))
+	for range maxEnds {
+		l.Ended(morning, endOf(alice, "2", time.Second))
+	}
+	if due := l.Due(morning, morning, nil); len(due) != 1 || len(due[0].Entry.Lives) != 2 {
+		t.Fatalf("got %+v", due)
+	}
+}
+
+// An answer at this box counts for more than the list, which may not have heard of it, for
+// a short time.
+func TestOwnAnswerCountsBeforeTheList(t *testing.T) {
+	g := NewGuard()
+	now := morning.Add(time.Minute)
+	g.SetList([]Entry{{Request: fatal, Caller: AnyCaller, Held: true, Until: now.Add(holdTime)}})
+	if !g.Answered(now, fatal, alice) {
+		t.Fatal("an answer to a held request is not told")
+	}
+	if v := g.Admit(now, now, fatal, alice); v.Decision != Free {
+		t.Errorf("after an answer: %s", v.Decision)
+	}
+	if v := g.Admit(now, now, fatal, bob); v.Decision != Held {
+		t.Errorf("another caller: %s", v.Decision)
+	}
+	now = now.Add(clearedTime + time.Second)
+	if v := g.Admit(now, now, fatal, alice); v.Decision != Held {
+		t.Errorf("later: %s", v.Decision)
+	}
+}
+
+// A replica that did not answer is told again, all that it lacks; one that is new is told
+// all that is known, and each in calls of a bounded size.
+func TestOutboxTellsUntilItIsKnown(t *testing.T) {
+	o := NewOutbox()
+	o.SetReplicas([]string{"a"})
+	now := morning
+	for i := range maxBatch + 1 {
+		e := endOf(alice, fmt.Sprint(i), 0)
+		o.Add(now, Item{End: &e})
+	}
+	if due := o.Due(now); len(due) != 0 || !o.Next().Equal(now.Add(gatherTime)) {
+		t.Fatalf("at once: %d batches, next %s", len(due), o.Next())
+	}
+	now = now.Add(gatherTime)
+	want := func(address string, items int) {
+		t.Helper()
+		due := o.Due(now)
+		if len(due) != 1 || due[0].Address != address || len(due[0].Items) != items {
+			t.Fatalf("got %d batches, want %d items for %s", len(due), items, address)
+		}
+	}
+	want("a", maxBatch)
+	if due := o.Due(now); len(due) != 0 {
+		t.Fatal("told again while a call is under way")
+	}
+	o.Ended(now, "a", false)
+	if due := o.Due(now); len(due) != 0 || !o.Next().Equal(now.Add(retryPause)) {
+		t.Fatal("told again at once")
+	}
+	now = now.Add(retryPause)
+	want("a", maxBatch)
+	o.Ended(now, "a", true)
+	want("a", 1)
+	o.Ended(now, "a", true)
+	if !o.Next().IsZero() {
+		t.Fatal("there is more to tell")
+	}
+	o.SetReplicas([]string{"a", "b"})
+	want("b", maxBatch)
+	o.Ended(now, "b", true)
+	now = now.Add(2 * Memory)
+	if due := o.Due(now); len(due) != 0 {
+		t.Fatal("evidence that no longer counts is told")
+	}
+}
