--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +53,8 @@
 	nonce       int
 	// platform is the address of the platform's list, if there is one.
 	platform string
+	// asleep is for how long all machines were suspended together, in nanoseconds.
+	asleep atomic.Int64
 	// onEvidence takes what boxes tell control of requests under which targets ended.
 	onEvidence func(*wire.Evidence)
 
