demo: two workspaces, one beyond its limit

Change: make demo starts two boxes of kind gateway beside the entry boxes, registers two targets, puts a document with two workspaces in force and prints a second table; it fails if the limited one got more than its bound in any window of 5 s or the other less than 0.95 of what it asked for.

--- a/contrib/demo/drive.go
+++ b/contrib/demo/drive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -75,15 +77,21 @@
 	if err := d.setUp(ctx); err != nil {
 		return err
 	}
+	workspaces, err := startWorkspaces(ctx, d)
+	if err != nil {
+		return err
+	}
 	t := newTraffic(d)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		var running sync.WaitGroup
+		running.Go(func() { workspaces.run(ctx, trafficTime) })
 		t.run(ctx, trafficTime)
+		running.Wait()
 	}()
 	r := &report{}
 	began := time.Now()
-	var err error
 	wait(ctx, changeAfter)
 	if r.inForce, err = d.changeSetting(ctx, "demo-change", "800"); err != nil {
 		return err
@@ -100,7 +108,7 @@
 	if r.runs, err = d.fetchRuns(ctx); err != nil {
 		return err
 	}
-	return t.report(r, l)
+	return errors.Join(t.report(r, l), workspaces.report())
 }
 
 func wait(ctx context.Context, d time.Duration) {
--- a/contrib/demo/main.go
+++ b/contrib/demo/main.go
@@ -1,6 +1,7 @@
 // Command demo drives a whole system on loopback that contrib/demo/run.sh has
 // started: it sets the tree, sends traffic, changes a setting, stops one entry
-// box as planned, kills another and prints one table.
+// box as planned, kills another and prints one table, and a second one of two
+// workspaces of which one asks for more than its limit.
 //
 //	demo plan LAYOUT FOLDER   prints the processes to start, one a line
 //	demo targets LAYOUT       serves the stand-in targets
@@ -68,6 +69,9 @@
 	for _, b := range l.Boxes {
 		fmt.Println(b.Name, strings.Join(l.EntryArguments(b), " "))
 	}
+	for i := range gateways {
+		fmt.Println(gatewayName(i), strings.Join(gatewayArguments(l, i), " "))
+	}
 }
 
 const (
