demo: start the workspaces' boxes for the drive alone

Cause: rest and load measure processes by themselves; two more followers would change their figures. Measured: make demo as before (rc 0); the plan of rest has no gateways.

--- a/contrib/demo/main.go
+++ b/contrib/demo/main.go
@@ -3,7 +3,7 @@
 // box as planned, kills another and prints one table, and a second one of two
 // workspaces of which one asks for more than its limit.
 //
-//	demo plan LAYOUT FOLDER   prints the processes to start, one a line
+//	demo plan LAYOUT FOLDER WHAT   prints the processes to start, one a line
 //	demo targets LAYOUT       serves the stand-in targets
 //	demo drive LAYOUT FOLDER  drives the running system
 //	demo drill LAYOUT FOLDER  kills, freezes and empties control replicas
@@ -45,7 +45,7 @@
 	}
 	switch args[0] {
 	case "plan":
-		printPlan(l, args[2])
+		printPlan(l, args[2], len(args) > 3 && args[3] == "drive")
 		return nil
 	case "targets":
 		return serveTargets(ctx, l)
@@ -61,14 +61,18 @@
 	return fmt.Errorf("there is no demo %q", args[0])
 }
 
-// printPlan prints a line for each process: its name and its arguments.
-func printPlan(l layout.Layout, folder string) {
+// printPlan prints a line for each process: its name and its arguments. The boxes of the
+// workspaces are for the drive alone: they would add to what the others measure.
+func printPlan(l layout.Layout, folder string, workspaces bool) {
 	for _, c := range l.Controls {
 		fmt.Println(c.Name, strings.Join(l.ControlArguments(c, folder), " "))
 	}
 	for _, b := range l.Boxes {
 		fmt.Println(b.Name, strings.Join(l.EntryArguments(b), " "))
 	}
+	if !workspaces {
+		return
+	}
 	for i := range gateways {
 		fmt.Println(gatewayName(i), strings.Join(gatewayArguments(l, i), " "))
 	}
--- a/contrib/demo/run.sh
+++ b/contrib/demo/run.sh
@@ -41,7 +41,7 @@
     echo $ended >"$folder/$name.ended"
   ) &
   pids+=($!)
-done < <("$bin/demo" plan "$layout" "$folder")
+done < <("$bin/demo" plan "$layout" "$folder" "$what")
 sleep 0.5
 
 "$bin/demo" "$what" "$layout" "$folder"
