control: order nothing on quarantined requests while a replica of the version before answers

Operators would have seen: while control is renewed, a replica of the version before passes over an order that it does not know, and its state differs from the others' for good (found by reading; nothing enforced what the changelog asked for). Change: the leader asks all members once evidence comes, and orders nothing while one answers that does not know the orders; boxes hold such requests by themselves meanwhile. One that does not answer is not waited for: a lost zone must not keep a request from being held.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -126,6 +126,7 @@
 	d.leadership = newLeadership()
 	d.words = newWords()
 	d.suspicions = newSuspicions()
+	d.suspicions.hello = d.askHello
 	d.words.settle = d.settleWords
 	d.permits = &permits{bound: d.config.LimitBound, document: d.document}
 	d.permits.put(r.state)
@@ -391,6 +392,8 @@
 		Formed:      len(v.membership.Voters) > 0,
 		Membership:  v.membership,
 		Leader:      v.status.Leader,
+
+		TakesQuarantine: true,
 	}}
 }
 
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -22,10 +22,20 @@
 	quarantineInterval = 200 * time.Millisecond
 	// quarantineSubmit bounds the wait for one order: what was not settled is due again.
 	quarantineSubmit = 2 * time.Second
+	// versionsFor is for how long it counts that all replicas know the orders, and
+	// versionsTimeout bounds the question: several round trips between regions.
+	versionsFor     = 10 * time.Second
+	versionsTimeout = 400 * time.Millisecond
 )
 
 // suspicions hosts the ledger of requests under which targets ended.
 type suspicions struct {
+	// hello asks another replica who it is.
+	hello func(ctx context.Context, address string) (*wire.HelloAnswer, error)
+	// knownAt is when all replicas that answered knew the orders, and refused when one
+	// did not. Only the loop uses both.
+	knownAt, refusedAt time.Time
+
 	mu     sync.Mutex
 	ledger *quarantine.Ledger
 	due    chan struct{}
@@ -103,6 +113,9 @@
 // orderQuarantine looks what is due, also where another replica leads: what left the
 // list is forgotten by all.
 func (d *Daemon) orderQuarantine(ctx context.Context) {
+	if d.suspicions.len() > 0 && !d.allTakeOrders(ctx) {
+		return
+	}
 	wall := time.Now() // time of day: boxes go by it too
 	orders := d.suspicions.orders(boottime.Now(), wall, d.latest().Catalog().Quarantined())
 	if len(orders) == 0 {
@@ -121,6 +134,62 @@
 	}
 }
 
+// allTakeOrders reports whether no replica is known that does not know the orders. One of
+// the version before passes over them, and its state would differ from the others' for
+// good; while there is one, each box holds requests by itself. A replica that does not
+// answer is not waited for.
+func (d *Daemon) allTakeOrders(ctx context.Context) bool {
+	s := d.suspicions
+	now := boottime.Now()
+	if now.Sub(s.knownAt) < versionsFor {
+		return true
+	}
+	if now.Sub(s.refusedAt) < versionsFor {
+		return false
+	}
+	v, err := d.replica.view(ctx)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, versionsTimeout)
+	defer cancel()
+	before := make(chan string)
+	asked := 0
+	for _, r := range slices.Concat(v.membership.GetVoters(), v.membership.GetLearners()) {
+		if r.Id == d.replica.id {
+			continue
+		}
+		asked++
+		go func() {
+			answer, err := s.hello(ctx, r.Address)
+			if err != nil || answer.GetTakesQuarantine() {
+				before <- ""
+				return
+			}
+			before <- r.Address
+		}()
+	}
+	var old []string
+	for range asked {
+		if address := <-before; address != "" {
+			old = append(old, address)
+		}
+	}
+	if len(old) == 0 {
+		s.knownAt = now
+		return true
+	}
+	s.refusedAt = now
+	d.process.Log.Warn().Str("kind", "quarantine").Strs("replicas", old).Msg("no request is held by all: replicas of an earlier version don't know such orders")
+	return false
+}
+
+// askHello asks another replica who it is.
+func (d *Daemon) askHello(ctx context.Context, address string) (*wire.HelloAnswer, error) {
+	answer, err := d.node.Call(ctx, address, &wire.CallRequest{Hello: &wire.HelloRequest{}})
+	return answer.GetHello(), err
+}
+
 // settleOrder has an order settled and reports whether that is known.
 func (d *Daemon) settleOrder(ctx context.Context, o quarantine.Order) bool {
 	command := &wire.QuarantineCommand{Request: o.Entry.Message(), Release: o.Release}
--- a/internal/control/quarantine_test.go
+++ b/internal/control/quarantine_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/kataras/iris/v12"
 
+	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/quarantine"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -73,6 +74,60 @@
 	})
 }
 
+// A replica of the version before would pass over the orders and differ from the others
+// for good: while one answers, nothing is ordered.
+func TestNothingIsOrderedWhileAReplicaOfBeforeFollows(t *testing.T) {
+	runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
+		digest := quarantine.Request{Target: "/fatal"}.Digest()
+		leader, old := s.leaderAndAnother(t)
+		before := true
+		ask := leader.suspicions.hello
+		leader.suspicions.hello = func(ctx context.Context, address string) (*wire.HelloAnswer, error) {
+			answer, err := ask(ctx, address)
+			if address == old.config.Name && before && answer != nil {
+				answer.TakesQuarantine = false
+			}
+			return answer, err
+		}
+		for life := range 3 {
+			leader.serveEvidence(&wire.Evidence{Ends: []*wire.RunEnd{{Digest: digest[:], Caller: 1, Life: fmt.Sprint(life)}}})
+		}
+		listed := func() int {
+			leader.orderQuarantine(context.Background())
+			time.Sleep(time.Second)
+			return len(leader.latest().Catalog().Quarantined())
+		}
+		if n := listed(); n != 0 {
+			t.Fatalf("%d requests were ordered to be watched or held", n)
+		}
+		before = false
+		time.Sleep(versionsFor)
+		if n := listed(); n != 1 {
+			t.Fatalf("%d requests are listed once all are renewed", n)
+		}
+	})
+}
+
+// leaderAndAnother returns the replica that leads and one that does not.
+func (s *slowReplicas) leaderAndAnother(t *testing.T) (leader, another *Daemon) {
+	t.Helper()
+	for _, d := range s.daemons {
+		v, err := d.replica.view(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if v.status.Role == consensus.Leader {
+			leader = d
+		} else {
+			another = d
+		}
+	}
+	if leader == nil {
+		t.Fatal("no replica leads")
+	}
+	return leader, another
+}
+
 // Calls that name no digest get a clear error and change nothing.
 func TestDigestOfAReleaseIsChecked(t *testing.T) {
 	d := &Daemon{}
