quarantine: hold a request for each caller by its own evidence

Callers would have seen: a request that ends targets for two callers and is answered for a third went on ending targets for one of the two (found on reading; the bound names path, caller and body). Cause: only the caller with the most ended targets was looked at. Change: evidence is listed for each caller and for all together, the gravest first.

--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -135,17 +135,20 @@
 	if r == nil {
 		return Verdict{}
 	}
-	against, lives := r.worst(now)
-	if against != AnyCaller && against != c {
-		return Verdict{}
-	}
-	switch {
-	case lives >= holdLives && r.endedWhileWatched(against):
-		return Verdict{Decision: Held, Lives: lives, Wait: Memory}
-	case lives >= watchLives:
-		return Verdict{Decision: OnProbation, Lives: lives}
+	var v Verdict
+	for _, e := range r.evidence(now) {
+		if e.against != AnyCaller && e.against != c {
+			continue
+		}
+		v.Lives = max(v.Lives, e.lives)
+		switch {
+		case e.lives >= holdLives && r.endedWhileWatched(e.against):
+			return Verdict{Decision: Held, Lives: v.Lives, Wait: Memory}
+		case e.lives >= watchLives:
+			v.Decision = OnProbation
+		}
 	}
-	return Verdict{Lives: lives}
+	return v
 }
 
 // isCleared reports whether a caller was answered here a short time ago, since the last
@@ -175,7 +178,7 @@
 		g.records[e.Request] = r
 	}
 	news := r.add(now, e)
-	if _, lives := r.worst(now); lives >= watchLives && r.watchedSince.IsZero() {
+	if r.most(now) >= watchLives && r.watchedSince.IsZero() {
 		r.watchedSince = now
 	}
 	return news
@@ -197,7 +200,7 @@
 		g.records[d] = r
 	}
 	r.answer(now, c, now)
-	if _, lives := r.worst(now); lives < watchLives {
+	if r.most(now) < watchLives {
 		r.watchedSince = time.Time{}
 	}
 	if !listed && len(r.ends) == 0 {
--- a/pkg/quarantine/guards_test.go
+++ b/pkg/quarantine/guards_test.go
@@ -49,6 +49,45 @@
 	}
 }
 
+// A request that ends targets for two callers and is answered for a third is held for
+// both, whichever lost more; only the worse of the two was before.
+func TestEachCallerIsHeldByItsOwn(t *testing.T) {
+	now := morning.Add(time.Minute)
+	g := NewGuard()
+	var ends []End
+	for i := range 4 {
+		ends = append(ends, endOf(alice, fmt.Sprint("a", i), time.Duration(i)*time.Second))
+	}
+	for i := range 3 {
+		ends = append(ends, endOf(bob, fmt.Sprint("b", i), time.Duration(i)*time.Second))
+	}
+	l, list := watchedBy(now, ends...)
+	l.Answered(now, fatal, CallerOf("carol"), now)
+	for _, c := range []Caller{alice, bob} {
+		now = now.Add(settleTime)
+		fresh := endOf(c, "fresh", 0)
+		fresh.Began, fresh.Ended = now.Add(-100*time.Millisecond), now
+		l.Ended(now, fresh)
+		due := l.Due(now, now, list)
+		if len(due) != 1 || !due[0].Entry.Held || due[0].Entry.Caller != c {
+			t.Fatalf("got %+v", due)
+		}
+		list = append(list, due[0].Entry)
+		ends = append(ends, fresh)
+	}
+	for _, e := range ends {
+		g.Ended(e.Ended, e)
+	}
+	for _, c := range []Caller{alice, bob} {
+		if v := g.Admit(now, now, fatal, c); v.Decision != Held {
+			t.Errorf("the box: %s", v.Decision)
+		}
+	}
+	if v := g.Admit(now, now, fatal, CallerOf("carol")); v.Decision != Held && v.Decision != OnProbation {
+		t.Errorf("a caller of whom nothing is known: %s", v.Decision)
+	}
+}
+
 // Evidence that is told again, as the answer to the call was lost, counts once and pushes
 // out no other.
 func TestEvidenceCountsOnce(t *testing.T) {
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -104,19 +104,21 @@
 
 // orders returns what is to be changed of one request.
 func (s *suspect) orders(now, wall time.Time, entries []Entry) []Order {
-	against, lives := s.worst(now)
-	if lives >= holdLives && s.mayHold(now, against) && !isHeld(entries, against) {
-		e := s.entry(against)
+	for _, found := range s.evidence(now) {
+		if found.lives < holdLives || !s.mayHold(now, found.against) || isHeld(entries, found.against) {
+			continue
+		}
+		e := s.entry(found.against)
 		e.Held = true
 		e.Until = wall.Add(holdTime)
 		return []Order{{Entry: e, Reason: "targets ended under it one after the other"}}
 	}
-	if lives >= watchLives && len(entries) == 0 {
+	if s.most(now) >= watchLives && len(entries) == 0 {
 		e := s.entry(AnyCaller)
 		e.Until = wall.Add(watchTime)
 		return []Order{{Entry: e, Reason: "two targets ended under it"}}
 	}
-	return s.releases(now, entries, lives)
+	return s.releases(now, entries)
 }
 
 // mayHold reports whether a watched request has had the time to be cleared: a target ended
@@ -131,10 +133,10 @@
 }
 
 // releases lets go of entries whose callers were answered.
-func (s *suspect) releases(now time.Time, entries []Entry, lives int) []Order {
+func (s *suspect) releases(now time.Time, entries []Entry) []Order {
 	var out []Order
 	for _, e := range entries {
-		if s.clears(now, e, lives) {
+		if s.clears(now, e) {
 			out = append(out, Order{Entry: e, Release: true, Reason: "it was answered"})
 		}
 	}
@@ -143,7 +145,7 @@
 
 // clears reports whether answers speak against an entry. A replica that has started
 // since knows of no ends, so that silence is no answer.
-func (s *suspect) clears(now time.Time, e Entry, lives int) bool {
+func (s *suspect) clears(now time.Time, e Entry) bool {
 	if e.Caller != AnyCaller {
 		_, answered := s.answerTo(e.Caller)
 		return answered && !slices.ContainsFunc(s.ends, func(end End) bool { return end.Caller == e.Caller })
@@ -154,7 +156,7 @@
 	if e.Held {
 		return s.livesSinceAnswer(now) < holdLives
 	}
-	return lives < watchLives
+	return s.most(now) < watchLives
 }
 
 func isHeld(entries []Entry, c Caller) bool {
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -100,10 +101,16 @@
 	return at
 }
 
-// worst returns whom the evidence is against and how many targets it names: one caller,
-// or all if several lost targets and none was answered since. Ends that are older than
-// Memory don't count.
-func (r *record) worst(now time.Time) (c Caller, lives int) {
+// evidence is how many targets ended under requests of a caller; AnyCaller stands for
+// several of whom none was answered since.
+type evidence struct {
+	against Caller
+	lives   int
+}
+
+// evidence returns what there is against each caller, and against all of them if several
+// lost targets, the gravest first. Ends that are older than Memory don't count.
+func (r *record) evidence(now time.Time) []evidence {
 	byCaller := make(map[Caller]map[string]bool)
 	for _, e := range r.ends {
 		if now.Sub(e.Ended) > Memory {
@@ -114,15 +121,25 @@
 		}
 		byCaller[e.Caller][e.Life] = true
 	}
-	for caller, own := range byCaller {
-		if len(own) > lives || len(own) == lives && caller < c {
-			c, lives = caller, len(own)
-		}
+	var out []evidence
+	for caller, lives := range byCaller {
+		out = append(out, evidence{caller, len(lives)})
+	}
+	if all := r.livesSinceAnswer(now); len(byCaller) > 1 && all > 0 {
+		out = append(out, evidence{AnyCaller, all})
 	}
-	if all := r.livesSinceAnswer(now); len(byCaller) > 1 && all > lives {
-		return AnyCaller, all
+	slices.SortFunc(out, func(a, b evidence) int {
+		return cmp.Or(cmp.Compare(b.lives, a.lives), cmp.Compare(a.against, b.against))
+	})
+	return out
+}
+
+// most is how many targets the gravest evidence names.
+func (r *record) most(now time.Time) int {
+	if all := r.evidence(now); len(all) > 0 {
+		return all[0].lives
 	}
-	return c, lives
+	return 0
 }
 
 // livesSinceAnswer counts the targets that ended under requests of any caller since one
