--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -39,7 +39,7 @@
 	conns    atomic.Int32
 }
 
-func newTarget(t *testing.T, script func(n int, r *http.Request, c net.Conn) bool) *target {
+func newTarget(t testing.TB, script func(n int, r *http.Request, c net.Conn) bool) *target {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -117,7 +117,7 @@
 }
 
 // newDaemon opens a box that knows targets t0, t1 and so on at their addresses.
-func newDaemon(t *testing.T, c Config, addresses ...string) *Daemon {
+func newDaemon(t testing.TB, c Config, addresses ...string) *Daemon {
 	t.Helper()
 	d, err := Open(c, io.Discard)
 	if err != nil {
--- /dev/null
+++ b/internal/gateway/request_bench_test.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// What a whole request costs a box, target and loopback included: one at a time, on kept
+// connections.
+func BenchmarkRequest(b *testing.B) {
+	target := newTarget(b, served)
+	d := newDaemon(b, testConfig(), target.listener.Addr().String())
+	b.Cleanup(func() {
+		d.connections.close()
+		_ = d.callers.listener.Close()
+		_ = d.ready.Close()
+	})
+	b.ReportAllocs()
+	for b.Loop() {
+		r := httptest.NewRequest(http.MethodPost, "/unsafe/", strings.NewReader("hello"))
+		r.Host = "a.example"
+		r.Header.Set("Test-Id", "id1")
+		r.Header.Set("Test-Deadline", "5000")
+		w := httptest.NewRecorder()
+		d.ServeHTTP(w, r)
+		if w.Code != http.StatusOK {
+			b.Fatalf("answered %d", w.Code)
+		}
+	}
+}
