--- a/internal/gateway/suspension_test.go
+++ b/internal/gateway/suspension_test.go
@@ -124,6 +124,23 @@
 	})
 }
 
+// wantNotSent has a request wait for its connection while something happens, and checks
+// that no target gets it and its caller is told so.
+func (s *scene) wantNotSent(t *testing.T, meanwhile func()) {
+	t.Helper()
+	dial := s.daemon.connections.dial
+	s.daemon.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		meanwhile()
+		return dial(ctx, network, address)
+	}
+	if got := s.ask(t.Context(), "/once/", ""); got.status != http.StatusServiceUnavailable {
+		t.Fatalf("got %d %q, want a word that it has not run", got.status, got.body)
+	}
+	if len(s.reached) != 0 {
+		t.Fatalf("%d targets were reached", len(s.reached))
+	}
+}
+
 // A request whose target was chosen before the suspension, and that was not sent, is not
 // sent after its time; it has not run.
 func TestChosenRequestIsNotSentAfterItsTime(t *testing.T) {
@@ -131,17 +148,7 @@
 		suspend := suspensions(t)
 		s := newScene(t, testConfig(), 1)
 		s.scripts = scripts(s.answers(0, "late"))
-		dial := s.daemon.connections.dial
-		s.daemon.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-			suspend(10 * time.Second)
-			return dial(ctx, network, address)
-		}
-		if got := s.ask(t.Context(), "/once/", ""); got.status != http.StatusServiceUnavailable {
-			t.Fatalf("got %d %q, want a word that it has not run", got.status, got.body)
-		}
-		if len(s.reached) != 0 {
-			t.Fatalf("%d targets were reached", len(s.reached))
-		}
+		s.wantNotSent(t, func() { suspend(10 * time.Second) })
 	})
 }
 
@@ -152,17 +159,7 @@
 		suspend := suspensions(t)
 		s, _ := limitedScene(t, 1, map[string]int{"a": 1, "b": 0})
 		s.scripts = scripts(s.answers(0, "old"))
-		dial := s.daemon.connections.dial
-		s.daemon.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-			suspend(2 * time.Second) // within the request's time
-			return dial(ctx, network, address)
-		}
-		if got := s.ask(t.Context(), "/once/", ""); got.status != http.StatusServiceUnavailable {
-			t.Fatalf("got %d %q, want a word that it has not run", got.status, got.body)
-		}
-		if len(s.reached) != 0 {
-			t.Fatalf("%d targets were reached", len(s.reached))
-		}
+		s.wantNotSent(t, func() { suspend(2 * time.Second) }) // within the request's time
 	})
 }
 
