--- a/pkg/quarantine/world_test.go
+++ b/pkg/quarantine/world_test.go
@@ -279,7 +279,7 @@
 // A request that many ask for runs at many targets when a part of them ends at one
 // moment, more than once: it is answered all the while, and never held. Where a fifth of
 // the calls to control and a fifth of their answers are lost, it is held for a moment at
-// most (two of 3,000 runs).
+// most: the two answers that would have cleared it were lost.
 func TestRequestThatIsAnsweredIsNotHeld(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		boxes := rapid.SampledFrom([]int{1, 9, 60}).Draw(t, "boxes")
