--- a/contrib/soak/main.go
+++ b/contrib/soak/main.go
@@ -150,6 +150,7 @@
 		records, fatal := w.traffics(ctx, n.clients)
 		seen <- traffic{records, fatal}
 	}()
+	endNeeds := w.firstNeeds()
 	if n.allOff {
 		w.disturbances(length / 2)
 		w.restartAll(append(slices.Clone(w.controls), w.entries...))
@@ -167,6 +168,8 @@
 	cancel()
 	all := <-seen
 	records := all.records
+	endNeeds()
+	w.checkNeeds()
 	w.checkFatal(all.fatal, calmSince)
 	w.checkRuns(records)
 	w.checkServed(records, good)
--- /dev/null
+++ b/contrib/soak/need.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"ledgesill.dev/ledgesill/contrib/standin"
+)
+
+// Targets in need name how many requests a second they take from all boxes together.
+const (
+	// needExcess and needSlack are what such a target may get in needWindow beyond that.
+	needWindow = 4 * time.Second
+	needExcess = 1.5
+	needSlack  = 5
+	// needLeast and needMost are for how long a target is in need; the run's first target
+	// is so throughout.
+	needLeast = needWindow + contactTime
+	needMost  = 2 * needLeast
+	// needSeveral is that several are in need at once in one run of so many.
+	needSeveral = 3
+)
+
+// need is a span in which a target named a limit that did not rise.
+type need struct {
+	target   *standin.Served
+	limit    float64
+	from, to time.Time
+}
+
+// claimTarget takes a target that is to be in need, unless it is already.
+func (w *world) claimTarget(t *standin.Served) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.inNeed[t.ID] {
+		return false
+	}
+	w.inNeed[t.ID] = true
+	return true
+}
+
+// nameLimit has a target name a limit and returns what ends that.
+func (w *world) nameLimit(t *standin.Served, perSecond float64) (end func()) {
+	n := need{target: t, limit: perSecond, from: time.Now()}
+	t.SetLimit(fmt.Sprint(perSecond))
+	return func() {
+		n.to = time.Now()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.needs = append(w.needs, n)
+	}
+}
+
+// beInNeed has a target name a limit for a while, lower it, and take it back.
+func (w *world) beInNeed(r *rand.Rand) {
+	w.mu.Lock()
+	t := pick(r, w.targets)
+	w.mu.Unlock()
+	if !w.claimTarget(t) {
+		return
+	}
+	for _, limit := range []float64{12, 3} {
+		end := w.nameLimit(t, limit)
+		time.Sleep(some(r, needLeast, needMost))
+		end()
+	}
+	t.SetLimit("")
+}
+
+// firstNeeds has the first targets be in need until the function that it returns is called.
+func (w *world) firstNeeds() (end func()) {
+	w.mu.Lock()
+	targets := w.targets[:1]
+	if w.seed%needSeveral == 0 {
+		targets = w.targets[:min(needSeveral, len(w.targets))]
+	}
+	w.mu.Unlock()
+	var ends []func()
+	for _, t := range targets {
+		w.claimTarget(t)
+		ends = append(ends, w.nameLimit(t, 6))
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+// checkNeeds checks what reached targets in need, once all boxes must know of that.
+func (w *world) checkNeeds() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.needs {
+		var counted []time.Time
+		for _, at := range n.target.Arrivals() {
+			if at.After(n.from.Add(contactTime)) && at.Before(n.to) {
+				counted = append(counted, at)
+			}
+		}
+		most := int(needExcess*n.limit*(needWindow+heldBack).Seconds() + needSlack)
+		first := 0
+		for i, at := range counted {
+			for at.Sub(counted[first]) > needWindow {
+				first++
+			}
+			if got := i - first + 1; got > most {
+				w.promises.broken("%s, which named a limit of %v a second, got %d requests in %s, at most %d may come", n.target.ID, n.limit, got, needWindow, most)
+				break
+			}
+		}
+	}
+}
--- a/contrib/soak/world.go
+++ b/contrib/soak/world.go
@@ -48,6 +48,8 @@
 	mu      sync.Mutex
 	targets []*standin.Served
 	closed  bool
+	needs   []need
+	inNeed  map[string]bool
 	next    int
 	run     int
 	config  configState
@@ -81,6 +83,7 @@
 		ledger:  standin.NewLedger(),
 		run:     run,
 		history: newHistory(),
+		inNeed:  make(map[string]bool),
 	}
 	w.config.doubtful = make(map[int][]byte)
 	w.counts.requests, w.counts.faults = make(map[string]int), make(map[string]int)
--- a/contrib/standin/served.go
+++ b/contrib/standin/served.go
@@ -75,10 +75,14 @@
 	// DrainedAt is when its drain was acknowledged; zero if it was not.
 	drainedAt time.Time
 	loseShare int
-	requests  int
-	ctx       context.Context
-	cancel    context.CancelFunc
-	done      chan struct{}
+	// limit is the limit that it names in its answers; empty for none. arrivals are when
+	// requests reached it, also those that it turned away.
+	limit    string
+	arrivals []time.Time
+	requests int
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     chan struct{}
 }
 
 const (
@@ -119,6 +123,29 @@
 	s.loseShare = n
 }
 
+// SetLimit makes it name in its answers how many requests a second it takes from all boxes
+// together; empty for none.
+func (s *Served) SetLimit(perSecond string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = perSecond
+}
+
+// Arrivals returns when requests reached it.
+func (s *Served) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.arrivals...)
+}
+
+// arrive counts a request and returns the limit to be named in its answer.
+func (s *Served) arrive() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals = append(s.arrivals, time.Now())
+	return s.limit
+}
+
 // Drain makes its next words say that it leaves.
 func (s *Served) Drain() {
 	s.mu.Lock()
@@ -204,6 +231,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if limit := s.arrive(); limit != "" {
+		w.Header().Set("Server-Limit", limit)
+	}
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -38,12 +38,14 @@
 	transport  *transport
 	publishing *relay.Publishing
 	permits    *permits
-	document   *documentInForce
-	repeated   repeatedWords
-	words      *words
-	suspicions *suspicions
-	leadership *leadership
-	serving    servingBoxes
+	// targetLimits are about targets that name limits.
+	targetLimits *targetLimits
+	document     *documentInForce
+	repeated     repeatedWords
+	words        *words
+	suspicions   *suspicions
+	leadership   *leadership
+	serving      servingBoxes
 	// unreadWords counts words of targets that can't be used, and unreadLines
 	// bounds their log lines.
 	unreadWords prometheus.Counter
@@ -122,6 +124,8 @@
 		d.process.StateChange(&wire.TimelineEvent{Kind: "journalCut", Detail: detail})
 	}
 	d.publishing = relay.NewPublishing(r.state, d.age, d.process.Clock.Stamp)
+	d.targetLimits = newTargetLimits(d.config.PeerAddress)
+	d.publishing.SetLimits(d.targetLimits.since)
 	d.document = &documentInForce{decode: d.decodeRoutes, failed: d.noteUnreadDocument}
 	d.leadership = newLeadership()
 	d.words = newWords()
@@ -184,6 +188,7 @@
 		}
 	}
 	d.process.Gauge("quarantine_suspects", "Requests under which targets ended, as boxes told.", func() float64 { return float64(d.suspicions.len()) })
+	d.process.Gauge("target_limits", "Targets that name how much they take from all boxes together.", func() float64 { return float64(d.targetLimits.named()) })
 	d.process.Gauge("control_bytes_sent", "Bytes sent to other processes.", func() float64 { return float64(d.node.Control.Sent.Load()) })
 	d.process.Gauge("control_bytes_received", "Bytes received from other processes.", func() float64 { return float64(d.node.Control.Received.Load()) })
 	d.process.Gauge("control_age_seconds", "Age of the word of a leader with a quorum; a replica that is cut off shows it growing.", func() float64 { return d.age().Seconds() })
@@ -418,6 +423,8 @@
 		return
 	}
 	d.permits.setParts(boottime.Now(), v.membership)
+	d.targetLimits.setReplicas(boottime.Now(), v.membership)
+	d.targetLimits.keep(boottime.Now(), v.state)
 	if v.status.Role == consensus.Leader {
 		d.noteHeard(0)
 		return
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -62,7 +62,7 @@
 func (p *permits) issue(now time.Time, r *wire.PermitRequest) *wire.PermitAnswer {
 	asks := make([]quota.Ask, 0, len(r.Asks))
 	for _, a := range r.Asks {
-		asks = append(asks, quota.Ask{Workspace: a.Workspace, Count: int(a.Count)})
+		asks = append(asks, quota.Ask{Of: a.Workspace, Count: int(a.Count)})
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -74,10 +74,14 @@
 	if err != nil {
 		return &wire.PermitAnswer{Behind: true} // a BehindError: it issues none by old limits
 	}
-	out := &wire.PermitAnswer{}
+	return &wire.PermitAnswer{Grants: grantMessages(grants)}
+}
+
+func grantMessages(grants []quota.Grant) []*wire.PermitGrant {
+	out := make([]*wire.PermitGrant, 0, len(grants))
 	for _, g := range grants {
-		out.Grants = append(out.Grants, &wire.PermitGrant{
-			Workspace: g.Workspace, Count: uint32(g.Count), LifeMilli: g.Life.Milliseconds(), WaitMilli: g.Wait.Milliseconds(),
+		out = append(out, &wire.PermitGrant{
+			Workspace: g.Of, Count: uint32(g.Count), LifeMilli: g.Life.Milliseconds(), WaitMilli: g.Wait.Milliseconds(),
 		})
 	}
 	return out
@@ -92,8 +96,16 @@
 		if err := m.Read(r); err != nil {
 			return // the box has left, or opens another stream
 		}
-		if err := m.Write(d.permits.issue(boottime.Now(), r)); err != nil {
+		if err := m.Write(d.answerPermits(r)); err != nil {
 			return
 		}
 	}
 }
+
+// answerPermits answers a request for permits of workspaces or of targets.
+func (d *Daemon) answerPermits(r *wire.PermitRequest) *wire.PermitAnswer {
+	if len(r.TargetAsks) > 0 {
+		return &wire.PermitAnswer{Grants: d.issueForTargets(r.TargetAsks)}
+	}
+	return d.permits.issue(boottime.Now(), r)
+}
--- /dev/null
+++ b/internal/control/targetlimits.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/process"
+	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/quota"
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+const (
+	// limitLinesPerSecond bounds the log lines on limits of targets.
+	limitLinesPerSecond = 20
+	// keepLimitsInterval is how often targets whose lives are over are forgotten.
+	keepLimitsInterval = 10 * time.Second
+)
+
+// targetLimits hosts a replica's issuer of permits of targets that name limits, and what it
+// knows of those limits. It needs no leader and keeps nothing on disk: boxes tell each
+// replica what targets told them, and each ask tells it again.
+type targetLimits struct {
+	mu     sync.Mutex
+	issuer *quota.TargetIssuer
+	lines  *process.LineLimit
+	// kept is when lives that are over were forgotten last.
+	kept time.Time
+}
+
+func newTargetLimits(ownAddress string) *targetLimits {
+	return &targetLimits{issuer: quota.NewTargetIssuer(ownAddress), lines: process.NewLineLimit(limitLinesPerSecond)}
+}
+
+// setReplicas takes the membership.
+func (t *targetLimits) setReplicas(now time.Time, m *wire.Membership) {
+	var addresses []string
+	for _, list := range [][]*wire.Replica{m.GetVoters(), m.GetLearners()} {
+		for _, r := range list {
+			addresses = append(addresses, r.Address)
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.issuer.SetReplicas(now, addresses)
+}
+
+// take takes words of targets and returns the changes.
+func (t *targetLimits) take(now time.Time, words []*wire.TargetLimit) (changes []quota.LimitChange) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range words {
+		if c, changed := t.issuer.Take(now, quota.TargetLimitOf(now, w)); changed {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
+// issue answers what a box asks for targets.
+func (t *targetLimits) issue(now time.Time, asks []*wire.TargetPermitAsk) []quota.Grant {
+	list := make([]quota.Ask, 0, len(asks))
+	for _, a := range asks {
+		list = append(list, quota.Ask{Of: a.GetLimit().GetLife(), Count: int(a.Count)})
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.issuer.Issue(now, list)
+}
+
+// since returns the limits that changed after a change, for subscribers.
+func (t *targetLimits) since(change uint64) ([]*wire.TargetLimit, uint64) {
+	now := boottime.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	words, last := t.issuer.Limits().Since(change)
+	out := make([]*wire.TargetLimit, 0, len(words))
+	for _, w := range words {
+		out = append(out, w.Message(now))
+	}
+	return out, last
+}
+
+// keep forgets targets whose lives are over.
+func (t *targetLimits) keep(now time.Time, s steering.State) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.kept) < keepLimitsInterval {
+		return
+	}
+	t.kept = now
+	lives := make(map[string]bool, len(s.Catalog().Targets()))
+	for _, r := range s.Catalog().Targets() {
+		lives[catalog.LifeOf(r).String()] = true
+	}
+	t.issuer.Keep(now, func(life string) bool { return lives[life] })
+}
+
+// of returns what is known of one target.
+func (t *targetLimits) of(life string) (quota.TargetLimit, quota.TargetTally) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.issuer.Limits().Of(life), t.issuer.Tally(life)
+}
+
+func (t *targetLimits) named() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.issuer.Limits().Named()
+}
+
+// takeLimits takes what targets told boxes and has the subscribers told.
+func (d *Daemon) takeLimits(words []*wire.TargetLimit) {
+	if len(words) == 0 {
+		return
+	}
+	changes := d.targetLimits.take(boottime.Now(), words)
+	if len(changes) == 0 {
+		return
+	}
+	d.publishing.LimitsChanged()
+	for _, c := range changes {
+		d.noteLimit(c)
+	}
+}
+
+func (d *Daemon) noteLimit(c quota.LimitChange) {
+	if !d.targetLimits.lines.Take(boottime.Now()) {
+		return
+	}
+	line := d.process.Log.Info().Str("kind", "targetLimit").Str("target", c.Life)
+	if c.Before < quota.NoLimit {
+		line = line.Float64("before", c.Before)
+	}
+	if c.After < quota.NoLimit {
+		line = line.Float64("perSecond", c.After)
+	}
+	line.Msg("boxes tell that a target's limit has changed")
+}
+
+// issueForTargets answers what a box asks for targets.
+func (d *Daemon) issueForTargets(asks []*wire.TargetPermitAsk) []*wire.PermitGrant {
+	words := make([]*wire.TargetLimit, 0, len(asks))
+	for _, a := range asks {
+		if a.Limit != nil {
+			words = append(words, a.Limit)
+		}
+	}
+	d.takeLimits(words)
+	return grantMessages(d.targetLimits.issue(boottime.Now(), asks))
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -20,7 +20,7 @@
 	defer c.alarm.Stop()
 	defer c.dropFallback()
 	for {
-		choice, err := c.choose()
+		choice, err := c.choose(ctx)
 		if err != nil {
 			c.conclude(err)
 			return
@@ -33,11 +33,36 @@
 }
 
 // choose chooses a target. A retry is taken from the budget only if there is one.
-func (c *call) choose() (balance.Choice, error) {
+func (c *call) choose(ctx context.Context) (chosen, error) {
 	if c.retry {
-		return c.gateway.chooseRetry(c.wanted())
+		return c.chooseRetry(ctx, targetPermitWait)
 	}
-	return c.gateway.choose(c.wanted())
+	return c.choosePermitted(ctx, targetPermitWait)
+}
+
+// chooseRetry chooses a target for a retry. The retry is taken only if there is one, and a
+// target is counted only if there is a retry.
+func (c *call) chooseRetry(ctx context.Context, permitWait time.Duration) (chosen, error) {
+	if !c.gateway.allowsRetry(c.service) {
+		return chosen{}, errNoRetries
+	}
+	choice, err := c.choosePermitted(ctx, permitWait)
+	if err != nil {
+		return chosen{}, err
+	}
+	if !c.gateway.takeRetry(c.service) {
+		c.release(choice)
+		return chosen{}, errNoRetries
+	}
+	return choice, nil
+}
+
+// release takes a choice back to which nothing was sent.
+func (c *call) release(choice chosen) {
+	c.gateway.returnPermit(choice)
+	c.gateway.balancing.Lock()
+	defer c.gateway.balancing.Unlock()
+	c.gateway.balancing.balancer.Release(choice.Target.ID)
 }
 
 // await takes the ends of the attempts that are under way and reports whether
--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -31,7 +31,7 @@
 // underWay is an attempt that has not ended.
 type underWay struct {
 	attempt *attempt
-	choice  balance.Choice
+	choice  chosen
 	began   time.Time
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
@@ -48,11 +48,11 @@
 }
 
 // launch begins an attempt, whose end comes on the channel of the call.
-func (c *call) launch(ctx context.Context, choice balance.Choice) {
+func (c *call) launch(ctx context.Context, choice chosen) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := &attempt{
 		gateway: c.gateway, request: c.request, id: c.id, body: c.body, target: choice.Target,
-		workspace: c.workspaceName(), ends: c.ends, permitEnds: c.permitEnds(),
+		workspace: c.workspaceName(), ends: c.ends, permitEnds: firstOf(c.permitEnds(), choice.permitEnds),
 	}
 	u := &underWay{attempt: a, choice: choice, began: boottime.Now(), ctx: ctx, cancel: cancel}
 	c.tried = append(c.tried, choice.Target.ID)
@@ -61,6 +61,14 @@
 	c.watch()
 }
 
+// firstOf returns the earlier of two times, of which zero stands for none.
+func firstOf(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // run runs the attempt. A panic ends it as one whose target may have run the
 // request: net/http recovers those of its own goroutines only, and the box would end
 // with all its requests.
@@ -113,7 +121,7 @@
 		c.alarm.Reset(mostAsk)
 		return
 	}
-	choice, err := c.gateway.chooseRetry(c.wanted())
+	choice, err := c.chooseRetry(ctx, 0)
 	if err != nil {
 		c.beside.none = err
 		c.alarm.Reset(untilAsk(err))
@@ -147,7 +155,7 @@
 // settle takes the end of an attempt: it is counted, judged and reported.
 func (c *call) settle(e attemptEnd) {
 	c.underWay = slices.DeleteFunc(c.underWay, func(u *underWay) bool { return u == e.underWay })
-	c.last = attemptRecord{target: e.choice.Target, choice: e.choice, fresh: e.attempt.connect > 0, took: e.took}
+	c.last = attemptRecord{target: e.choice.Target, choice: e.choice.Choice, fresh: e.attempt.connect > 0, took: e.took}
 	report := balance.Report{
 		TargetID: e.choice.Target.ID, Route: c.route.Name, Took: e.took, Connect: e.attempt.connect, ToldOverdue: e.overdue,
 	}
@@ -155,9 +163,13 @@
 		e.cancel(nil)
 		report.Outcome = c.judgeFailure(e)
 		c.last.err = e.failure
+		if !e.failure.sent {
+			c.gateway.returnPermit(e.choice)
+		}
 	} else {
 		report.Outcome = c.judgeAnswer(e.out)
 		c.readWord(e.out, &report)
+		c.readLimit(e)
 		c.releaseWhenRead(e.out, func() { e.cancel(nil) })
 	}
 	c.last.outcome = report.Outcome
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -6,7 +6,6 @@
 	"github.com/cockroachdb/errors"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
-	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/retry"
 )
 
@@ -50,20 +49,15 @@
 // errNoRetries says that the budget of retries is used up.
 var errNoRetries = errors.New("no retries are left")
 
-// chooseRetry chooses a target for a retry. The retry is taken only if there is
-// one, and a target is counted only if there is a retry.
-func (d *Daemon) chooseRetry(r balance.Request) (balance.Choice, error) {
+// takeRetry takes a retry of this box's part of the budget, if there is one.
+func (d *Daemon) takeRetry(service string) bool {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
 	at, extra := boottime.Since(d.started), d.retryExtra()
-	budget := d.budget(r.Service)
+	budget := d.budget(service)
 	if !budget.Allows(at, extra) {
-		return balance.Choice{}, errNoRetries
-	}
-	choice, err := d.balancing.balancer.Choose(boottime.Now(), r)
-	if err != nil {
-		return balance.Choice{}, err
+		return false
 	}
 	budget.Take(at, extra)
-	return choice, nil
+	return true
 }
--- a/internal/gateway/controls.go
+++ b/internal/gateway/controls.go
@@ -63,6 +63,17 @@
 	return out
 }
 
+// replicas returns the peer addresses of the members, or of those named at the start while
+// the members are not known.
+func (c *controls) replicas() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.members) > 0 {
+		return slices.Clone(c.members)
+	}
+	return slices.Clone(c.seeds)
+}
+
 func (c *controls) setSeeds(seeds []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -50,7 +50,9 @@
 	longAnswers *linkQueue
 	permits     *permits
 	permitLinks *permitLinks
-	isolation   *isolation.Isolation
+	// targetLimits are about targets that name limits.
+	targetLimits *targetLimits
+	isolation    *isolation.Isolation
 	// reportWord and permitWord tell which replicas take reports and issue permits.
 	reportWord  silences
 	permitWord  silences
@@ -116,8 +118,12 @@
 	d.permitLinks = newPermitLinks(func(ctx context.Context, address string) (*link.Messages, error) { return d.node.Permits(ctx, address) })
 	d.permits.call = d.permitLinks.call
 	d.permits.replicas = d.controls.all
-	d.permits.number = d.documentNumber
+	d.permits.request = d.workspaceRequest
 	d.permits.answered = d.notePermits
+	d.targetLimits = newTargetLimits(c.Name)
+	d.targetLimits.permits.call = d.permitLinks.call
+	d.targetLimits.permits.replicas = d.controls.replicas
+	d.targetLimits.permits.answered = d.notePermits
 	d.isolation = d.newIsolation()
 	p.Gauge("quarantine_suspects", "Requests under which a target ended at this box.", func() float64 { return float64(d.isolation.Suspects()) })
 	seed := fnv.New64a()
@@ -134,6 +140,7 @@
 		Sources:     d.sources,
 		PutInForce:  d.putInForce,
 		EntryBoxes:  d.setBoxes,
+		Limits:      d.takeLimits,
 		Event:       d.noteEvent,
 	})
 	d.controlAge = d.following.Age
@@ -215,6 +222,7 @@
 		process.Service{Name: "controls", Run: d.keepControls},
 		process.Service{Name: "reports", Run: d.report},
 		process.Service{Name: "permits", Run: d.permits.run},
+		process.Service{Name: "targetPermits", Run: d.targetLimits.permits.run},
 		process.Service{Name: "isolation", Run: d.isolation.Run},
 		process.Service{Name: "ready", Run: func(ctx context.Context) error {
 			return process.ServeHTTP(ctx, d.ready, d.config.ReadyHandler(d.isReady))
@@ -246,6 +254,7 @@
 			d.connections.sweep(now, d.knows)
 			d.callers.sweep(now)
 			d.permits.forget(now)
+			d.targetLimits.keep(now, d.knows)
 		case <-lines.C:
 			d.noteLeftOut()
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -25,7 +25,7 @@
 func testProtocol() Protocol {
 	return Protocol{
 		RequestID: "Test-Id", ObjectKey: "Test-Key", Deadline: "Test-Deadline", ExpectTarget: "Test-Expect",
-		NotExecuted: "Test-Not-Executed", Load: "Test-Load", ColdLeft: "Test-Cold",
+		NotExecuted: "Test-Not-Executed", Load: "Test-Load", ColdLeft: "Test-Cold", Limit: limitHeader, ParseLimit: ParseLimit,
 		ParseLoad: func(string) (balance.Load, bool) { return balance.Load{}, false },
 		ParseCold: func(string) (time.Duration, bool) { return 0, false },
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,10 @@
 	looks     *prometheus.CounterVec
 	endedRuns prometheus.Counter
 	held      prometheus.Gauge
+	// targetLimits, targetPermits and passedOver are about targets that name limits.
+	targetLimits  prometheus.Gauge
+	targetPermits prometheus.Counter
+	passedOver    prometheus.Counter
 }
 
 // latencyBuckets are in seconds; the objectives of the users' routes lie
@@ -54,7 +58,17 @@
 	m.held = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "ledgesill_quarantine_held", Help: "Requests that reach no target as targets ended under them.",
 	})
-	r.MustRegister(m.requests, m.latency, m.attempts, m.beside, m.connections, m.permitAsks, m.looks, m.endedRuns, m.held)
+	m.targetLimits = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "ledgesill_target_limits", Help: "Targets that name how much they take from all boxes together.",
+	})
+	m.targetPermits = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "ledgesill_target_permits_total", Help: "Requests that got a permit of a target that names a limit.",
+	})
+	m.passedOver = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "ledgesill_targets_passed_over_total", Help: "Times that a request went on to another target for want of a permit.",
+	})
+	r.MustRegister(m.requests, m.latency, m.attempts, m.beside, m.connections, m.permitAsks, m.looks, m.endedRuns, m.held,
+		m.targetLimits, m.targetPermits, m.passedOver)
 	return m
 }
 
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -25,14 +25,14 @@
 	longestPermitWait = 400 * time.Millisecond
 )
 
-// permits are what this box may send for workspaces with limits.
+// permits are what this box may send for workspaces, or to targets, with limits.
 type permits struct {
 	// call asks a replica.
 	call func(ctx context.Context, address string, r *wire.PermitRequest) (*wire.PermitAnswer, error)
 	// replicas are the addresses of those that can be asked.
 	replicas func() []string
-	// number is that of the document of routes in force.
-	number func() uint64
+	// request returns the message of asks.
+	request func(asks []quota.Ask) *wire.PermitRequest
 	// answered is told how an ask has ended.
 	answered func(a quota.IssuerAsks, err error)
 
@@ -179,14 +179,19 @@
 func (p *permits) ask(ctx context.Context, a quota.IssuerAsks) endedAsk {
 	ctx, cancel := context.WithTimeout(ctx, permitCallTimeout)
 	defer cancel()
-	r := &wire.PermitRequest{Number: p.number()}
-	for _, one := range a.Asks {
-		r.Asks = append(r.Asks, &wire.PermitAsk{Workspace: one.Workspace, Count: uint32(one.Count)})
-	}
-	answer, err := p.call(ctx, a.Address, r)
+	answer, err := p.call(ctx, a.Address, p.request(a.Asks))
 	return endedAsk{a, answer, err}
 }
 
+// workspaceRequest is the message of asks for permits of workspaces.
+func (d *Daemon) workspaceRequest(asks []quota.Ask) *wire.PermitRequest {
+	r := &wire.PermitRequest{Number: d.documentNumber()}
+	for _, one := range asks {
+		r.Asks = append(r.Asks, &wire.PermitAsk{Workspace: one.Of, Count: uint32(one.Count)})
+	}
+	return r
+}
+
 func (p *permits) settle(e endedAsk) {
 	p.answered(e.asks, e.err)
 	p.mu.Lock()
@@ -203,7 +208,7 @@
 	grants := make([]quota.Grant, 0, len(e.answer.GetGrants()))
 	for _, g := range e.answer.GetGrants() {
 		grants = append(grants, quota.Grant{
-			Workspace: g.Workspace, Count: int(g.Count),
+			Of: g.Workspace, Count: int(g.Count),
 			Life: time.Duration(g.LifeMilli) * time.Millisecond, Wait: time.Duration(g.WaitMilli) * time.Millisecond,
 		})
 	}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -27,12 +27,15 @@
 	Workspace string
 	// NotExecuted marks answers of targets that did not run the request.
 	NotExecuted string
-	// Load and ColdLeft are what a target says of itself.
+	// Load, ColdLeft and Limit are what a target says of itself; Limit is how many
+	// requests a second it takes from all boxes together, for as long as it says so.
 	Load     string
 	ColdLeft string
-	// ParseLoad and ParseCold read these two; ok is false if they can't be read.
-	ParseLoad func(text string) (l balance.Load, ok bool)
-	ParseCold func(text string) (left time.Duration, ok bool)
+	Limit    string
+	// ParseLoad, ParseCold and ParseLimit read these; ok is false if they can't be read.
+	ParseLoad  func(text string) (l balance.Load, ok bool)
+	ParseCold  func(text string) (left time.Duration, ok bool)
+	ParseLimit func(text string) (perSecond float64, ok bool)
 	// NewRequestID names a request that comes without an id; nil where callers
 	// must give one.
 	NewRequestID func() string
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -37,6 +37,7 @@
 	line = c.addBeside(line)
 	line = c.addRefusal(line)
 	line = c.addQuarantine(line)
+	line = c.addPassedOver(line)
 	if cause == nil {
 		cause = c.last.err
 	}
@@ -73,6 +74,17 @@
 	return line.Int("beside", c.beside.count).Dur("besideAfter", c.beside.after)
 }
 
+// addPassedOver adds the targets in need that the request was kept from, and why.
+func (c *call) addPassedOver(line *zerolog.Event) *zerolog.Event {
+	if c.targetPermitWait > 0 {
+		line = line.Dur("targetPermitWait", c.targetPermitWait)
+	}
+	if len(c.passedOver) == 0 {
+		return line
+	}
+	return line.Strs("passedOver", c.passedOver).AnErr("passedOverFor", c.passedOverFor)
+}
+
 // addQuarantine adds by what the request is known again, where that was worked out, and
 // what is known against it.
 func (c *call) addQuarantine(line *zerolog.Event) *zerolog.Event {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -40,7 +40,12 @@
 	permits      []time.Time
 	possibleRuns int
 	permitWait   time.Duration
-	body         *requestBody
+	// passedOver are targets in need for which there was no permit, and passedOverFor is
+	// why for the last one; targetPermitWait is how long was waited for such permits.
+	passedOver       []string
+	passedOverFor    error
+	targetPermitWait time.Duration
+	body             *requestBody
 	// service is the destination that the request is for.
 	service string
 	tried   []string
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -78,6 +78,9 @@
 	d.balancing.Lock()
 	d.balancing.balancer.ChangeTargets(now, changed, names(ended))
 	d.balancing.balancer.SetEvacuated(now, c.Evacuated())
+	for _, t := range changed {
+		d.balancing.balancer.SetLimited(t.ID, d.targetLimits.of(t.ID).Named())
+	}
 	d.balancing.Unlock()
 	d.log.Info().Str("kind", "targets").Int("targets", len(c.Targets())).Int("draining", draining(c.Targets())).
 		Int("changed", len(changed)).Int("ended", len(ended)).Strs("evacuated", c.Evacuated()).
@@ -133,9 +136,12 @@
 // setBoxes takes the entry boxes that serve.
 func (d *Daemon) setBoxes(boxes []*wire.EntryBox) {
 	out := make([]balance.Box, 0, len(boxes))
+	names := make([]string, 0, len(boxes))
 	for _, b := range boxes {
 		out = append(out, balance.Box{Name: b.Name, Region: b.Region})
+		names = append(names, b.Name)
 	}
+	d.targetLimits.setBoxes(names)
 	d.balancing.Lock()
 	d.balancing.balancer.SetBoxes(out)
 	d.balancing.boxes = len(out)
--- /dev/null
+++ b/internal/gateway/targetlimits.go
@@ -0,0 +1,291 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/pkg/balance"
+	"ledgesill.dev/ledgesill/pkg/quota"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+const (
+	// targetPermitWait bounds how long a request waits for permits of targets that name
+	// limits before it goes to others: a way between regions and back.
+	targetPermitWait = 100 * time.Millisecond
+	// permitPause is for how long a target gets nothing for which no permit came in time.
+	permitPause = 50 * time.Millisecond
+	// leastPermitPause keeps a target from being asked for by each request in turn.
+	leastPermitPause = 5 * time.Millisecond
+	// tellTime is for how long each report tells what a target said: three of the longest
+	// intervals between two, as reports may be lost and replicas start anew.
+	tellTime = 6 * time.Second
+	// mostTold bounds the words in one report, of some 40 bytes each.
+	mostTold = 256
+)
+
+// targetLimits is what a box knows of targets that name limits, and what it may send them.
+type targetLimits struct {
+	permits *permits
+	// named is how many targets name limits: while there are none, answers without a limit
+	// say nothing new.
+	named atomic.Int32
+
+	mu    sync.Mutex
+	known *quota.TargetLimits
+	alone *quota.Alone
+	// told are changes that targets told this box itself, by their lives, with the times
+	// since which they are reported.
+	told map[string]time.Time
+}
+
+func newTargetLimits(box string) *targetLimits {
+	p := newPermits()
+	p.stock = quota.NewTargetStock()
+	l := &targetLimits{permits: p, known: quota.NewTargetLimits(), alone: quota.NewAlone(box), told: make(map[string]time.Time)}
+	p.request = l.request
+	return l
+}
+
+// request asks a replica for permits; it tells what is known of the limits, as the replica
+// may have started since it was told.
+func (l *targetLimits) request(asks []quota.Ask) *wire.PermitRequest {
+	now := boottime.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := &wire.PermitRequest{}
+	for _, a := range asks {
+		r.TargetAsks = append(r.TargetAsks, &wire.TargetPermitAsk{Limit: l.known.Of(a.Of).Message(now), Count: uint32(a.Count)})
+	}
+	return r
+}
+
+// hear takes what a target told this box in an answer.
+func (l *targetLimits) hear(word quota.TargetLimit) (c quota.LimitChange, changed bool) {
+	if !word.Named() && l.named.Load() == 0 {
+		return c, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, changed = l.take(word)
+	if changed {
+		l.told[word.Life] = word.Heard
+	}
+	return c, changed
+}
+
+// hearOf takes what another box was told. Where this box knows better, it tells so.
+func (l *targetLimits) hearOf(word quota.TargetLimit) (c quota.LimitChange, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, changed = l.take(word)
+	if l.known.Of(word.Life).PerSecond != word.PerSecond {
+		l.told[word.Life] = boottime.Now()
+	}
+	return c, changed
+}
+
+func (l *targetLimits) take(word quota.TargetLimit) (quota.LimitChange, bool) {
+	c, changed := l.known.Take(word)
+	if changed {
+		l.named.Store(int32(l.known.Named()))
+	}
+	return c, changed
+}
+
+// of returns what is known of a target's limit.
+func (l *targetLimits) of(life string) quota.TargetLimit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known.Of(life)
+}
+
+// toTell returns what a report is to tell of limits.
+func (l *targetLimits) toTell() []*wire.TargetLimit {
+	now := boottime.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.told, func(_ string, since time.Time) bool { return now.Sub(since) > tellTime })
+	if len(l.told) == 0 {
+		return nil
+	}
+	lives := slices.SortedFunc(maps.Keys(l.told), func(a, b string) int { return l.told[b].Compare(l.told[a]) })
+	var out []*wire.TargetLimit
+	for _, life := range lives[:min(len(lives), mostTold)] {
+		out = append(out, l.known.Of(life).Message(now))
+	}
+	return out
+}
+
+func (l *targetLimits) setBoxes(names []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.alone.SetBoxes(names)
+}
+
+// keep forgets targets whose lives are over.
+func (l *targetLimits) keep(now time.Time, lives func(life string) bool) {
+	l.permits.forget(now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.known.Keep(now, lives)
+	l.alone.Keep(func(life string) bool { return l.known.Of(life).Named() })
+	l.named.Store(int32(l.known.Named()))
+}
+
+// permit returns a permit to send a request to a target, for which it may wait. The error
+// tells why there is none.
+func (l *targetLimits) permit(ctx context.Context, life string, wait time.Duration) (until time.Time, err error) {
+	if wait <= 0 {
+		var ok bool
+		if until, ok = l.permits.takeNow(life); ok {
+			return until, nil
+		}
+		err = errNoPermitInTime
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, wait)
+		defer cancel()
+		if until, err = l.permits.take(ctx, life); err == nil {
+			return until, nil
+		}
+	}
+	var over *quota.OverLimitError
+	if errors.As(err, &over) {
+		return until, over
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if until, ok := l.alone.Take(boottime.Now(), l.known.Of(life)); ok {
+		return until, nil
+	}
+	return time.Time{}, err
+}
+
+// pauseAfter is for how long a target gets nothing for which there was no permit.
+func pauseAfter(err error) time.Duration {
+	var over *quota.OverLimitError
+	if errors.As(err, &over) {
+		return max(over.Room, leastPermitPause)
+	}
+	return permitPause
+}
+
+// chosen is a target that a request is to be sent to, and until when its permit may be
+// used; zero if it needs none.
+type chosen struct {
+	balance.Choice
+	permitEnds time.Time
+}
+
+// choosePermitted chooses a target. One that names a limit is passed over without a permit,
+// for which it waits no longer than a time.
+func (c *call) choosePermitted(ctx context.Context, wait time.Duration) (chosen, error) {
+	waitEnds := c.gateway.permitWaitEnds(wait)
+	for {
+		choice, err := c.gateway.choose(c.wanted())
+		if err != nil || !choice.Limited {
+			return chosen{Choice: choice}, err
+		}
+		began := boottime.Now()
+		until, err := c.gateway.targetLimits.permit(ctx, choice.Target.ID, waitEnds.Sub(began))
+		c.targetPermitWait += boottime.Since(began)
+		if err == nil {
+			c.gateway.metrics.targetPermits.Inc()
+			return chosen{choice, until}, nil
+		}
+		c.passOver(choice, err)
+	}
+}
+
+// returnPermit gives a permit back with which nothing was sent.
+func (d *Daemon) returnPermit(choice chosen) {
+	if !choice.permitEnds.IsZero() {
+		d.targetLimits.permits.putBack(choice.Target.ID, choice.permitEnds)
+	}
+}
+
+func (d *Daemon) permitWaitEnds(wait time.Duration) time.Time {
+	if d.targetLimits.named.Load() == 0 {
+		return time.Time{} // the usual request needs no time
+	}
+	return boottime.Now().Add(wait)
+}
+
+// passOver takes a choice back for which there is no permit.
+func (c *call) passOver(choice balance.Choice, cause error) {
+	d := c.gateway
+	d.metrics.passedOver.Inc()
+	c.passedOver = append(c.passedOver, choice.Target.ID)
+	c.passedOverFor = cause
+	d.balancing.Lock()
+	defer d.balancing.Unlock()
+	now := boottime.Now()
+	d.balancing.balancer.Withhold(now, choice.Target.ID, now.Add(pauseAfter(cause)))
+}
+
+// readLimit takes what an answer says of its target's limit. One of another target says
+// nothing, and one that was turned away does not take a limit back.
+func (c *call) readLimit(e attemptEnd) {
+	p := c.gateway.config.Protocol
+	if e.out.status == http.StatusMisdirectedRequest {
+		return
+	}
+	word := quota.TargetLimit{Life: e.choice.Target.ID, PerSecond: quota.NoLimit, Sent: e.began, Heard: e.began.Add(e.took)}
+	text := e.out.header.Get(p.Limit)
+	if text == "" && c.notRun(e.out) {
+		return
+	}
+	if text != "" {
+		limit, ok := p.ParseLimit(text)
+		if !ok {
+			return
+		}
+		word.PerSecond = limit
+	}
+	if change, changed := c.gateway.targetLimits.hear(word); changed {
+		c.gateway.noteLimit(change, c.id)
+		c.gateway.reportsChanged()
+	}
+}
+
+// takeLimits takes what other boxes were told of limits.
+func (d *Daemon) takeLimits(list []*wire.TargetLimit) {
+	now := boottime.Now()
+	for _, m := range list {
+		if change, changed := d.targetLimits.hearOf(quota.TargetLimitOf(now, m)); changed {
+			d.noteLimit(change, "")
+		}
+	}
+}
+
+// noteLimit puts a changed limit in force and tells of it; request is the id of the request
+// whose answer told it, empty where another box was told.
+func (d *Daemon) noteLimit(c quota.LimitChange, request string) {
+	d.balancing.Lock()
+	d.balancing.balancer.SetLimited(c.Life, c.After < quota.NoLimit)
+	d.balancing.Unlock()
+	d.metrics.targetLimits.Set(float64(d.targetLimits.named.Load()))
+	if !d.otherLines.Take(boottime.Now()) {
+		return
+	}
+	line := d.log.Warn().Str("kind", "targetLimit").Str("target", c.Life)
+	if c.Before < quota.NoLimit {
+		line = line.Float64("before", c.Before)
+	}
+	if request != "" {
+		line = line.Str("request", request)
+	}
+	if c.After < quota.NoLimit {
+		line.Float64("perSecond", c.After).Msg("a target names what it takes from all boxes together")
+		return
+	}
+	line.Msg("a target names no limit any more")
+}
--- a/internal/gateway/targetlimits_test.go
+++ b/internal/gateway/targetlimits_test.go
@@ -2,18 +2,22 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -121,10 +125,117 @@
 	return count
 }
 
+// controlScene is some control replicas that issue permits of targets and tell boxes of
+// limits, in virtual time. It is as far from all boxes as another region is from half of
+// them.
+type controlScene struct {
+	mu      sync.Mutex
+	issuers map[string]*quota.TargetIssuer
+	// off tells replicas that do not answer.
+	off   map[string]bool
+	asked int
+}
+
+const (
+	controlWay  = 20 * time.Millisecond
+	gossipPause = 50 * time.Millisecond
+)
+
+func newControlScene(replicas int) *controlScene {
+	c := &controlScene{issuers: make(map[string]*quota.TargetIssuer), off: make(map[string]bool)}
+	for _, a := range c.names(replicas) {
+		c.start(a, c.names(replicas))
+	}
+	return c
+}
+
+func (c *controlScene) names(replicas int) (out []string) {
+	for i := range replicas {
+		out = append(out, fmt.Sprint("replica", i))
+	}
+	return out
+}
+
+// start has a replica begin without any memory.
+func (c *controlScene) start(name string, all []string) {
+	i := quota.NewTargetIssuer(name)
+	i.SetReplicas(time.Now(), all)
+	c.issuers[name] = i
+}
+
+func (c *controlScene) addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.issuers))
+}
+
+// setOff has replicas answer no more, or again.
+func (c *controlScene) setOff(off bool, names ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range names {
+		c.off[name] = off
+	}
+}
+
+func (c *controlScene) call(ctx context.Context, address string, r *wire.PermitRequest) (*wire.PermitAnswer, error) {
+	time.Sleep(controlWay)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.off[address] {
+		return nil, errors.New("no answer")
+	}
+	c.asked++
+	i := c.issuers[address]
+	var asks []quota.Ask
+	for _, a := range r.TargetAsks {
+		i.Take(time.Now(), quota.TargetLimitOf(time.Now(), a.Limit))
+		asks = append(asks, quota.Ask{Of: a.Limit.Life, Count: int(a.Count)})
+	}
+	out := &wire.PermitAnswer{}
+	for _, g := range i.Issue(time.Now(), asks) {
+		out.Grants = append(out.Grants, &wire.PermitGrant{Workspace: g.Of, Count: uint32(g.Count), LifeMilli: g.Life.Milliseconds(), WaitMilli: g.Wait.Milliseconds()})
+	}
+	return out, nil
+}
+
+// gossip carries what boxes were told to all replicas and from these to all boxes.
+func (c *controlScene) gossip(ctx context.Context, boxes []*Daemon) {
+	known := make(map[string]uint64)
+	for ctx.Err() == nil {
+		time.Sleep(gossipPause)
+		var told []*wire.TargetLimit
+		for _, d := range boxes {
+			told = append(told, d.targetLimits.toTell()...)
+		}
+		var news []*wire.TargetLimit
+		c.mu.Lock()
+		for name, i := range c.issuers {
+			if c.off[name] {
+				continue
+			}
+			for _, w := range told {
+				i.Take(time.Now(), quota.TargetLimitOf(time.Now(), w))
+			}
+			words, last := i.Limits().Since(known[name])
+			known[name] = last
+			for _, w := range words {
+				news = append(news, w.Message(time.Now()))
+			}
+		}
+		c.mu.Unlock()
+		time.Sleep(controlWay)
+		for _, d := range boxes {
+			d.takeLimits(news)
+		}
+	}
+}
+
 // needyScene is some boxes that share targets in virtual time.
 type needyScene struct {
 	boxes   []*Daemon
 	targets []*needy
+	control *controlScene
 	random  *rand.Rand
 	asked   int
 	// served and refused count the answers to callers.
@@ -134,7 +245,13 @@
 
 func newNeedyScene(t *testing.T, boxes, targets int) *needyScene {
 	t.Helper()
-	s := &needyScene{random: rand.New(rand.NewPCG(1, 1))}
+	s := &needyScene{random: rand.New(rand.NewPCG(1, 1)), control: newControlScene(6)}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
 	var addresses []string
 	for i := range targets {
 		s.targets = append(s.targets, &needy{told: make(map[int]time.Time)})
@@ -158,8 +275,12 @@
 			go s.targets[n].serve(i, far)
 			return near, nil
 		}
+		d.targetLimits.permits.call = s.control.call
+		d.targetLimits.permits.replicas = s.control.addresses
+		running.Go(func() { _ = d.targetLimits.permits.run(ctx) }) // ends with the test
 		s.boxes = append(s.boxes, d)
 	}
+	running.Go(func() { s.control.gossip(ctx, s.boxes) })
 	t.Cleanup(func() {
 		for _, d := range s.boxes {
 			d.connections.close()
@@ -213,6 +334,7 @@
 			inVirtualTime(t, func(t *testing.T) {
 				const limit = 5.6
 				s := newNeedyScene(t, boxes, 4)
+				s.control.setOff(true, s.control.addresses()...)
 				s.load(80, 2*time.Second)
 				s.targets[0].name("5.6")
 				named := time.Now()
@@ -221,6 +343,9 @@
 				if got := s.targets[0].most(named.Add(needWindow)); got > allowedInWindow(limit) {
 					t.Errorf("a target that names %v a second got %d requests in %s from boxes that it had told, allowed %d", limit, got, needWindow, allowedInWindow(limit))
 				}
+				if got := s.targets[0].between(named.Add(time.Second), time.Now()); float64(got) < 0.1*limit*11 {
+					t.Errorf("got %d requests in 11 s, it could do more", got)
+				}
 				if s.refused > 0 {
 					t.Errorf("%d of %d requests were refused, the other targets have room for all", s.refused, s.asked)
 				}
@@ -228,3 +353,35 @@
 		})
 	}
 }
+
+// A target in need gets what it names, or what is asked of it if that is less, and its
+// requests are served elsewhere beyond.
+func TestTargetGetsWhatItNames(t *testing.T) {
+	for _, boxes := range []int{1, 9, 30, 150} {
+		for _, limit := range []float64{0, 1.5, 5.6, 9.6} {
+			t.Run(fmt.Sprint(boxes, " boxes, ", limit), func(t *testing.T) {
+				inVirtualTime(t, func(t *testing.T) {
+					s := newNeedyScene(t, boxes, 4)
+					s.load(80, 2*time.Second)
+					s.targets[0].name(fmt.Sprint(limit))
+					named := time.Now()
+					s.load(80, 4*time.Second)
+					from := time.Now()
+					s.load(80, 10*time.Second)
+					used := float64(s.targets[0].between(from, time.Now())) / time.Since(from).Seconds()
+					s.settle()
+					if got := s.targets[0].most(named.Add(needWindow)); got > allowedInWindow(limit) {
+						t.Errorf("got %d requests in %s, allowed %d", got, needWindow, allowedInWindow(limit))
+					}
+					if used < 0.9*limit {
+						t.Errorf("got %v requests a second of %v", used, limit)
+					}
+					if s.refused > 0 {
+						t.Errorf("%d of %d requests were refused, the other targets have room for all", s.refused, s.asked)
+					}
+					t.Logf("used %v of %v, %d asks, most %d of %d", used, limit, s.control.asked, s.targets[0].most(named.Add(needWindow)), allowedInWindow(limit))
+				})
+			})
+		}
+	}
+}
--- a/internal/relay/following.go
+++ b/internal/relay/following.go
@@ -43,6 +43,8 @@
 	PutInForce func(steering.State, []*wire.Command)
 	// EntryBoxes is told which entry boxes serve; it may be nil.
 	EntryBoxes func([]*wire.EntryBox)
+	// Limits is told what targets say of their limits; it may be nil.
+	Limits func([]*wire.TargetLimit)
 	// Reports returns what is to be told upwards; nil for nothing.
 	Reports func() []*wire.BoxReport
 	// Event takes events for the time line.
@@ -286,6 +288,9 @@
 		if u.EntryBoxes != nil && f.subscriber.EntryBoxes != nil {
 			f.subscriber.EntryBoxes(u.EntryBoxes.Boxes)
 		}
+		if len(u.Limits) > 0 && f.subscriber.Limits != nil {
+			f.subscriber.Limits(u.Limits)
+		}
 		f.put(ctx, distribution.Received{Attempt: s.Attempt, Update: u, At: at})
 	}
 }
--- a/internal/relay/publishing.go
+++ b/internal/relay/publishing.go
@@ -28,6 +28,9 @@
 	reports     map[string]boxReport
 	age         func() time.Duration
 	stamp       func() *wire.Clock
+	// limits returns what targets say of their limits that has changed after a change,
+	// and the number of the last one; nil where nothing is known of them.
+	limits func(after uint64) (changed []*wire.TargetLimit, last uint64)
 
 	// Packing a document takes 8 ms at 5,000 routes and 31 ms at 20,000
 	// (BenchmarkPack), so that states are packed beside the loop that puts them:
@@ -85,6 +88,19 @@
 	}
 }
 
+// SetLimits has subscribers told what targets say of their limits. It must be called
+// before Serve; LimitsChanged tells of changes.
+func (p *Publishing) SetLimits(limits func(after uint64) (changed []*wire.TargetLimit, last uint64)) {
+	p.limits = limits
+}
+
+// LimitsChanged has subscribers told soon.
+func (p *Publishing) LimitsChanged() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wakeSubscribers()
+}
+
 // Put has the next state published by Run, in the order of the calls. It does
 // not wait for it.
 func (p *Publishing) Put(s steering.State, commands []*wire.Command) {
@@ -161,6 +177,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.publisher.Put(s, commands)
+	p.wakeSubscribers()
+}
+
+func (p *Publishing) wakeSubscribers() {
 	for s := range p.subscribers {
 		select {
 		case s.changed <- struct{}{}:
@@ -191,6 +211,7 @@
 	defer ticker.Stop()
 	version := request.Version
 	told := ""
+	var toldLimits uint64
 	due := true                // the boxes that serve are told with the beats, not with each change
 	answer := p.publisher.Join // for the first update alone
 	for {
@@ -199,6 +220,9 @@
 		if due {
 			u.EntryBoxes, told = p.entryBoxes(told)
 		}
+		if p.limits != nil {
+			u.Limits, toldLimits = p.limits(toldLimits)
+		}
 		if err := m.Write(u); err != nil {
 			return
 		}
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -28,8 +28,9 @@
 	cold    ColdLimit
 	mean    time.Duration
 	crowd   crowd
-	// turns spreads requests without a key.
-	turns uint64
+	// turns spreads requests without a key, and returnTurn callers that come back.
+	turns      uint64
+	returnTurn float64
 }
 
 // Balancer chooses targets. It is not safe for concurrent use.
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -40,7 +40,7 @@
 	key := s.keyHash(r)
 	chosen := b.home(now, s, r, key)
 	if chosen == nil {
-		return Choice{}, noneUsable(s)
+		return Choice{}, b.noneUsable(now, s, r)
 	}
 	wait := chosen.wait(now, learned.mixed)
 	longest := longestWait(r, learned)
@@ -54,7 +54,10 @@
 }
 
 // noneUsable says that no target of a service can be used.
-func noneUsable(s *service) *NoTargetError {
+func (b *Balancer) noneUsable(now time.Time, s *service, r Request) *NoTargetError {
+	if room, ok := b.nextRoom(now, s, r); ok {
+		return &NoTargetError{Service: s.name, Reason: ReasonLimited, RetryAfter: s.spread(room), Registered: len(s.targets)}
+	}
 	return &NoTargetError{Service: s.name, Reason: ReasonNone, RetryAfter: firstRetryAfter, Registered: len(s.targets)}
 }
 
@@ -155,6 +158,7 @@
 	}
 	return Choice{
 		Target:   t.Target,
+		Limited:  t.limited,
 		Remote:   t.Region != b.config.Region,
 		Wait:     wait,
 		Patience: max(patienceFactor*learned.cold+wait, leastPatience),
@@ -164,6 +168,11 @@
 
 // isUsable reports whether a target may be sent any request at all.
 func (b *Balancer) isUsable(now time.Time, t *targetState) bool {
+	return b.isOpen(now, t) && !now.Before(t.withheldUntil)
+}
+
+// isOpen is isUsable but for permits.
+func (b *Balancer) isOpen(now time.Time, t *targetState) bool {
 	return !t.Draining && !b.evacuated[t.Zone] && !t.isOut(now) && t.paceNow(now) <= slowPace
 }
 
--- /dev/null
+++ b/pkg/balance/limited.go
@@ -0,0 +1,68 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// limitedSpread is the time over which callers return that found all targets of a
+	// service at their limits: what comes free in it serves some of them.
+	limitedSpread = time.Second
+	// goldenPart spreads any number of turns evenly: each falls into the widest gap.
+	goldenPart = 0.6180339887
+)
+
+// SetLimited tells whether a target names a limit of what it takes from all boxes together.
+func (b *Balancer) SetLimited(id string, limited bool) {
+	t := b.byID[id]
+	if t == nil {
+		return
+	}
+	t.limited = limited
+	if !limited {
+		t.withheldUntil = time.Time{}
+	}
+}
+
+// Withhold takes a choice back for want of a permit: the request is not sent there, and no
+// other before a time. Its objects have their second home meanwhile.
+func (b *Balancer) Withhold(now time.Time, id string, until time.Time) {
+	t := b.byID[id]
+	if t == nil {
+		return
+	}
+	t.noteEnd(false)
+	if t.isCold(now) {
+		t.tokens++
+	}
+	t.withheldUntil = until
+}
+
+// nextRoom returns how long it takes until a target has room again that is withheld and
+// could be used otherwise; ok is false if there is none.
+func (b *Balancer) nextRoom(now time.Time, s *service, r Request) (room time.Duration, ok bool) {
+	for _, t := range s.targets {
+		if !now.Before(t.withheldUntil) || !r.allows(t) || !b.isOpen(now, t) {
+			continue
+		}
+		if wait := t.withheldUntil.Sub(now); !ok || wait < room {
+			room, ok = wait, true
+		}
+	}
+	return room, ok
+}
+
+// spread returns when the next of the callers may return for whom there may be room after
+// a time.
+func (s *service) spread(room time.Duration) time.Duration {
+	_, s.returnTurn = math.Modf(s.returnTurn + goldenPart)
+	return max(room, leastRetryAfter) + time.Duration(s.returnTurn*float64(limitedSpread))
+}
+
+// Release takes a choice back to which nothing was sent.
+func (b *Balancer) Release(id string) {
+	if t := b.byID[id]; t != nil {
+		t.noteEnd(false)
+	}
+}
--- a/pkg/balance/request.go
+++ b/pkg/balance/request.go
@@ -29,6 +29,9 @@
 // Choice is the target that a request is to be sent to. Done must follow.
 type Choice struct {
 	Target Target
+	// Limited tells that the target names a limit. Without a permit of it the choice must
+	// be taken back by Withhold.
+	Limited bool
 	// Remote tells that the target is in another region.
 	Remote bool
 	// Wait is how long the request is thought to wait for a slot there.
@@ -69,6 +72,8 @@
 const (
 	ReasonNone = "none can be used"
 	ReasonFull = "all are full"
+	// ReasonLimited: those that could be used name limits, which leave no room now.
+	ReasonLimited = "all are at their limits"
 )
 
 // allows reports whether a target is one that the request may be sent to.
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -86,6 +86,10 @@
 	// pace is the mean time of its answers relative to the service's.
 	pace   float64
 	paceAt time.Time
+	// limited tells that the target names a limit, so that a request to it needs a permit,
+	// and withheldUntil is until when there is none to be had.
+	limited       bool
+	withheldUntil time.Time
 	// coldUntil is when the target counts as warm; tokens are the requests
 	// that this box may send it before that.
 	coldUntil time.Time
--- /dev/null
+++ b/pkg/quota/alone.go
@@ -0,0 +1,57 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// aloneBoxes is how many boxes may send to a target in need when no replica answers
+	// them, and aloneShare the part of its limit for each. It comes on top of what others
+	// may get permits for, who reach a replica that these don't.
+	aloneBoxes = 1
+	aloneShare = 0.2
+)
+
+// Alone is what a box sends to targets that name limits while no control replica issues
+// permits: the same box for a target, by the list that all know. It is not safe for
+// concurrent use.
+type Alone struct {
+	box     string
+	boxes   []string
+	buckets map[string]*bucket
+}
+
+// NewAlone returns the allowance of a box.
+func NewAlone(box string) *Alone { return &Alone{box: box, buckets: make(map[string]*bucket)} }
+
+// SetBoxes takes the names of the boxes that serve.
+func (a *Alone) SetBoxes(names []string) { a.boxes = names }
+
+// Take reports whether the box may send a request to a target with a limit, and counts it.
+func (a *Alone) Take(now time.Time, limit TargetLimit) (until time.Time, ok bool) {
+	if !slices.Contains(topRanked(limit.Life, a.boxes, aloneBoxes), a.box) {
+		return until, false
+	}
+	p := part{rate: max(limit.PerSecond, leastTargetRate) * aloneShare, depth: 1, life: targetLife}
+	b := a.buckets[limit.Life]
+	if b == nil {
+		b = &bucket{part: p, at: now}
+		a.buckets[limit.Life] = b
+	}
+	b.resize(now, p)
+	if b.tokens < 1 {
+		return until, false
+	}
+	b.tokens--
+	return now.Add(p.life), true
+}
+
+// Keep forgets targets without limits.
+func (a *Alone) Keep(named func(life string) bool) {
+	for life := range a.buckets {
+		if !named(life) {
+			delete(a.buckets, life)
+		}
+	}
+}
--- a/pkg/quota/issuer.go
+++ b/pkg/quota/issuer.go
@@ -8,19 +8,20 @@
 	"ledgesill.dev/ledgesill/pkg/catalog"
 )
 
-// Ask is how many permits of a workspace an entry box wants.
+// Ask is how many permits an entry box wants. Of names the workspace, or the life of the
+// target, that they are of.
 type Ask struct {
-	Workspace string
-	Count     int
+	Of    string
+	Count int
 }
 
 // Grant answers an Ask. Life is how long its permits may be used; Wait is when to
 // ask again if there were none.
 type Grant struct {
-	Workspace string
-	Count     int
-	Life      time.Duration
-	Wait      time.Duration
+	Of    string
+	Count int
+	Life  time.Duration
+	Wait  time.Duration
 }
 
 // BehindError says that an issuer does not have the document of routes by which a
@@ -120,7 +121,7 @@
 	out := make([]Grant, 0, len(asks))
 	for _, a := range asks {
 		g := i.grant(now, a)
-		if _, known := i.limits[a.Workspace]; known {
+		if _, known := i.limits[a.Of]; known {
 			i.count(now, g)
 		}
 		out = append(out, g)
@@ -129,21 +130,26 @@
 }
 
 func (i *Issuer) grant(now time.Time, a Ask) Grant {
-	limit, known := i.limits[a.Workspace]
+	limit, known := i.limits[a.Of]
 	if known && limit.None() {
-		return Grant{Workspace: a.Workspace, Count: a.Count, Life: unlimitedLife}
+		return Grant{Of: a.Of, Count: a.Count, Life: unlimitedLife}
 	}
-	b := i.buckets[a.Workspace]
+	b := i.buckets[a.Of]
 	if b == nil {
-		return Grant{Workspace: a.Workspace, Wait: longestWait}
+		return Grant{Of: a.Of, Wait: longestWait}
 	}
+	return b.grant(now, a)
+}
+
+// grant answers an ask as far as there are permits.
+func (b *bucket) grant(now time.Time, a Ask) Grant {
 	b.fill(now)
 	count := min(max(a.Count, 0), int(b.tokens))
 	b.tokens -= float64(count)
 	if count > 0 {
-		return Grant{Workspace: a.Workspace, Count: count, Life: b.life}
+		return Grant{Of: a.Of, Count: count, Life: b.life}
 	}
-	return Grant{Workspace: a.Workspace, Wait: b.nextWait(now)}
+	return Grant{Of: a.Of, Wait: b.nextWait(now)}
 }
 
 func (b *bucket) fill(now time.Time) {
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -335,7 +335,7 @@
 	now := time.Now()
 	i := NewIssuer(Bound{Window: 5 * time.Second, Excess: 0.1, Slack: 20}, 3)
 	i.SetLimits(now, 1, []catalog.Workspace{{Name: "north", Limit: catalog.RateLimit{PerSecond: 30, Burst: 30}}})
-	grants, err := i.Issue(now.Add(time.Second), 1, []Ask{{Workspace: "north", Count: 4}})
+	grants, err := i.Issue(now.Add(time.Second), 1, []Ask{{Of: "north", Count: 4}})
 	fmt.Println(grants[0].Count, err)
 	// Output: 4 <nil>
 }
--- a/pkg/quota/stock.go
+++ b/pkg/quota/stock.go
@@ -38,33 +38,37 @@
 	idleTime = 30 * time.Second
 )
 
-// OverLimitError says that a workspace has used up its limit.
+// OverLimitError says that a workspace, or a target, has used up its limit.
 type OverLimitError struct {
-	Workspace string
-	// After is when there may be room.
+	Of string
+	// Room is when there may be room, and After when one of several that were refused may
+	// come back.
+	Room  time.Duration
 	After time.Duration
 }
 
 // Error implements error.
 func (e *OverLimitError) Error() string {
-	return fmt.Sprintf("workspace %s is over its limit; try again in %s", e.Workspace, e.After)
+	return fmt.Sprintf("the limit of %s is used up; try again in %s", e.Of, e.After)
 }
 
 // SilentError says that no issuer could be asked.
 type SilentError struct {
-	Workspace string
+	Of string
 	// After is when one is asked again.
 	After time.Duration
 }
 
 // Error implements error.
 func (e *SilentError) Error() string {
-	return fmt.Sprintf("no control replica tells whether workspace %s is within its limit; try again in %s", e.Workspace, e.After)
+	return fmt.Sprintf("no control replica tells whether %s is within its limit; try again in %s", e.Of, e.After)
 }
 
 // Stock is the permits of one entry box. It is not safe for concurrent use.
 type Stock struct {
-	issuers    []*issuerState
+	issuers []*issuerState
+	// ranked tells that not all of the issuers issue, but those of TargetIssuers.
+	ranked     bool
 	workspaces map[string]*held
 	// low are the workspaces of which permits may have to be asked for.
 	low map[string]*held
@@ -117,11 +121,35 @@
 	Asks    []Ask
 }
 
-// NewStock returns a stock without permits and issuers.
+// NewStock returns a stock of permits of workspaces, without permits and issuers.
 func NewStock() *Stock {
 	return &Stock{workspaces: make(map[string]*held), low: make(map[string]*held)}
 }
 
+// NewTargetStock returns a stock of permits of targets, named by their lives in place of
+// workspaces, without permits and issuers.
+func NewTargetStock() *Stock {
+	s := NewStock()
+	s.ranked = true
+	return s
+}
+
+// issuersOf returns who issues permits of a workspace or target.
+func (s *Stock) issuersOf(workspace string) []*issuerState {
+	if !s.ranked {
+		return s.issuers
+	}
+	addresses := make([]string, 0, len(s.issuers))
+	for _, i := range s.issuers {
+		addresses = append(addresses, i.address)
+	}
+	out := make([]*issuerState, 0, targetIssuers)
+	for _, a := range TargetIssuers(workspace, addresses) {
+		out = append(out, s.issuer(a))
+	}
+	return out
+}
+
 // SetIssuers names the issuers. What is known of those that stay is kept.
 func (s *Stock) SetIssuers(addresses []string) {
 	next := make([]*issuerState, 0, len(addresses))
@@ -196,7 +224,7 @@
 		return nil
 	}
 	var soonest, heard time.Time
-	for _, i := range s.issuers {
+	for _, i := range s.issuersOf(workspace) {
 		if now.Before(i.silentUntil) {
 			heard = earlier(heard, i.silentUntil)
 			continue
@@ -208,9 +236,9 @@
 		soonest = earlier(soonest, empty)
 	}
 	if soonest.IsZero() {
-		return &SilentError{Workspace: workspace, After: max(heard.Sub(now), 0)}
+		return &SilentError{Of: workspace, After: max(heard.Sub(now), 0)}
 	}
-	return &OverLimitError{Workspace: workspace, After: h.nextReturn(now, soonest)}
+	return &OverLimitError{Of: workspace, Room: soonest.Sub(now), After: h.nextReturn(now, soonest)}
 }
 
 // nextReturn spreads the callers that are refused over returnSpread from when there
@@ -229,7 +257,7 @@
 			delete(s.low, name)
 			continue
 		}
-		for _, i := range s.toAsk(now, h) {
+		for _, i := range s.toAsk(now, name, h) {
 			h.pending = append(h.pending, pendingAsk{i.address, count, now})
 			at := slices.IndexFunc(out, func(a IssuerAsks) bool { return a.Address == i.address })
 			if at < 0 {
@@ -266,10 +294,10 @@
 // four of them took 0.3 s, after which a request is too late. What comes beyond what
 // is wanted stays in stock. One that has an ask for the workspace under way for too
 // long is not asked again.
-func (s *Stock) toAsk(now time.Time, h *held) []*issuerState {
+func (s *Stock) toAsk(now time.Time, workspace string, h *held) []*issuerState {
 	var all []*issuerState
 	var best *issuerState
-	for _, i := range s.issuers {
+	for _, i := range s.issuersOf(workspace) {
 		if now.Before(i.silentUntil) || now.Before(i.behindUntil) || now.Before(h.emptyUntil[i.address]) {
 			continue
 		}
@@ -301,7 +329,7 @@
 	}
 	s.settle(a)
 	for _, g := range grants {
-		h := s.of(g.Workspace)
+		h := s.of(g.Of)
 		if g.Count == 0 {
 			h.emptyUntil[a.Address] = now.Add(g.Wait)
 			continue
@@ -330,8 +358,8 @@
 
 func (s *Stock) settle(a IssuerAsks) {
 	for _, ask := range a.Asks {
-		h := s.of(ask.Workspace)
-		s.low[ask.Workspace] = h
+		h := s.of(ask.Of)
+		s.low[ask.Of] = h
 		h.pending = slices.DeleteFunc(h.pending, func(p pendingAsk) bool { return p.address == a.Address && p.at.Equal(a.At) })
 	}
 }
--- a/pkg/quota/stock_test.go
+++ b/pkg/quota/stock_test.go
@@ -15,7 +15,7 @@
 	asked := time.Time{}.Add(time.Hour)
 	b.Wait(oneWorkspace)
 	asks := b.Asks(asked)
-	b.Answered(asked.Add(50*time.Millisecond), asks[0], []Grant{{Workspace: oneWorkspace, Count: 3, Life: 100 * time.Millisecond}})
+	b.Answered(asked.Add(50*time.Millisecond), asks[0], []Grant{{Of: oneWorkspace, Count: 3, Life: 100 * time.Millisecond}})
 	until, ok := b.Take(asked.Add(99*time.Millisecond), oneWorkspace)
 	if !ok || !until.Equal(asked.Add(100*time.Millisecond)) {
 		t.Fatalf("taken %v, until %v", ok, until)
@@ -78,7 +78,7 @@
 	if len(asks) != 1 || asks[0].Address != "near" {
 		t.Fatalf("asked %v", asks)
 	}
-	b.Answered(now, asks[0], []Grant{{Workspace: oneWorkspace, Wait: time.Second}})
+	b.Answered(now, asks[0], []Grant{{Of: oneWorkspace, Wait: time.Second}})
 	if asks = b.Asks(now); len(asks) != 3 {
 		t.Errorf("asked %v", asks)
 	}
--- a/pkg/quota/usage.go
+++ b/pkg/quota/usage.go
@@ -69,10 +69,10 @@
 
 // count notes the answer to an ask of a known workspace.
 func (i *Issuer) count(now time.Time, g Grant) {
-	t := i.tallies[g.Workspace]
+	t := i.tallies[g.Of]
 	if t == nil {
 		t = &tally{}
-		i.tallies[g.Workspace] = t
+		i.tallies[g.Of] = t
 	}
 	if g.Count == 0 {
 		t.refused.add(now, i.bound.Window, 1)
