admission, entry: keep a pool to what its targets name

Seen: at the other kind of entry box a target that named 3 requests a second got 190 in 4 s, 23 are allowed, checks of its health among them (some 12 a second). Change: the holder of a pool admits for all boxes, so that the limit is one bucket of its own; a target with a limit is checked at a tenth of it. Where all targets name limits, what can't run in time is refused at once, with the time until there is room.

--- a/contrib/standin/target.go
+++ b/contrib/standin/target.go
@@ -14,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"ledgesill.dev/ledgesill/pkg/caller"
 )
 
 // TargetConfig sizes a target.
@@ -45,6 +47,10 @@
 	mu   sync.Mutex
 	runs map[string]int
 	most int
+	// limit is the limit that it names in its answers; empty for none. arrivals are when
+	// requests reached it, checks of its health included.
+	limit    string
+	arrivals []time.Time
 }
 
 // NewTarget returns a target that starts cold now.
@@ -67,6 +73,21 @@
 // SetSlow makes every request take longer.
 func (t *Target) SetSlow(extra time.Duration) { t.slow.Store(int64(extra)) }
 
+// SetLimit makes the target name in its answers how many requests a second it takes from
+// all boxes together; empty for none.
+func (t *Target) SetLimit(perSecond string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limit = perSecond
+}
+
+// Arrivals returns when requests reached it, checks of its health included.
+func (t *Target) Arrivals() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]time.Time(nil), t.arrivals...)
+}
+
 // Runs returns how often each named request ran, and the most that ran at once.
 func (t *Target) Runs() (runs map[string]int, most int) {
 	t.mu.Lock()
@@ -85,7 +106,21 @@
 	mux.HandleFunc("/healthz", t.health)
 	mux.HandleFunc("/export", t.slotted(t.export))
 	mux.HandleFunc("/", t.slotted(t.work))
-	return mux
+	return t.counted(mux)
+}
+
+// counted counts requests and names the limit in their answers.
+func (t *Target) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		t.mu.Lock()
+		t.arrivals = append(t.arrivals, time.Now())
+		limit := t.limit
+		t.mu.Unlock()
+		if limit != "" {
+			w.Header().Set(caller.HeaderLimit, limit)
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (t *Target) health(w http.ResponseWriter, _ *http.Request) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -15,6 +15,7 @@
 	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/caller"
+	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/retry"
 )
 
@@ -182,7 +183,7 @@
 		cancel()
 		return attemptEnd{number: number, end: retry.Refused, answer: refusal(string(got.refused.Reason), got.refused.RetryAfter)}
 	}
-	slot := &slot{pool: e.pool, id: id, began: boottime.Now(), cancel: cancel}
+	slot := &slot{pool: e.pool, id: id, target: got.target, began: boottime.Now(), cancel: cancel}
 	a, end, result := e.box.askTarget(ctx, e.request, got.address, slot)
 	switch {
 	case end == retry.Failed && a != nil && a.outcome == caller.Unknown:
@@ -203,6 +204,7 @@
 type slot struct {
 	pool   *pool
 	id     uint64
+	target string
 	began  time.Time
 	cancel context.CancelFunc
 	once   sync.Once
@@ -215,6 +217,24 @@
 	})
 }
 
+// readLimit tells the pool what an answer says of its target's limit. One that was turned
+// away does not take a limit back.
+func (s *slot) readLimit(response *http.Response) {
+	text := response.Header.Get(caller.HeaderLimit)
+	if text == "" && shed(response) {
+		return
+	}
+	word := quota.TargetLimit{Life: s.target, PerSecond: quota.NoLimit, Sent: s.began, Heard: boottime.Now()}
+	if text != "" {
+		perSecond, ok := quota.ParseLimit(text)
+		if !ok {
+			return
+		}
+		word.PerSecond = perSecond
+	}
+	s.pool.inbox <- poolEvent{admission.Named{Target: s.target, Word: word}}
+}
+
 // slotStream is the rest of an answer; closing it frees the slot.
 type slotStream struct {
 	io.ReadCloser
@@ -255,6 +275,7 @@
 	if err != nil {
 		return failedAttempt(ctx, err, connected.Load())
 	}
+	s.readLimit(response)
 	if shed(response) {
 		_ = response.Body.Close()
 		return refusal("the target refused it", retryAfterOf(response)), retry.NotRun, admission.Shed
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -39,7 +39,11 @@
 				continue
 			}
 			pause = min(pause, max(v.values.ReportInterval, minProbePause))
-			d.probePool(ctx, p, v, failures)
+			targets, err := p.dueChecks(ctx)
+			if err != nil {
+				continue
+			}
+			d.probePool(ctx, p, targets, failures)
 		}
 		select {
 		case <-ctx.Done():
@@ -51,14 +55,14 @@
 
 // probePool probes the targets of one pool at once, so that one that hangs does
 // not delay the others.
-func (d *Daemon) probePool(ctx context.Context, p *pool, v poolView, failures map[string]int) {
+func (d *Daemon) probePool(ctx context.Context, p *pool, targets map[string]string, failures map[string]int) {
 	type result struct {
 		measure admission.Measure
 		failed  bool
 	}
-	results := make(chan result, len(v.targets))
+	results := make(chan result, len(targets))
 	var running sync.WaitGroup
-	for name, address := range v.targets {
+	for name, address := range targets {
 		running.Go(func() {
 			m, err := d.probe(ctx, name, address)
 			results <- result{m, err != nil}
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -33,6 +33,9 @@
 
 type poolLook struct{ reply chan<- poolView }
 
+// poolChecks asks which targets may be checked now, by name with their addresses.
+type poolChecks struct{ reply chan<- map[string]string }
+
 type poolRelease struct{ done chan<- struct{} }
 
 func (poolEvent) pool()       {}
@@ -40,6 +43,7 @@
 func (poolSettings) pool()    {}
 func (poolLeaseAnswer) pool() {}
 func (poolLook) pool()        {}
+func (poolChecks) pool()      {}
 func (poolRelease) pool()     {}
 
 // admitted is the answer to an arrival: a grant or a refusal.
@@ -134,12 +138,24 @@
 		return p.carryOut(now, p.admission.Handle(now, p.hold()))
 	case poolRelease:
 		p.release(m.done)
+	case poolChecks:
+		m.reply <- p.checks(now)
 	case poolLook:
 		m.reply <- poolView{load: p.admission.Load(now), held: p.held, draining: p.draining, targets: p.targets, values: p.values}
 	}
 	return p.carryOut(now, p.admission.Handle(now, admission.Tick{}))
 }
 
+func (p *pool) checks(now time.Time) map[string]string {
+	out := make(map[string]string)
+	for _, name := range p.admission.Checks(now) {
+		if address, ok := p.targets[name]; ok {
+			out[name] = address
+		}
+	}
+	return out
+}
+
 func (p *pool) hold() admission.Hold {
 	if p.lease == nil || p.resting {
 		return admission.Hold{}
@@ -263,6 +279,22 @@
 
 func (p *pool) finish(f admission.Finish) { p.inbox <- poolEvent{f} }
 
+// dueChecks returns the targets to be checked now.
+func (p *pool) dueChecks(ctx context.Context) (map[string]string, error) {
+	reply := make(chan map[string]string, 1)
+	select {
+	case p.inbox <- poolChecks{reply}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case out := <-reply:
+		return out, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 func (p *pool) look(ctx context.Context) (poolView, error) {
 	reply := make(chan poolView, 1)
 	select {
--- /dev/null
+++ b/internal/entry/targetlimits_test.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/caller"
+)
+
+// Seen: a target that named how many requests a second it takes from all boxes together
+// got 50 times as much from the box that holds its pool, and its checks came on top.
+// Cause: what a target said of itself in an answer was read by nobody.
+// Proof: the target's own count, checks included.
+func TestTargetGetsNoMoreThanItNames(t *testing.T) {
+	const (
+		limit  = 3.0
+		window = 4 * time.Second
+	)
+	bubble(t, func(t *testing.T) {
+		s := newSystem(t, 4)
+		load := func(length time.Duration) {
+			var asking sync.WaitGroup
+			for range 4 {
+				asking.Go(func() {
+					c := s.client("flags")
+					for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
+						if a := s.read(c, time.Second); a.Outcome != caller.Ran {
+							s.problem("a read got %s, the other targets have room", a.Outcome)
+						}
+					}
+				})
+			}
+			asking.Wait()
+		}
+		load(time.Second)
+		s.target("a1").target.SetLimit("3")
+		named := time.Now()
+		load(14 * time.Second)
+		most, used := 0, 0
+		var counted []time.Time
+		for _, at := range s.target("a1").target.Arrivals() {
+			if at.After(named.Add(window)) {
+				used++
+			}
+			if at.After(named.Add(500 * time.Millisecond)) {
+				counted = append(counted, at)
+			}
+			for len(counted) > 0 && at.Sub(counted[0]) > window {
+				counted = counted[1:]
+			}
+			if at.After(named.Add(window)) {
+				most = max(most, len(counted))
+			}
+		}
+		if allowed := int(1.5*limit*window.Seconds()) + 5; most > allowed {
+			t.Errorf("a target that names %v a second got %d requests in %s, allowed %d", limit, most, window, allowed)
+		}
+		if perSecond := float64(used) / 10; perSecond < 0.9*limit {
+			t.Errorf("it got %v a second of %v", perSecond, limit)
+		}
+		t.Logf("most %d, used %d in 10 s", most, used)
+		s.close(4)
+		report(t, s)
+	})
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -25,7 +26,7 @@
 func testProtocol() Protocol {
 	return Protocol{
 		RequestID: "Test-Id", ObjectKey: "Test-Key", Deadline: "Test-Deadline", ExpectTarget: "Test-Expect",
-		NotExecuted: "Test-Not-Executed", Load: "Test-Load", ColdLeft: "Test-Cold", Limit: limitHeader, ParseLimit: ParseLimit,
+		NotExecuted: "Test-Not-Executed", Load: "Test-Load", ColdLeft: "Test-Cold", Limit: limitHeader, ParseLimit: quota.ParseLimit,
 		ParseLoad: func(string) (balance.Load, bool) { return balance.Load{}, false },
 		ParseCold: func(string) (time.Duration, bool) { return 0, false },
 	}
--- a/internal/gateway/ownprotocol.go
+++ b/internal/gateway/ownprotocol.go
@@ -3,13 +3,14 @@
 import (
 	"crypto/rand"
 	"fmt"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"ledgesill.dev/ledgesill/pkg/balance"
+	"ledgesill.dev/ledgesill/pkg/caller"
+	"ledgesill.dev/ledgesill/pkg/quota"
 )
 
 // OwnProtocol returns the headers of the project's own interface. A request
@@ -24,12 +25,12 @@
 		NotExecuted:  "Ledgesill-Not-Run",
 		Load:         "Ledgesill-Load",
 		ColdLeft:     "Ledgesill-Cold-Millis",
-		Limit:        "Ledgesill-Limit",
+		Limit:        caller.HeaderLimit,
 		Key:          "Ledgesill-Key",
 		Workspace:    "Ledgesill-Workspace",
 		ParseLoad:    ParseLoad,
 		ParseCold:    parseColdMillis,
-		ParseLimit:   ParseLimit,
+		ParseLimit:   quota.ParseLimit,
 		NewRequestID: rand.Text,
 	}
 }
@@ -55,12 +56,6 @@
 	return balance.Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
 }
 
-// ParseLimit reads the limit that a target names: requests a second, a decimal number.
-func ParseLimit(text string) (float64, bool) {
-	n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	return n, err == nil && n >= 0 && !math.IsInf(n, 0)
-}
-
 func parseColdMillis(text string) (time.Duration, bool) {
 	n, err := strconv.Atoi(text)
 	return time.Duration(n) * time.Millisecond, err == nil && n >= 0
--- a/pkg/admission/event.go
+++ b/pkg/admission/event.go
@@ -10,6 +10,8 @@
 
 import (
 	"time"
+
+	"ledgesill.dev/ledgesill/pkg/quota"
 )
 
 // Class says whether a request may be repeated.
@@ -115,6 +117,12 @@
 	Busy int
 }
 
+// Named is what a target said of its limit in an answer.
+type Named struct {
+	Target string
+	Word   quota.TargetLimit
+}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -124,6 +132,7 @@
 func (Cancel) event()    {}
 func (Finish) event()    {}
 func (Measure) event()   {}
+func (Named) event()     {}
 func (Tick) event()      {}
 
 // Reason says why a request was refused.
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -63,6 +63,10 @@
 		if t := p.find(e.Target); t != nil {
 			t.measure(now, e, p.config)
 		}
+	case Named:
+		if t := p.find(e.Target); t != nil {
+			t.rate.take(now, e.Word)
+		}
 	case Tick:
 	}
 	for _, w := range p.queue.expired(now) {
@@ -104,7 +108,7 @@
 	for _, g := range e.Targets {
 		t := p.find(g.Name)
 		if t == nil {
-			t = &target{name: g.Name}
+			t = &target{name: g.Name, rate: newRate(g.Name)}
 			p.targets = append(p.targets, t)
 		}
 		t.removed = false
@@ -187,7 +191,8 @@
 			ahead++
 		}
 	}
-	return p.mean * time.Duration(ahead) / time.Duration(max(p.capacity(now), 1))
+	wait := p.mean * time.Duration(ahead) / time.Duration(max(p.capacity(now), 1))
+	return max(wait, p.limitedWait(now, ahead))
 }
 
 // serveQueue grants waiting requests in order. One that can't be granted now
@@ -278,6 +283,7 @@
 func (p *Pool) refuse(now time.Time, id uint64, reason Reason) {
 	busy := len(p.running) + len(p.queue.items) + 1
 	wait := p.mean * time.Duration(busy) / time.Duration(max(p.capacity(now), 1))
+	wait = max(wait, p.limitedWait(now, len(p.queue.items)+1))
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	wait += time.Duration(p.random.Int64N(int64(wait)))
 	p.out.Refusals = append(p.out.Refusals, Refusal{ID: id, Reason: reason, RetryAfter: wait})
--- a/pkg/admission/target.go
+++ b/pkg/admission/target.go
@@ -40,6 +40,7 @@
 	probing      bool
 
 	latency float64
+	rate    rate
 }
 
 // inService reports whether the target may get new work.
@@ -81,7 +82,11 @@
 }
 
 func (t *target) free(now time.Time, c Config) int {
-	return max(t.limit(now, c)-t.inFlight, 0)
+	slots := max(t.limit(now, c)-t.inFlight, 0)
+	if !t.rate.limit.Named() {
+		return slots
+	}
+	return min(slots, t.rate.free(now))
 }
 
 // measure takes what the target says of itself. It can take slots away and
@@ -102,6 +107,7 @@
 
 func (t *target) granted() {
 	t.inFlight++
+	t.rate.tokens--
 	t.peak = max(t.peak, t.inFlight)
 }
 
--- a/pkg/caller/protocol.go
+++ b/pkg/caller/protocol.go
@@ -32,6 +32,9 @@
 	HeaderRetryAfter = "Ledgesill-Retry-After-Millis"
 	// HeaderTarget names the target that ran the request.
 	HeaderTarget = "Ledgesill-Target"
+	// HeaderLimit is how many requests a second the target that answered takes from all
+	// boxes together, for as long as its answers say so.
+	HeaderLimit = "Ledgesill-Limit"
 )
 
 // Outcome says what became of a request.
--- a/pkg/quota/targetlimit.go
+++ b/pkg/quota/targetlimit.go
@@ -2,12 +2,20 @@
 
 import (
 	"math"
+	"strconv"
+	"strings"
 	"time"
 )
 
 // NoLimit is the limit of a target that names none.
 var NoLimit = math.Inf(1)
 
+// ParseLimit reads the limit that a target names: requests a second, a decimal number.
+func ParseLimit(text string) (perSecond float64, ok bool) {
+	n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	return n, err == nil && n >= 0 && n < NoLimit
+}
+
 // TargetLimit is what one life of a target said, in one answer, of how many requests a
 // second it takes from all boxes together. It said so after Sent, when the request that
 // it answered was sent, and before Heard, when the answer had come.
