gateway, balance: test limits that change, services of limited targets, and restarts

Found by the test of 60 boxes: each box began its times to come back at the same place, so that callers refused by several boxes came back together (201 times for some 640 callers). Change: a box begins where its name says.

--- a/internal/gateway/targetlimits_test.go
+++ b/internal/gateway/targetlimits_test.go
@@ -17,6 +17,7 @@
 	"testing/synctest"
 	"time"
 
+	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -238,14 +239,17 @@
 	control *controlScene
 	random  *rand.Rand
 	asked   int
-	// served and refused count the answers to callers.
+	// served and refused count the answers to callers; told are the times that refused ones
+	// got, and slowest is how long a refusal took at most.
 	mu              sync.Mutex
 	served, refused int
+	told            map[string]bool
+	slowest         time.Duration
 }
 
 func newNeedyScene(t *testing.T, boxes, targets int) *needyScene {
 	t.Helper()
-	s := &needyScene{random: rand.New(rand.NewPCG(1, 1)), control: newControlScene(6)}
+	s := &needyScene{random: rand.New(rand.NewPCG(1, 1)), control: newControlScene(6), told: make(map[string]bool)}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	t.Cleanup(func() {
@@ -312,14 +316,17 @@
 	r.Header.Set("Test-Key", fmt.Sprint("key", n))
 	r.Header.Set("Test-Deadline", "1500")
 	w := httptest.NewRecorder()
+	began := time.Now()
 	d.ServeHTTP(w, r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if w.Code == http.StatusOK {
 		s.served++
-	} else {
-		s.refused++
+		return
 	}
+	s.refused++
+	s.told[w.Header().Get("Retry-After")] = true
+	s.slowest = max(s.slowest, time.Since(began))
 }
 
 func allowedInWindow(limit float64) int {
@@ -385,3 +392,150 @@
 		}
 	}
 }
+
+// wantWithin checks what a target got in each window that ends at from or later.
+func (s *needyScene) wantWithin(t *testing.T, target int, limit float64, from time.Time) {
+	t.Helper()
+	if got := s.targets[target].most(from); got > allowedInWindow(limit) {
+		t.Errorf("target %d, which names %v a second, got %d requests in %s, allowed %d", target, limit, got, needWindow, allowedInWindow(limit))
+	}
+}
+
+// A limit holds as it changes: lowered, raised, and until it is taken back, after which the
+// target gets what the others do.
+func TestLimitThatChanges(t *testing.T) {
+	for _, boxes := range []int{1, 9, 60} {
+		t.Run(fmt.Sprint(boxes), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				s := newNeedyScene(t, boxes, 4)
+				s.load(80, time.Second)
+				for _, limit := range []float64{10, 2, 7} {
+					s.targets[0].name(fmt.Sprint(limit))
+					from := time.Now().Add(needWindow)
+					s.load(80, 10*time.Second)
+					used := float64(s.targets[0].between(from, time.Now())) / time.Since(from).Seconds()
+					if used < 0.9*limit || used > 1.1*limit {
+						t.Errorf("got %v requests a second of %v", used, limit)
+					}
+				}
+				s.targets[0].name("")
+				s.load(80, 2*time.Second)
+				from := time.Now()
+				s.load(80, 4*time.Second)
+				if used := float64(s.targets[0].between(from, time.Now())) / 4; used < 15 {
+					t.Errorf("got %v requests a second after the limit was taken back, the others some 20", used)
+				}
+				s.settle()
+				if s.refused > 0 {
+					t.Errorf("%d requests were refused", s.refused)
+				}
+			})
+		})
+	}
+}
+
+// Where all targets of a service name limits, their sum is what it gets; what is beyond is
+// refused at once, with times to come back that are apart.
+func TestServiceOfLimitedTargets(t *testing.T) {
+	for _, boxes := range []int{1, 9, 60} {
+		t.Run(fmt.Sprint(boxes), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				const limit = 4.0
+				s := newNeedyScene(t, boxes, 4)
+				s.load(80, time.Second)
+				for _, target := range s.targets {
+					target.name(fmt.Sprint(limit))
+				}
+				from := time.Now().Add(needWindow)
+				s.load(80, needWindow)
+				clear(s.told)
+				s.load(80, 10*time.Second)
+				used, length := 0, time.Since(from).Seconds()
+				for i := range s.targets {
+					used += s.targets[i].between(from, time.Now())
+					s.wantWithin(t, i, limit, from)
+				}
+				s.settle()
+				if perSecond := float64(used) / length; perSecond < 0.9*4*limit {
+					t.Errorf("the service got %v requests a second of %v", perSecond, 4*limit)
+				}
+				if len(s.told) < 300 {
+					t.Errorf("%d times to come back for some 640 refused callers", len(s.told))
+				}
+				if s.slowest > 4*controlWay+targetPermitWait {
+					t.Errorf("a refusal took %s", s.slowest)
+				}
+			})
+		})
+	}
+}
+
+// Without control the sum still holds: replicas that end and begin anew without memory, and
+// boxes that do, add nothing.
+func TestLimitHoldsThroughRestarts(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		const limit = 5.6
+		s := newNeedyScene(t, 9, 4)
+		s.load(80, time.Second)
+		s.targets[0].name(fmt.Sprint(limit))
+		from := time.Now().Add(needWindow)
+		all := s.control.addresses()
+		for i := range 24 {
+			s.load(80, time.Second)
+			name := all[i%len(all)]
+			switch i % 4 {
+			case 0:
+				s.control.setOff(true, name)
+			case 1:
+				s.control.setOff(true, all...)
+			case 2:
+				s.control.mu.Lock()
+				s.control.start(name, all)
+				s.control.mu.Unlock()
+			case 3:
+				s.control.setOff(false, all...)
+			}
+		}
+		s.settle()
+		s.wantWithin(t, 0, limit, from)
+		if s.refused > 0 {
+			t.Errorf("%d requests were refused, the other targets have room for all", s.refused)
+		}
+	})
+}
+
+// The other targets serve what a target in need is kept from, and its own objects go back
+// once it names no limit: they have one home each time.
+func TestObjectsOfALimitedTargetHaveASecondHome(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newNeedyScene(t, 1, 8)
+		homes := func() map[string]string {
+			out := make(map[string]string)
+			for i := range 40 {
+				key := fmt.Sprint("object", i)
+				choice, err := s.boxes[0].choose(balance.Request{Service: "s", Route: "r", Key: key, Objective: time.Second, Left: time.Second})
+				if err != nil {
+					t.Fatal(err)
+				}
+				out[key] = choice.Target.ID
+				s.boxes[0].done(balance.Report{TargetID: choice.Target.ID, Route: "r", Outcome: balance.Answered, Took: time.Millisecond})
+			}
+			return out
+		}
+		before := homes()
+		now := time.Now()
+		s.boxes[0].balancing.balancer.SetLimited("t0", true)
+		_, _ = s.boxes[0].choose(balance.Request{Service: "s", Route: "r", Key: "any", Objective: time.Second, Left: time.Second})
+		s.boxes[0].balancing.balancer.Withhold(now, "t0", now.Add(time.Second))
+		during := homes()
+		for key, home := range during {
+			if home == "t0" || before[key] != "t0" && home != before[key] {
+				t.Errorf("%s, at home at %s, is at %s while t0 is withheld", key, before[key], home)
+			}
+		}
+		s.boxes[0].balancing.balancer.SetLimited("t0", false)
+		if after := homes(); !maps.Equal(after, before) {
+			t.Error("objects are not back at home")
+		}
+	})
+}
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -202,7 +202,7 @@
 func (b *Balancer) service(name string) *service {
 	s := b.services[name]
 	if s == nil {
-		s = &service{name: name}
+		s = &service{name: name, returnTurn: firstTurn(b.config.Box)}
 		b.services[name] = s
 	}
 	return s
--- a/pkg/balance/limited.go
+++ b/pkg/balance/limited.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -53,6 +55,11 @@
 	return room, ok
 }
 
+// firstTurn is where a box begins, so that callers of several boxes don't return together.
+func firstTurn(box string) float64 {
+	return float64(xxhash.Sum64String(box)) / math.MaxUint64
+}
+
 // spread returns when the next of the callers may return for whom there may be room after
 // a time.
 func (s *service) spread(room time.Duration) time.Duration {
