--- a/internal/command/targets.go
+++ b/internal/command/targets.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"net/http"
 	"text/tabwriter"
 
@@ -42,14 +43,27 @@
 			return printJSON(in.Out, list)
 		}
 		return table(in.Out, func(t *tabwriter.Writer) {
-			fmt.Fprintln(t, "TARGET\tSERVICE\tZONE\tADDRESS\tSLOTS\tSTATE\tSOFTWARE")
-			for _, r := range list {
-				fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n", r.ID, r.Service, r.Zone, r.Address, r.Slots, targetState(r), r.Software)
-			}
+			printTargets(t, list)
 		})
 	}
 }
 
+// printTargets writes a line for each target. What was issued of limits is that of the
+// replica that answered.
+func printTargets(t io.Writer, list []operator.Target) {
+	fmt.Fprintln(t, "TARGET\tSERVICE\tZONE\tADDRESS\tSLOTS\tSTATE\tSOFTWARE\tLIMIT/S\tSAID\tISSUED\tREFUSED ASKS")
+	for _, r := range list {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", r.ID, r.Service, r.Zone, r.Address, r.Slots, targetState(r), r.Software, limitCells(r.Limit))
+	}
+}
+
+func limitCells(l *operator.TargetLimit) string {
+	if l == nil {
+		return "none\t\t\t"
+	}
+	return fmt.Sprintf("%g\t%s ago\t%d\t%d", l.PerSecond, millis(l.SaidAgoMillis), l.Issued, l.RefusedAsks)
+}
+
 func targetState(t operator.Target) string {
 	switch {
 	case t.Draining:
--- a/internal/control/catalogapi.go
+++ b/internal/control/catalogapi.go
@@ -13,6 +13,7 @@
 
 	"github.com/kataras/iris/v12"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/operator"
 	"ledgesill.dev/ledgesill/pkg/batch"
 	"ledgesill.dev/ledgesill/pkg/catalog"
@@ -119,11 +120,24 @@
 			ColdMillis: r.ColdMilli,
 			Sequence:   r.Sequence,
 			BornMillis: r.BornUnixMilli,
+			Limit:      d.limitOf(r),
 		})
 	}
 	_ = c.JSON(out) // the client sees a broken answer
 }
 
+// limitOf returns what this replica knows of a target's limit, nil for none.
+func (d *Daemon) limitOf(r *wire.Registration) *operator.TargetLimit {
+	limit, tally := d.targetLimits.of(catalog.LifeOf(r).String())
+	if !limit.Named() {
+		return nil
+	}
+	return &operator.TargetLimit{
+		PerSecond: limit.PerSecond, SaidAgoMillis: boottime.Since(limit.Heard).Milliseconds(),
+		Issued: tally.Issued, RefusedAsks: tally.Refused,
+	}
+}
+
 func (d *Daemon) putTarget(c iris.Context) {
 	var t operator.Target
 	if !readBody(c, &t) {
--- a/internal/control/permits_test.go
+++ b/internal/control/permits_test.go
@@ -1,9 +1,16 @@
 package control
 
 import (
+	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/process"
+	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -36,3 +43,41 @@
 		t.Errorf("a box with a newer document got %v", answer)
 	}
 }
+
+// A replica that has just started takes a target's limit from the ask, issues its part, and
+// has its subscribers told; one that hears by a report that the limit was taken back too.
+func TestReplicaIssuesForATargetWithALimit(t *testing.T) {
+	synctest.Test(t, testIssueForATarget)
+}
+
+func testIssueForATarget(t *testing.T) {
+	p, err := process.New("a", io.Discard, zerolog.Disabled, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &Daemon{process: p, targetLimits: newTargetLimits("a"), publishing: relay.NewPublishing(steering.State{}, nil, nil)}
+	d.targetLimits.setReplicas(boottime.Now(), &wire.Membership{Voters: []*wire.Replica{{Address: "a"}, {Address: "b"}}})
+	request := &wire.PermitRequest{TargetAsks: []*wire.TargetPermitAsk{
+		{Limit: &wire.TargetLimit{Life: "t", Limited: true, PerSecond: 40}, Count: 3},
+	}}
+	if answer := d.answerPermits(request); len(answer.Grants) != 1 || answer.Grants[0].Count != 0 {
+		t.Errorf("a bucket that is not empty: %v", answer)
+	}
+	time.Sleep(200 * time.Millisecond)
+	if answer := d.answerPermits(request); answer.Grants[0].Count == 0 || answer.Grants[0].LifeMilli == 0 {
+		t.Errorf("got %v", answer)
+	}
+	told, last := d.targetLimits.since(0)
+	if len(told) != 1 || told[0].Life != "t" || told[0].PerSecond != 40 {
+		t.Errorf("subscribers are told %v", told)
+	}
+	time.Sleep(400 * time.Millisecond)
+	d.takeLimits([]*wire.TargetLimit{{Life: "t"}})
+	if told, _ := d.targetLimits.since(last); len(told) != 1 || told[0].Limited {
+		t.Errorf("subscribers are told %v", told)
+	}
+	d.targetLimits.keep(boottime.Now(), steering.State{})
+	if limit, _ := d.targetLimits.of("t"); limit.Named() {
+		t.Errorf("still known: %+v", limit)
+	}
+}
--- a/internal/operator/catalog.go
+++ b/internal/operator/catalog.go
@@ -20,6 +20,18 @@
 	Sequence uint64 `json:"sequence"`
 	// BornMillis is when the target started, in Unix milliseconds; 0 if not told.
 	BornMillis int64 `json:"bornMillis,omitempty"`
+	// Limit is set while the target names how much it takes from all boxes together.
+	Limit *TargetLimit `json:"limit,omitempty"`
+}
+
+// TargetLimit is what a replica knows of a target's limit, and what it issued of it since
+// the target first named one. Three replicas issue for a target.
+type TargetLimit struct {
+	PerSecond float64 `json:"perSecond"`
+	// SaidAgoMillis is how long ago a change of it was heard of.
+	SaidAgoMillis int64  `json:"saidAgoMillis"`
+	Issued        uint64 `json:"issued"`
+	RefusedAsks   uint64 `json:"refusedAsks"`
 }
 
 // Evacuations are the zones whose targets get nothing.
--- /dev/null
+++ b/pkg/balance/limited_test.go
@@ -0,0 +1,51 @@
+package balance
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+var anyRequest = Request{Service: "s", Route: "r", Key: "a", Objective: time.Second, Left: time.Second}
+
+// A cold target that is withheld for want of a permit keeps its turn: it may be sent the
+// next request as soon as there is one.
+func TestWithheldTargetKeepsItsTurnWhileItIsCold(t *testing.T) {
+	b := New(Config{Box: "box", Zone: "z", Region: "r"})
+	b.SetBoxes([]Box{{"box", "r"}})
+	b.SetCold("s", ColdLimit{Time: time.Hour, Rate: 0.1})
+	now := time.Unix(0, 0)
+	b.SetTargets(now, []Target{{ID: "t", Service: "s", Zone: "z", Region: "r", Slots: 4, Cold: true, ColdLeft: time.Hour}})
+	b.SetLimited("t", true)
+	now = now.Add(time.Minute)
+	choice, err := b.Choose(now, anyRequest)
+	if err != nil || !choice.Limited {
+		t.Fatalf("got %+v, %v", choice, err)
+	}
+	b.Withhold(now, "t", now.Add(time.Second))
+	var none *NoTargetError
+	if _, err := b.Choose(now, anyRequest); !errors.As(err, &none) || none.Reason != ReasonLimited || none.RetryAfter < time.Second {
+		t.Errorf("while it is withheld: %v", err)
+	}
+	now = now.Add(time.Second)
+	if choice, err := b.Choose(now, anyRequest); err != nil || choice.Load > 0 {
+		t.Errorf("after that: %+v, %v", choice, err)
+	}
+}
+
+// Targets that can't be used for other reasons don't have callers told that there will be
+// room.
+func TestRefusalTellsOfRoomOnlyWhereThereWillBe(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := New(Config{Box: "box", Zone: "z", Region: "r"})
+	b.SetTargets(now, []Target{{ID: "t", Service: "s", Zone: "z", Region: "r", Slots: 4}, {ID: "u", Service: "s", Zone: "z", Region: "r", Slots: 4, Draining: true}})
+	for _, id := range []string{"t", "u"} {
+		b.SetLimited(id, true)
+		b.Withhold(now, id, now.Add(time.Minute))
+	}
+	b.SetEvacuated(now, []string{"z"})
+	var none *NoTargetError
+	if _, err := b.Choose(now, anyRequest); !errors.As(err, &none) || none.Reason != ReasonNone {
+		t.Errorf("in an evacuated zone: %v", err)
+	}
+}
