--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -10,11 +10,9 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// maxApplied is how many committed entries are applied before the loop hears the
-// other replicas again. Twenty words of targets take 0.13 ms of a core at 3,000 targets
-// (BenchmarkRegistrations); with 2 ms for each, 3,002 that came at once kept the loop
-// from heartbeats for 6 s and cost the leader four terms
-// (TestDocumentIsAcknowledgedWhileTargetsAreReplaced).
+// maxApplied is how many committed entries are applied before the loop hears the other
+// replicas again: thousands of words of targets that come at once must not keep a leader
+// from its heartbeats.
 const maxApplied = 64
 
 // applySome applies the committed entries that come next, up to maxApplied.
--- a/internal/control/repeatedwords.go
+++ b/internal/control/repeatedwords.go
@@ -9,8 +9,7 @@
 
 // repeatedWords knows by their ids the targets of the state that was applied last, so
 // that a word which says nothing new, as nearly all do, costs the same at any number of
-// targets and nothing of the replica's loop: 0.2 us at 3,000 targets instead of 27 us
-// (BenchmarkRepeatedWord).
+// targets and nothing of the replica's loop.
 type repeatedWords struct {
 	mu      sync.Mutex
 	state   catalog.State
--- a/internal/control/servingboxes.go
+++ b/internal/control/servingboxes.go
@@ -9,8 +9,8 @@
 )
 
 // servingFor is for how long the list of boxes that serve is kept for look-ups, unless
-// a report changes it: a twentieth of the time for which callers keep an answer. With
-// 270 boxes making it takes 0.11 ms (BenchmarkServingBoxes), for each look-up without it.
+// a report changes it: a twentieth of the time for which callers keep an answer. Look-ups
+// come more often, and each would make the list anew.
 const servingFor = 50 * time.Millisecond
 
 // servingBoxes keeps the boxes that serve callers.
--- a/internal/control/words.go
+++ b/internal/control/words.go
@@ -13,9 +13,8 @@
 )
 
 // wordBatches bounds what targets' words take of a replica. A word by itself costs the
-// leader a message to each of eight replicas, their answers and a call; in batches of 64
-// that is paid once: 0.18 ms of a core for nine replicas together instead of 0.71 ms
-// where 1,356 come at once (BenchmarkWordsAtOnce). What is under way is what an
+// leader a message to each of eight replicas, their answers and a call; a batch pays that
+// once. What is under way is what an
 // operator's document waits behind at most. Quick and LeastLeft are a round trip
 // between regions to the leader, one to a quorum and a sync. The spacing is that of
 // updates to subscribers (package relay): settled sooner, a word is not told sooner.
--- a/internal/gateway/permitlinks.go
+++ b/internal/gateway/permitlinks.go
@@ -10,9 +10,8 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// permitLinks keep a stream to each replica that is asked for permits. With a call, and
-// so a new stream, for each ask a day with troubles took 149 s of processor time of 72
-// processes instead of 110 s.
+// permitLinks keep a stream to each replica that is asked for permits: a new stream for each
+// ask would cost more than the ask.
 type permitLinks struct {
 	open func(ctx context.Context, address string) (*link.Messages, error)
 	mu   sync.Mutex
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -70,8 +70,7 @@
 	caller quarantine.Caller
 }
 
-// identity works out the digests of the request; it takes 0.2 us of a core and 0.8 us for
-// each KB of the body (BenchmarkDigest of package quarantine).
+// identity works out the digests of the request, which takes the longer the longer the body.
 func (c *call) identity() identity {
 	if c.known != nil {
 		return *c.known
--- a/internal/gateway/shaper.go
+++ b/internal/gateway/shaper.go
@@ -12,11 +12,7 @@
 const (
 	// longShare is the part of the link that long answers take together, so that
 	// short ones do not wait behind them; what is let in is bounded by the same
-	// part. Each long answer also comes in by the link while it goes out. Measured
-	// with 1.3 downloads of 90 KB a second on 2.6 Mbit/s, objectives of 1.2 s: at
-	// 0.4 0.2 of them are in time, at 0.5 0.25 and short answers 0.03 s later in the
-	// middle, at 0.8 0.3 and short answers 0.15 s later. On 4 and 4.7 Mbit/s with
-	// objectives of 0.4 to 0.8 s 0.5 put 0.03 of the short answers out of time.
+	// part. Each long answer also comes in by the link while it goes out.
 	longShare = 0.4
 	// shapedPiece is how much of a long answer is passed on at once: 25 ms of
 	// the narrowest link of the users (2.6 Mbit/s).
--- a/internal/gateway/splits.go
+++ b/internal/gateway/splits.go
@@ -28,9 +28,8 @@
 
 // rememberedFactor bounds the routes that the box remembers something of, when a
 // document comes into force, to so many times those of the document. With 1 the
-// requests of a box would wait at each document that drops a route, 0.94 ms of a
-// core at 5,000 routes (go test -bench KeepSplits); with 2 they wait once for as
-// many dropped routes as the document has.
+// requests of a box would wait at each document that drops a route; with 2 they wait
+// once for as many dropped routes as the document has.
 const rememberedFactor = 2
 
 // forgetRoutes drops what the box remembers of routes that a document no longer
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -56,9 +56,8 @@
 }
 
 // putTargets takes the targets and evacuations unless they are in force, and of the
-// targets those that changed: all of 3,000 would cost 0.7 ms of a core with each
-// state (go test -bench PutJoined), half of it while requests wait, and a box hears
-// of up to 25 states a second while targets are replaced.
+// targets those that changed: requests wait meanwhile, and a box hears of tens of states a
+// second while targets are replaced.
 func (d *Daemon) putTargets(c catalog.State, version uint64) {
 	var before catalog.State
 	if d.steered != nil {
--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -31,10 +31,9 @@
 	pooledWrite = 4 << 10
 )
 
-// writeBuffers are those of messages that were written. With them and readBuffer a
-// call leaves 9.4 KB of garbage at both ends together instead of 29.3 KB
-// (BenchmarkCall): an entry box makes 20 to 60 a second, and its collector stops it
-// for tens of milliseconds each time where it has 0.16 of a core.
+// writeBuffers are those of messages that were written: an entry box makes tens of calls a
+// second, and its collector stops it for tens of milliseconds each time where it has a small
+// part of a core.
 var writeBuffers = sync.Pool{New: func() any { return new([]byte) }}
 
 // Messages reads and writes protobuf messages on one stream. Write is safe for
--- a/internal/relay/publishing.go
+++ b/internal/relay/publishing.go
@@ -32,9 +32,8 @@
 	// and the number of the last one; nil where nothing is known of them.
 	limits func(after uint64) (changed []*wire.TargetLimit, last uint64)
 
-	// Packing a document takes 8 ms at 5,000 routes and 31 ms at 20,000
-	// (BenchmarkPack), so that states are packed beside the loop that puts them:
-	// consensus neither waits for it nor tells of its commits later.
+	// Packing a document takes milliseconds, so that states are packed beside the loop that
+	// puts them: consensus neither waits for it nor tells of its commits later.
 	queue   sync.Mutex
 	waiting []publication
 	// newest is the state that was put last.
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -114,9 +114,7 @@
 
 // ChangeTargets takes registrations that are new or have changed and the ids of those
 // that have ended, the latter first; the others stay as they are. It leads to the
-// same as SetTargets with all of them and costs what changes: where one of 1,400
-// targets joins and another ends 9 us of a core, of 3,000 17 us against 378 us
-// (BenchmarkChangeTargets, BenchmarkSetTargets).
+// same as SetTargets with all of them and costs what changes.
 func (b *Balancer) ChangeTargets(now time.Time, changed []Target, ended []string) {
 	b.remove(ended)
 	for _, given := range changed {
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -9,10 +9,7 @@
 const (
 	// waitPart is the part of the time in which the answer of a target that knows
 	// the object would still be on time, for which a request may wait for a slot;
-	// the rest is for what other boxes send at the same moment. In the overload of
-	// large targets (make measure) 0.66 of the requests are answered in time at
-	// 1.0, 0.70 at 0.75 and 0.73 at 0.6, with 0.168, 0.169 and 0.175 refused; at high
-	// load of small targets 0.678, 0.689 and 0.689, with 0.094, 0.098 and 0.103 refused.
+	// the rest is for what other boxes send at the same moment.
 	waitPart = 0.75
 	// patienceFactor is how many times the mean time of a target that has not
 	// seen the object is waited for an answer before another target is sought.
--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -61,9 +61,8 @@
 }
 
 // sharers returns how many boxes share what a cold target bears, or zero if this
-// box is none of them. It is worked out once for each change of the boxes: with 273
-// boxes and a third of 1,188 targets cold a choice took 0.77 ms of a core before, and
-// takes 0.027 ms (BenchmarkChooseAmongCold).
+// box is none of them. It is worked out once for each change of the boxes, as a choice looks
+// at all cold targets.
 func (b *Balancer) sharers(t *targetState) int {
 	if t.sharersKnown != b.boxesChange {
 		t.sharers = b.countSharers(t)
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -143,8 +143,7 @@
 // answeredSince reports whether the target has answered another request since a
 // time. An answer or a connection that was lost in that time says nothing of the
 // target then; leaving it out would send all its objects, for 0.25 s at least, to
-// targets that do not know them; with faults in the network 160 to 200 targets were
-// left out in half a minute before.
+// targets that do not know them.
 func (t *targetState) answeredSince(at time.Time) bool { return t.answeredAt.After(at) }
 
 // isOut reports whether the target is left out. After its time one request at
--- a/pkg/catalog/pack.go
+++ b/pkg/catalog/pack.go
@@ -61,9 +61,7 @@
 }
 
 // Pack returns a document as a difference to the document before, or by itself
-// if before is nil. BenchmarkUpdate of pkg/distribution gives the encoded bytes:
-// one changed weight of 20,000 routes takes 2.7 KB instead of 4.6 MB, the whole
-// by itself an eleventh.
+// if before is nil.
 func Pack(before, next *wire.RoutesDocument) *wire.PackedDocument {
 	encoder := newEncoder(before.GetText(), len(next.Text))
 	defer func() { _ = encoder.Close() }() // it has written to nothing
--- a/pkg/catalog/registration.go
+++ b/pkg/catalog/registration.go
@@ -56,9 +56,7 @@
 
 // ApplyRegistrations applies words of targets one after the other and tells of each
 // whether it changed the state. It goes through the targets and copies their list
-// once, however many words there are: an update with twenty words costs a box with
-// 1,356 targets 0.15 ms of a core instead of 0.89 ms and leaves 59 KB of garbage
-// instead of 387 KB (BenchmarkTargetsReplaced of the gateway).
+// once, however many words there are.
 func (s State) ApplyRegistrations(words []*wire.RegistrationCommand) (State, []bool) {
 	e := newEditing(s, words)
 	changed := make([]bool, len(words))
--- a/pkg/distribution/publisher.go
+++ b/pkg/distribution/publisher.go
@@ -28,9 +28,7 @@
 	state steering.State
 	// base is the version before the first kept command.
 	base uint64
-	// commands hold documents packed as differences, never their texts: by
-	// TestBytesFollowTheChange 0.2 to 0.6 KB for a changed weight of up to 5,600
-	// routes and 32 KB for 1,400 routes more, against 0.3 to 1.3 MB for a text.
+	// commands hold documents packed as differences, never their texts.
 	commands []*wire.Command
 	bytes    int
 	// alone is the document in force packed without a base, from the first
--- a/pkg/quota/bound.go
+++ b/pkg/quota/bound.go
@@ -30,8 +30,7 @@
 	slackShare = 0.9
 	// lifeShare is the part of that which permits use that were issued before a
 	// window. The rest makes the buckets deeper, which is what bears the chance of
-	// requests that come together: of a limit of 10 a second each of 6 parts is
-	// 3.9 deep instead of 1.7.
+	// requests that come together.
 	lifeShare = 0.7
 	// longestLife bounds the life of a permit: what a box does not use is missing
 	// elsewhere for that long.
--- a/pkg/quota/stock.go
+++ b/pkg/quota/stock.go
@@ -290,9 +290,8 @@
 }
 
 // toAsk returns the issuers to ask: of those that answer and are not empty the one
-// that answers soonest. If that is far, all are asked at once: one after the other
-// four of them took 0.3 s, after which a request is too late. What comes beyond what
-// is wanted stays in stock. One that has an ask for the workspace under way for too
+// that answers soonest. If that is far, all are asked at once: one after the other would
+// answer when the request is too late. What comes beyond what is wanted stays in stock. One that has an ask for the workspace under way for too
 // long is not asked again.
 func (s *Stock) toAsk(now time.Time, workspace string, h *held) []*issuerState {
 	var all []*issuerState
--- a/pkg/shift/planner.go
+++ b/pkg/shift/planner.go
@@ -25,7 +25,7 @@
 	lostAfterLags = 10
 )
 
-// Reading is what a region was measured to carry of a service.
+// Reading is what a region carries of a service.
 type Reading struct {
 	Service string
 	Region  string
