gateway: hold the clock of permits, evidence, targets and limits by tests

Change: tests only: stock that ended in a suspension, targets that warm up in one, evidence of after one, limits that age.

--- a/internal/gateway/suspension_test.go
+++ b/internal/gateway/suspension_test.go
@@ -8,9 +8,14 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/isolation"
+	"ledgesill.dev/ledgesill/pkg/balance"
+	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
 // Seen: after a machine was suspended for seconds, by reading, what had run out
@@ -189,3 +194,101 @@
 		}
 	})
 }
+
+// What is in stock is looked at by the clock that counts, also where nothing else looks.
+func TestStockIsForgottenInASuspension(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		suspend := suspensions(t)
+		s, _ := limitedScene(t, 1, map[string]int{"a": 0, "b": 0})
+		s.daemon.permits.putBack("north", boottime.Now().Add(time.Second))
+		suspend(2 * time.Second)
+		if until, ok := s.daemon.permits.takeNow("north"); ok {
+			t.Errorf("a permit was taken that ended %s ago", boottime.Since(until))
+		}
+		s.daemon.permits.putBack("north", boottime.Now().Add(time.Second))
+		if _, ok := s.daemon.permits.takeNow("north"); !ok {
+			t.Error("a permit of after the suspension was not taken")
+		}
+	})
+}
+
+// A target that was cold when the machine was suspended is warm when it wakes after that
+// time, and an evacuation's targets are cold as long as they should from then on.
+func TestColdTargetsWarmUpInASuspension(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		suspend := suspensions(t)
+		s := newScene(t, testConfig(), 1)
+		s.daemon.setCold([]catalog.Service{{Name: "s", ColdTime: 3 * time.Second, ColdRate: 0.1}})
+		s.daemon.noteCold("t0", 3*time.Second)
+		request := balance.Request{Service: "s", Route: "r", Objective: time.Second, Left: time.Second}
+		if _, err := s.daemon.choose(request); err == nil {
+			t.Fatal("a cold target without a turn was chosen")
+		}
+		suspend(4 * time.Second)
+		for range 3 {
+			if _, err := s.daemon.choose(request); err != nil {
+				t.Fatalf("after its cold time: %v", err)
+			}
+		}
+	})
+}
+
+// What ended under a request after the suspension is told as what has just happened: old
+// evidence holds nothing.
+func TestEvidenceAfterASuspensionIsFresh(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		suspend := suspensions(t)
+		m := newMortals(t, 4)
+		told := make(chan *wire.Evidence, 100)
+		tell := m.scene.daemon.isolation
+		own := isolation.New(isolation.Config{
+			Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				return m.scene.daemon.connections.dial(ctx, "tcp4", address)
+			},
+			DialTimeout: time.Second, Leaving: func(string) bool { return false }, Replicas: func() []string { return []string{"a"} },
+			Tell:  func(_ context.Context, _ string, e *wire.Evidence) error { told <- e; return nil },
+			Ended: func(isolation.Run) {}, Looked: func(isolation.Look) {},
+		})
+		m.scene.daemon.isolation = own
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- own.Run(ctx) }()
+		defer func() {
+			cancel()
+			<-ended
+			m.scene.daemon.isolation = tell
+		}()
+		suspend(20 * time.Second)
+		m.scene.ask(t.Context(), "/single/x?n=fatal", "body")
+		time.Sleep(time.Second)
+		synctest.Wait()
+		select {
+		case e := <-told:
+			if len(e.Ends) != 1 || e.Ends[0].EndedAgoMilli > 1000 || e.Ends[0].BeganAgoMilli > 1000 {
+				t.Errorf("told %v", e)
+			}
+		default:
+			t.Error("nothing was told")
+		}
+	})
+}
+
+// What a target told before a long suspension is no news any more, and a box without control
+// may send it what came free meanwhile.
+func TestLimitsOfTargetsAgeInASuspension(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		suspend := suspensions(t)
+		s, _ := namedScene(t, 1, nil)
+		s.daemon.targetLimits.setBoxes([]string{"box"})
+		if _, err := s.daemon.targetLimits.permit(t.Context(), "t0", 0); err == nil {
+			t.Fatal("a permit of a limit that was just named")
+		}
+		suspend(2 * tellTime)
+		if told := s.daemon.targetLimits.toTell(); len(told) > 0 {
+			t.Errorf("still tells %v", told)
+		}
+		if _, err := s.daemon.targetLimits.permit(t.Context(), "t0", 0); err != nil {
+			t.Errorf("after the suspension: %v", err)
+		}
+	})
+}
