--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -50,10 +50,12 @@
 
 	mu    sync.Mutex
 	first time.Duration
+	// deadlines are the contexts of WithDeadline that have not ended.
+	deadlines deadlineSet
 }
 
 func newMeter(ahead func() time.Duration) *meter {
-	m := &meter{ahead: ahead, origin: time.Now()}
+	m := &meter{ahead: ahead, origin: time.Now(), deadlines: deadlineSet{all: make(map[*deadline]bool)}}
 	m.first = ahead()
 	for range firstLooks - 1 {
 		m.first = max(m.first, ahead())
@@ -74,7 +76,7 @@
 	m.at.Store(steady)
 	if lost := m.ahead() - m.first; lost-time.Duration(m.lost.Load()) >= leastSuspension {
 		m.lost.Store(int64(lost))
-		deadlines.wake(now.Add(lost))
+		m.deadlines.wake(now.Add(lost))
 	}
 	return time.Duration(m.lost.Load())
 }
@@ -87,37 +89,74 @@
 
 func init() { machine.Store(newMeter(ahead)) }
 
+// Clock tells the time of one machine. The nil clock is that of the machine at hand; a test
+// gives others to hosts that it suspends by themselves.
+type Clock struct{ meter *meter }
+
+// NewClock returns the clock of a machine of a test, which says for how long that was
+// suspended; the time must not shrink.
+func NewClock(suspended func() time.Duration) *Clock {
+	m := newMeter(suspended)
+	m.always = true
+	return &Clock{m}
+}
+
+func (c *Clock) measure() *meter {
+	if c == nil {
+		return machine.Load()
+	}
+	return c.meter
+}
+
 // Now returns the present time. Its time of day is that of time.Now plus all suspensions,
 // so it is not to be shown to anyone.
-func Now() time.Time {
+func (c *Clock) Now() time.Time {
 	now := time.Now()
-	return now.Add(machine.Load().suspended(now))
+	return now.Add(c.measure().suspended(now))
 }
 
 // Since returns the time that has passed since a time of Now.
-func Since(t time.Time) time.Duration { return Now().Sub(t) }
+func (c *Clock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
 
 // Until returns the time that is left until a time of Now.
-func Until(t time.Time) time.Duration { return t.Sub(Now()) }
+func (c *Clock) Until(t time.Time) time.Duration { return t.Sub(c.Now()) }
 
 // Suspended returns for how long the machine was suspended since the process started.
-func Suspended() time.Duration { return machine.Load().suspended(time.Now()) }
+func (c *Clock) Suspended() time.Duration { return c.measure().suspended(time.Now()) }
 
 // WithDeadline returns a context that ends at a time of Now. If that passes while the
 // machine is suspended, it ends with the first reading of Now after that, with the cause
 // context.DeadlineExceeded. Its cancel function must be called.
-func WithDeadline(ctx context.Context, t time.Time) (context.Context, context.CancelFunc) {
+func (c *Clock) WithDeadline(ctx context.Context, t time.Time) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	ctx, stop := context.WithTimeout(ctx, Until(t))
+	ctx, stop := context.WithTimeout(ctx, c.Until(t))
 	d := &deadline{t, cancel}
-	deadlines.add(d)
+	all := &c.measure().deadlines
+	all.add(d)
 	return ctx, func() {
-		deadlines.remove(d)
+		all.remove(d)
 		stop()
 		cancel(nil)
 	}
 }
 
+// Now is that of the machine at hand, as Since, Until, Suspended and WithDeadline are.
+func Now() time.Time { return (*Clock)(nil).Now() }
+
+// Since is Clock.Since of the machine at hand.
+func Since(t time.Time) time.Duration { return (*Clock)(nil).Since(t) }
+
+// Until is Clock.Until of the machine at hand.
+func Until(t time.Time) time.Duration { return (*Clock)(nil).Until(t) }
+
+// Suspended is Clock.Suspended of the machine at hand.
+func Suspended() time.Duration { return (*Clock)(nil).Suspended() }
+
+// WithDeadline is Clock.WithDeadline of the machine at hand.
+func WithDeadline(ctx context.Context, t time.Time) (context.Context, context.CancelFunc) {
+	return (*Clock)(nil).WithDeadline(ctx, t)
+}
+
 // deadline is a context that has not been cancelled.
 type deadline struct {
 	at  time.Time
@@ -130,8 +169,6 @@
 	all map[*deadline]bool
 }
 
-var deadlines = deadlineSet{all: make(map[*deadline]bool)}
-
 func (s *deadlineSet) add(d *deadline) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -156,14 +193,17 @@
 }
 
 // Deadline returns when a context ends as a time of Now.
-func Deadline(ctx context.Context) (t time.Time, ok bool) {
+func (c *Clock) Deadline(ctx context.Context) (t time.Time, ok bool) {
 	at, ok := ctx.Deadline()
 	if !ok {
 		return t, false
 	}
-	return Now().Add(time.Until(at)), true
+	return c.Now().Add(time.Until(at)), true
 }
 
+// Deadline is Clock.Deadline of the machine at hand.
+func Deadline(ctx context.Context) (t time.Time, ok bool) { return (*Clock)(nil).Deadline(ctx) }
+
 // Simulate has a test say for how long the machine was suspended, which must not shrink.
 // It returns what ends that.
 func Simulate(suspended func() time.Duration) (end func()) {
--- a/internal/boottime/boottime_test.go
+++ b/internal/boottime/boottime_test.go
@@ -59,7 +59,7 @@
 		}
 		cancel()
 		cancelLater()
-		if n := len(deadlines.all); n != 0 {
+		if n := len(machine.Load().deadlines.all); n != 0 {
 			t.Errorf("%d deadlines are kept", n)
 		}
 	})
--- a/internal/boottime/hosts_test.go
+++ b/internal/boottime/hosts_test.go
@@ -13,9 +13,10 @@
 // line holds a comment that says why.
 var allowed = regexp.MustCompile(`// (steady clock|time of day): `)
 
-var steady = regexp.MustCompile(`\btime\.(Now|Since|Until)\b|context\.WithDeadline\(|\bctx\.Deadline\(\)`)
+var steady = regexp.MustCompile(`\btime\.(Now|Since|Until)\b|context\.WithDeadline\(|\bctx\.Deadline\(\)|\bboottime\.(Now|Since|Until|Suspended|WithDeadline|Deadline)\b`)
 
-// The hosts decide nothing by a clock that stands still in a suspension.
+// The hosts decide nothing by a clock that stands still in a suspension, and each goes by its
+// own machine's.
 func TestHostsGoByThisClock(t *testing.T) {
 	for _, root := range []string{"../../internal", "../../platform"} {
 		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,6 +17,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/rs/zerolog"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/quota"
 )
@@ -43,6 +44,8 @@
 
 // Common are the settings of every daemon.
 type Common struct {
+	// Clock is that of the machine, nil for the one at hand; no flag sets it.
+	Clock           *boottime.Clock
 	Name            string
 	PeerAddress     string
 	OperatorAddress string
--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/steering"
@@ -75,7 +74,7 @@
 	if !state.Catalog().News(r, c.Leave) {
 		return nil
 	}
-	began := boottime.Now()
+	began := d.clock.Now()
 	err := d.words.tell(ctx, c, false)
 	line := d.process.Log.Info()
 	if err != nil {
@@ -83,7 +82,7 @@
 	}
 	line.Str("kind", "registration").Str("target", r.Id).Str("service", r.Service).Str("address", r.Address).
 		Bool("draining", r.Draining).Bool("leaves", c.Leave).Int64("coldMillis", r.ColdMilli).Uint64("sequence", r.Sequence).Int64("born", r.BornUnixMilli).
-		Uint64("stateVersion", state.Version()).Dur("took", boottime.Since(began)).Msg("a target's word was settled")
+		Uint64("stateVersion", state.Version()).Dur("took", d.clock.Since(began)).Msg("a target's word was settled")
 	return err
 }
 
@@ -107,7 +106,7 @@
 // some have a line in the log.
 func (d *Daemon) NoteUnread(id string, cause error) {
 	d.unreadWords.Inc()
-	if !d.unreadLines.Take(boottime.Now()) {
+	if !d.unreadLines.Take(d.clock.Now()) {
 		return
 	}
 	d.process.Log.Warn().Str("kind", "registration").Str("target", id).Err(cause).Msg("a target's word can't be used; what is known of it holds")
@@ -116,7 +115,7 @@
 // PutRoutes puts a document of routes in force. The text is what a read gives
 // back; between replicas and in the log it is packed.
 func (d *Daemon) PutRoutes(ctx context.Context, document catalog.Document, text []byte) error {
-	began := boottime.Now()
+	began := d.clock.Now()
 	err := document.Check()
 	if err == nil {
 		err = d.Submit(ctx, &wire.Command{Routes: &wire.RoutesCommand{
@@ -129,7 +128,7 @@
 		line = d.process.Log.Warn().Err(err)
 	}
 	line.Str("kind", "routes").Uint64("number", document.Number).Uint64("base", document.Base).Int("bytes", len(text)).
-		Dur("took", boottime.Since(began)).Msg("a document of routes was settled")
+		Dur("took", d.clock.Since(began)).Msg("a document of routes was settled")
 	return err
 }
 
@@ -154,13 +153,13 @@
 	if !d.isZone(state, zone) {
 		return &UnknownZoneError{Zone: zone}
 	}
-	began := boottime.Now()
+	began := d.clock.Now()
 	err = d.Submit(ctx, &wire.Command{Evacuation: &wire.EvacuationCommand{Zone: zone, Withdraw: withdraw}})
 	line := d.process.Log.Info()
 	if err != nil {
 		line = d.process.Log.Warn().Err(err)
 	}
-	line.Str("kind", "evacuation").Str("zone", zone).Bool("withdraw", withdraw).Dur("took", boottime.Since(began)).Msg("an evacuation was settled")
+	line.Str("kind", "evacuation").Str("zone", zone).Bool("withdraw", withdraw).Dur("took", d.clock.Since(began)).Msg("an evacuation was settled")
 	return err
 }
 
@@ -180,7 +179,7 @@
 	if !d.hasLearned() {
 		return nil, d.lookupTime()
 	}
-	near := lookup.Nearest(d.serving.get(boottime.Now(), d.servingNow), region, zone)
+	near := lookup.Nearest(d.serving.get(d.clock.Now(), d.servingNow), region, zone)
 	if len(near) > maxLookupBoxes {
 		near = near[:maxLookupBoxes]
 	}
@@ -204,7 +203,7 @@
 func (d *Daemon) hasLearned() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.learning.Done(boottime.Now())
+	return d.learning.Done(d.clock.Now())
 }
 
 // collect takes the reports of boxes.
@@ -219,7 +218,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.learning.Heard(boottime.Now())
+	d.learning.Heard(d.clock.Now())
 }
 
 // forPublishing returns a command that led to a state as publishers take it: the
--- a/internal/control/catalogapi.go
+++ b/internal/control/catalogapi.go
@@ -13,7 +13,6 @@
 
 	"github.com/kataras/iris/v12"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/operator"
 	"ledgesill.dev/ledgesill/pkg/batch"
 	"ledgesill.dev/ledgesill/pkg/catalog"
@@ -133,7 +132,7 @@
 		return nil
 	}
 	return &operator.TargetLimit{
-		PerSecond: limit.PerSecond, SaidAgoMillis: boottime.Since(limit.Heard).Milliseconds(),
+		PerSecond: limit.PerSecond, SaidAgoMillis: d.clock.Since(limit.Heard).Milliseconds(),
 		Issued: tally.Issued, RefusedAsks: tally.Refused,
 	}
 }
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -31,6 +31,7 @@
 // Daemon is one control replica.
 type Daemon struct {
 	config     config.Control
+	clock      *boottime.Clock
 	process    *process.Process
 	journal    *journal.Journal
 	replica    *replica
@@ -91,11 +92,13 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("opening the data folder: %w", err), p.Close())
 	}
+	p.Time = c.Clock
 	d := &Daemon{
 		config:    c,
+		clock:     c.Clock,
 		process:   p,
 		journal:   j,
-		started:   boottime.Now(),
+		started:   c.Clock.Now(),
 		addresses: make(map[string]string),
 		joining:   make(map[string]*wire.Replica),
 		repairs:   make(map[string]consensus.RepairStep),
@@ -113,10 +116,11 @@
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(found.ID + d.process.Incarnation)) // a hash takes every write
 	cc := consensus.Config{ElectionTimeout: d.config.ElectionTimeout, Seed: seed.Sum64()}
-	r, err := openReplica(boottime.Now, cc, d.journal, found, d.config.SnapshotEvery)
+	r, err := openReplica(d.clock.Now, cc, d.journal, found, d.config.SnapshotEvery)
 	if err != nil {
 		return err
 	}
+	r.clock, r.inbox.clock = d.clock, d.clock
 	d.replica = r
 	d.learning = lookup.NewLearning(len(r.machine.Membership().GetVoters()) > 0)
 	if found.CutBytes > 0 {
@@ -126,9 +130,12 @@
 	d.publishing = relay.NewPublishing(r.state, d.age, d.process.Clock.Stamp)
 	d.targetLimits = newTargetLimits(d.config.PeerAddress)
 	d.publishing.SetLimits(d.targetLimits.since)
+	d.publishing.SetClock(d.clock)
+	d.targetLimits.clock = d.clock
 	d.document = &documentInForce{decode: d.decodeRoutes, failed: d.noteUnreadDocument}
 	d.leadership = newLeadership()
 	d.words = newWords()
+	d.words.clock = d.clock
 	d.suspicions = newSuspicions()
 	d.suspicions.hello = d.askHello
 	d.words.settle = d.settleWords
@@ -317,12 +324,12 @@
 	if at == neverHeard {
 		return time.Hour
 	}
-	return max(boottime.Since(d.started)-time.Duration(at), 0)
+	return max(d.clock.Since(d.started)-time.Duration(at), 0)
 }
 
 // noteHeard notes that a leader was heard of some time ago.
 func (d *Daemon) noteHeard(ago time.Duration) {
-	d.heard.Store(int64(max(boottime.Since(d.started)-ago, 0)))
+	d.heard.Store(int64(max(d.clock.Since(d.started)-ago, 0)))
 }
 
 const neverHeard = -1
@@ -422,9 +429,9 @@
 	if err != nil {
 		return
 	}
-	d.permits.setParts(boottime.Now(), v.membership)
-	d.targetLimits.setReplicas(boottime.Now(), v.membership)
-	d.targetLimits.keep(boottime.Now(), v.state)
+	d.permits.setParts(d.clock.Now(), v.membership)
+	d.targetLimits.setReplicas(d.clock.Now(), v.membership)
+	d.targetLimits.keep(d.clock.Now(), v.state)
 	if v.status.Role == consensus.Leader {
 		d.noteHeard(0)
 		return
@@ -438,7 +445,7 @@
 		d.reportedTo = v.status.Leader
 		d.filter = relay.NewReportFilter()
 	}
-	report := &wire.Report{Boxes: d.filter.News(boottime.Now(), d.publishing.Reports(), v.state.Shifting())}
+	report := &wire.Report{Boxes: d.filter.News(d.clock.Now(), d.publishing.Reports(), v.state.Shifting())}
 	if len(report.Boxes) == 0 {
 		return
 	}
--- a/internal/control/inbox.go
+++ b/internal/control/inbox.go
@@ -32,6 +32,7 @@
 
 // inbox holds the inputs that wait for the replica's loop.
 type inbox struct {
+	clock     *boottime.Clock
 	consensus chan arrival
 	orders    chan arrival
 	words     chan arrival
@@ -60,7 +61,7 @@
 // message that still waits then is not handled.
 func (i inbox) put(ctx context.Context, m message) error {
 	select {
-	case i.line(m) <- arrival{m, boottime.Now(), ctx}:
+	case i.line(m) <- arrival{m, i.clock.Now(), ctx}:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -70,7 +71,7 @@
 // offer hands a message to the loop if there is room for it.
 func (i inbox) offer(m message) (taken bool) {
 	select {
-	case i.line(m) <- arrival{message: m, at: boottime.Now()}:
+	case i.line(m) <- arrival{message: m, at: i.clock.Now()}:
 		return true
 	default:
 		return false
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/steering"
@@ -107,5 +106,5 @@
 	if len(r.TargetAsks) > 0 {
 		return &wire.PermitAnswer{Grants: d.issueForTargets(r.TargetAsks)}
 	}
-	return d.permits.issue(boottime.Now(), r)
+	return d.permits.issue(d.clock.Now(), r)
 }
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -9,7 +9,6 @@
 
 	"github.com/kataras/iris/v12"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/operator"
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/quarantine"
@@ -91,7 +90,7 @@
 
 // serveEvidence takes what a box tells of requests under which targets ended.
 func (d *Daemon) serveEvidence(e *wire.Evidence) *wire.CallAnswer {
-	d.suspicions.take(boottime.Now(), e)
+	d.suspicions.take(d.clock.Now(), e)
 	return &wire.CallAnswer{}
 }
 
@@ -117,7 +116,7 @@
 		return
 	}
 	wall := time.Now() // time of day: boxes go by it too
-	orders := d.suspicions.orders(boottime.Now(), wall, d.latest().Catalog().Quarantined())
+	orders := d.suspicions.orders(d.clock.Now(), wall, d.latest().Catalog().Quarantined())
 	if len(orders) == 0 {
 		return
 	}
@@ -140,7 +139,7 @@
 // answer is not waited for.
 func (d *Daemon) allTakeOrders(ctx context.Context) bool {
 	s := d.suspicions
-	now := boottime.Now()
+	now := d.clock.Now()
 	if now.Sub(s.knownAt) < versionsFor {
 		return true
 	}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -44,6 +44,7 @@
 	proposed []consensus.Propose
 
 	now     func() time.Time
+	clock   *boottime.Clock
 	inbox   inbox
 	token   uint64
 	tokens  map[uint64]answer
@@ -197,7 +198,7 @@
 // the asker has asked again, and doing both would add to what made it wait.
 func (r *replica) takeArrival(a arrival) consensus.Output {
 	abandoned := a.abandoned()
-	r.waited(kind(a.message), boottime.Since(a.at), abandoned)
+	r.waited(kind(a.message), r.clock.Since(a.at), abandoned)
 	if abandoned {
 		return consensus.Output{}
 	}
@@ -329,8 +330,8 @@
 }
 
 func (r *replica) store(out consensus.Output) error {
-	began := boottime.Now()
-	defer func() { r.synced(boottime.Since(began)) }()
+	began := r.clock.Now()
+	defer func() { r.synced(r.clock.Since(began)) }()
 	if out.HardState != nil {
 		r.hardState = out.HardState
 	}
--- a/internal/control/shifts.go
+++ b/internal/control/shifts.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/settings"
 	"ledgesill.dev/ledgesill/pkg/shift"
@@ -16,7 +15,7 @@
 // planShifts takes running shifts forward while this replica leads. A new
 // leader begins with no readings and so waits for fresh ones.
 func (d *Daemon) planShifts(ctx context.Context) error {
-	planner := shift.NewPlanner(boottime.Now())
+	planner := shift.NewPlanner(d.clock.Now())
 	led := false
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
@@ -32,14 +31,14 @@
 		}
 		leads := v.status.Role == consensus.Leader
 		if leads && !led {
-			planner = shift.NewPlanner(boottime.Now())
+			planner = shift.NewPlanner(d.clock.Now())
 		}
 		led = leads
 		if !leads {
 			continue
 		}
 		d.observe(planner, v.state.Tree())
-		for _, decision := range planner.Plan(boottime.Now(), v.state) {
+		for _, decision := range planner.Plan(d.clock.Now(), v.state) {
 			d.carryOutShift(ctx, decision)
 		}
 	}
@@ -55,7 +54,7 @@
 		regionOf[z.Name] = z.Region
 	}
 	readings := make(map[place]*shift.Reading)
-	now := boottime.Now()
+	now := d.clock.Now()
 	for _, b := range d.publishing.Reports() {
 		at := now.Add(-time.Duration(b.AgeMilli) * time.Millisecond)
 		for _, pool := range b.Pools {
--- a/internal/control/slowlinks_test.go
+++ b/internal/control/slowlinks_test.go
@@ -8,10 +8,12 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/config"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/link/linktest"
@@ -54,8 +56,10 @@
 // slowReplicas are three replicas on links with a bandwidth.
 type slowReplicas struct {
 	daemons []*Daemon
-	stop    context.CancelFunc
-	ended   chan error
+	// asleep is for how long the machine of each was suspended, in nanoseconds.
+	asleep []*atomic.Int64
+	stop   context.CancelFunc
+	ended  chan error
 }
 
 // runSlowReplicas runs a function in virtual time with replicas that all hold a
@@ -87,6 +91,9 @@
 	first := &wire.Membership{}
 	for i := range 3 {
 		c := config.Control{Folder: t.TempDir(), ElectionTimeout: time.Second, SnapshotEvery: 1000, Seeded: true}
+		asleep := &atomic.Int64{}
+		s.asleep = append(s.asleep, asleep)
+		c.Clock = boottime.NewClock(func() time.Duration { return time.Duration(asleep.Load()) })
 		c.Name = fmt.Sprintf("c%d", i)
 		c.PeerAddress = c.Name
 		c.OperatorAddress = "127.0.0.1:0"
@@ -109,6 +116,12 @@
 	return s
 }
 
+// suspend has the machine of one replica be suspended; virtual time stands still meanwhile,
+// as its steady clock does.
+func (s *slowReplicas) suspend(d *Daemon, length time.Duration) {
+	s.asleep[slices.Index(s.daemons, d)].Add(int64(length))
+}
+
 func (s *slowReplicas) close(t *testing.T) {
 	t.Helper()
 	s.stop()
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -11,7 +11,6 @@
 
 	"github.com/kataras/iris/v12"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/operator"
 	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/pkg/consensus"
@@ -130,10 +129,10 @@
 	}
 	since, ok := d.lagging[b.Name]
 	if !ok {
-		since = boottime.Now()
+		since = d.clock.Now()
 		d.lagging[b.Name] = since
 	}
-	out.LagMillis = boottime.Since(since).Milliseconds()
+	out.LagMillis = d.clock.Since(since).Milliseconds()
 	return out
 }
 
--- a/internal/control/submit.go
+++ b/internal/control/submit.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/steering"
@@ -56,7 +55,7 @@
 		if leader == "" {
 			return refusal(d.replica.submit(ctx, c))
 		}
-		answer, err := d.node.Call(ctx, leader, &wire.CallRequest{Submit: c, LeftMilli: leftMilli(ctx)})
+		answer, err := d.node.Call(ctx, leader, &wire.CallRequest{Submit: c, LeftMilli: d.leftMilli(ctx)})
 		if err != nil {
 			return err
 		}
@@ -76,7 +75,7 @@
 			document = state.Catalog().Document()
 			return err
 		}
-		answer, err := d.node.Call(ctx, leader, &wire.CallRequest{Read: &wire.ReadRequest{TakesPacked: true}, LeftMilli: leftMilli(ctx)})
+		answer, err := d.node.Call(ctx, leader, &wire.CallRequest{Read: &wire.ReadRequest{TakesPacked: true}, LeftMilli: d.leftMilli(ctx)})
 		if err != nil {
 			return err
 		}
@@ -131,12 +130,12 @@
 
 // leftMilli is how much longer a context lasts, for the process that is asked; zero
 // if it has no end.
-func leftMilli(ctx context.Context) int64 {
-	deadline, ok := boottime.Deadline(ctx)
+func (d *Daemon) leftMilli(ctx context.Context) int64 {
+	deadline, ok := d.clock.Deadline(ctx)
 	if !ok {
 		return 0
 	}
-	return max(boottime.Until(deadline).Milliseconds(), 1)
+	return max(d.clock.Until(deadline).Milliseconds(), 1)
 }
 
 // forAsker returns a context that ends when the asker of another process gives up.
--- a/internal/control/targetlimits.go
+++ b/internal/control/targetlimits.go
@@ -23,6 +23,7 @@
 // knows of those limits. It needs no leader and keeps nothing on disk: boxes tell each
 // replica what targets told them, and each ask tells it again.
 type targetLimits struct {
+	clock  *boottime.Clock
 	mu     sync.Mutex
 	issuer *quota.TargetIssuer
 	lines  *process.LineLimit
@@ -72,7 +73,7 @@
 
 // since returns the limits that changed after a change, for subscribers.
 func (t *targetLimits) since(change uint64) ([]*wire.TargetLimit, uint64) {
-	now := boottime.Now()
+	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	words, last := t.issuer.Limits().Since(change)
@@ -116,7 +117,7 @@
 	if len(words) == 0 {
 		return
 	}
-	changes := d.targetLimits.take(boottime.Now(), words)
+	changes := d.targetLimits.take(d.clock.Now(), words)
 	if len(changes) == 0 {
 		return
 	}
@@ -127,7 +128,7 @@
 }
 
 func (d *Daemon) noteLimit(c quota.LimitChange) {
-	if !d.targetLimits.lines.Take(boottime.Now()) {
+	if !d.targetLimits.lines.Take(d.clock.Now()) {
 		return
 	}
 	line := d.process.Log.Info().Str("kind", "targetLimit").Str("target", c.Life)
@@ -149,5 +150,5 @@
 		}
 	}
 	d.takeLimits(words)
-	return grantMessages(d.targetLimits.issue(boottime.Now(), asks))
+	return grantMessages(d.targetLimits.issue(d.clock.Now(), asks))
 }
--- a/internal/control/wordcalls.go
+++ b/internal/control/wordcalls.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -45,7 +44,7 @@
 	out := all(len(batch), &consensus.NotLeaderError{})
 	request := &wire.WordsRequest{}
 	var places []int
-	now := boottime.Now()
+	now := d.clock.Now()
 	for i, word := range batch {
 		if word.forwarded {
 			continue
--- a/internal/control/words.go
+++ b/internal/control/words.go
@@ -65,6 +65,7 @@
 	mu       sync.Mutex
 	gatherer *batch.Gatherer[*waitingWord]
 	known    map[wordKey]*waitingWord
+	clock    *boottime.Clock
 	// due holds a token when a batch may begin.
 	due chan struct{}
 }
@@ -101,8 +102,8 @@
 
 // add has a word settled; what becomes of it comes on the channel.
 func (w *words) add(ctx context.Context, c *wire.RegistrationCommand, forwarded bool) (<-chan error, error) {
-	now := boottime.Now()
-	deadline, ok := boottime.Deadline(ctx)
+	now := w.clock.Now()
+	deadline, ok := w.clock.Deadline(ctx)
 	if !ok {
 		deadline = now.Add(longestAsk)
 	}
@@ -136,14 +137,14 @@
 	underWay := 0
 	for {
 		for {
-			begin := w.next(boottime.Now())
+			begin := w.next(w.clock.Now())
 			if len(begin) == 0 {
 				break
 			}
 			underWay++
 			go func() { ended <- w.carry(ctx, begin) }()
 		}
-		timer := time.NewTimer(w.untilDue(boottime.Now()))
+		timer := time.NewTimer(w.untilDue(w.clock.Now()))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -205,7 +206,7 @@
 // carry tries a batch until each word is settled or its askers have gone, and returns
 // how long that took.
 func (w *words) carry(ctx context.Context, batch []*waitingWord) time.Duration {
-	began := boottime.Now()
+	began := w.clock.Now()
 	for len(batch) > 0 {
 		outcomes := w.try(ctx, batch)
 		batch = w.take(ctx, batch, outcomes)
@@ -217,13 +218,13 @@
 		case <-time.After(leaderPause):
 		}
 	}
-	return boottime.Since(began)
+	return w.clock.Since(began)
 }
 
 // try tries until the last asker has gone.
 func (w *words) try(ctx context.Context, batch []*waitingWord) []error {
 	last := slices.MaxFunc(batch, func(a, b *waitingWord) int { return a.deadline.Compare(b.deadline) })
-	ctx, cancel := boottime.WithDeadline(ctx, last.deadline)
+	ctx, cancel := w.clock.WithDeadline(ctx, last.deadline)
 	defer cancel()
 	return w.settle(ctx, batch)
 }
@@ -231,7 +232,7 @@
 // take answers the words that are settled or whose time is over, and returns the
 // others.
 func (w *words) take(ctx context.Context, batch []*waitingWord, outcomes []error) (left []*waitingWord) {
-	now := boottime.Now()
+	now := w.clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i, word := range batch {
--- a/internal/control/workspaces.go
+++ b/internal/control/workspaces.go
@@ -9,7 +9,6 @@
 
 	"github.com/kataras/iris/v12"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/operator"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -34,7 +33,7 @@
 }
 
 func (d *Daemon) ownWorkspaces() *wire.WorkspacesAnswer {
-	number, list := d.permits.usage(boottime.Now())
+	number, list := d.permits.usage(d.clock.Now())
 	return &wire.WorkspacesAnswer{Number: number, AgeMilli: d.age().Milliseconds(), Workspaces: list}
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/caller"
 	"ledgesill.dev/ledgesill/pkg/quota"
@@ -64,9 +63,9 @@
 // run hosts the plan until it is final.
 func (e *execution) run(ctx context.Context) *answer {
 	e.box.budgets.Lock()
-	out := e.plan.Begin(boottime.Now())
+	out := e.plan.Begin(e.box.clock.Now())
 	e.box.budgets.Unlock()
-	timer := time.NewTimer(boottime.Until(out.Wake))
+	timer := time.NewTimer(e.box.clock.Until(out.Wake))
 	defer timer.Stop()
 	for {
 		if out.Launch > 0 {
@@ -76,7 +75,7 @@
 			return e.final(ctx, out)
 		}
 		if !out.Wake.IsZero() {
-			timer.Reset(boottime.Until(out.Wake))
+			timer.Reset(e.box.clock.Until(out.Wake))
 		}
 		out = e.next(ctx, timer)
 	}
@@ -90,7 +89,7 @@
 	case <-timer.C:
 		e.box.budgets.Lock()
 		defer e.box.budgets.Unlock()
-		return e.plan.Tick(boottime.Now())
+		return e.plan.Tick(e.box.clock.Now())
 	case end := <-e.ends:
 		e.keep(end.answer)
 		if end.target != "" {
@@ -98,7 +97,7 @@
 		}
 		e.box.budgets.Lock()
 		defer e.box.budgets.Unlock()
-		return e.plan.Ended(boottime.Now(), end.number, end.end)
+		return e.plan.Ended(e.box.clock.Now(), end.number, end.end)
 	}
 }
 
@@ -121,7 +120,7 @@
 	if number > 1 {
 		e.box.retries.WithLabelValues(e.request.service).Inc()
 	}
-	ctx, cancel := boottime.WithDeadline(ctx, e.request.deadline)
+	ctx, cancel := e.box.clock.WithDeadline(ctx, e.request.deadline)
 	e.cancels[number] = cancel
 	exclude := append([]string(nil), e.exclude...)
 	go func() { e.ends <- e.attempt(ctx, cancel, number, exclude) }()
@@ -183,7 +182,7 @@
 		cancel()
 		return attemptEnd{number: number, end: retry.Refused, answer: refusal(string(got.refused.Reason), got.refused.RetryAfter)}
 	}
-	slot := &slot{pool: e.pool, id: id, target: got.target, began: boottime.Now(), cancel: cancel}
+	slot := &slot{pool: e.pool, id: id, target: got.target, began: e.box.clock.Now(), cancel: cancel}
 	a, end, result := e.box.askTarget(ctx, e.request, got.address, slot)
 	switch {
 	case end == retry.Failed && a != nil && a.outcome == caller.Unknown:
@@ -213,7 +212,7 @@
 func (s *slot) free(r admission.Result) {
 	s.once.Do(func() {
 		s.cancel()
-		s.pool.finish(admission.Finish{ID: s.id, Result: r, Latency: boottime.Since(s.began)})
+		s.pool.finish(admission.Finish{ID: s.id, Result: r, Latency: s.pool.clock.Since(s.began)})
 	})
 }
 
@@ -224,7 +223,7 @@
 	if text == "" && shed(response) {
 		return
 	}
-	word := quota.TargetLimit{Life: s.target, PerSecond: quota.NoLimit, Sent: s.began, Heard: boottime.Now()}
+	word := quota.TargetLimit{Life: s.target, PerSecond: quota.NoLimit, Sent: s.began, Heard: s.pool.clock.Now()}
 	if text != "" {
 		perSecond, ok := quota.ParseLimit(text)
 		if !ok {
@@ -265,7 +264,7 @@
 // askTarget sends the request to a target. What it returns besides the answer
 // are the attempt's end for the plan and the result for admission.
 func (d *Daemon) askTarget(ctx context.Context, r *request, address string, s *slot) (*answer, retry.End, admission.Result) {
-	h, err := r.toTarget(address)
+	h, err := r.toTarget(d.clock.Now(), address)
 	if err != nil {
 		return invalid(err), retry.Refused, admission.Canceled
 	}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/caller"
 	"ledgesill.dev/ledgesill/pkg/settings"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -102,7 +101,7 @@
 		return
 	}
 	defer d.inFlight.Add(-1)
-	began := boottime.Now()
+	began := d.clock.Now()
 	r, err := readRequest(began, h, d.defaultTimeout)
 	if err != nil {
 		d.finishRequest(w, h, nil, invalid(err))
@@ -113,7 +112,7 @@
 	}
 	a := d.serve(h.Context(), r)
 	d.finishRequest(w, h, r, a)
-	d.latency.WithLabelValues(r.service).Observe(boottime.Since(began).Seconds())
+	d.latency.WithLabelValues(r.service).Observe(d.clock.Since(began).Seconds())
 }
 
 func (d *Daemon) serve(ctx context.Context, r *request) *answer {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -43,6 +43,7 @@
 
 // Daemon is one entry box.
 type Daemon struct {
+	clock      *boottime.Clock
 	config     config.Entry
 	process    *process.Process
 	seed       uint64
@@ -109,8 +110,9 @@
 	}
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(c.Name + p.Incarnation)) // a hash takes every write
-	d := &Daemon{config: c, process: p, seed: seed.Sum64(), network: network}
-	d.votes.voter = lease.NewVoter(boottime.Now(), c.Name, longestLease)
+	p.Time = c.Clock
+	d := &Daemon{config: c, clock: c.Clock, process: p, seed: seed.Sum64(), network: network}
+	d.votes.voter = lease.NewVoter(d.clock.Now(), c.Name, longestLease)
 	d.budgets.byService = make(map[string]*retry.Budget)
 	d.pools.byService = make(map[string]*runningPool)
 	d.leaving.addresses = make(map[string]bool)
@@ -119,7 +121,8 @@
 	d.publishing = relay.NewPublishing(steering.State{}, d.following.Age, p.Clock.Stamp)
 	d.keys = newKeys(d)
 	d.peers = newPeers(d)
-	d.stop = &stopping{}
+	d.publishing.SetClock(d.clock)
+	d.stop = &stopping{clock: d.clock}
 	d.isolation = d.newIsolation()
 	d.registerMetrics()
 	return d, d.listen()
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/caller"
 	"ledgesill.dev/ledgesill/pkg/retry"
@@ -49,7 +48,7 @@
 		visit.noWait = r.noWait || config.NoWait(i, len(places) > 1 && places[1].region == d.config.Region)
 		a := place.run(ctx, &visit)
 		d.budgets.Lock()
-		decision := failover.Ended(boottime.Now(), a.result())
+		decision := failover.Ended(d.clock.Now(), a.result())
 		d.budgets.Unlock()
 		if decision.Keep {
 			kept.discard()
@@ -147,14 +146,14 @@
 	if b.Region != d.config.Region {
 		next.foreign = d.current.Load().table.Assigned(r.service, d.homeOf(r), r.block) != b.Region
 	}
-	h, err := next.toPeer()
+	h, err := next.toPeer(d.clock.Now())
 	if err != nil {
 		return invalid(err)
 	}
 	h.URL.Host = b.PeerAddress
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	ctx, cancel := boottime.WithDeadline(ctx, r.deadline)
+	ctx, cancel := d.clock.WithDeadline(ctx, r.deadline)
 	response, err := d.toPeers.RoundTrip(h.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		cancel()
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/sebdah/goldie/v2"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/caller"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -121,7 +120,12 @@
 			s.change(&wire.Edit{Path: "/east/z" + at.target[:1] + ":flags", Key: "drainTargets", Value: at.target})
 		}},
 		{name: "all suspended", do: func(s *system, _ reached) {
-			s.asleep.Add(int64(faultTime)) // virtual time stands still, as the steady clock does
+			for _, b := range s.allBoxes() {
+				b.suspend(faultTime)
+			}
+		}},
+		{name: "holder suspended", do: func(s *system, at reached) {
+			s.box(at.box).suspend(faultTime)
 		}},
 		{name: "late answers", do: func(s *system, _ reached) {
 			s.network.setDelay(400 * time.Millisecond)
@@ -232,7 +236,6 @@
 func runRequestCell(t *testing.T, step string, faults ...requestFault) (problems []string) {
 	bubble(t, func(t *testing.T) {
 		s := newSystem(t, cellSlots)
-		defer boottime.Simulate(func() time.Duration { return time.Duration(s.asleep.Load()) })()
 		g := &trigger{}
 		s.watch(g)
 		planned := true
--- a/internal/entry/following.go
+++ b/internal/entry/following.go
@@ -20,6 +20,7 @@
 		PeerAddress: d.config.PeerAddress,
 		Node:        func() *link.Node { return d.node },
 		Clock:       d.process.Clock,
+		Time:        d.clock,
 		Seed:        d.seed,
 		Sources:     d.sources,
 		PutInForce:  d.putInForce,
--- a/internal/entry/isolation.go
+++ b/internal/entry/isolation.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/isolation"
 	"ledgesill.dev/ledgesill/pkg/quarantine"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -14,6 +13,7 @@
 func (d *Daemon) newIsolation() *isolation.Isolation {
 	looks := d.process.Counter("target_looks_total", "Targets that were looked at after a connection broke, by whether they had ended.", "found")
 	return isolation.New(isolation.Config{
+		Clock:       d.clock,
 		Dial:        d.network.Dial,
 		DialTimeout: dialTargetTimeout,
 		Leaving:     func(string) bool { return false }, // a draining target that ends has no requests at work
@@ -54,7 +54,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	now := boottime.Now()
+	now := e.box.clock.Now()
 	e.box.isolation.Broke(isolation.Run{
 		End: quarantine.End{
 			Request: e.request.fingerprint(), Caller: e.request.caller(),
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/caller"
 	"ledgesill.dev/ledgesill/pkg/requestkey"
 	"ledgesill.dev/ledgesill/pkg/settings"
@@ -167,7 +166,7 @@
 
 // run makes the one attempt of a key. It goes on if the caller leaves.
 func (k *keys) run(key requestkey.Key, r *request) {
-	ctx, cancel := boottime.WithDeadline(context.Background(), r.deadline)
+	ctx, cancel := k.box.clock.WithDeadline(context.Background(), r.deadline)
 	defer cancel()
 	a := k.box.dispatch(ctx, r.withoutKey())
 	if a.stream != nil {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/settings"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -79,7 +78,7 @@
 		v := p.get(b.Name)
 		if !v.watched {
 			v.watched = true
-			v.watchedAt = boottime.Now()
+			v.watchedAt = p.box.clock.Now()
 		}
 	}
 	return watched
@@ -143,14 +142,14 @@
 	v := p.get(b.Name)
 	v.incarnation = a.Hello.Incarnation
 	v.stopping = a.Hello.Stopping
-	v.heardAt = boottime.Now()
+	v.heardAt = p.box.clock.Now()
 }
 
 // failed notes that a request to a box failed.
 func (p *peers) failed(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.get(name).failedAt = boottime.Now()
+	p.get(name).failedAt = p.box.clock.Now()
 }
 
 // usable reports whether a box may be sent to.
@@ -161,7 +160,7 @@
 	if v == nil {
 		return true
 	}
-	now := boottime.Now()
+	now := p.box.clock.Now()
 	if v.stopping && now.Sub(v.heardAt) < deadAfter {
 		return false
 	}
@@ -178,7 +177,7 @@
 	defer p.mu.Unlock()
 	for _, name := range p.order {
 		v := p.byName[name]
-		if v.incarnation != "" && !v.stopping && boottime.Since(v.heardAt) < deadAfter {
+		if v.incarnation != "" && !v.stopping && p.box.clock.Since(v.heardAt) < deadAfter {
 			return *v, true
 		}
 	}
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -71,6 +71,7 @@
 	lease     *lease.Holder
 	holderID  string
 	seed      uint64
+	clock     *boottime.Clock
 
 	inbox    chan poolMessage
 	waiting  map[uint64]chan<- admitted
@@ -115,13 +116,13 @@
 		case m := <-p.inbox:
 			wake = p.handle(m)
 		}
-		timer.Reset(max(boottime.Until(wake), 0))
+		timer.Reset(max(p.clock.Until(wake), 0))
 	}
 }
 
 // handle takes one message and returns when the loop must wake.
 func (p *pool) handle(m poolMessage) time.Time {
-	now := boottime.Now()
+	now := p.clock.Now()
 	switch m := m.(type) {
 	case poolEvent:
 		if c, ok := m.event.(admission.Cancel); ok {
@@ -166,7 +167,7 @@
 // release stops granting and, when nothing runs any more, gives the lease up.
 func (p *pool) release(done chan<- struct{}) {
 	p.resting = true
-	now := boottime.Now()
+	now := p.clock.Now()
 	p.carryOut(now, p.admission.Handle(now, admission.Hold{}))
 	if p.admission.Load(now).Busy > 0 {
 		return
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/pkg/lease"
 	"ledgesill.dev/ledgesill/pkg/retry"
@@ -16,7 +15,7 @@
 func (d *Daemon) vote(m *wire.LeaseRequest) *wire.LeaseAnswer {
 	d.votes.Lock()
 	defer d.votes.Unlock()
-	return d.votes.voter.Handle(boottime.Now(), m)
+	return d.votes.voter.Handle(d.clock.Now(), m)
 }
 
 // holder returns the box that holds a pool of this zone, as far as this box's
@@ -24,7 +23,7 @@
 func (d *Daemon) holder(service string) (settings.Box, bool) {
 	f := d.current.Load()
 	d.votes.Lock()
-	name, ok := d.votes.voter.Holder(boottime.Now(), poolName(service, d.config.Zone))
+	name, ok := d.votes.voter.Holder(d.clock.Now(), poolName(service, d.config.Zone))
 	d.votes.Unlock()
 	if !ok && !slices.Contains(f.zone.Voters(), d.config.Name) {
 		name, ok = d.toldHolder(service)
@@ -102,6 +101,7 @@
 
 func (d *Daemon) startPool(service string) *runningPool {
 	p := newPool(service, d.config.Name, d.process.Incarnation, d.seed)
+	p.clock = d.clock
 	p.ask = func(requests []lease.Request) { d.askVoters(p, requests) }
 	p.refused = func(reason admissionReason) { d.refusals.WithLabelValues(service, string(reason)).Inc() }
 	p.changed = func(held bool) {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -11,7 +11,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/caller"
 )
@@ -192,7 +191,7 @@
 var replayTriggers = []string{"Idempotency-Key", "X-Idempotency-Key"}
 
 // toTarget returns the HTTP request for a target.
-func (r *request) toTarget(address string) (*http.Request, error) {
+func (r *request) toTarget(now time.Time, address string) (*http.Request, error) {
 	h, err := http.NewRequest(r.method, "http://"+address+r.path, bytes.NewReader(r.body))
 	if err != nil {
 		return nil, fmt.Errorf("making the request for the target: %w", err)
@@ -204,12 +203,12 @@
 	for _, name := range hopByHop {
 		h.Header.Del(name)
 	}
-	r.finish(h)
+	r.finish(now, h)
 	return h, nil
 }
 
 // toPeer returns the HTTP request for another entry box.
-func (r *request) toPeer() (*http.Request, error) {
+func (r *request) toPeer(now time.Time) (*http.Request, error) {
 	h, err := http.NewRequest(r.method, "http://peer"+caller.ServicePrefix+r.service+r.path, bytes.NewReader(r.body))
 	if err != nil {
 		return nil, fmt.Errorf("making the request for another entry box: %w", err)
@@ -222,16 +221,16 @@
 	h.Header.Set(headerForeign, strconv.FormatBool(r.foreign))
 	h.Header.Set(headerNoWait, strconv.FormatBool(r.noWait))
 	h.Header.Set(caller.HeaderRepeatable, strconv.FormatBool(r.repeatable))
-	r.finish(h)
+	r.finish(now, h)
 	return h, nil
 }
 
-func (r *request) finish(h *http.Request) {
+func (r *request) finish(now time.Time, h *http.Request) {
 	h.ContentLength = int64(len(r.body))
 	if len(r.body) == 0 {
 		h.Body = http.NoBody
 	}
-	h.Header.Set(caller.HeaderDeadline, strconv.FormatInt(max(boottime.Until(r.deadline).Milliseconds(), 1), 10))
+	h.Header.Set(caller.HeaderDeadline, strconv.FormatInt(max(r.deadline.Sub(now).Milliseconds(), 1), 10))
 	h.Header.Set(caller.HeaderRequestID, r.id)
 	if r.repeatable {
 		return
--- a/internal/entry/stopping.go
+++ b/internal/entry/stopping.go
@@ -24,8 +24,9 @@
 
 // stopping hosts the planned stop of this box.
 type stopping struct {
-	mu   sync.Mutex
-	stop drain.Stop
+	clock *boottime.Clock
+	mu    sync.Mutex
+	stop  drain.Stop
 }
 
 func (s *stopping) begun() bool {
@@ -48,20 +49,20 @@
 func (s *stopping) begin(ttl, longest time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stop.Begin(boottime.Now(), ttl, longest)
+	s.stop.Begin(s.clock.Now(), ttl, longest)
 }
 
 func (s *stopping) update(inFlight *atomic.Int64) drain.Phase {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	phase, _ := s.stop.Update(boottime.Now(), int(inFlight.Load()))
+	phase, _ := s.stop.Update(s.clock.Now(), int(inFlight.Load()))
 	return phase
 }
 
 func (s *stopping) progress() drain.Progress {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stop.Progress(boottime.Now())
+	return s.stop.Progress(s.clock.Now())
 }
 
 // stopAsPlanned leaves the look-ups, serves until cached answers have run out,
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"ledgesill.dev/ledgesill/contrib/standin"
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/config"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/relay"
@@ -53,8 +54,6 @@
 	nonce       int
 	// platform is the address of the platform's list, if there is one.
 	platform string
-	// asleep is for how long all machines were suspended together, in nanoseconds.
-	asleep atomic.Int64
 	// onEvidence takes what boxes tell control of requests under which targets ended.
 	onEvidence func(*wire.Evidence)
 
@@ -68,8 +67,14 @@
 	daemon           *Daemon
 	cancel           context.CancelFunc
 	done             chan error
+	// asleep is for how long its machine was suspended, in nanoseconds. Virtual time stands
+	// still meanwhile, as its steady clock does.
+	asleep *atomic.Int64
 }
 
+// suspend has the box's machine be suspended.
+func (b *runningBox) suspend(d time.Duration) { b.asleep.Add(int64(d)) }
+
 type runningTarget struct {
 	host   string
 	zone   string
@@ -264,8 +269,10 @@
 func (s *system) startBox(name string) {
 	host := boxHosts[name]
 	s.network.revive(host)
+	asleep := &atomic.Int64{}
+	clock := boottime.NewClock(func() time.Duration { return time.Duration(asleep.Load()) })
 	c := config.Entry{
-		Common:        config.Common{Name: name, PeerAddress: host + ":2", LogLevel: "error"},
+		Common:        config.Common{Clock: clock, Name: name, PeerAddress: host + ":2", LogLevel: "error"},
 		CallerAddress: host + ":1",
 		Region:        "east",
 		Zone:          zoneOfBox(name),
@@ -278,7 +285,7 @@
 		s.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	b := &runningBox{name: name, host: host, zone: c.Zone, daemon: d, cancel: cancel, done: make(chan error, 1)}
+	b := &runningBox{name: name, host: host, zone: c.Zone, daemon: d, cancel: cancel, done: make(chan error, 1), asleep: asleep}
 	go func() { b.done <- d.Run(ctx) }()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 )
@@ -16,7 +15,7 @@
 // or no further one may be tried.
 func (c *call) attempts(ctx context.Context) {
 	c.ended = make(chan attemptEnd)
-	c.alarm = time.NewTimer(boottime.Until(c.ends))
+	c.alarm = time.NewTimer(c.gateway.clock.Until(c.ends))
 	defer c.alarm.Stop()
 	defer c.dropFallback()
 	for {
@@ -128,9 +127,9 @@
 
 // wanted is what a target is sought for.
 func (c *call) wanted() balance.Request {
-	left := c.route.Objective - boottime.Since(c.began)
+	left := c.route.Objective - c.gateway.clock.Since(c.began)
 	if c.sent+len(c.underWay) > 0 {
-		left = boottime.Until(c.ends) // late is better than not at all
+		left = c.gateway.clock.Until(c.ends) // late is better than not at all
 	}
 	return balance.Request{
 		Service:   c.service,
@@ -257,7 +256,7 @@
 	if c.mayHaveRun && c.route.Repeat == catalog.Unrepeatable {
 		return false
 	}
-	if boottime.Until(c.ends) < leastLeft || !c.body.repeatable() || !c.mayRepeat() {
+	if c.gateway.clock.Until(c.ends) < leastLeft || !c.body.repeatable() || !c.mayRepeat() {
 		return false
 	}
 	c.retry = failure == nil || failure.sent
--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 )
@@ -54,7 +53,7 @@
 		gateway: c.gateway, request: c.request, id: c.id, body: c.body, target: choice.Target,
 		workspace: c.workspaceName(), ends: c.ends, permitEnds: firstOf(c.permitEnds(), choice.permitEnds),
 	}
-	u := &underWay{attempt: a, choice: choice, began: boottime.Now(), ctx: ctx, cancel: cancel}
+	u := &underWay{attempt: a, choice: choice, began: c.gateway.clock.Now(), ctx: ctx, cancel: cancel}
 	c.tried = append(c.tried, choice.Target.ID)
 	c.underWay = append(c.underWay, u)
 	go func() { c.ended <- u.run() }()
@@ -74,7 +73,7 @@
 // with all its requests.
 func (u *underWay) run() (e attemptEnd) {
 	defer func() {
-		e.took = boottime.Since(u.began)
+		e.took = u.attempt.gateway.clock.Since(u.began)
 		if p := recover(); p != nil {
 			e.out, e.failure = nil, u.attempt.notePanic(p)
 		}
@@ -91,7 +90,7 @@
 		return
 	}
 	last := c.underWay[len(c.underWay)-1]
-	c.alarm.Reset(max(boottime.Until(last.began.Add(last.choice.Patience)), leastAsk))
+	c.alarm.Reset(max(c.gateway.clock.Until(last.began.Add(last.choice.Patience)), leastAsk))
 }
 
 // mayRunBeside reports whether the request may go to a further target while one
@@ -100,7 +99,7 @@
 	if c.route.Repeat == catalog.Unrepeatable || !c.body.whole() {
 		return false
 	}
-	if boottime.Until(c.ends) < leastLeft || c.dials >= maxDials || !c.mayRepeat() {
+	if c.gateway.clock.Until(c.ends) < leastLeft || c.dials >= maxDials || !c.mayRepeat() {
 		return false
 	}
 	return c.sent+len(c.underWay) < c.route.MaxAttempts
@@ -128,7 +127,7 @@
 		return
 	}
 	c.beside.count++
-	c.beside.after = boottime.Since(c.underWay[0].began)
+	c.beside.after = c.gateway.clock.Since(c.underWay[0].began)
 	c.gateway.metrics.beside.Inc()
 	c.launch(ctx, choice)
 }
@@ -140,7 +139,7 @@
 		return
 	}
 	u.overdue = true
-	c.gateway.overdue(balance.Report{TargetID: u.choice.Target.ID, Route: c.route.Name, Outcome: balance.Stuck, Took: boottime.Since(u.began)})
+	c.gateway.overdue(balance.Report{TargetID: u.choice.Target.ID, Route: c.route.Name, Outcome: balance.Stuck, Took: c.gateway.clock.Since(u.began)})
 }
 
 // untilAsk is when another target may be sought again.
@@ -196,7 +195,7 @@
 // hasFallback reports whether there is an answer in place of a better one. What is
 // left of it to be read can't be had once the time is over.
 func (c *call) hasFallback() bool {
-	return c.fallback != nil && (c.fallback.rest == nil || boottime.Now().Before(c.ends))
+	return c.fallback != nil && (c.fallback.rest == nil || c.gateway.clock.Now().Before(c.ends))
 }
 
 // passFallback hands the caller the answer that was put aside.
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -5,7 +5,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/retry"
 )
 
@@ -21,7 +20,7 @@
 func (d *Daemon) countFirst(service string) {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	d.budget(service).First(boottime.Since(d.started))
+	d.budget(service).First(d.clock.Since(d.started))
 }
 
 // allowsRetry reports whether a retry is left in this box's part of the budget of
@@ -29,7 +28,7 @@
 func (d *Daemon) allowsRetry(service string) bool {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	return d.budget(service).Allows(boottime.Since(d.started), d.retryExtra())
+	return d.budget(service).Allows(d.clock.Since(d.started), d.retryExtra())
 }
 
 // retryExtra is this box's part of the retries that are free; below zero where
@@ -40,7 +39,7 @@
 	if d.balancing.boxes == 0 {
 		return math.Inf(-1)
 	}
-	if d.config.Restarted && boottime.Since(d.started) < d.config.RetryWindow {
+	if d.config.Restarted && d.clock.Since(d.started) < d.config.RetryWindow {
 		return 0
 	}
 	return d.config.RetryExtra / float64(d.balancing.boxes)
@@ -53,7 +52,7 @@
 func (d *Daemon) takeRetry(service string) bool {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	at, extra := boottime.Since(d.started), d.retryExtra()
+	at, extra := d.clock.Since(d.started), d.retryExtra()
 	budget := d.budget(service)
 	if !budget.Allows(at, extra) {
 		return false
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"ledgesill.dev/ledgesill/internal/boottime"
 )
 
 const (
@@ -71,7 +69,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s == http.StateIdle {
-		c.idle[conn] = boottime.Now()
+		c.idle[conn] = c.gateway.clock.Now()
 		return
 	}
 	delete(c.idle, conn)
@@ -122,7 +120,7 @@
 	ticker := time.NewTicker(endIdleTick)
 	defer ticker.Stop()
 	for {
-		c.closeIdle(boottime.Now())
+		c.closeIdle(c.gateway.clock.Now())
 		if c.resting() == 0 {
 			return
 		}
@@ -145,13 +143,13 @@
 // while kept answers of look-ups may still name it, then takes no more
 // connections and waits for the requests that it has read.
 func (d *Daemon) leave() {
-	began := boottime.Now()
+	began := d.clock.Now()
 	d.stopping.Store(true)
 	d.log.Info().Str("kind", "stopping").Int64("inFlight", d.inFlight.Load()).Msg("told to stop; leaves the look-ups")
 	d.reportToAll(context.Background())
 	total := d.config.StopTime - stopReserve
 	time.Sleep(min(acceptTime, total/2))
-	ctx, cancel := boottime.WithDeadline(context.Background(), began.Add(total))
+	ctx, cancel := d.clock.WithDeadline(context.Background(), began.Add(total))
 	defer cancel()
 	if err := d.callers.end(ctx); err != nil {
 		d.log.Warn().Str("kind", "stopping").Err(err).Int64("inFlight", d.inFlight.Load()).Msg("requests are cut off, the time to stop is over")
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -6,11 +6,15 @@
 
 	"github.com/rs/zerolog"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 )
 
 // Config is what a gateway is told at its start.
 type Config struct {
+	// Clock is that of the machine, nil for the one at hand; no flag sets it.
+	Clock *boottime.Clock
+
 	Name   string
 	Zone   string
 	Region string
--- a/internal/gateway/connection.go
+++ b/internal/gateway/connection.go
@@ -10,9 +10,9 @@
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"ledgesill.dev/ledgesill/internal/boottime"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -46,6 +46,7 @@
 // connections keeps idle connections by target.
 type connections struct {
 	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	clock  *boottime.Clock
 	mu     sync.Mutex
 	idle   map[string][]*connection
 	closed bool
@@ -64,7 +65,7 @@
 		if c == nil {
 			break
 		}
-		if boottime.Now().Before(c.idleUntil) && isQuiet(c.Conn) {
+		if p.clock.Now().Before(c.idleUntil) && isQuiet(c.Conn) {
 			return c, nil
 		}
 		_ = c.Close() // nothing is under way on it
@@ -94,7 +95,7 @@
 // put keeps a connection on which nothing is under way.
 func (p *connections) put(target string, c *connection, idle time.Duration) {
 	c.used = true
-	c.idleUntil = boottime.Now().Add(time.Duration(float64(idle) * idlePart))
+	c.idleUntil = p.clock.Now().Add(time.Duration(float64(idle) * idlePart))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle[target]) >= maxIdle {
@@ -127,7 +128,7 @@
 }
 
 func (p *connections) close() {
-	p.sweep(boottime.Now(), func(string) bool { return false })
+	p.sweep(p.clock.Now(), func(string) bool { return false })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -35,6 +35,7 @@
 
 // Daemon is one entry box.
 type Daemon struct {
+	clock     *boottime.Clock
 	config    Config
 	process   *process.Process
 	lines     *process.LogWriter
@@ -99,28 +100,32 @@
 		process:     p,
 		lines:       lines,
 		log:         p.Log,
-		started:     boottime.Now(),
+		started:     c.Clock.Now(),
+		clock:       c.Clock,
 		metrics:     newMetrics(p.Metrics),
 		servedLines: process.NewLineLimit(servedLines),
 		otherLines:  process.NewLineLimit(otherLines),
 		reportDue:   make(chan struct{}, 1),
 	}
+	p.Time = c.Clock
 	d.balancing.balancer = balance.New(balance.Config{Box: c.Name, Zone: c.Zone, Region: c.Region})
 	d.balancing.budgets = make(map[string]*retry.Window)
 	d.balancing.splits = make(map[string]*balance.Split)
 	d.connections = newConnections(d.metrics.connections.Inc)
+	d.connections.clock = d.clock
 	p.Gauge("log_lines_dropped", "Log lines that the reader did not take in time.", func() float64 { return float64(lines.Dropped()) })
 	p.Gauge("control_age_seconds", "Age of the word of control.", func() float64 { return d.following.Age().Seconds() })
 	d.shaper = newShaper(c.LinkBytes)
+	d.shaper.clock = d.clock
 	d.longAnswers = newLinkQueue(c.LinkBytes)
 	d.controls = newControls(c.Seeds)
-	d.permits = newPermits()
+	d.permits = newPermits(d.clock)
 	d.permitLinks = newPermitLinks(func(ctx context.Context, address string) (*link.Messages, error) { return d.node.Permits(ctx, address) })
 	d.permits.call = d.permitLinks.call
 	d.permits.replicas = d.controls.all
 	d.permits.request = d.workspaceRequest
 	d.permits.answered = d.notePermits
-	d.targetLimits = newTargetLimits(c.Name)
+	d.targetLimits = newTargetLimits(c.Name, d.clock)
 	d.targetLimits.permits.call = d.permitLinks.call
 	d.targetLimits.permits.replicas = d.controls.replicas
 	d.targetLimits.permits.answered = d.notePermits
@@ -135,6 +140,7 @@
 		PeerAddress: c.Peers,
 		Node:        func() *link.Node { return d.node },
 		Clock:       p.Clock,
+		Time:        d.clock,
 		Seed:        seed.Sum64(),
 		StaleAfter:  staleAfter,
 		Sources:     d.sources,
@@ -250,7 +256,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			now := boottime.Now()
+			now := d.clock.Now()
 			d.connections.sweep(now, d.knows)
 			d.callers.sweep(now)
 			d.permits.forget(now)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
 )
 
@@ -98,7 +97,7 @@
 
 // notePanic logs a panic of the attempt, ends its connection and returns its failure.
 func (a *attempt) notePanic(value any) *attemptError {
-	if a.gateway.otherLines.Take(boottime.Now()) {
+	if a.gateway.otherLines.Take(a.gateway.clock.Now()) {
 		stack := make([]byte, panicStack)
 		stack = stack[:runtime.Stack(stack, false)]
 		a.gateway.log.Error().Str("kind", "panic").Str("request", a.id).Str("target", a.target.ID).
@@ -113,18 +112,18 @@
 // run sends the request and reads the answer. The context ends when the caller
 // leaves, the time is over or another target has answered.
 func (a *attempt) run(ctx context.Context) (*answer, *attemptError) {
-	began := boottime.Now()
+	began := a.gateway.clock.Now()
 	c, err := a.gateway.connections.get(ctx, a.target.ID, a.target.Address)
 	if err != nil {
 		return nil, &attemptError{outcome: a.unless(ctx, balance.Unreachable), err: err}
 	}
-	if err := a.tooLate(boottime.Now()); err != nil {
+	if err := a.tooLate(a.gateway.clock.Now()); err != nil {
 		_ = c.Close() // nothing was sent on it
 		return nil, &attemptError{outcome: balance.Dropped, err: err}
 	}
 	a.connection = c
 	if !c.used {
-		a.connect = boottime.Since(began)
+		a.connect = a.gateway.clock.Since(began)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	out, err := a.exchange(c)
@@ -175,7 +174,7 @@
 }
 
 func (a *attempt) exchange(c *connection) (*answer, error) {
-	words := headWords{target: a.target.Name, workspace: a.workspace, left: boottime.Until(a.ends), length: a.body.length}
+	words := headWords{target: a.target.Name, workspace: a.workspace, left: a.gateway.clock.Until(a.ends), length: a.body.length}
 	sent := a.body.send(c, a.gateway.config.Protocol.requestHead(a.request, words))
 	for range maxSkipped {
 		response, err := readFinal(c, a.request)
@@ -230,8 +229,8 @@
 		}
 		_ = c.Close()
 	}
-	began := boottime.Now()
-	slow := func() bool { return boottime.Since(began) > collectTime }
+	began := a.gateway.clock.Now()
+	slow := func() bool { return a.gateway.clock.Since(began) > collectTime }
 	body, more, err := readUpTo(response.Body, response.ContentLength, wholeAnswer, slow)
 	if err != nil {
 		return nil, errors.Wrap(err, "reading the body of the answer")
--- a/internal/gateway/finalanswer.go
+++ b/internal/gateway/finalanswer.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
 )
 
@@ -29,7 +28,7 @@
 		c.refuse(none.Reason, none.RetryAfter)
 	case !c.mayHaveRun:
 		c.refuse("notRun", c.retryAfter())
-	case !boottime.Now().Before(c.ends):
+	case !c.gateway.clock.Now().Before(c.ends):
 		c.fail(http.StatusGatewayTimeout, "timeOut", cause)
 	default:
 		c.fail(http.StatusBadGateway, "unknown", cause)
@@ -75,7 +74,7 @@
 	c.dropFallback()
 	if out.length >= 0 {
 		c.gateway.longAnswers.note(c.route.Name, out.length)
-		c.booked.settle(boottime.Now(), out.length)
+		c.booked.settle(c.gateway.clock.Now(), out.length)
 	}
 	c.writeHead(out)
 	_, err := c.writer.Write(out.body)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/quota"
 )
 
@@ -32,7 +31,7 @@
 		return true
 	}
 	until, err := c.gateway.permits.take(ctx, c.workspace.Name)
-	c.permitWait = boottime.Since(c.began)
+	c.permitWait = c.gateway.clock.Since(c.began)
 	if err == nil {
 		c.permits = append(c.permits, until)
 		return true
@@ -65,7 +64,7 @@
 // request may go on; if not, it has been answered.
 func (c *call) renewPermit(ctx context.Context) bool {
 	ends := c.permitEnds()
-	if ends.IsZero() || boottime.Now().Before(ends) {
+	if ends.IsZero() || c.gateway.clock.Now().Before(ends) {
 		return true
 	}
 	i := c.possibleRuns + len(c.underWay)
--- a/internal/gateway/loglimit.go
+++ b/internal/gateway/loglimit.go
@@ -2,8 +2,6 @@
 
 import (
 	"github.com/rs/zerolog"
-
-	"ledgesill.dev/ledgesill/internal/boottime"
 )
 
 const (
@@ -20,7 +18,7 @@
 	if served {
 		limit = d.servedLines
 	}
-	if !limit.Take(boottime.Now()) {
+	if !limit.Take(d.clock.Now()) {
 		return nil
 	}
 	if served {
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -36,6 +36,7 @@
 	// answered is told how an ask has ended.
 	answered func(a quota.IssuerAsks, err error)
 
+	clock *boottime.Clock
 	mu    sync.Mutex
 	stock *quota.Stock
 	// changed is closed and replaced when waiting requests may look again.
@@ -44,14 +45,14 @@
 	due chan struct{}
 }
 
-func newPermits() *permits {
-	return &permits{stock: quota.NewStock(), changed: make(chan struct{}), due: make(chan struct{}, 1)}
+func newPermits(c *boottime.Clock) *permits {
+	return &permits{clock: c, stock: quota.NewStock(), changed: make(chan struct{}), due: make(chan struct{}, 1)}
 }
 
 // take returns a permit of a workspace, for which it may wait. The error is an
 // OverLimitError or SilentError of package quota, or the context's.
 func (p *permits) take(ctx context.Context, workspace string) (until time.Time, err error) {
-	now := boottime.Now()
+	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stock.Count(now, workspace)
@@ -65,14 +66,14 @@
 	p.stock.Wait(workspace)
 	defer p.stock.Unwait(workspace)
 	for {
-		if err := p.stock.Refusal(boottime.Now(), workspace); err != nil {
+		if err := p.stock.Refusal(p.clock.Now(), workspace); err != nil {
 			return time.Time{}, err
 		}
 		p.wake()
 		if err := p.await(ctx, latest.C); err != nil {
-			return time.Time{}, errors.CombineErrors(p.stock.Refusal(boottime.Now(), workspace), err)
+			return time.Time{}, errors.CombineErrors(p.stock.Refusal(p.clock.Now(), workspace), err)
 		}
-		if until, ok := p.stock.Take(boottime.Now(), workspace); ok {
+		if until, ok := p.stock.Take(p.clock.Now(), workspace); ok {
 			return until, nil
 		}
 	}
@@ -100,7 +101,7 @@
 func (p *permits) takeNow(workspace string) (until time.Time, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.stock.Take(boottime.Now(), workspace)
+	return p.stock.Take(p.clock.Now(), workspace)
 }
 
 // putBack returns a permit that was not used.
@@ -167,7 +168,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stock.SetIssuers(replicas)
-	return p.stock.Asks(boottime.Now())
+	return p.stock.Asks(p.clock.Now())
 }
 
 func (p *permits) waiting() bool {
@@ -198,11 +199,11 @@
 	defer p.mu.Unlock()
 	defer p.tellLocked()
 	if e.err != nil {
-		p.stock.Unanswered(boottime.Now(), e.asks)
+		p.stock.Unanswered(p.clock.Now(), e.asks)
 		return
 	}
 	if e.answer.GetBehind() {
-		p.stock.Behind(boottime.Now(), e.asks)
+		p.stock.Behind(p.clock.Now(), e.asks)
 		return
 	}
 	grants := make([]quota.Grant, 0, len(e.answer.GetGrants()))
@@ -212,7 +213,7 @@
 			Life: time.Duration(g.LifeMilli) * time.Millisecond, Wait: time.Duration(g.WaitMilli) * time.Millisecond,
 		})
 	}
-	p.stock.Answered(boottime.Now(), e.asks, grants)
+	p.stock.Answered(p.clock.Now(), e.asks, grants)
 }
 
 // tell has waiting requests look again.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/isolation"
 	"ledgesill.dev/ledgesill/pkg/quarantine"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -15,6 +14,7 @@
 // newIsolation returns what keeps requests from targets that ended under them.
 func (d *Daemon) newIsolation() *isolation.Isolation {
 	return isolation.New(isolation.Config{
+		Clock: d.clock,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return d.connections.dial(ctx, "tcp4", address)
 		},
@@ -37,7 +37,7 @@
 
 func (d *Daemon) noteEnded(r isolation.Run) {
 	d.metrics.endedRuns.Inc()
-	if !d.otherLines.Take(boottime.Now()) {
+	if !d.otherLines.Take(d.clock.Now()) {
 		return
 	}
 	d.log.Warn().Str("kind", "targetEnded").Str("request", r.Request).Str("digest", r.End.Request.String()).
@@ -152,7 +152,7 @@
 // noteBroken takes that the connection of an attempt broke: its target may have ended.
 func (c *call) noteBroken(e attemptEnd) {
 	id := c.identity()
-	now := boottime.Now()
+	now := c.gateway.clock.Now()
 	c.gateway.isolation.Broke(isolation.Run{
 		End: quarantine.End{
 			Request: id.digest, Caller: id.caller, Life: e.choice.Target.ID, Route: c.route.Name, Service: c.service,
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -24,7 +23,7 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	for {
-		now := boottime.Now()
+		now := d.clock.Now()
 		schedule.SetInterval(lookup.ReportInterval(d.boxCount()))
 		schedule.SetReplicas(now, d.controls.all())
 		due, next := schedule.Due(now)
@@ -37,7 +36,7 @@
 				}
 			})
 		}
-		wake := time.NewTimer(boottime.Until(next))
+		wake := time.NewTimer(d.clock.Until(next))
 		if next.IsZero() {
 			wake.Stop()
 		}
@@ -46,9 +45,9 @@
 			wake.Stop()
 			return ctx.Err()
 		case <-d.reportDue:
-			schedule.Changed(boottime.Now())
+			schedule.Changed(d.clock.Now())
 		case e := <-ended:
-			schedule.Ended(boottime.Now(), e.address, e.err == nil)
+			schedule.Ended(d.clock.Now(), e.address, e.err == nil)
 		case <-wake.C:
 		}
 		wake.Stop()
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -4,14 +4,12 @@
 	"net/http"
 
 	"github.com/rs/zerolog"
-
-	"ledgesill.dev/ledgesill/internal/boottime"
 )
 
 // log tells what became of the request and what decided it.
 func (c *call) log(status int, reason string, cause error) {
 	d := c.gateway
-	took := boottime.Since(c.began)
+	took := c.gateway.clock.Since(c.began)
 	d.metrics.count(c.route.Name, status, reason, took)
 	line := d.requestLine(status < http.StatusBadRequest && cause == nil)
 	if line == nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/quarantine"
@@ -102,7 +101,7 @@
 
 // ServeHTTP takes a request of a caller.
 func (d *Daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{gateway: d, request: r, writer: w, began: boottime.Now(), rules: d.rules.Load()}
+	c := &call{gateway: d, request: r, writer: w, began: d.clock.Now(), rules: d.rules.Load()}
 	c.id = d.config.Protocol.requestID(r)
 	if d.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -142,7 +141,7 @@
 		return
 	}
 	c.ends = c.began.Add(min(c.deadline(), route.Timeout))
-	ctx, cancel := boottime.WithDeadline(c.request.Context(), c.ends)
+	ctx, cancel := c.gateway.clock.WithDeadline(c.request.Context(), c.ends)
 	defer cancel()
 	if !c.passQuarantine() {
 		return
@@ -161,7 +160,7 @@
 		return
 	}
 	c.booked = booked
-	defer func() { booked.settle(boottime.Now(), 0) }()
+	defer func() { booked.settle(c.gateway.clock.Now(), 0) }()
 	if !c.renewPermit(ctx) {
 		return
 	}
--- a/internal/gateway/shaper.go
+++ b/internal/gateway/shaper.go
@@ -26,6 +26,7 @@
 type shaper struct {
 	// perByte is the time that one byte takes; zero for no bound.
 	perByte time.Duration
+	clock   *boottime.Clock
 	mu      sync.Mutex
 	free    time.Time
 }
@@ -92,7 +93,7 @@
 // copy passes a long answer on, piece by piece. Left is how many bytes are still to
 // come, below zero if that is not known.
 func (s *shaper) copy(ctx context.Context, to io.Writer, from io.Reader, left int64) error {
-	p := s.book(boottime.Now(), left)
+	p := s.book(s.clock.Now(), left)
 	defer p.end()
 	piece := make([]byte, shapedPiece)
 	for {
@@ -112,7 +113,7 @@
 }
 
 func (p *passage) write(ctx context.Context, to io.Writer, piece []byte) error {
-	if wait := p.wait(boottime.Now(), len(piece)); wait > 0 {
+	if wait := p.wait(p.shaper.clock.Now(), len(piece)); wait > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/steering"
@@ -73,7 +72,7 @@
 	for _, r := range registrations {
 		changed = append(changed, d.target(r))
 	}
-	now := boottime.Now()
+	now := d.clock.Now()
 	d.balancing.Lock()
 	d.balancing.balancer.ChangeTargets(now, changed, names(ended))
 	d.balancing.balancer.SetEvacuated(now, c.Evacuated())
@@ -151,13 +150,13 @@
 func (d *Daemon) choose(r balance.Request) (balance.Choice, error) {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	return d.balancing.balancer.Choose(boottime.Now(), r)
+	return d.balancing.balancer.Choose(d.clock.Now(), r)
 }
 
 func (d *Daemon) done(r balance.Report) {
 	d.metrics.attempts.WithLabelValues(r.Outcome.String()).Inc()
 	d.balancing.Lock()
-	change := d.balancing.balancer.Done(boottime.Now(), r)
+	change := d.balancing.balancer.Done(d.clock.Now(), r)
 	d.balancing.Unlock()
 	d.noteTarget(change, r)
 }
@@ -166,14 +165,14 @@
 // than it is waited for; the request stays under way.
 func (d *Daemon) overdue(r balance.Report) {
 	d.balancing.Lock()
-	change := d.balancing.balancer.Overdue(boottime.Now(), r)
+	change := d.balancing.balancer.Overdue(d.clock.Now(), r)
 	d.balancing.Unlock()
 	d.noteTarget(change, r)
 }
 
 // noteTarget tells that a target was lost or is back.
 func (d *Daemon) noteTarget(change balance.Change, r balance.Report) {
-	if change == balance.Unchanged || !d.otherLines.Take(boottime.Now()) {
+	if change == balance.Unchanged || !d.otherLines.Take(d.clock.Now()) {
 		return
 	}
 	line := d.log.Warn().Str("kind", "target").Str("target", r.TargetID).Str("outcome", r.Outcome.String()).Dur("took", r.Took)
@@ -187,14 +186,14 @@
 func (d *Daemon) noteCold(target string, left time.Duration) {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	d.balancing.balancer.NoteCold(boottime.Now(), target, left)
+	d.balancing.balancer.NoteCold(d.clock.Now(), target, left)
 }
 
 // retryAfter is when a request that a target did not run may come back.
 func (d *Daemon) retryAfter(target, route string) time.Duration {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	return d.balancing.balancer.RetryAfter(boottime.Now(), target, route)
+	return d.balancing.balancer.RetryAfter(d.clock.Now(), target, route)
 }
 
 const (
@@ -212,7 +211,7 @@
 
 // untilRoutes is when a caller may come back to a box that has no routes yet.
 func (d *Daemon) untilRoutes() time.Duration {
-	left := routesTime - boottime.Since(d.started)
+	left := routesTime - d.clock.Since(d.started)
 	if left < 0 {
 		return routesOverdue
 	}
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -34,6 +34,7 @@
 
 // targetLimits is what a box knows of targets that name limits, and what it may send them.
 type targetLimits struct {
+	clock   *boottime.Clock
 	permits *permits
 	// named is how many targets name limits: while there are none, answers without a limit
 	// say nothing new.
@@ -47,10 +48,10 @@
 	told map[string]time.Time
 }
 
-func newTargetLimits(box string) *targetLimits {
-	p := newPermits()
+func newTargetLimits(box string, c *boottime.Clock) *targetLimits {
+	p := newPermits(c)
 	p.stock = quota.NewTargetStock()
-	l := &targetLimits{permits: p, known: quota.NewTargetLimits(), alone: quota.NewAlone(box), told: make(map[string]time.Time)}
+	l := &targetLimits{clock: c, permits: p, known: quota.NewTargetLimits(), alone: quota.NewAlone(box), told: make(map[string]time.Time)}
 	p.request = l.request
 	return l
 }
@@ -58,7 +59,7 @@
 // request asks a replica for permits; it tells what is known of the limits, as the replica
 // may have started since it was told.
 func (l *targetLimits) request(asks []quota.Ask) *wire.PermitRequest {
-	now := boottime.Now()
+	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := &wire.PermitRequest{}
@@ -88,7 +89,7 @@
 	defer l.mu.Unlock()
 	c, changed = l.take(word)
 	if l.known.Of(word.Life).PerSecond != word.PerSecond {
-		l.told[word.Life] = boottime.Now()
+		l.told[word.Life] = l.clock.Now()
 	}
 	return c, changed
 }
@@ -110,7 +111,7 @@
 
 // toTell returns what a report is to tell of limits.
 func (l *targetLimits) toTell() []*wire.TargetLimit {
-	now := boottime.Now()
+	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	maps.DeleteFunc(l.told, func(_ string, since time.Time) bool { return now.Sub(since) > tellTime })
@@ -163,7 +164,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if until, ok := l.alone.Take(boottime.Now(), l.known.Of(life)); ok {
+	if until, ok := l.alone.Take(l.clock.Now(), l.known.Of(life)); ok {
 		return until, nil
 	}
 	return time.Time{}, err
@@ -194,9 +195,9 @@
 		if err != nil || !choice.Limited {
 			return chosen{Choice: choice}, err
 		}
-		began := boottime.Now()
+		began := c.gateway.clock.Now()
 		until, err := c.gateway.targetLimits.permit(ctx, choice.Target.ID, waitEnds.Sub(began))
-		c.targetPermitWait += boottime.Since(began)
+		c.targetPermitWait += c.gateway.clock.Since(began)
 		if err == nil {
 			c.gateway.metrics.targetPermits.Inc()
 			return chosen{choice, until}, nil
@@ -216,7 +217,7 @@
 	if d.targetLimits.named.Load() == 0 {
 		return time.Time{} // the usual request needs no time
 	}
-	return boottime.Now().Add(wait)
+	return d.clock.Now().Add(wait)
 }
 
 // passOver takes a choice back for which there is no permit.
@@ -227,7 +228,7 @@
 	c.passedOverFor = cause
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	now := boottime.Now()
+	now := c.gateway.clock.Now()
 	d.balancing.balancer.Withhold(now, choice.Target.ID, now.Add(pauseAfter(cause)))
 }
 
@@ -258,7 +259,7 @@
 
 // takeLimits takes what other boxes were told of limits.
 func (d *Daemon) takeLimits(list []*wire.TargetLimit) {
-	now := boottime.Now()
+	now := d.clock.Now()
 	for _, m := range list {
 		if change, changed := d.targetLimits.hearOf(quota.TargetLimitOf(now, m)); changed {
 			d.noteLimit(change, "")
@@ -273,7 +274,7 @@
 	d.balancing.balancer.SetLimited(c.Life, c.After < quota.NoLimit)
 	d.balancing.Unlock()
 	d.metrics.targetLimits.Set(float64(d.targetLimits.named.Load()))
-	if !d.otherLines.Take(boottime.Now()) {
+	if !d.otherLines.Take(d.clock.Now()) {
 		return
 	}
 	line := d.log.Warn().Str("kind", "targetLimit").Str("target", c.Life)
--- a/internal/gateway/targetlimits_test.go
+++ b/internal/gateway/targetlimits_test.go
@@ -13,10 +13,12 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -257,8 +259,10 @@
 	boxes   []*Daemon
 	targets []*needy
 	control *controlScene
-	random  *rand.Rand
-	asked   int
+	// asleep is for how long the machine of each box was suspended, in nanoseconds.
+	asleep []*atomic.Int64
+	random *rand.Rand
+	asked  int
 	// served and refused count the answers to callers; told are the times that refused ones
 	// got, and slowest is how long a refusal took at most.
 	mu              sync.Mutex
@@ -288,6 +292,9 @@
 	for i := range boxes {
 		config := testConfig()
 		config.Name = list[i].Name
+		asleep := &atomic.Int64{}
+		s.asleep = append(s.asleep, asleep)
+		config.Clock = boottime.NewClock(func() time.Duration { return time.Duration(asleep.Load()) })
 		d := newDaemon(t, config, addresses...)
 		d.setBoxes(list)
 		d.connections.dial = func(_ context.Context, _, address string) (net.Conn, error) {
@@ -527,6 +534,33 @@
 	})
 }
 
+// A box that alone is suspended, again and again, uses no permit of before, and takes nothing
+// from what the others may send.
+func TestLimitHoldsWhileSingleBoxesAreSuspended(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		const limit = 9.6
+		s := newNeedyScene(t, 9, 4)
+		s.load(80, time.Second)
+		s.targets[0].name(fmt.Sprint(limit))
+		from := time.Now().Add(needWindow)
+		for i := range 40 {
+			s.load(80, 350*time.Millisecond)
+			s.asleep[i%3].Add(int64(2 * time.Second))
+		}
+		used := float64(s.targets[0].between(from, time.Now())) / time.Since(from).Seconds()
+		s.settle()
+		s.wantWithin(t, 0, limit, from)
+		if used < 0.9*limit {
+			t.Errorf("got %v requests a second of %v", used, limit)
+		}
+		for i, d := range s.boxes {
+			if lost := d.clock.Suspended(); (lost > 0) != (i < 3) {
+				t.Errorf("box %d counts %s", i, lost)
+			}
+		}
+	})
+}
+
 // The other targets serve what a target in need is kept from, and its own objects go back
 // once it names no limit: they have one home each time.
 func TestObjectsOfALimitedTargetHaveASecondHome(t *testing.T) {
--- a/internal/isolation/isolation.go
+++ b/internal/isolation/isolation.go
@@ -57,6 +57,8 @@
 
 // Config is what an Isolation needs of its box.
 type Config struct {
+	// Clock is that of the box's machine; nil for the one at hand.
+	Clock *boottime.Clock
 	// Dial opens a connection to a target.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// DialTimeout bounds it.
@@ -136,11 +138,11 @@
 			tell.Reset(i.tellDue(ctx, l))
 		case t := <-l.told:
 			i.mu.Lock()
-			i.outbox.Ended(boottime.Now(), t.address, t.err == nil)
+			i.outbox.Ended(i.config.Clock.Now(), t.address, t.err == nil)
 			i.mu.Unlock()
 			tell.Reset(i.tellDue(ctx, l))
 		case <-forget.C:
-			i.forget(boottime.Now())
+			i.forget(i.config.Clock.Now())
 		}
 	}
 }
@@ -163,7 +165,7 @@
 
 // tellDue tells the replicas what they lack and returns when to look again.
 func (i *Isolation) tellDue(ctx context.Context, l *loop) time.Duration {
-	now := boottime.Now()
+	now := i.config.Clock.Now()
 	replicas := i.config.Replicas()
 	i.mu.Lock()
 	i.outbox.SetReplicas(replicas)
@@ -177,7 +179,7 @@
 	if next.IsZero() {
 		return tellInterval
 	}
-	return max(boottime.Until(next), 0)
+	return max(i.config.Clock.Until(next), 0)
 }
 
 // evidence returns items as a message.
@@ -243,7 +245,7 @@
 	if !l.Ended {
 		return
 	}
-	now := boottime.Now()
+	now := i.config.Clock.Now()
 	for _, r := range runs {
 		i.mu.Lock()
 		news := i.guard.Ended(now, r.End)
@@ -269,7 +271,7 @@
 
 // Answered takes a whole answer to a request.
 func (i *Isolation) Answered(d quarantine.Digest, c quarantine.Caller) {
-	now := boottime.Now()
+	now := i.config.Clock.Now()
 	i.mu.Lock()
 	tell := i.guard.Answered(now, d, c)
 	if tell {
@@ -314,7 +316,7 @@
 // Admit decides on a request that arrives. One that is let in on probation must be
 // finished by Finish.
 func (i *Isolation) Admit(d quarantine.Digest, c quarantine.Caller) quarantine.Verdict {
-	now, wall := boottime.Now(), time.Now() // time of day: the list tells by it until when it holds
+	now, wall := i.config.Clock.Now(), time.Now() // time of day: the list tells by it until when it holds
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	return i.guard.Admit(now, wall, d, c)
@@ -329,7 +331,7 @@
 
 // MayRepeat reports whether a further target may get a request that has been let in.
 func (i *Isolation) MayRepeat(d quarantine.Digest, c quarantine.Caller) bool {
-	now, wall := boottime.Now(), time.Now() // time of day: the list tells by it until when it holds
+	now, wall := i.config.Clock.Now(), time.Now() // time of day: the list tells by it until when it holds
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	return i.guard.MayRepeat(now, wall, d, c)
--- a/internal/process/linelimit.go
+++ b/internal/process/linelimit.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"ledgesill.dev/ledgesill/internal/boottime"
 )
 
 // LineLimit bounds the log lines of one kind: what goes beyond it is counted.
@@ -18,7 +16,7 @@
 
 // NewLineLimit returns a limit of a number of lines a second, and as many at once.
 func NewLineLimit(rate float64) *LineLimit {
-	return &LineLimit{rate: rate, tokens: rate, at: boottime.Now()}
+	return &LineLimit{rate: rate, tokens: rate}
 }
 
 // Take reports whether a line may be written.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -18,6 +18,7 @@
 	"github.com/thejerf/suture/v4"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/timeline"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -43,9 +44,11 @@
 	Log         zerolog.Logger
 	Metrics     *prometheus.Registry
 	Clock       *timeline.Clock
-	Ring        *timeline.Ring
-	events      *prometheus.CounterVec
-	file        *eventFile
+	// Time tells spans of time; nil for the machine at hand.
+	Time   *boottime.Clock
+	Ring   *timeline.Ring
+	events *prometheus.CounterVec
+	file   *eventFile
 }
 
 // New returns a process with a new incarnation. If folder is not empty, events
--- a/internal/process/suspensions.go
+++ b/internal/process/suspensions.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"ledgesill.dev/ledgesill/internal/boottime"
 )
 
 // suspensionInterval is how often it is looked whether the machine was suspended. It is
@@ -15,14 +13,14 @@
 func (p *Process) NoteSuspensions(ctx context.Context) error {
 	ticker := time.NewTicker(suspensionInterval)
 	defer ticker.Stop()
-	known := boottime.Suspended()
+	known := p.Time.Suspended()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		if all := boottime.Suspended(); all > known {
+		if all := p.Time.Suspended(); all > known {
 			p.Log.Warn().Str("kind", "suspended").Dur("took", all-known).Dur("inAll", all).Msg("the machine was suspended")
 			known = all
 		}
--- a/internal/relay/following.go
+++ b/internal/relay/following.go
@@ -31,6 +31,8 @@
 	// Node returns the node whose links are used.
 	Node  func() *link.Node
 	Clock *timeline.Clock
+	// Time is the clock of the process's machine; nil for the one at hand.
+	Time *boottime.Clock
 	// Seed spreads the retries of boxes.
 	Seed uint64
 	// StaleAfter is how old the word of control may be before another
@@ -82,9 +84,9 @@
 func NewFollowing(s Subscriber) *Following {
 	f := &Following{
 		subscriber: s,
-		machine:    distribution.NewFollower(boottime.Now(), s.Seed),
+		machine:    distribution.NewFollower(s.Time.Now(), s.Seed),
 		inbox:      make(chan distribution.Event, followInbox),
-		started:    boottime.Now(),
+		started:    s.Time.Now(),
 		reads:      make(chan openedStream, 1),
 		opened:     make(chan openedStream, 1),
 		changed:    make(chan struct{}, 1),
@@ -102,7 +104,7 @@
 	if at == 0 {
 		return time.Hour
 	}
-	return boottime.Since(f.started) - time.Duration(at)
+	return f.subscriber.Time.Since(f.started) - time.Duration(at)
 }
 
 // SourcesChanged has the sources asked for anew.
@@ -146,7 +148,7 @@
 }
 
 func (f *Following) handle(ctx context.Context, e distribution.Event) {
-	f.carryOut(ctx, f.machine.Handle(boottime.Now(), e))
+	f.carryOut(ctx, f.machine.Handle(f.subscriber.Time.Now(), e))
 }
 
 // renewSources asks for the sources after what has come by the subscription is
@@ -223,8 +225,8 @@
 		f.cancel = cancel
 		go f.subscribe(worker, *out.Subscribe)
 	}
-	if age := f.machine.Age(boottime.Now()); f.heard.Load() > 0 || age < followTick {
-		f.heard.Store(int64(max(boottime.Since(f.started)-age, 1)))
+	if age := f.machine.Age(f.subscriber.Time.Now()); f.heard.Load() > 0 || age < followTick {
+		f.heard.Store(int64(max(f.subscriber.Time.Since(f.started)-age, 1)))
 	}
 	if out.State == nil {
 		return
@@ -275,7 +277,7 @@
 			f.put(ctx, distribution.Lost{Attempt: s.Attempt})
 			return
 		}
-		at := boottime.Now()
+		at := f.subscriber.Time.Now()
 		f.subscriber.Clock.Observe(u.Clock)
 		if first {
 			first = false
@@ -307,7 +309,7 @@
 	if f.stream == nil || f.subscriber.Reports == nil {
 		return
 	}
-	news := f.filter.News(boottime.Now(), f.subscriber.Reports(), f.machine.State().Shifting())
+	news := f.filter.News(f.subscriber.Time.Now(), f.subscriber.Reports(), f.machine.State().Shifting())
 	if len(news) == 0 {
 		return
 	}
--- a/internal/relay/publishing.go
+++ b/internal/relay/publishing.go
@@ -28,6 +28,7 @@
 	reports     map[string]boxReport
 	age         func() time.Duration
 	stamp       func() *wire.Clock
+	clock       *boottime.Clock
 	// limits returns what targets say of their limits that has changed after a change,
 	// and the number of the last one; nil where nothing is known of them.
 	limits func(after uint64) (changed []*wire.TargetLimit, last uint64)
@@ -87,6 +88,9 @@
 	}
 }
 
+// SetClock sets the clock of the process's machine. It must be called before Serve.
+func (p *Publishing) SetClock(c *boottime.Clock) { p.clock = c }
+
 // SetLimits has subscribers told what targets say of their limits. It must be called
 // before Serve; LimitsChanged tells of changes.
 func (p *Publishing) SetLimits(limits func(after uint64) (changed []*wire.TargetLimit, last uint64)) {
@@ -225,7 +229,7 @@
 		if err := m.Write(u); err != nil {
 			return
 		}
-		sent := boottime.Now()
+		sent := p.clock.Now()
 		version = max(version, u.Version)
 		due = false
 		select {
@@ -242,7 +246,7 @@
 			return
 		case <-ended:
 			return
-		case <-time.After(boottime.Until(sent.Add(updateSpacing))):
+		case <-time.After(p.clock.Until(sent.Add(updateSpacing))):
 		}
 	}
 }
@@ -295,7 +299,7 @@
 // Fresh returns the reports that are not older than within, by the names of
 // their boxes.
 func (p *Publishing) Fresh(within time.Duration) []*wire.BoxReport {
-	now := boottime.Now()
+	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []*wire.BoxReport
@@ -320,7 +324,7 @@
 
 // Collect takes the reports of a subtree. The newest report of a box counts.
 func (p *Publishing) Collect(r *wire.Report) {
-	now := boottime.Now()
+	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, b := range r.Boxes {
@@ -334,7 +338,7 @@
 
 // Reports returns the collected reports with their present age.
 func (p *Publishing) Reports() []*wire.BoxReport {
-	now := boottime.Now()
+	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make([]*wire.BoxReport, 0, len(p.reports))
