--- a/contrib/demo/workspaces.go
+++ b/contrib/demo/workspaces.go
@@ -103,6 +103,7 @@
 type workspaceDemo struct {
 	driver *driver
 	target *workspaceTarget
+	needy  *needyTarget
 
 	mu     sync.Mutex
 	counts map[string]map[string]int
@@ -116,10 +117,14 @@
 		return nil, fmt.Errorf("putting the document of routes: %w", err)
 	}
 	for i := range workspaceTargets {
-		if err := w.startTarget(ctx, i); err != nil {
+		if err := w.startTarget(ctx, i, w.target); err != nil {
 			return nil, err
 		}
 	}
+	w.needy = &needyTarget{next: w.target}
+	if err := w.startTarget(ctx, workspaceTargets, w.needy); err != nil {
+		return nil, err
+	}
 	for i := range gateways {
 		if err := d.waitReady(ctx, gatewayAddress(i, 1)); err != nil {
 			return nil, err
@@ -147,12 +152,12 @@
 	}
 }
 
-func (w *workspaceDemo) startTarget(ctx context.Context, i int) error {
+func (w *workspaceDemo) startTarget(ctx context.Context, i int, h http.Handler) error {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return fmt.Errorf("listening as a target: %w", err)
 	}
-	server := &http.Server{Handler: w.target, ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(l) }() // ends with the demo
 	word := map[string]any{
 		"service": workspaceService, "address": l.Addr().String(), "zone": w.driver.layout.Boxes[i].Zone, "slots": targetSlots, "sequence": 1,
@@ -249,7 +254,8 @@
 		}
 		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t\n", one.name, limit, asked, c["served"], c["overLimit"], c["other"], most, allowed)
 	}
-	return errors.Join(append(broken, table.Flush())...)
+	broken = append(broken, table.Flush(), w.needy.report())
+	return errors.Join(broken...)
 }
 
 // mostInWindow returns the most runs of a workspace at targets in any window.
