--- a/internal/control/permits_test.go
+++ b/internal/control/permits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,6 +45,31 @@
 	}
 }
 
+// What comes free while the machine is suspended is there when it wakes, and no more.
+func TestIssuerCountsASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asleep atomic.Int64
+		clock := boottime.NewClock(func() time.Duration { return time.Duration(asleep.Load()) })
+		p, err := process.New("a", io.Discard, zerolog.Disabled, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := &Daemon{clock: clock, process: p, targetLimits: newTargetLimits("a"), publishing: relay.NewPublishing(steering.State{}, nil, nil)}
+		d.targetLimits.clock = clock
+		d.targetLimits.setReplicas(clock.Now(), &wire.Membership{Voters: []*wire.Replica{{Address: "a"}}})
+		request := &wire.PermitRequest{TargetAsks: []*wire.TargetPermitAsk{
+			{Limit: &wire.TargetLimit{Life: "t", Limited: true, PerSecond: 4}, Count: 100},
+		}}
+		if answer := d.answerPermits(request); answer.Grants[0].Count != 0 {
+			t.Errorf("at first: %v", answer)
+		}
+		asleep.Store(int64(time.Minute))
+		if answer := d.answerPermits(request); answer.Grants[0].Count != 3 {
+			t.Errorf("after a suspension: %v, want the one permit and half a second's two", answer)
+		}
+	})
+}
+
 // A replica that has just started takes a target's limit from the ask, issues its part, and
 // has its subscribers told; one that hears by a report that the limit was taken back too.
 func TestReplicaIssuesForATargetWithALimit(t *testing.T) {
