gateway, balance, entry: bound what a request asks of targets in need, and tell pools less

Found by reading: where a thousand targets are at their limits a request chose and asked for one after the other, 0.1 ms of a core each; and at the other kind of box each answer sent its pool a word, also while no target names a limit. Change: after four targets in need a request goes to one without a limit, or is refused with the time until the first has room; a pool hears of answers without a limit only while a target names one.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -220,7 +220,7 @@
 // away does not take a limit back.
 func (s *slot) readLimit(response *http.Response) {
 	text := response.Header.Get(caller.HeaderLimit)
-	if text == "" && shed(response) {
+	if text == "" && (shed(response) || !s.pool.limited.Load()) {
 		return
 	}
 	word := quota.TargetLimit{Life: s.target, PerSecond: quota.NoLimit, Sent: s.began, Heard: s.pool.clock.Now()}
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -82,6 +82,9 @@
 	resting  bool
 	// other is the box that the voters named as the holder.
 	other atomic.Pointer[string]
+	// limited tells that a target names a limit: while none does, answers without one say
+	// nothing new.
+	limited atomic.Bool
 
 	ask     func([]lease.Request)
 	changed func(held bool)
@@ -128,7 +131,11 @@
 		if c, ok := m.event.(admission.Cancel); ok {
 			delete(p.waiting, c.ID)
 		}
-		return p.carryOut(now, p.admission.Handle(now, m.event))
+		out := p.admission.Handle(now, m.event)
+		if _, ok := m.event.(admission.Named); ok {
+			p.limited.Store(p.admission.AnyLimited())
+		}
+		return p.carryOut(now, out)
 	case poolArrival:
 		p.waiting[m.arrive.ID] = m.reply
 		return p.carryOut(now, p.admission.Handle(now, m.arrive))
--- a/internal/entry/targetlimits_test.go
+++ b/internal/entry/targetlimits_test.go
@@ -85,6 +85,7 @@
 	}
 	for name, c := range cases {
 		s := &slot{pool: newPool("s", "box", "i", 1), target: "t"}
+		s.pool.limited.Store(true)
 		s.readLimit(&http.Response{StatusCode: c.status, Header: c.header})
 		got := 0.0 // for no word
 		if len(s.pool.inbox) > 0 {
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -80,7 +80,7 @@
 }
 
 // errNoPermitInTime says that a request has waited for a permit for too long.
-var errNoPermitInTime = errors.New("no control replica answered in time whether the workspace is within its limit")
+var errNoPermitInTime = errors.New("no control replica answered in time whether the limit leaves room")
 
 // await waits, without the lock, until it is worth while to look again.
 func (p *permits) await(ctx context.Context, latest <-chan time.Time) error {
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -21,6 +21,10 @@
 	// targetPermitWait bounds how long a request waits for permits of targets that name
 	// limits before it goes to others: a way between regions and back.
 	targetPermitWait = 100 * time.Millisecond
+	// mostPassedOver is how many targets in need a request is kept from before it goes to one
+	// that names no limit, or is refused if there is none: where a thousand are at their
+	// limits, asking for each in turn would take the box's processor time.
+	mostPassedOver = 4
 	// permitPause is for how long a target gets nothing for which no permit came in time.
 	permitPause = 50 * time.Millisecond
 	// leastPermitPause keeps a target from being asked for by each request in turn.
@@ -191,7 +195,9 @@
 func (c *call) choosePermitted(ctx context.Context, wait time.Duration) (chosen, error) {
 	waitEnds := c.gateway.permitWaitEnds(wait)
 	for {
-		choice, err := c.gateway.choose(c.wanted())
+		wanted := c.wanted()
+		wanted.Unlimited = len(c.passedOver) >= mostPassedOver
+		choice, err := c.gateway.choose(wanted)
 		if err != nil || !choice.Limited {
 			return chosen{Choice: choice}, err
 		}
--- a/internal/gateway/targetpermits_test.go
+++ b/internal/gateway/targetpermits_test.go
@@ -189,3 +189,27 @@
 		s.wantNoneCounted(t)
 	})
 }
+
+// Where many targets are at their limits, a request asks for a few of them and then goes to
+// one without a limit, or is refused.
+func TestRequestAsksForFewTargetsInNeed(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s, r := namedScene(t, 20, map[string]int{"a": 0, "b": 0})
+		s.scripts = scripts(answersLimited(200, ""))
+		for i := 1; i < 19; i++ {
+			s.heard(fmt.Sprint("t", i), 5)
+		}
+		s.wantAnswer(t, s.ask(t.Context(), "/single/", ""), "ok", 0)
+		s.heard("t19", 5)
+		time.Sleep(time.Minute)
+		r.mu.Lock()
+		r.asked = 0
+		r.mu.Unlock()
+		wantRefusal(t, s.ask(t.Context(), "/single/", ""), http.StatusServiceUnavailable)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if most := mostPassedOver * len(r.left); r.asked > most {
+			t.Errorf("%d asks for one request, want %d at most", r.asked, most)
+		}
+	})
+}
--- a/pkg/admission/limited.go
+++ b/pkg/admission/limited.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"ledgesill.dev/ledgesill/pkg/quota"
@@ -58,6 +59,13 @@
 	return int(r.tokens)
 }
 
+// grant counts a request that was granted.
+func (r *rate) grant() {
+	if r.limit.Named() {
+		r.tokens--
+	}
+}
+
 // mayCheck reports whether the target's health may be checked now, and counts the check.
 func (r *rate) mayCheck(now time.Time) bool {
 	if !r.limit.Named() {
@@ -82,6 +90,11 @@
 	return names
 }
 
+// AnyLimited reports whether a target names a limit.
+func (p *Pool) AnyLimited() bool {
+	return slices.ContainsFunc(p.targets, func(t *target) bool { return t.rate.limit.Named() })
+}
+
 // limitedRate is how many requests a second the pool can grant where all targets in service
 // name limits; ok is false where one does not.
 func (p *Pool) limitedRate(now time.Time) (perSecond float64, ok bool) {
--- a/pkg/admission/target.go
+++ b/pkg/admission/target.go
@@ -107,7 +107,7 @@
 
 func (t *target) granted() {
 	t.inFlight++
-	t.rate.tokens--
+	t.rate.grant()
 	t.peak = max(t.peak, t.inFlight)
 }
 
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -52,7 +52,8 @@
 
 // noneUsable says that no target of a service can be used.
 func (b *Balancer) noneUsable(now time.Time, s *service, r Request) *NoTargetError {
-	if room, ok := b.nextRoom(now, s, r); ok {
+	room, ok := b.nextRoom(now, s, r)
+	if ok {
 		return &NoTargetError{Service: s.name, Reason: ReasonLimited, RetryAfter: s.spread(room), Registered: len(s.targets)}
 	}
 	return &NoTargetError{Service: s.name, Reason: ReasonNone, RetryAfter: firstRetryAfter, Registered: len(s.targets)}
--- a/pkg/balance/limited.go
+++ b/pkg/balance/limited.go
@@ -41,14 +41,15 @@
 	t.withheldUntil = until
 }
 
-// nextRoom returns how long it takes until a target has room again that is withheld and
-// could be used otherwise; ok is false if there is none.
+// nextRoom returns how long it takes until a target that names a limit may have room for a
+// request; ok is false if there is none that could be used.
 func (b *Balancer) nextRoom(now time.Time, s *service, r Request) (room time.Duration, ok bool) {
+	r.Unlimited = false
 	for _, t := range s.targets {
-		if !now.Before(t.withheldUntil) || !r.allows(t) || !b.isOpen(now, t) {
+		if !t.limited || !r.allows(t) || !b.isOpen(now, t) {
 			continue
 		}
-		if wait := t.withheldUntil.Sub(now); !ok || wait < room {
+		if wait := max(t.withheldUntil.Sub(now), 0); !ok || wait < room {
 			room, ok = wait, true
 		}
 	}
--- a/pkg/balance/limited_test.go
+++ b/pkg/balance/limited_test.go
@@ -74,3 +74,28 @@
 		balancer.Done(now, Report{TargetID: c.Target.ID, Route: "r", Outcome: Answered, Took: 500 * time.Millisecond})
 	}
 }
+
+// Where no target in need has room, one without a limit is found at once; where there is
+// none, callers are told when the first has room.
+func TestUnlimitedRequestPassesTargetsInNeed(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := New(Config{Box: "box", Zone: "z", Region: "r"})
+	var all []Target
+	for i := range 20 {
+		all = append(all, Target{ID: fmt.Sprint("t", i), Service: "s", Zone: "z", Region: "r", Slots: 4})
+	}
+	b.SetTargets(now, all)
+	for _, given := range all[1:] {
+		b.SetLimited(given.ID, true)
+	}
+	r := anyRequest
+	r.Unlimited = true
+	if choice, err := b.Choose(now, r); err != nil || choice.Target.ID != "t0" || choice.Limited {
+		t.Errorf("got %+v, %v", choice, err)
+	}
+	b.SetLimited("t0", true)
+	var none *NoTargetError
+	if _, err := b.Choose(now, r); !errors.As(err, &none) || none.Reason != ReasonLimited {
+		t.Errorf("where all name limits: %v", err)
+	}
+}
--- a/pkg/balance/request.go
+++ b/pkg/balance/request.go
@@ -22,6 +22,8 @@
 	// what remains of it.
 	Objective time.Duration
 	Left      time.Duration
+	// Unlimited leaves out targets that name limits.
+	Unlimited bool
 	// Tried are the targets that it was sent to before.
 	Tried []string
 }
@@ -78,6 +80,9 @@
 
 // allows reports whether a target is one that the request may be sent to.
 func (r Request) allows(t *targetState) bool {
+	if r.Unlimited && t.limited {
+		return false
+	}
 	if len(r.Regions) > 0 && !slices.Contains(r.Regions, t.Region) {
 		return false
 	}
--- a/pkg/quota/targetissuer.go
+++ b/pkg/quota/targetissuer.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -42,15 +43,20 @@
 	if len(names) <= count {
 		return names
 	}
-	rank := func(name string) uint64 { return xxhash.Sum64String(life + "\x00" + name) }
-	out := slices.Clone(names)
-	slices.SortFunc(out, func(a, b string) int {
-		if rank(a) > rank(b) {
-			return -1
-		}
-		return 1
-	})
-	return out[:count]
+	type ranked struct {
+		name string
+		rank uint64
+	}
+	all := make([]ranked, 0, len(names))
+	for _, name := range names {
+		all = append(all, ranked{name, xxhash.Sum64String(life + "\x00" + name)})
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	out := make([]string, 0, count)
+	for _, r := range all[:count] {
+		out = append(out, r.name)
+	}
+	return out
 }
 
 // partOfTarget is what one of a number of issuers may issue of a target's limit.
