gateway: put the limit that is known now in force, and send without permits only where replicas are silent

Found by reading: two changes of a limit told at the same moment could come into force in the wrong order, and an attempt beside another took from what one box may send without control also while replicas answered. Change: what is known under the balancer's lock counts; attempts beside use permits in stock alone. Measured: the package's tests.

--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -142,6 +142,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.known.Keep(now, lives)
+	maps.DeleteFunc(l.told, func(life string, _ time.Time) bool { return !lives(life) })
 	l.alone.Keep(func(life string) bool { return l.known.Of(life).Named() })
 	l.named.Store(int32(l.known.Named()))
 }
@@ -150,17 +151,15 @@
 // tells why there is none.
 func (l *targetLimits) permit(ctx context.Context, life string, wait time.Duration) (until time.Time, err error) {
 	if wait <= 0 {
-		var ok bool
-		if until, ok = l.permits.takeNow(life); ok {
-			return until, nil
-		}
-		err = errNoPermitInTime
-	} else {
-		ctx, cancel := context.WithTimeout(ctx, wait)
-		defer cancel()
-		if until, err = l.permits.take(ctx, life); err == nil {
+		if until, ok := l.permits.takeNow(life); ok {
 			return until, nil
 		}
+		return until, errNoPermitInTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	if until, err = l.permits.take(ctx, life); err == nil {
+		return until, nil
 	}
 	var over *quota.OverLimitError
 	if errors.As(err, &over) {
@@ -277,7 +276,8 @@
 // whose answer told it, empty where another box was told.
 func (d *Daemon) noteLimit(c quota.LimitChange, request string) {
 	d.balancing.Lock()
-	d.balancing.balancer.SetLimited(c.Life, c.After < quota.NoLimit)
+	// Another change may have been told meanwhile: what is known now counts.
+	d.balancing.balancer.SetLimited(c.Life, d.targetLimits.of(c.Life).Named())
 	d.balancing.Unlock()
 	d.metrics.targetLimits.Set(float64(d.targetLimits.named.Load()))
 	if !d.otherLines.Take(d.clock.Now()) {
