--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -366,61 +365,6 @@
 	return d.addresses[id]
 }
 
-func (d *Daemon) serveCall(ctx context.Context, _ string, request *wire.CallRequest) *wire.CallAnswer {
-	switch {
-	case request.Hello != nil:
-		return d.serveHello(ctx)
-	case request.Timeline != nil:
-		return &wire.CallAnswer{Timeline: d.process.Ring.Events(request.Timeline)}
-	case request.Join != nil:
-		d.noteJoining(request.Join.Replica)
-		return &wire.CallAnswer{Join: &wire.JoinAnswer{Noted: true}}
-	case request.Report != nil:
-		d.collect(request.Report)
-		return &wire.CallAnswer{}
-	case request.Submit != nil:
-		return d.serveSubmit(ctx, request)
-	case request.Read != nil:
-		return d.serveRead(ctx, request)
-	case request.Workspaces != nil:
-		return &wire.CallAnswer{Workspaces: d.ownWorkspaces()}
-	case request.Words != nil:
-		return d.serveWords(ctx, request.Words)
-	case request.Evidence != nil:
-		return d.serveEvidence(request.Evidence)
-	}
-	return &wire.CallAnswer{Error: "a control replica does not answer this"}
-}
-
-func (d *Daemon) serveHello(ctx context.Context) *wire.CallAnswer {
-	v, err := d.replica.view(ctx)
-	if err != nil {
-		return &wire.CallAnswer{Error: err.Error()}
-	}
-	return &wire.CallAnswer{Hello: &wire.HelloAnswer{
-		Id:          d.replica.id,
-		Incarnation: d.process.Incarnation,
-		Version:     v.state.Version(),
-		Formed:      len(v.membership.Voters) > 0,
-		Membership:  v.membership,
-		Leader:      v.status.Leader,
-
-		TakesQuarantine: true,
-	}}
-}
-
-func (d *Daemon) noteJoining(r *wire.Replica) {
-	if r == nil || !d.config.Seeded && !slices.Contains(d.config.Peers, r.Address) {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.joining[r.Address].GetId() != r.Id {
-		d.process.StateChange(&wire.TimelineEvent{Kind: "replicaJoining", Box: r.Id, Detail: "a replica on a new disk asks to be taken in at " + r.Address})
-	}
-	d.joining[r.Address] = r
-}
-
 const viewInterval = 200 * time.Millisecond
 
 // watch keeps the age of the leader's word and passes reports to the leader.
--- a/pkg/quota/targetissuer.go
+++ b/pkg/quota/targetissuer.go
@@ -13,11 +13,11 @@
 //	L*(W + targetLife) + issuers + L*targetDepth   with permits,
 //	aloneShare*L*W + 1                             without control,
 //
-// which for W = 4 s is 5.8*L + 4. Of a limit below leastTargetRate it is at most 5: whole
-// permits come of each of the issuers and of the one box. Each permit is used once, within targetLife from its ask on;
-// a bucket starts empty, so that an issuer that starts anew adds nothing; a permit that is
-// lost or late is not used. A replica that was let go and does not know it adds a third of
-// the first line.
+// which for W = 4 s is 5.8*L + 4. Of a limit below leastTargetRate it is at most 5, as only
+// whole permits come of each of the issuers and of the one box. Each permit is used once,
+// within targetLife from its ask on; a bucket starts empty, so that an issuer that starts
+// anew adds nothing; a permit that is lost or late is not used. A replica that was let go and
+// does not know it adds a third of the first line.
 const (
 	// targetIssuers is how many control replicas issue for one target: the loss of one
 	// leaves two thirds of its limit, and a box of a region has one near more often than
