--- a/internal/gateway/targetlimits_test.go
+++ b/internal/gateway/targetlimits_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
