--- a/internal/gateway/targetlimits_test.go
+++ b/internal/gateway/targetlimits_test.go
@@ -6,10 +6,7 @@
 	"testing"
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
-	"ledgesill.dev/ledgesill/pkg/quota"
-	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
 // Seen: a target named in its answers how many requests a second it takes from all boxes
