quota, gateway: let a limit that is reckoned anew for each answer be no news

Cause, by reading: a target that names a slightly other limit in each answer had each told to all replicas and by them to all boxes; a thousand of them are 5,600 changes a second. Change: a raise of up to a tenth is none; a lower limit always holds. A box asks for reports at once each 0.25 s at most. Measured: 1,000 answers within a twentieth of 10 a second are 3 changes at most; a limit that rises by small steps is raised.

--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -32,6 +32,9 @@
 	// tellTime is for how long each report tells what a target said: three of the longest
 	// intervals between two, as reports may be lost and replicas start anew.
 	tellTime = 6 * time.Second
+	// tellPause is the least time between two reports for the sake of limits. Asks for permits
+	// tell what is new besides.
+	tellPause = 250 * time.Millisecond
 	// mostTold bounds the words in one report, of some 40 bytes each.
 	mostTold = 256
 )
@@ -50,6 +53,8 @@
 	// told are changes that targets told this box itself, by their lives, with the times
 	// since which they are reported.
 	told map[string]time.Time
+	// hurried is when a report was last asked for at once.
+	hurried time.Time
 }
 
 func newTargetLimits(box string, c *boottime.Clock) *targetLimits {
@@ -98,6 +103,18 @@
 	return c, changed
 }
 
+// mayHurry reports whether a report may be asked for at once, and counts that.
+func (l *targetLimits) mayHurry() bool {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.hurried) < tellPause {
+		return false
+	}
+	l.hurried = now
+	return true
+}
+
 func (l *targetLimits) take(word quota.TargetLimit) (quota.LimitChange, bool) {
 	c, changed := l.known.Take(word)
 	if changed {
@@ -258,7 +275,9 @@
 	}
 	if change, changed := c.gateway.targetLimits.hear(word); changed {
 		c.gateway.noteLimit(change, c.id)
-		c.gateway.reportsChanged()
+		if c.gateway.targetLimits.mayHurry() {
+			c.gateway.reportsChanged()
+		}
 	}
 }
 
--- a/internal/gateway/targetpermits_test.go
+++ b/internal/gateway/targetpermits_test.go
@@ -213,3 +213,21 @@
 		}
 	})
 }
+
+// Limits that change with each answer have a box report at once no more often than each
+// tellPause.
+func TestReportsForLimitsAreSpaced(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s, _ := namedScene(t, 1, nil)
+		hurried := 0
+		for range 100 {
+			if s.daemon.targetLimits.mayHurry() {
+				hurried++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		if most := int(2*time.Second/tellPause) + 1; hurried > most || hurried < most/2 {
+			t.Errorf("%d reports in 2 s, want %d at most", hurried, most)
+		}
+	})
+}
--- a/pkg/quota/targetlimit.go
+++ b/pkg/quota/targetlimit.go
@@ -29,12 +29,19 @@
 // Named reports whether the target named a limit.
 func (l TargetLimit) Named() bool { return l.PerSecond < NoLimit }
 
+// leastRaise is the part by which a limit must rise to count as changed. A target that
+// reckons its limit anew for each answer would have each told to all boxes.
+const leastRaise = 0.1
+
 // With returns what is known of the limit once a further word of the target has come.
 // Answers that ran beside each other come in any order: of two words of which either may
 // be the later one the lower limit holds.
 func (l TargetLimit) With(word TargetLimit) TargetLimit {
 	switch {
 	case !word.Sent.Before(l.Heard):
+		if word.PerSecond > l.PerSecond && word.PerSecond <= l.PerSecond*(1+leastRaise) {
+			word.PerSecond = l.PerSecond
+		}
 		return word
 	case !word.Heard.After(l.Sent):
 		return l
--- a/pkg/quota/targetlimit_test.go
+++ b/pkg/quota/targetlimit_test.go
@@ -24,6 +24,8 @@
 	}{
 		"later, raised":          {said(8, 20, 30), 8},
 		"later, taken back":      {said(NoLimit, 25, 30), NoLimit},
+		"later, hardly raised":   {said(5.4, 20, 30), 5},
+		"later, hardly lowered":  {said(4.9, 20, 30), 4.9},
 		"earlier, none yet":      {said(NoLimit, 1, 10), 5},
 		"beside it, none":        {said(NoLimit, 15, 40), 5},
 		"beside it, raised":      {said(8, 5, 40), 5},
@@ -65,6 +67,30 @@
 	}
 }
 
+// A target that reckons its limit anew for each answer is no news each time, and one that
+// names a little more each time has its limit raised in the end.
+func TestNoiseIsNoNews(t *testing.T) {
+	book := NewTargetLimits()
+	changes := 0
+	take := func(at time.Duration, perSecond float64) {
+		if _, changed := book.Take(said(perSecond, at, at+1)); changed {
+			changes++
+		}
+	}
+	for i := range 1000 {
+		take(time.Duration(2*i), 10+float64(i*7%10)/20)
+	}
+	if changes > 3 || book.Of(oneTarget).PerSecond != 10 {
+		t.Errorf("%d changes, %v a second", changes, book.Of(oneTarget).PerSecond)
+	}
+	for i := range 100 {
+		take(time.Duration(3000+2*i), 10+float64(i)/5)
+	}
+	if got := book.Of(oneTarget).PerSecond; got < 27 {
+		t.Errorf("a limit that rose to 29.8 is known as %v", got)
+	}
+}
+
 // Of words in any order, with answers that ran beside each other, what is known is never
 // above the least of what the target may have said last.
 func TestLimitIsNeverAboveWhatWasSaidLast(t *testing.T) {
