gateway: two tests that raced with themselves

Cause: one put another isolation in place while the goroutine of the first was being started, the other emptied a map without its lock; no code of the product takes part in either trace. Measured: the package passes under the race detector.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -34,7 +34,8 @@
 	m := &mortals{scene: newScene(t, testConfig(), targets), reached: make(chan time.Time, 1000), ended: make([]atomic.Bool, targets)}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- m.scene.daemon.isolation.Run(ctx) }()
+	own := m.scene.daemon.isolation // a test may put another in its place
+	go func() { ended <- own.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
 		<-ended
--- a/internal/gateway/targetlimits_test.go
+++ b/internal/gateway/targetlimits_test.go
@@ -139,7 +139,9 @@
 				}
 				from := time.Now().Add(needWindow)
 				s.load(80, needWindow)
+				s.mu.Lock()
 				clear(s.told)
+				s.mu.Unlock()
 				s.load(80, 10*time.Second)
 				used, length := 0, time.Since(from).Seconds()
 				for i := range s.targets {
