--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -23,8 +23,11 @@
 	targetPermitWait = 100 * time.Millisecond
 	// mostPassedOver is how many targets in need a request is kept from before it goes to one
 	// that names no limit, or is refused if there is none: where a thousand are at their
-	// limits, asking for each in turn would take the box's processor time.
-	mostPassedOver = 4
+	// limits, asking for each in turn would take the box's processor time. One about an object
+	// is kept from its home alone: another target in need does not know the object, takes
+	// longer for it, and lacks the permit for objects of its own.
+	mostPassedOver       = 4
+	mostPassedOverObject = 1
 	// permitPause is for how long a target gets nothing for which no permit came in time.
 	permitPause = 50 * time.Millisecond
 	// leastPermitPause keeps a target from being asked for by each request in turn.
@@ -32,6 +35,9 @@
 	// tellTime is for how long each report tells what a target said: three of the longest
 	// intervals between two, as reports may be lost and replicas start anew.
 	tellTime = 6 * time.Second
+	// tellPause is the least time between two reports for the sake of limits. Asks for permits
+	// tell what is new besides.
+	tellPause = 250 * time.Millisecond
 	// mostTold bounds the words in one report, of some 40 bytes each.
 	mostTold = 256
 )
@@ -50,6 +56,8 @@
 	// told are changes that targets told this box itself, by their lives, with the times
 	// since which they are reported.
 	told map[string]time.Time
+	// hurried is when a report was last asked for at once.
+	hurried time.Time
 }
 
 func newTargetLimits(box string, c *boottime.Clock) *targetLimits {
@@ -98,6 +106,18 @@
 	return c, changed
 }
 
+// mayHurry reports whether a report may be asked for at once, and counts that.
+func (l *targetLimits) mayHurry() bool {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.hurried) < tellPause {
+		return false
+	}
+	l.hurried = now
+	return true
+}
+
 func (l *targetLimits) take(word quota.TargetLimit) (quota.LimitChange, bool) {
 	c, changed := l.known.Take(word)
 	if changed {
@@ -195,7 +215,7 @@
 	waitEnds := c.gateway.permitWaitEnds(wait)
 	for {
 		wanted := c.wanted()
-		wanted.Unlimited = len(c.passedOver) >= mostPassedOver
+		wanted.Unlimited = len(c.passedOver) >= mostPassed(wanted)
 		choice, err := c.gateway.choose(wanted)
 		if err != nil || !choice.Limited {
 			return chosen{Choice: choice}, err
@@ -211,6 +231,13 @@
 	}
 }
 
+func mostPassed(r balance.Request) int {
+	if r.Key != "" {
+		return mostPassedOverObject
+	}
+	return mostPassedOver
+}
+
 // returnPermit gives a permit back with which nothing was sent.
 func (d *Daemon) returnPermit(choice chosen) {
 	if !choice.permitEnds.IsZero() {
@@ -258,7 +285,9 @@
 	}
 	if change, changed := c.gateway.targetLimits.hear(word); changed {
 		c.gateway.noteLimit(change, c.id)
-		c.gateway.reportsChanged()
+		if c.gateway.targetLimits.mayHurry() {
+			c.gateway.reportsChanged()
+		}
 	}
 }
 
--- a/internal/gateway/targetlimits_test.go
+++ b/internal/gateway/targetlimits_test.go
@@ -6,7 +6,10 @@
 	"testing"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
+
 	"ledgesill.dev/ledgesill/pkg/balance"
+	"ledgesill.dev/ledgesill/pkg/quota"
 )
 
 // Seen: a target named in its answers how many requests a second it takes from all boxes
@@ -139,7 +142,9 @@
 				}
 				from := time.Now().Add(needWindow)
 				s.load(80, needWindow)
+				s.mu.Lock()
 				clear(s.told)
+				s.mu.Unlock()
 				s.load(80, 10*time.Second)
 				used, length := 0, time.Since(from).Seconds()
 				for i := range s.targets {
@@ -257,3 +262,32 @@
 		}
 	})
 }
+
+// A request about an object goes from its home in need to a target without a limit, never to
+// another one in need.
+func TestObjectIsKeptFromItsHomeAlone(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newNeedyScene(t, 1, 4)
+		d := s.boxes[0]
+		now := d.clock.Now()
+		for i := range s.targets {
+			word := quota.TargetLimit{Life: fmt.Sprint("t", i), PerSecond: 1, Sent: now, Heard: now}
+			if c, changed := d.targetLimits.hear(word); changed {
+				d.noteLimit(c, "")
+			}
+		}
+		s.ask(d, 1)
+		if passed := s.passedOver(t); passed != 1 || s.refused != 1 {
+			t.Errorf("%v targets were passed over, %d requests refused", passed, s.refused)
+		}
+	})
+}
+
+func (s *needyScene) passedOver(t *testing.T) float64 {
+	t.Helper()
+	m := &dto.Metric{}
+	if err := s.boxes[0].metrics.passedOver.Write(m); err != nil {
+		t.Fatal(err)
+	}
+	return m.GetCounter().GetValue()
+}
