--- a/contrib/soak/main.go
+++ b/contrib/soak/main.go
@@ -150,7 +150,11 @@
 		records, fatal := w.traffics(ctx, n.clients)
 		seen <- traffic{records, fatal}
 	}()
-	endNeeds := w.firstNeeds()
+	needed := make(chan struct{})
+	go func() {
+		defer close(needed)
+		w.keepInNeed(ctx)
+	}()
 	if n.allOff {
 		w.disturbances(length / 2)
 		w.restartAll(append(slices.Clone(w.controls), w.entries...))
@@ -168,7 +172,7 @@
 	cancel()
 	all := <-seen
 	records := all.records
-	endNeeds()
+	<-needed
 	w.checkNeeds()
 	w.checkFatal(all.fatal, calmSince)
 	w.checkRuns(records)
--- a/contrib/soak/need.go
+++ b/contrib/soak/need.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -14,12 +15,13 @@
 	needWindow = 4 * time.Second
 	needExcess = 1.5
 	needSlack  = 5
-	// needLeast and needMost are for how long a target is in need; the run's first target
-	// is so throughout.
+	// needLeast and needMost are for how long a fault has a target be in need.
 	needLeast = needWindow + contactTime
 	needMost  = 2 * needLeast
-	// needSeveral is that several are in need at once in one run of so many.
+	// needSeveral is that so many are in need at once in one run of so many.
 	needSeveral = 3
+	// needPause is how soon another target takes the place of one that has ended.
+	needPause = 200 * time.Millisecond
 )
 
 // need is a span in which a target named a limit that did not rise.
@@ -68,24 +70,45 @@
 	t.SetLimit("")
 }
 
-// firstNeeds has the first targets be in need until the function that it returns is called.
-func (w *world) firstNeeds() (end func()) {
-	w.mu.Lock()
-	targets := w.targets[:1]
+// keepInNeed has one target be in need at each moment, or several, until the context ends:
+// when one leaves or ends another takes its place.
+func (w *world) keepInNeed(ctx context.Context) {
+	count := 1
 	if w.seed%needSeveral == 0 {
-		targets = w.targets[:min(needSeveral, len(w.targets))]
+		count = needSeveral
 	}
-	w.mu.Unlock()
-	var ends []func()
-	for _, t := range targets {
-		w.claimTarget(t)
-		ends = append(ends, w.nameLimit(t, 6))
+	named := make(map[*standin.Served]func())
+	for ctx.Err() == nil {
+		for t, end := range named {
+			if !t.Serves() {
+				end()
+				delete(named, t)
+			}
+		}
+		for _, t := range w.servingTargets() {
+			if len(named) < count && w.claimTarget(t) {
+				named[t] = w.nameLimit(t, 6)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(needPause):
+		}
 	}
-	return func() {
-		for _, end := range ends {
-			end()
+	for _, end := range named {
+		end()
+	}
+}
+
+func (w *world) servingTargets() (out []*standin.Served) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.targets {
+		if t.Serves() {
+			out = append(out, t)
 		}
 	}
+	return out
 }
 
 // checkNeeds checks what reached targets in need, once all boxes must know of that.
--- a/contrib/standin/served.go
+++ b/contrib/standin/served.go
@@ -153,6 +153,13 @@
 	s.draining = true
 }
 
+// Serves reports whether it has neither ended nor said that it leaves.
+func (s *Served) Serves() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ctx.Err() == nil && !s.draining
+}
+
 // DrainedAt returns when its drain was acknowledged; zero if it was not.
 func (s *Served) DrainedAt() time.Time {
 	s.mu.Lock()
