--- a/internal/control/words.go
+++ b/internal/control/words.go
@@ -14,10 +14,10 @@
 
 // wordBatches bounds what targets' words take of a replica. A word by itself costs the
 // leader a message to each of eight replicas, their answers and a call; a batch pays that
-// once. What is under way is what an
-// operator's document waits behind at most. Quick and LeastLeft are a round trip
-// between regions to the leader, one to a quorum and a sync. The spacing is that of
-// updates to subscribers (package relay): settled sooner, a word is not told sooner.
+// once. What is under way is what an operator's document waits behind at most. Quick and
+// LeastLeft are a round trip between regions to the leader, one to a quorum and a sync.
+// The spacing is that of updates to subscribers (package relay): settled sooner, a word
+// is not told sooner.
 var wordBatches = batch.Config{
 	MaxItems:    64,
 	MaxUnderWay: 4,
