--- /dev/null
+++ b/internal/gateway/backoff_test.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+const (
+	// backOffGrace is how long after a rejection requests are not counted, and
+	// backOffSlack how many may come between it and the end of the back-off.
+	backOffGrace = 500 * time.Millisecond
+	backOffSlack = 2
+	// leavingGrace is how long requests may come after an answer that says that the target
+	// leaves.
+	leavingGrace = 2 * time.Second
+)
+
+// rejection is a 503 of a target.
+type rejection struct {
+	// retryAfter is its Retry-After, empty for none; lasts is what that says.
+	retryAfter string
+	lasts      time.Duration
+	// notRun tells that it has the header that says that the request did not run.
+	notRun bool
+}
+
+// backOff is what a target asked of a box.
+type backOff struct {
+	box   int
+	at    time.Time
+	lasts time.Duration
+}
+
+// rejectWith has the target reject requests, or serve them again for nil.
+func (n *needy) rejectWith(r *rejection) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rejects = r
+}
+
+// reject answers a request by the rejection in force, if there is one.
+func (n *needy) reject(box int, r *http.Request, c net.Conn) bool {
+	n.mu.Lock()
+	with := n.rejects
+	if with == nil {
+		n.mu.Unlock()
+		return false
+	}
+	if with.lasts > 0 {
+		n.rejections = append(n.rejections, backOff{box: box, at: time.Now(), lasts: with.lasts})
+	}
+	n.mu.Unlock()
+	extra := ""
+	if with.notRun {
+		extra += "Test-Not-Executed: 1\r\n"
+	}
+	if with.retryAfter != "" {
+		extra += "Retry-After: " + with.retryAfter + "\r\n"
+	}
+	fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nTest-Id: %s\r\n%sContent-Length: 0\r\n\r\n", r.Header.Get("Test-Id"), extra)
+	return true
+}
+
+// leave has the target's answers say that it leaves.
+func (n *needy) leave(leaving bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaving = leaving
+}
+
+// sayLeaving returns the header line of a target that leaves.
+func (n *needy) sayLeaving(box int) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.leaving {
+		return ""
+	}
+	if _, told := n.toldLeaving[box]; !told {
+		n.toldLeaving[box] = time.Now()
+	}
+	return leavingHeader + ": 1\r\n"
+}
+
+// mostInBackOff returns the most requests that one box sent in the back-off of one
+// rejection.
+func (n *needy) mostInBackOff() (most int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, b := range n.rejections {
+		count := 0
+		for _, a := range n.arrivals {
+			if a.box == b.box && a.at.After(b.at.Add(backOffGrace)) && a.at.Before(b.at.Add(b.lasts)) {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
+// afterLeaving counts the requests of boxes that came too late after these were told that
+// the target leaves.
+func (n *needy) afterLeaving() (count int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, a := range n.arrivals {
+		if told, ok := n.toldLeaving[a.box]; ok && a.at.Sub(told) > leavingGrace {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *needyScene) wantBackOffs(t *testing.T) {
+	t.Helper()
+	for i, target := range s.targets {
+		if got := target.mostInBackOff(); got > backOffSlack {
+			t.Errorf("target %d got %d requests of a box that it had asked to back off, at most %d may come", i, got, backOffSlack)
+		}
+	}
+}
+
+// Guards against requests to a target that answered this box 503 with Retry-After, before
+// that time is over.
+func TestTargetGetsNothingWhileABoxBacksOff(t *testing.T) {
+	for _, boxes := range []int{1, 9, 30, 150} {
+		for _, targets := range []int{1, 2, 4} {
+			for _, notRun := range []bool{true, false} {
+				t.Run(fmt.Sprint(boxes, " boxes, ", targets, " targets, not run ", notRun), func(t *testing.T) {
+					inVirtualTime(t, func(t *testing.T) {
+						s := newNeedyScene(t, boxes, 4)
+						s.load(80, 2*time.Second)
+						for _, target := range s.targets[:targets] {
+							target.rejectWith(&rejection{retryAfter: "3", lasts: 3 * time.Second, notRun: notRun})
+						}
+						s.load(80, 3*time.Second)
+						for _, target := range s.targets {
+							target.rejectWith(nil)
+						}
+						s.load(80, 6*time.Second)
+						s.settle()
+						s.wantBackOffs(t)
+					})
+				})
+			}
+		}
+	}
+}
--- a/internal/gateway/needy_test.go
+++ b/internal/gateway/needy_test.go
@@ -41,6 +41,14 @@
 	// limit is what it names, empty for nothing.
 	limit    string
 	arrivals []arrival
+	// rejects is what it rejects requests with, nil where it serves them, and rejections
+	// are those that asked for a back-off.
+	rejects    *rejection
+	rejections []backOff
+	// leaving tells that its answers say that it leaves, and toldLeaving when each box first
+	// got one that does.
+	leaving     bool
+	toldLeaving map[int]time.Time
 	// told are when each box first got an answer that names a limit.
 	told map[int]time.Time
 }
@@ -61,10 +69,13 @@
 	s := &target{script: func(_ int, r *http.Request, c net.Conn) bool {
 		n.arrive(box)
 		_, _ = io.Copy(io.Discard, r.Body)
+		if n.reject(box, r, c) {
+			return true
+		}
 		time.Sleep(20 * time.Millisecond)
-		named := ""
+		named := n.sayLeaving(box)
 		if limit := n.tell(box); limit != "" {
-			named = limitHeader + ": " + limit + "\r\n"
+			named += limitHeader + ": " + limit + "\r\n"
 		}
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTest-Id: %s\r\n%sContent-Length: 2\r\n\r\nok", r.Header.Get("Test-Id"), named)
 		return true
@@ -278,7 +289,7 @@
 	})
 	var addresses []string
 	for i := range targets {
-		s.targets = append(s.targets, &needy{told: make(map[int]time.Time)})
+		s.targets = append(s.targets, &needy{told: make(map[int]time.Time), toldLeaving: make(map[int]time.Time)})
 		addresses = append(addresses, fmt.Sprint(i))
 	}
 	var list []*wire.EntryBox
