gateway: send a target nothing for as long as its 503 asks for

What callers saw: requests refused after two targets that reject everything, one of which had asked this box seconds before to come back later. Cause: no box read the Retry-After of a target's 503; the load that such a target tells makes it look idle. Ruled out: second attempts as the cause, as with one attempt a request the target gets as many (52 in 2.5 s). Change: pkg/targetstatus decodes what a target says of itself in an answer in one place; the gateway takes it as soon as the head has come. The balancer skips a target until the back-off that ends last is over, however answers come and whatever they say; the choice is made again when the connection is there. After it the target gets one request at once, then two, then four; boxes return up to a tenth later, each at another time. Where all targets are backed off requests are refused at once with the end of the first back-off. An answer with 421 comes from another target and tells nothing of the chosen one any more. Seen: a line of kind backOff at its begin and end, skipped in request lines, three metrics.

--- a/contrib/measure/objects.go
+++ b/contrib/measure/objects.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ledgesill.dev/ledgesill/pkg/balance"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 // objectLayout is a system whose targets serve an object faster when they have
@@ -215,7 +216,7 @@
 		report := balance.Report{TargetID: choice.Target.ID, Route: objectKind, Outcome: outcome, Took: s.now.Sub(sent), Connect: 2 * way}
 		if outcome == balance.Answered || outcome == balance.TurnedAway {
 			report.HasLoad = true
-			report.Load = balance.Load{Running: t.running, Waiting: len(t.waiting), Slots: t.Slots}
+			report.Load = targetstatus.Load{Running: t.running, Waiting: len(t.waiting), Slots: t.Slots}
 		}
 		b.balancer.Done(s.now, report)
 		b.ended(r, outcome)
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -199,7 +199,9 @@
 // target is noticed that has gone silent.
 func (c *call) judgeFailure(e attemptEnd) balance.Outcome {
 	if !e.failure.sent {
-		c.dials++
+		if e.failure.outcome != balance.Withdrawn {
+			c.dials++
+		}
 		return e.failure.outcome
 	}
 	c.sent++
@@ -225,20 +227,7 @@
 }
 
 func (c *call) notRun(out *answer) bool {
-	return out.status == http.StatusMisdirectedRequest || out.header.Get(c.gateway.config.Protocol.NotExecuted) != ""
-}
-
-// readWord takes what the target says of itself.
-func (c *call) readWord(out *answer, report *balance.Report) {
-	p := c.gateway.config.Protocol
-	if text := out.header.Get(p.Load); text != "" {
-		report.Load, report.HasLoad = p.ParseLoad(text)
-	}
-	if text := out.header.Get(p.ColdLeft); text != "" {
-		if left, ok := p.ParseCold(text); ok {
-			c.gateway.noteCold(report.TargetID, left)
-		}
-	}
+	return out.said.NotRun
 }
 
 // worthAnother reports whether an answer should be sought elsewhere, because
--- a/internal/gateway/backoff_test.go
+++ b/internal/gateway/backoff_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -149,3 +151,74 @@
 		}
 	}
 }
+
+// Guards against a request that was chosen for a target before it asked for a back-off, and
+// is sent after, when it has its connection.
+func TestRequestThatWaitsForAConnectionIsSentElsewhere(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newNeedyScene(t, 1, 2)
+		d := s.boxes[0]
+		dial := d.connections.dial
+		d.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			time.Sleep(200 * time.Millisecond)
+			return dial(ctx, network, address)
+		}
+		for range 4 {
+			s.asked++
+			go s.ask(d, s.asked)
+		}
+		time.Sleep(100 * time.Millisecond)
+		d.balancing.Lock()
+		d.balancing.balancer.BackOff(d.clock.Now(), "t0", 3*time.Second)
+		d.balancing.Unlock()
+		time.Sleep(2 * time.Second)
+		if got := s.targets[0].between(time.Time{}, time.Now()); got > 0 {
+			t.Errorf("%d requests were sent", got)
+		}
+		if s.served != 4 {
+			t.Errorf("%d of 4 requests were served", s.served)
+		}
+	})
+}
+
+// Guards against a box that backs off by a clock that stands while the machine is suspended.
+func TestBackOffEndsWhileTheBoxIsSuspended(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newNeedyScene(t, 1, 2)
+		d := s.boxes[0]
+		s.load(80, time.Second)
+		s.targets[0].rejectWith(&rejection{retryAfter: "60", lasts: time.Minute, notRun: true})
+		s.load(80, time.Second)
+		s.targets[0].rejectWith(nil)
+		s.load(80, time.Second)
+		if d.backedOff() != 1 {
+			t.Fatalf("%v targets are backed off", d.backedOff())
+		}
+		s.asleep[0].Add(int64(70 * time.Second))
+		from := time.Now()
+		s.load(80, 3*time.Second)
+		if got := s.targets[0].between(from, time.Now()); got < 20 {
+			t.Errorf("got %d requests after the end of its back-off", got)
+		}
+	})
+}
+
+// Guards against requests that wait or are sent in vain where all targets are backed off:
+// they are refused at once, with the end of the first back-off.
+func TestRequestIsRefusedAtOnceWhereAllTargetsAreBackedOff(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newNeedyScene(t, 1, 2)
+		for i := range s.targets {
+			s.boxes[0].balancing.balancer.BackOff(s.boxes[0].clock.Now(), fmt.Sprint("t", i), 30*time.Second)
+		}
+		s.ask(s.boxes[0], 1)
+		if s.refused != 1 || s.slowest > 0 {
+			t.Errorf("%d refused, after %s", s.refused, s.slowest)
+		}
+		for told := range s.told {
+			if seconds, err := strconv.ParseFloat(told, 64); err != nil || seconds < 30 || seconds > 32 {
+				t.Errorf("told to come back after %q s", told)
+			}
+		}
+	})
+}
--- a/internal/gateway/beside.go
+++ b/internal/gateway/beside.go
@@ -50,10 +50,10 @@
 func (c *call) launch(ctx context.Context, choice chosen) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := &attempt{
-		gateway: c.gateway, request: c.request, id: c.id, body: c.body, target: choice.Target,
+		gateway: c.gateway, began: c.gateway.clock.Now(), request: c.request, id: c.id, body: c.body, target: choice.Target,
 		workspace: c.workspaceName(), ends: c.ends, permitEnds: firstOf(c.permitEnds(), choice.permitEnds),
 	}
-	u := &underWay{attempt: a, choice: choice, began: c.gateway.clock.Now(), ctx: ctx, cancel: cancel}
+	u := &underWay{attempt: a, choice: choice, began: a.began, ctx: ctx, cancel: cancel}
 	c.tried = append(c.tried, choice.Target.ID)
 	c.underWay = append(c.underWay, u)
 	go func() { c.ended <- u.run() }()
@@ -167,8 +167,7 @@
 		}
 	} else {
 		report.Outcome = c.judgeAnswer(e.out)
-		c.readWord(e.out, &report)
-		c.readLimit(e)
+		report.Load, report.HasLoad = e.out.said.Load, e.out.said.HasLoad
 		c.releaseWhenRead(e.out, func() { e.cancel(nil) })
 	}
 	c.last.outcome = report.Outcome
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -129,6 +129,7 @@
 	d.targetLimits.permits.call = d.permitLinks.call
 	d.targetLimits.permits.replicas = d.controls.replicas
 	d.targetLimits.permits.answered = d.notePermits
+	p.Gauge("backed_off_targets", "Targets that this box sends nothing at their request.", d.backedOff)
 	d.isolation = d.newIsolation()
 	p.Gauge("quarantine_suspects", "Requests under which a target ended at this box.", func() float64 { return float64(d.isolation.Suspects()) })
 	seed := fnv.New64a()
@@ -261,6 +262,7 @@
 			d.callers.sweep(now)
 			d.permits.forget(now)
 			d.targetLimits.keep(now, d.knows)
+			d.reportBackOffs()
 		case <-lines.C:
 			d.noteLeftOut()
 		}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"ledgesill.dev/ledgesill/pkg/balance"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 const (
@@ -31,6 +32,8 @@
 type answer struct {
 	status int
 	header http.Header
+	// said is what its head says of the target.
+	said targetstatus.Status
 	// body is the whole body, or its beginning if rest is not nil.
 	body []byte
 	rest io.Reader
@@ -77,6 +80,8 @@
 	id      string
 	body    *requestBody
 	target  balance.Target
+	// began is when the target was chosen.
+	began time.Time
 	// workspace is the name of the one whose request it is; empty for none.
 	workspace string
 	// ends is when the request's time is over, and permitEnds when the permit of this run
@@ -121,6 +126,10 @@
 		_ = c.Close() // nothing was sent on it
 		return nil, &attemptError{outcome: balance.Dropped, err: err}
 	}
+	if !a.gateway.canSend(a.target.ID) {
+		_ = c.Close() // nothing was sent on it
+		return nil, &attemptError{outcome: balance.Withdrawn, err: errBackedOff}
+	}
 	a.connection = c
 	if !c.used {
 		a.connect = a.gateway.clock.Since(began)
@@ -186,7 +195,7 @@
 		}
 		got := response.Header.Get(a.gateway.config.Protocol.RequestID)
 		if got == a.id {
-			return a.read(c, response, sent)
+			return a.read(c, response, a.observe(response), sent)
 		}
 		if got == "" || response.Close {
 			return nil, &wrongAnswerError{got, a.id}
@@ -218,8 +227,8 @@
 }
 
 // read takes the body of the answer, at least its beginning.
-func (a *attempt) read(c *connection, response *http.Response, sent *sending) (*answer, error) {
-	out := &answer{status: response.StatusCode, header: response.Header, length: response.ContentLength}
+func (a *attempt) read(c *connection, response *http.Response, said targetstatus.Status, sent *sending) (*answer, error) {
+	out := &answer{status: response.StatusCode, header: response.Header, said: said, length: response.ContentLength}
 	idle := idleTime(response.Header.Get("Keep-Alive"))
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	out.finish = func(whole bool) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -15,10 +15,9 @@
 
 	"github.com/rs/zerolog"
 
-	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
-	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -26,9 +25,11 @@
 func testProtocol() Protocol {
 	return Protocol{
 		RequestID: "Test-Id", ObjectKey: "Test-Key", Deadline: "Test-Deadline", ExpectTarget: "Test-Expect",
-		NotExecuted: "Test-Not-Executed", Load: "Test-Load", ColdLeft: "Test-Cold", Limit: limitHeader, ParseLimit: quota.ParseLimit,
-		ParseLoad: func(string) (balance.Load, bool) { return balance.Load{}, false },
-		ParseCold: func(string) (time.Duration, bool) { return 0, false },
+		Status: targetstatus.Headers{
+			NotRun: "Test-Not-Executed", Load: "Test-Load", ColdLeft: "Test-Cold", Limit: limitHeader, Leaving: leavingHeader,
+			ParseLoad: targetstatus.ParseLoad,
+			ParseCold: func(string) (time.Duration, bool) { return 0, false },
+		},
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,9 @@
 	targetLimits  prometheus.Gauge
 	targetPermits prometheus.Counter
 	passedOver    prometheus.Counter
+	// backOffs and backOffSkips are about targets that ask this box for a back-off.
+	backOffs     prometheus.Counter
+	backOffSkips prometheus.Counter
 }
 
 // latencyBuckets are in seconds; the objectives of the users' routes lie
@@ -67,7 +70,14 @@
 	m.passedOver = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "ledgesill_targets_passed_over_total", Help: "Times that a request went on to another target for want of a permit.",
 	})
-	r.MustRegister(m.requests, m.latency, m.attempts, m.beside, m.connections, m.permitAsks, m.looks, m.endedRuns, m.held,
+	m.backOffs = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "ledgesill_back_offs_total", Help: "Back-offs that targets asked this box for.",
+	})
+	m.backOffSkips = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "ledgesill_back_off_skipped_requests_total", Help: "Requests kept from targets in back-offs that have ended.",
+	})
+	r.MustRegister(m.backOffs, m.backOffSkips,
+		m.requests, m.latency, m.attempts, m.beside, m.connections, m.permitAsks, m.looks, m.endedRuns, m.held,
 		m.targetLimits, m.targetPermits, m.passedOver)
 	return m
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -4,11 +4,7 @@
 // on unchanged.
 package gateway
 
-import (
-	"time"
-
-	"ledgesill.dev/ledgesill/pkg/balance"
-)
+import "ledgesill.dev/ledgesill/pkg/targetstatus"
 
 // Protocol names the headers of requests and answers, and reads those that
 // have a format of their own.
@@ -25,17 +21,8 @@
 	// is the name of the workspace, which the box tells targets.
 	Key       string
 	Workspace string
-	// NotExecuted marks answers of targets that did not run the request.
-	NotExecuted string
-	// Load, ColdLeft and Limit are what a target says of itself; Limit is how many
-	// requests a second it takes from all boxes together, for as long as it says so.
-	Load     string
-	ColdLeft string
-	Limit    string
-	// ParseLoad, ParseCold and ParseLimit read these; ok is false if they can't be read.
-	ParseLoad  func(text string) (l balance.Load, ok bool)
-	ParseCold  func(text string) (left time.Duration, ok bool)
-	ParseLimit func(text string) (perSecond float64, ok bool)
+	// Status are the headers in which a target says how it is.
+	Status targetstatus.Headers
 	// NewRequestID names a request that comes without an id; nil where callers
 	// must give one.
 	NewRequestID func() string
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -31,6 +31,9 @@
 		line = line.Str("target", c.last.target.ID).Str("targetZone", c.last.target.Zone).Str("outcome", c.last.outcome.String()).
 			Dur("targetTook", c.last.took).Dur("wait", c.last.choice.Wait).Float64("load", c.last.choice.Load).
 			Bool("newConnection", c.last.fresh).Int("sent", c.sent).Int("dials", c.dials).Bool("mayHaveRun", c.mayHaveRun)
+		if c.last.choice.Skipped != "" {
+			line = line.Str("skipped", c.last.choice.Skipped)
+		}
 	}
 	line = c.addBeside(line)
 	line = c.addRefusal(line)
@@ -55,7 +58,7 @@
 	}
 	return line.Int("registered", c.none.Registered).Str("fullTarget", c.none.Target).Float64("fullLoad", c.none.Load).
 		Int("fullSlots", c.none.Slots).Dur("reckonedWait", c.none.Wait).Dur("longestWait", c.none.Longest).
-		Float64("serviceLoad", c.none.ServiceLoad)
+		Float64("serviceLoad", c.none.ServiceLoad).Int("backedOff", c.none.BackedOff)
 }
 
 // addBeside adds what was done about an answer that was overdue.
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -264,33 +263,6 @@
 	d.balancing.balancer.Withhold(now, choice.Target.ID, now.Add(pauseAfter(cause)))
 }
 
-// readLimit takes what an answer says of its target's limit. One of another target says
-// nothing, and one that was turned away does not take a limit back.
-func (c *call) readLimit(e attemptEnd) {
-	p := c.gateway.config.Protocol
-	if e.out.status == http.StatusMisdirectedRequest {
-		return
-	}
-	word := quota.TargetLimit{Life: e.choice.Target.ID, PerSecond: quota.NoLimit, Sent: e.began, Heard: e.began.Add(e.took)}
-	text := e.out.header.Get(p.Limit)
-	if text == "" && c.notRun(e.out) {
-		return
-	}
-	if text != "" {
-		limit, ok := p.ParseLimit(text)
-		if !ok {
-			return
-		}
-		word.PerSecond = limit
-	}
-	if change, changed := c.gateway.targetLimits.hear(word); changed {
-		c.gateway.noteLimit(change, c.id)
-		if c.gateway.targetLimits.mayHurry() {
-			c.gateway.reportsChanged()
-		}
-	}
-}
-
 // takeLimits takes what other boxes were told of limits.
 func (d *Daemon) takeLimits(list []*wire.TargetLimit) {
 	now := d.clock.Now()
--- /dev/null
+++ b/internal/gateway/targetstatus.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"ledgesill.dev/ledgesill/pkg/quota"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
+)
+
+// errBackedOff says why a request was not sent to the target that was chosen for it.
+var errBackedOff = errors.New("not sent: the target has asked for a back-off meanwhile")
+
+// observe takes what an answer says of its target as soon as its head has come, whatever
+// becomes of the body and the request.
+func (a *attempt) observe(response *http.Response) targetstatus.Status {
+	d := a.gateway
+	// time of day: a Retry-After may be a date.
+	said := d.config.Protocol.Status.Decode(response.StatusCode, response.Header, time.Now)
+	if len(said.Unread) > 0 {
+		d.noteUnread(a, said.Unread)
+	}
+	if said.ColdLeft > 0 {
+		d.noteCold(a.target.ID, said.ColdLeft)
+	}
+	if said.BackOff > 0 {
+		d.backOff(a, said.BackOff)
+	}
+	if said.SaysLimit() {
+		d.observeLimit(a, said)
+	}
+	return said
+}
+
+// observeLimit takes the limit that an answer names, or that it names none.
+func (d *Daemon) observeLimit(a *attempt, said targetstatus.Status) {
+	word := quota.TargetLimit{Life: a.target.ID, PerSecond: quota.NoLimit, Sent: a.began, Heard: d.clock.Now()}
+	if said.HasLimit {
+		word.PerSecond = said.Limit
+	}
+	change, changed := d.targetLimits.hear(word)
+	if !changed {
+		return
+	}
+	d.noteLimit(change, a.id)
+	if d.targetLimits.mayHurry() {
+		d.reportsChanged()
+	}
+}
+
+// backOff has this box send a target nothing for a time.
+func (d *Daemon) backOff(a *attempt, wait time.Duration) {
+	now := d.clock.Now()
+	d.balancing.Lock()
+	began := d.balancing.balancer.BackOff(now, a.target.ID, wait)
+	d.balancing.Unlock()
+	if !began {
+		return
+	}
+	d.metrics.backOffs.Inc()
+	if d.otherLines.Take(now) {
+		d.log.Warn().Str("kind", "backOff").Str("target", a.target.ID).Str("targetZone", a.target.Zone).
+			Str("request", a.id).Dur("retryAfter", wait).Msg("target asked for a back-off")
+	}
+}
+
+// canSend reports whether a request may still be sent to the target that was chosen.
+func (d *Daemon) canSend(target string) bool {
+	d.balancing.Lock()
+	defer d.balancing.Unlock()
+	return d.balancing.balancer.CanSend(d.clock.Now(), target)
+}
+
+// reportBackOffs logs the back-offs that have ended.
+func (d *Daemon) reportBackOffs() {
+	now := d.clock.Now()
+	d.balancing.Lock()
+	ended := d.balancing.balancer.EndedBackOffs(now)
+	d.balancing.Unlock()
+	for _, e := range ended {
+		d.metrics.backOffSkips.Add(float64(e.Skipped))
+		if d.otherLines.Take(now) {
+			d.log.Info().Str("kind", "backOff").Str("target", e.TargetID).Int("skipped", e.Skipped).Msg("back-off ended")
+		}
+	}
+}
+
+// backedOff returns how many targets this box sends nothing at their request.
+func (d *Daemon) backedOff() float64 {
+	d.balancing.Lock()
+	defer d.balancing.Unlock()
+	return float64(d.balancing.balancer.BackedOff(d.clock.Now()))
+}
+
+// noteUnread logs headers of a target that could not be read; the answer counts as without.
+func (d *Daemon) noteUnread(a *attempt, headers []string) {
+	if d.otherLines.Take(d.clock.Now()) {
+		d.log.Warn().Str("kind", "unreadHeaders").Str("target", a.target.ID).Str("request", a.id).Strs("headers", headers).
+			Msg("headers of a target can't be read")
+	}
+}
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -46,6 +46,8 @@
 	// distances are the shortest round trips to the regions; a region that is
 	// not known yet is thought to be near.
 	distances map[string]time.Duration
+	// jitterTurn spreads the ends of back-offs.
+	jitterTurn float64
 }
 
 // New returns a balancer without targets.
@@ -57,6 +59,8 @@
 		times:     make(map[string]*times),
 		evacuated: make(map[string]bool),
 		distances: make(map[string]time.Duration),
+
+		jitterTurn: firstTurn(c.Box),
 	}
 }
 
--- a/pkg/balance/balancer_test.go
+++ b/pkg/balance/balancer_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 // world is a balancer with targets in two regions and a clock.
@@ -208,7 +210,7 @@
 
 // tell has targets answer with a load, long enough ago to be forgotten of each
 // of them.
-func (w *world) tell(l Load) {
+func (w *world) tell(l targetstatus.Load) {
 	for range 200 {
 		for _, t := range w.targets {
 			w.balancer.Done(w.now, Report{TargetID: t.ID, Route: "r", Outcome: Answered, Took: 100 * time.Millisecond, Load: l, HasLoad: true})
@@ -221,7 +223,7 @@
 // run at a target that does not know the object.
 func TestObjectWaitsAtHomeWhereThatIsSooner(t *testing.T) {
 	w := newWorld(t, 4, 0)
-	w.tell(Load{Running: 1, Slots: 4})
+	w.tell(targetstatus.Load{Running: 1, Slots: 4})
 	home := w.fill("a")
 	r := w.request("a")
 	learned := w.balancer.timesOf(r)
@@ -250,7 +252,7 @@
 // that are not known.
 func TestCrowdedServiceKeepsObjectsAtHome(t *testing.T) {
 	w := newWorld(t, 4, 0)
-	w.tell(Load{Running: 1, Slots: 4})
+	w.tell(targetstatus.Load{Running: 1, Slots: 4})
 	home := w.fill("a")
 	hasty := w.request("a")
 	hasty.Left = 0 // it can't wait
@@ -259,7 +261,7 @@
 	}
 
 	w = newWorld(t, 4, 0)
-	w.tell(Load{Running: 4, Waiting: 3, Slots: 4})
+	w.tell(targetstatus.Load{Running: 4, Waiting: 3, Slots: 4})
 	w.fill("a")
 	r := w.request("a")
 	r.Left = 0 // it can't wait
@@ -288,15 +290,15 @@
 // once; one with a queue when the queue has gone.
 func TestRetryAfterFollowsTheTargetsLoad(t *testing.T) {
 	w := newWorld(t, 1, 0)
-	turnAway := func(l Load) time.Duration {
+	turnAway := func(l targetstatus.Load) time.Duration {
 		c := w.choose(w.request("a"))
 		w.balancer.Done(w.now, Report{TargetID: c.Target.ID, Route: "r", Outcome: TurnedAway, Load: l, HasLoad: true})
 		return w.balancer.RetryAfter(w.now, c.Target.ID, "r")
 	}
-	if got := turnAway(Load{Running: 1, Slots: 4}); got != leastRetryAfter {
+	if got := turnAway(targetstatus.Load{Running: 1, Slots: 4}); got != leastRetryAfter {
 		t.Errorf("with slots free the caller is told to wait %v", got)
 	}
-	full := turnAway(Load{Running: 4, Waiting: 4, Slots: 4})
+	full := turnAway(targetstatus.Load{Running: 4, Waiting: 4, Slots: 4})
 	if want := w.balancer.byID["near0"].wait(w.now, 200*time.Millisecond); full != want || full <= leastRetryAfter {
 		t.Errorf("with 4 requests waiting for 4 slots the caller is told to wait %v, a slot is free after %v", full, want)
 	}
@@ -308,7 +310,7 @@
 // A refusal names what decided it.
 func TestRefusalNamesItsInputs(t *testing.T) {
 	w := newWorld(t, 1, 0)
-	w.tell(Load{Running: 4, Waiting: 2, Slots: 4})
+	w.tell(targetstatus.Load{Running: 4, Waiting: 2, Slots: 4})
 	w.fill("a")
 	r := w.request("a")
 	r.Left = 0
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -35,7 +35,7 @@
 	s := b.service(r.Service)
 	learned := b.timesOf(r)
 	key := s.keyHash(r)
-	chosen := b.home(now, s, r, key)
+	chosen, skipped := b.home(now, s, r, key)
 	if chosen == nil {
 		return Choice{}, b.noneUsable(now, s, r)
 	}
@@ -47,14 +47,20 @@
 	if wait > longest {
 		return Choice{}, full(now, s, chosen, wait, longest)
 	}
-	return b.take(now, chosen, wait, learned), nil
+	choice := b.take(now, chosen, wait, learned)
+	if skipped != nil {
+		choice.Skipped = skipped.ID
+	}
+	return choice, nil
 }
 
 // noneUsable says that no target of a service can be used.
 func (b *Balancer) noneUsable(now time.Time, s *service, r Request) *NoTargetError {
-	room, ok := b.nextRoom(now, s, r)
-	if ok {
-		return &NoTargetError{Service: s.name, Reason: ReasonLimited, RetryAfter: s.spread(room), Registered: len(s.targets)}
+	if next, ok := b.nextRoom(now, s, r); ok {
+		return &NoTargetError{
+			Service: s.name, Reason: next.reason, RetryAfter: s.spread(next.wait), Registered: len(s.targets), Target: next.target.ID,
+			BackedOff: next.backedOff,
+		}
 	}
 	return &NoTargetError{Service: s.name, Reason: ReasonNone, RetryAfter: firstRetryAfter, Registered: len(s.targets)}
 }
@@ -76,10 +82,17 @@
 }
 
 // home returns the target that ranks highest for an object, in reach if there
-// is one; nil if none can be used.
-func (b *Balancer) home(now time.Time, s *service, r Request, key uint64) *targetState {
-	var near, far ranked
+// is one; nil if none can be used. A target that ranks higher and is backed off is
+// skipped, and returned besides.
+func (b *Balancer) home(now time.Time, s *service, r Request, key uint64) (chosen, skipped *targetState) {
+	var near, far, backedOff ranked
 	for _, t := range s.targets {
+		if t.isBackedOff(now) {
+			if c := b.rank(t, r, key); b.isOpen(now, t) && r.allows(t) && (backedOff.target == nil || c.above(backedOff)) {
+				backedOff = c
+			}
+			continue
+		}
 		if !b.mayTake(now, s, t, r) {
 			continue
 		}
@@ -91,10 +104,15 @@
 			*best = c
 		}
 	}
-	if near.target != nil {
-		return near.target
+	best := near
+	if best.target == nil {
+		best = far
+	}
+	if backedOff.target != nil && (best.target == nil || backedOff.above(best)) {
+		skipped = backedOff.target
+		skipped.skipped++
 	}
-	return far.target
+	return best.target, skipped
 }
 
 // besideHome returns the targets that rank highest for an object, its home among
@@ -139,9 +157,25 @@
 	if t == nil || learned == nil {
 		return leastRetryAfter
 	}
+	if t.isBackedOff(now) {
+		return b.untilOtherTarget(now, b.service(t.Service))
+	}
 	return max(t.wait(now, learned.mixed), leastRetryAfter)
 }
 
+// untilOtherTarget is when a request may come back whose target asked for a back-off.
+func (b *Balancer) untilOtherTarget(now time.Time, s *service) time.Duration {
+	for _, t := range s.targets {
+		if b.isUsable(now, t) {
+			return leastRetryAfter
+		}
+	}
+	if next, ok := b.nextRoom(now, s, Request{}); ok {
+		return s.spread(next.wait)
+	}
+	return firstRetryAfter
+}
+
 // longestWait is how long a request may wait for a slot. One that would wait for
 // longer is refused at once: it would hold a slot for an answer that comes too late.
 func longestWait(r Request, learned *times) time.Duration {
@@ -166,10 +200,10 @@
 
 // isUsable reports whether a target may be sent any request at all.
 func (b *Balancer) isUsable(now time.Time, t *targetState) bool {
-	return b.isOpen(now, t) && !now.Before(t.withheldUntil)
+	return b.isOpen(now, t) && !now.Before(t.withheldUntil) && !t.isBackedOff(now) && !t.isRecoveringFull()
 }
 
-// isOpen is isUsable but for permits.
+// isOpen is isUsable but for permits and back-offs.
 func (b *Balancer) isOpen(now time.Time, t *targetState) bool {
 	return !t.Draining && !b.evacuated[t.Zone] && !t.isOut(now) && t.paceNow(now) <= slowPace
 }
--- a/pkg/balance/limited.go
+++ b/pkg/balance/limited.go
@@ -41,19 +41,45 @@
 	t.withheldUntil = until
 }
 
-// nextRoom returns how long it takes until a target that names a limit may have room for a
+// room is when a service that can't be used may be used again, by which target, and why not
+// before.
+type room struct {
+	target *targetState
+	wait   time.Duration
+	reason string
+	// backedOff is how many targets this box backs off from.
+	backedOff int
+}
+
+// nextRoom returns when a target that is at its limit or backed off may have room for a
 // request; ok is false if there is none that could be used.
-func (b *Balancer) nextRoom(now time.Time, s *service, r Request) (room time.Duration, ok bool) {
+func (b *Balancer) nextRoom(now time.Time, s *service, r Request) (next room, ok bool) {
 	r.Unlimited = false
 	for _, t := range s.targets {
-		if !t.limited || !r.allows(t) || !b.isOpen(now, t) {
+		if !r.allows(t) || !b.isOpen(now, t) {
 			continue
 		}
-		if wait := max(t.withheldUntil.Sub(now), 0); !ok || wait < room {
-			room, ok = wait, true
+		wait, reason := t.untilRoom(now)
+		if t.isBackedOff(now) {
+			next.backedOff++
 		}
+		if reason != "" && (!ok || wait < next.wait) {
+			next.target, next.wait, next.reason, ok = t, wait, reason, true
+		}
+	}
+	return next, ok
+}
+
+// untilRoom returns how long it takes until the target may have room for a request, and why
+// it has none now; empty where that is neither a limit nor a back-off.
+func (t *targetState) untilRoom(now time.Time) (wait time.Duration, reason string) {
+	if t.limited {
+		wait, reason = max(t.withheldUntil.Sub(now), 0), ReasonLimited
+	}
+	if t.isBackedOff(now) || t.isRecoveringFull() {
+		wait, reason = max(t.backedOffUntil.Sub(now), wait), ReasonBackedOff
 	}
-	return room, ok
+	return wait, reason
 }
 
 // firstTurn is where a box begins, so that callers of several boxes don't return together.
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
+)
 
 // Outcome is what became of a request at a target.
 type Outcome int
@@ -9,7 +13,7 @@
 const (
 	// Answered: the target gave its answer.
 	Answered Outcome = iota
-	// TurnedAway: the target was full and did not run it.
+	// TurnedAway: the target was full, or wants nothing from this box, and did not run it.
 	TurnedAway
 	// Unreachable: no connection was had.
 	Unreachable
@@ -19,11 +23,13 @@
 	Broken
 	// Dropped: the caller left.
 	Dropped
+	// Withdrawn: it was not sent, as the target had asked for a back-off meanwhile.
+	Withdrawn
 )
 
 // String returns the name as it stands in logs.
 func (o Outcome) String() string {
-	return [...]string{"answered", "turnedAway", "unreachable", "stuck", "broken", "dropped"}[o]
+	return [...]string{"answered", "turnedAway", "unreachable", "stuck", "broken", "dropped", "withdrawn"}[o]
 }
 
 // Report tells what became of a request at a target.
@@ -34,7 +40,7 @@
 	// Took is the time to the answer.
 	Took time.Duration
 	// Load is what the answer told, if HasLoad.
-	Load    Load
+	Load    targetstatus.Load
 	HasLoad bool
 	// Connect is how long a new connection took to come up; zero if none was made.
 	Connect time.Duration
@@ -88,6 +94,7 @@
 	switch r.Outcome {
 	case Answered:
 		b.noteTime(now, t, r)
+		t.noteRecovery(now)
 	case TurnedAway:
 		b.noteFull(now, t, r)
 	case Unreachable, Stuck:
@@ -102,7 +109,7 @@
 			return LeftOut
 		}
 		return Unchanged
-	case Dropped:
+	case Dropped, Withdrawn:
 		return Unchanged
 	}
 	t.answeredAt = now
--- a/pkg/balance/request.go
+++ b/pkg/balance/request.go
@@ -43,6 +43,9 @@
 	Patience time.Duration
 	// Load is what the target was thought to have.
 	Load float64
+	// Skipped is the target that would have been chosen, had it not asked this box for a
+	// back-off; empty for none.
+	Skipped string
 }
 
 // NoTargetError says why no target can run a request in time.
@@ -53,7 +56,10 @@
 	RetryAfter time.Duration
 	// Registered is how many targets the service has.
 	Registered int
-	// Target is the one with the shortest wait, if any can be used; Load is how
+	// BackedOff is how many targets this box backs off from.
+	BackedOff int
+	// Target is the one with the shortest wait, if any can be used, or the one that can be
+	// used first; Load is how
 	// many requests it was thought to have, Wait for how long one more would wait
 	// there, and Longest for how long it may.
 	Target  string
@@ -76,6 +82,8 @@
 	ReasonFull = "all are full"
 	// ReasonLimited: those that could be used name limits, which leave no room now.
 	ReasonLimited = "all are at their limits"
+	// ReasonBackedOff: those that could be used asked this box for a back-off.
+	ReasonBackedOff = "all asked for a back-off"
 )
 
 // allows reports whether a target is one that the request may be sent to.
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -15,14 +15,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-)
 
-// Load is what a target says of itself in an answer.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-}
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
+)
 
 // Target is one registered target.
 type Target struct {
@@ -90,6 +85,14 @@
 	// and withheldUntil is until when there is none to be had.
 	limited       bool
 	withheldUntil time.Time
+	// backedOffUntil is until when the target asked this box to send it nothing, and
+	// recovering how many requests it may get at once after that; zero for any number.
+	backedOffUntil time.Time
+	recovering     int
+	// backOffOpen tells that the end of a back-off has not been reported, and skipped is
+	// how many requests were kept from the target since it began.
+	backOffOpen bool
+	skipped     int
 	// coldUntil is when the target counts as warm; tokens are the requests
 	// that this box may send it before that.
 	coldUntil time.Time
@@ -113,7 +116,7 @@
 
 // noteLoad takes the load that an answer told, made while inFlight requests of
 // this box were there, the answered one included.
-func (t *targetState) noteLoad(now time.Time, l Load) {
+func (t *targetState) noteLoad(now time.Time, l targetstatus.Load) {
 	t.foreign = max(float64(l.Running+l.Waiting-t.inFlight), 0)
 	t.foreignAt = now
 	if l.Slots > 0 {
--- a/pkg/caller/protocol.go
+++ b/pkg/caller/protocol.go
@@ -32,6 +32,8 @@
 	HeaderRetryAfter = "Ledgesill-Retry-After-Millis"
 	// HeaderTarget names the target that ran the request.
 	HeaderTarget = "Ledgesill-Target"
+	// HeaderLeaving is 1 in the answers of a target that leaves.
+	HeaderLeaving = "Ledgesill-Leaving"
 	// HeaderLimit is how many requests a second the target that answered takes from all
 	// boxes together, for as long as its answers say so.
 	HeaderLimit = "Ledgesill-Limit"
--- /dev/null
+++ b/pkg/targetstatus/parse.go
@@ -0,0 +1,76 @@
+package targetstatus
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	retryAfter = "Retry-After"
+	// longestBackOff keeps the sum of a time and a back-off within what time.Time holds.
+	longestBackOff = 100 * 365 * 24 * time.Hour
+)
+
+// ParseRetryAfter reads the Retry-After of an answer: seconds, fractions too, or a date. A
+// time that is over is zero.
+func ParseRetryAfter(header http.Header, timeOfDay func() time.Time) (wait time.Duration, ok bool) {
+	return parseRetryAfter(header.Get(retryAfter), header.Get("Date"), timeOfDay)
+}
+
+// parseRetryAfter takes a date as relative to the answer's own date, as the clocks of the
+// target and the box may differ.
+func parseRetryAfter(text, date string, timeOfDay func() time.Time) (wait time.Duration, ok bool) {
+	text = strings.TrimSpace(text)
+	if seconds, err := strconv.ParseFloat(text, 64); err == nil {
+		return backOffOf(seconds)
+	}
+	until, err := http.ParseTime(text)
+	if err != nil {
+		return 0, false
+	}
+	said, err := http.ParseTime(date)
+	if err != nil {
+		said = timeOfDay()
+	}
+	return min(max(until.Sub(said), 0), longestBackOff), true
+}
+
+func backOffOf(seconds float64) (wait time.Duration, ok bool) {
+	if math.IsNaN(seconds) || math.IsInf(seconds, 0) || seconds < 0 {
+		return 0, false
+	}
+	if seconds >= longestBackOff.Seconds() {
+		return longestBackOff, true
+	}
+	return time.Duration(seconds * float64(time.Second)), true
+}
+
+// ParseLimit reads the limit that a target names: requests a second, a decimal number.
+func ParseLimit(text string) (perSecond float64, ok bool) {
+	n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	return n, err == nil && n >= 0 && !math.IsInf(n, 0)
+}
+
+// loadFields are requests running, requests waiting and slots.
+const loadFields = 3
+
+// ParseLoad reads a load: requests running, requests waiting and slots, separated by
+// commas.
+func ParseLoad(text string) (Load, bool) {
+	parts := strings.Split(text, ",")
+	if len(parts) != loadFields {
+		return Load{}, false
+	}
+	var numbers [loadFields]int
+	for i, p := range parts {
+		n, err := strconv.Atoi(strings.TrimSpace(p))
+		if err != nil || n < 0 {
+			return Load{}, false
+		}
+		numbers[i] = n
+	}
+	return Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
+}
