targetstatus: join what a target says in its answers, in whatever order

Cause: of two updates of which either may be the later one the merge kept one, and with it that one's span alone: what superseded the kept one also replaced the dropped one. Change: package quota's merge moves to pkg/targetstatus as a join: the latest time of sending, and the limits that came after it, rising with their times. The damping of small raises is apart from it.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(CURDIR)/bin
 export GOFLAGS := -buildvcs=false
 
-.PHONY: build demo demo-portal drill soak test faults fault-pairs measure regress generate
+.PHONY: fresh build demo demo-portal drill soak test faults fault-pairs measure regress generate
 
 build:
 	go build -o $(GOBIN)/ledgesill .
@@ -29,6 +29,10 @@
 test:
 	RAPID_SEED=1 RAPID_NOFAILFILE=1 go test -skip '$(SKIP)' ./...
 
+# Property tests with fresh seeds and fuzz targets: SECONDS_EACH=60 make fresh
+fresh:
+	contrib/fresh/run.sh
+
 # The whole fault matrix: several seeds of every fault at every step.
 faults:
 	go test ./internal/control -run TestFaultMatrix -count=1 -v -timeout 60m -fault-seeds 3
--- a/internal/control/catalogapi.go
+++ b/internal/control/catalogapi.go
@@ -17,6 +17,7 @@
 	"ledgesill.dev/ledgesill/pkg/batch"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -127,13 +128,13 @@
 
 // limitOf returns what this replica knows of a target's limit, nil for none.
 func (d *Daemon) limitOf(r *wire.Registration) *operator.TargetLimit {
-	limit, tally := d.targetLimits.of(catalog.LifeOf(r).String())
-	if !limit.Named() {
+	known := d.targetLimits.of(catalog.LifeOf(r).String())
+	if known.limit == targetstatus.NoLimit {
 		return nil
 	}
 	return &operator.TargetLimit{
-		PerSecond: limit.PerSecond, SaidAgoMillis: d.clock.Since(limit.Heard).Milliseconds(),
-		Issued: tally.Issued, RefusedAsks: tally.Refused,
+		PerSecond: known.limit, SaidAgoMillis: d.clock.Since(known.receivedAt).Milliseconds(),
+		Issued: known.tally.Issued, RefusedAsks: known.tally.Refused,
 	}
 }
 
--- a/internal/control/permits_test.go
+++ b/internal/control/permits_test.go
@@ -14,6 +14,7 @@
 	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -103,7 +104,7 @@
 		t.Errorf("subscribers are told %v", told)
 	}
 	d.targetLimits.keep(boottime.Now(), steering.State{})
-	if limit, _ := d.targetLimits.of("t"); limit.Named() {
-		t.Errorf("still known: %+v", limit)
+	if known := d.targetLimits.of("t"); known.limit < targetstatus.NoLimit {
+		t.Errorf("still known: %+v", known)
 	}
 }
--- a/internal/control/targetlimits.go
+++ b/internal/control/targetlimits.go
@@ -9,6 +9,7 @@
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -49,11 +50,11 @@
 }
 
 // take takes words of targets and returns the changes.
-func (t *targetLimits) take(now time.Time, words []*wire.TargetLimit) (changes []quota.LimitChange) {
+func (t *targetLimits) take(now time.Time, words []*wire.TargetLimit) (changes []targetstatus.Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, w := range words {
-		if c, changed := t.issuer.Take(now, quota.TargetLimitOf(now, w)); changed {
+		if c, changed := t.issuer.Take(now, targetstatus.UpdateOf(now, w)); changed {
 			changes = append(changes, c)
 		}
 	}
@@ -76,12 +77,8 @@
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	words, last := t.issuer.Limits().Since(change)
-	out := make([]*wire.TargetLimit, 0, len(words))
-	for _, w := range words {
-		out = append(out, w.Message(now))
-	}
-	return out, last
+	updates, last := t.issuer.Known().Since(change)
+	return targetstatus.Messages(now, updates), last
 }
 
 // keep forgets targets whose lives are over.
@@ -100,16 +97,25 @@
 }
 
 // of returns what is known of one target.
-func (t *targetLimits) of(life string) (quota.TargetLimit, quota.TargetTally) {
+func (t *targetLimits) of(target string) (known targetView) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.issuer.Limits().Of(life), t.issuer.Tally(life)
+	r := t.issuer.Known()
+	return targetView{r.Limit(target), r.ReceivedAt(target), r.IsLeaving(target), t.issuer.Tally(target)}
+}
+
+// targetView is what a replica knows of one target from its answers.
+type targetView struct {
+	limit      float64
+	receivedAt time.Time
+	isLeaving  bool
+	tally      quota.TargetTally
 }
 
 func (t *targetLimits) named() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.issuer.Limits().Named()
+	return t.issuer.Known().Limited()
 }
 
 // takeLimits takes what targets told boxes and has the subscribers told.
@@ -127,15 +133,15 @@
 	}
 }
 
-func (d *Daemon) noteLimit(c quota.LimitChange) {
+func (d *Daemon) noteLimit(c targetstatus.Change) {
 	if !d.targetLimits.lines.Take(d.clock.Now()) {
 		return
 	}
-	line := d.process.Log.Info().Str("kind", "targetLimit").Str("target", c.Life)
-	if c.Before < quota.NoLimit {
+	line := d.process.Log.Info().Str("kind", "targetLimit").Str("target", c.Incarnation)
+	if c.Before < targetstatus.NoLimit {
 		line = line.Float64("before", c.Before)
 	}
-	if c.After < quota.NoLimit {
+	if c.After < targetstatus.NoLimit {
 		line = line.Float64("perSecond", c.After)
 	}
 	line.Msg("boxes tell that a target's limit has changed")
@@ -147,6 +153,7 @@
 	for _, a := range asks {
 		if a.Limit != nil {
 			words = append(words, a.Limit)
+			words = append(words, a.Further...)
 		}
 	}
 	d.takeLimits(words)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -14,8 +14,8 @@
 
 	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/caller"
-	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/retry"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 // attemptEnd is how one attempt of a request has ended.
@@ -223,15 +223,15 @@
 	if text == "" && (shed(response) || !s.pool.limited.Load()) {
 		return
 	}
-	word := quota.TargetLimit{Life: s.target, PerSecond: quota.NoLimit, Sent: s.began, Heard: s.pool.clock.Now()}
+	word := targetstatus.Update{Incarnation: s.target, Limit: targetstatus.NoLimit, Sent: s.began, Received: s.pool.clock.Now()}
 	if text != "" {
-		perSecond, ok := quota.ParseLimit(text)
+		perSecond, ok := targetstatus.ParseLimit(text)
 		if !ok {
 			return
 		}
-		word.PerSecond = perSecond
+		word.Limit = perSecond
 	}
-	s.pool.inbox <- poolEvent{admission.Named{Target: s.target, Word: word}}
+	s.pool.inbox <- poolEvent{admission.Said{Target: s.target, Update: word}}
 }
 
 // slotStream is the rest of an answer; closing it frees the slot.
--- a/internal/entry/targetlimits_test.go
+++ b/internal/entry/targetlimits_test.go
@@ -8,8 +8,8 @@
 
 	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/caller"
-	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/settings"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -78,7 +78,7 @@
 		want   float64
 	}{
 		"names one":                    {200, http.Header{caller.HeaderLimit: {"2.5"}}, 2.5},
-		"names none":                   {200, http.Header{}, quota.NoLimit},
+		"names none":                   {200, http.Header{}, targetstatus.NoLimit},
 		"names one and is shed":        {429, http.Header{caller.HeaderLimit: {"2.5"}}, 2.5},
 		"names none and is shed":       {429, http.Header{}, 0},
 		"names one that can't be read": {200, http.Header{caller.HeaderLimit: {"some"}}, 0},
@@ -89,7 +89,7 @@
 		s.readLimit(&http.Response{StatusCode: c.status, Header: c.header})
 		got := 0.0 // for no word
 		if len(s.pool.inbox) > 0 {
-			got = (<-s.pool.inbox).(poolEvent).event.(admission.Named).Word.PerSecond
+			got = (<-s.pool.inbox).(poolEvent).event.(admission.Said).Update.Limit
 		}
 		if got != c.want {
 			t.Errorf("%s: the pool is told %v, want %v", name, got, c.want)
--- a/internal/gateway/needy_test.go
+++ b/internal/gateway/needy_test.go
@@ -20,6 +20,7 @@
 
 	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/quota"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -219,7 +220,7 @@
 	i := c.issuers[address]
 	var asks []quota.Ask
 	for _, a := range r.TargetAsks {
-		i.Take(time.Now(), quota.TargetLimitOf(time.Now(), a.Limit))
+		i.Take(time.Now(), targetstatus.UpdateOf(time.Now(), a.Limit))
 		asks = append(asks, quota.Ask{Of: a.Limit.Life, Count: int(a.Count)})
 	}
 	out := &wire.PermitAnswer{}
@@ -245,9 +246,9 @@
 				continue
 			}
 			for _, w := range told {
-				i.Take(time.Now(), quota.TargetLimitOf(time.Now(), w))
+				i.Take(time.Now(), targetstatus.UpdateOf(time.Now(), w))
 			}
-			words, last := i.Limits().Since(known[name])
+			words, last := i.Known().Since(known[name])
 			known[name] = last
 			for _, w := range words {
 				news = append(news, w.Message(time.Now()))
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -77,7 +77,7 @@
 	d.balancing.balancer.ChangeTargets(now, changed, names(ended))
 	d.balancing.balancer.SetEvacuated(now, c.Evacuated())
 	for _, t := range changed {
-		d.balancing.balancer.SetLimited(t.ID, d.targetLimits.of(t.ID).Named())
+		d.balancing.balancer.SetLimited(t.ID, d.targetLimits.hasLimit(t.ID))
 	}
 	d.balancing.Unlock()
 	d.log.Info().Str("kind", "targets").Int("targets", len(c.Targets())).Int("draining", draining(c.Targets())).
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -13,6 +13,7 @@
 	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/quota"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -50,7 +51,7 @@
 	named atomic.Int32
 
 	mu    sync.Mutex
-	known *quota.TargetLimits
+	known *targetstatus.Registry
 	alone *quota.Alone
 	// told are changes that targets told this box itself, by their lives, with the times
 	// since which they are reported.
@@ -62,7 +63,7 @@
 func newTargetLimits(box string, c *boottime.Clock) *targetLimits {
 	p := newPermits(c)
 	p.stock = quota.NewTargetStock()
-	l := &targetLimits{clock: c, permits: p, known: quota.NewTargetLimits(), alone: quota.NewAlone(box), told: make(map[string]time.Time)}
+	l := &targetLimits{clock: c, permits: p, known: targetstatus.NewRegistry(), alone: quota.NewAlone(box), told: make(map[string]time.Time)}
 	p.request = l.request
 	return l
 }
@@ -75,32 +76,33 @@
 	defer l.mu.Unlock()
 	r := &wire.PermitRequest{}
 	for _, a := range asks {
-		r.TargetAsks = append(r.TargetAsks, &wire.TargetPermitAsk{Limit: l.known.Of(a.Of).Message(now), Count: uint32(a.Count)})
+		known := targetstatus.Messages(now, l.known.Updates(a.Of))
+		r.TargetAsks = append(r.TargetAsks, &wire.TargetPermitAsk{Limit: known[0], Further: known[1:], Count: uint32(a.Count)})
 	}
 	return r
 }
 
 // hear takes what a target told this box in an answer.
-func (l *targetLimits) hear(word quota.TargetLimit) (c quota.LimitChange, changed bool) {
-	if !word.Named() && l.named.Load() == 0 {
+func (l *targetLimits) hear(u targetstatus.Update) (c targetstatus.Change, changed bool) {
+	if !u.HasLimit() && l.named.Load() == 0 {
 		return c, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c, changed = l.take(word)
+	c, changed = l.take(u)
 	if changed {
-		l.told[word.Life] = word.Heard
+		l.told[u.Incarnation] = u.Received
 	}
 	return c, changed
 }
 
 // hearOf takes what another box was told. Where this box knows better, it tells so.
-func (l *targetLimits) hearOf(word quota.TargetLimit) (c quota.LimitChange, changed bool) {
+func (l *targetLimits) hearOf(u targetstatus.Update) (c targetstatus.Change, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c, changed = l.take(word)
-	if l.known.Of(word.Life).PerSecond != word.PerSecond {
-		l.told[word.Life] = l.clock.Now()
+	c, changed = l.take(u)
+	if l.known.Limit(u.Incarnation) != u.Limit {
+		l.told[u.Incarnation] = l.clock.Now()
 	}
 	return c, changed
 }
@@ -117,21 +119,23 @@
 	return true
 }
 
-func (l *targetLimits) take(word quota.TargetLimit) (quota.LimitChange, bool) {
-	c, changed := l.known.Take(word)
+func (l *targetLimits) take(u targetstatus.Update) (targetstatus.Change, bool) {
+	c, changed := l.known.Take(u)
 	if changed {
-		l.named.Store(int32(l.known.Named()))
+		l.named.Store(int32(l.known.Limited()))
 	}
 	return c, changed
 }
 
-// of returns what is known of a target's limit.
-func (l *targetLimits) of(life string) quota.TargetLimit {
+// limit returns a target's limit.
+func (l *targetLimits) limit(target string) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.known.Of(life)
+	return l.known.Limit(target)
 }
 
+func (l *targetLimits) hasLimit(target string) bool { return l.limit(target) < targetstatus.NoLimit }
+
 // toTell returns what a report is to tell of limits.
 func (l *targetLimits) toTell() []*wire.TargetLimit {
 	now := l.clock.Now()
@@ -144,7 +148,7 @@
 	lives := slices.SortedFunc(maps.Keys(l.told), func(a, b string) int { return l.told[b].Compare(l.told[a]) })
 	var out []*wire.TargetLimit
 	for _, life := range lives[:min(len(lives), mostTold)] {
-		out = append(out, l.known.Of(life).Message(now))
+		out = append(out, targetstatus.Messages(now, l.known.Updates(life))...)
 	}
 	return out
 }
@@ -162,8 +166,8 @@
 	defer l.mu.Unlock()
 	l.known.Keep(now, lives)
 	maps.DeleteFunc(l.told, func(life string, _ time.Time) bool { return !lives(life) })
-	l.alone.Keep(func(life string) bool { return l.known.Of(life).Named() })
-	l.named.Store(int32(l.known.Named()))
+	l.alone.Keep(func(life string) bool { return l.known.HasLimit(life) })
+	l.named.Store(int32(l.known.Limited()))
 }
 
 // permit returns a permit to send a request to a target, for which it may wait. The error
@@ -186,7 +190,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if until, ok := l.alone.Take(l.clock.Now(), l.known.Of(life)); ok {
+	if until, ok := l.alone.Take(l.clock.Now(), life, l.known.Limit(life)); ok {
 		return until, nil
 	}
 	return time.Time{}, err
@@ -267,7 +271,7 @@
 func (d *Daemon) takeLimits(list []*wire.TargetLimit) {
 	now := d.clock.Now()
 	for _, m := range list {
-		if change, changed := d.targetLimits.hearOf(quota.TargetLimitOf(now, m)); changed {
+		if change, changed := d.targetLimits.hearOf(targetstatus.UpdateOf(now, m)); changed {
 			d.noteLimit(change, "")
 		}
 	}
@@ -275,23 +279,23 @@
 
 // noteLimit puts a changed limit in force and tells of it; request is the id of the request
 // whose answer told it, empty where another box was told.
-func (d *Daemon) noteLimit(c quota.LimitChange, request string) {
+func (d *Daemon) noteLimit(c targetstatus.Change, request string) {
 	d.balancing.Lock()
 	// Another change may have been told meanwhile: what is known now counts.
-	d.balancing.balancer.SetLimited(c.Life, d.targetLimits.of(c.Life).Named())
+	d.balancing.balancer.SetLimited(c.Incarnation, d.targetLimits.hasLimit(c.Incarnation))
 	d.balancing.Unlock()
 	d.metrics.targetLimits.Set(float64(d.targetLimits.named.Load()))
 	if !d.otherLines.Take(d.clock.Now()) {
 		return
 	}
-	line := d.log.Warn().Str("kind", "targetLimit").Str("target", c.Life)
-	if c.Before < quota.NoLimit {
+	line := d.log.Warn().Str("kind", "targetLimit").Str("target", c.Incarnation)
+	if c.Before < targetstatus.NoLimit {
 		line = line.Float64("before", c.Before)
 	}
 	if request != "" {
 		line = line.Str("request", request)
 	}
-	if c.After < quota.NoLimit {
+	if c.After < targetstatus.NoLimit {
 		line.Float64("perSecond", c.After).Msg("a target names what it takes from all boxes together")
 		return
 	}
--- a/internal/gateway/targetlimits_test.go
+++ b/internal/gateway/targetlimits_test.go
@@ -9,7 +9,7 @@
 	dto "github.com/prometheus/client_model/go"
 
 	"ledgesill.dev/ledgesill/pkg/balance"
-	"ledgesill.dev/ledgesill/pkg/quota"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 // Seen: a target named in its answers how many requests a second it takes from all boxes
@@ -271,7 +271,7 @@
 		d := s.boxes[0]
 		now := d.clock.Now()
 		for i := range s.targets {
-			word := quota.TargetLimit{Life: fmt.Sprint("t", i), PerSecond: 1, Sent: now, Heard: now}
+			word := targetstatus.Update{Incarnation: fmt.Sprint("t", i), Limit: 1, Sent: now, Received: now}
 			if c, changed := d.targetLimits.hear(word); changed {
 				d.noteLimit(c, "")
 			}
--- a/internal/gateway/targetpermits_test.go
+++ b/internal/gateway/targetpermits_test.go
@@ -13,8 +13,8 @@
 
 	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/pkg/balance"
-	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -49,12 +49,12 @@
 // heard has the box hear from a target that it names a limit.
 func (s *scene) heard(life string, perSecond float64) {
 	now := boottime.Now()
-	if c, changed := s.daemon.targetLimits.hear(quota.TargetLimit{Life: life, PerSecond: perSecond, Sent: now, Heard: now}); changed {
+	if c, changed := s.daemon.targetLimits.hear(targetstatus.Update{Incarnation: life, Limit: perSecond, Sent: now, Received: now}); changed {
 		s.daemon.noteLimit(c, "")
 	}
 }
 
-func (s *scene) limitOf(life string) float64 { return s.daemon.targetLimits.of(life).PerSecond }
+func (s *scene) limitOf(life string) float64 { return s.daemon.targetLimits.limit(life) }
 
 // answersLimited answers with a status and headers.
 func answersLimited(status int, header string) script {
@@ -72,7 +72,7 @@
 		"names one":                        {answersLimited(200, "Test-Limit: 2.5\r\n"), 2.5},
 		"names one as it fails":            {answersLimited(500, "Test-Limit: 2.5\r\n"), 2.5},
 		"names one and turns it away":      {answersLimited(503, "Test-Not-Executed: 1\r\nTest-Limit: 2.5\r\n"), 2.5},
-		"names none":                       {answersLimited(200, ""), quota.NoLimit},
+		"names none":                       {answersLimited(200, ""), targetstatus.NoLimit},
 		"names none and turns it away":     {answersLimited(503, "Test-Not-Executed: 1\r\n"), 5},
 		"is another target":                {answersLimited(421, "Test-Limit: 2.5\r\n"), 5},
 		"names what can't be read":         {answersLimited(200, "Test-Limit: many\r\n"), 5},
@@ -104,12 +104,12 @@
 		if told := s.daemon.targetLimits.toTell(); len(told) > 0 {
 			t.Fatalf("still tells %v", told)
 		}
-		before := quota.TargetLimit{Life: "t0", PerSecond: quota.NoLimit, Sent: now.Add(-time.Minute), Heard: now.Add(-time.Second)}
+		before := targetstatus.Update{Incarnation: "t0", Limit: targetstatus.NoLimit, Sent: now.Add(-time.Minute), Received: now.Add(-time.Second)}
 		s.daemon.takeLimits([]*wire.TargetLimit{before.Message(boottime.Now())})
 		if told := s.daemon.targetLimits.toTell(); len(told) != 1 || told[0].PerSecond != 5 {
 			t.Errorf("tells %v", told)
 		}
-		later := quota.TargetLimit{Life: "t0", PerSecond: 3, Sent: boottime.Now().Add(-time.Second), Heard: boottime.Now()}
+		later := targetstatus.Update{Incarnation: "t0", Limit: 3, Sent: boottime.Now().Add(-time.Second), Received: boottime.Now()}
 		s.daemon.takeLimits([]*wire.TargetLimit{later.Message(boottime.Now())})
 		if got := s.limitOf("t0"); got != 3 {
 			t.Errorf("%v a second is known", got)
@@ -121,7 +121,7 @@
 func TestLimitOfATargetThatIsRegisteredLater(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		s, _ := namedScene(t, 1, nil)
-		word := quota.TargetLimit{Life: "t9", PerSecond: 2, Sent: boottime.Now(), Heard: boottime.Now()}
+		word := targetstatus.Update{Incarnation: "t9", Limit: 2, Sent: boottime.Now(), Received: boottime.Now()}
 		s.daemon.takeLimits([]*wire.TargetLimit{word.Message(boottime.Now())})
 		s.daemon.targetLimits.keep(boottime.Now(), s.daemon.knows)
 		state := steering.State{}
@@ -185,7 +185,7 @@
 			t.Fatalf("got %v", err)
 		}
 		synctest.Wait()
-		s.heard("t0", quota.NoLimit)
+		s.heard("t0", targetstatus.NoLimit)
 		s.wantNoneCounted(t)
 	})
 }
--- a/internal/gateway/targetstatus.go
+++ b/internal/gateway/targetstatus.go
@@ -6,7 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
@@ -17,8 +16,7 @@
 // becomes of the body and the request.
 func (a *attempt) observe(response *http.Response) targetstatus.Status {
 	d := a.gateway
-	// time of day: a Retry-After may be a date.
-	said := d.config.Protocol.Status.Decode(response.StatusCode, response.Header, time.Now)
+	said := d.config.Protocol.Status.Decode(response.StatusCode, response.Header, time.Now) // time of day: a Retry-After may be a date
 	if len(said.Unread) > 0 {
 		d.noteUnread(a, said.Unread)
 	}
@@ -36,11 +34,11 @@
 
 // observeLimit takes the limit that an answer names, or that it names none.
 func (d *Daemon) observeLimit(a *attempt, said targetstatus.Status) {
-	word := quota.TargetLimit{Life: a.target.ID, PerSecond: quota.NoLimit, Sent: a.began, Heard: d.clock.Now()}
+	u := targetstatus.Update{Incarnation: a.target.ID, Limit: targetstatus.NoLimit, Sent: a.began, Received: d.clock.Now()}
 	if said.HasLimit {
-		word.PerSecond = said.Limit
+		u.Limit = said.Limit
 	}
-	change, changed := d.targetLimits.hear(word)
+	change, changed := d.targetLimits.hear(u)
 	if !changed {
 		return
 	}
--- a/pkg/admission/event.go
+++ b/pkg/admission/event.go
@@ -11,7 +11,7 @@
 import (
 	"time"
 
-	"ledgesill.dev/ledgesill/pkg/quota"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 // Class says whether a request may be repeated.
@@ -117,10 +117,10 @@
 	Busy int
 }
 
-// Named is what a target said of its limit in an answer.
-type Named struct {
+// Said is what a target said in an answer that concerns all boxes.
+type Said struct {
 	Target string
-	Word   quota.TargetLimit
+	Update targetstatus.Update
 }
 
 // Tick lets time pass.
@@ -132,7 +132,7 @@
 func (Cancel) event()    {}
 func (Finish) event()    {}
 func (Measure) event()   {}
-func (Named) event()     {}
+func (Said) event()      {}
 func (Tick) event()      {}
 
 // Reason says why a request was refused.
--- a/pkg/admission/limited.go
+++ b/pkg/admission/limited.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"ledgesill.dev/ledgesill/pkg/quota"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 const (
@@ -26,28 +26,30 @@
 // grants at most limit * (limitShare+checkShare) * (T+limitDepth) + 2 requests and checks.
 // A new holder begins with an empty bucket once the target has told it.
 type rate struct {
-	limit     quota.TargetLimit
+	said      targetstatus.Shared
 	tokens    float64
 	at        time.Time
 	checkedAt time.Time
 }
 
 func newRate(target string) rate {
-	return rate{limit: quota.TargetLimit{Life: target, PerSecond: quota.NoLimit}}
+	return rate{said: targetstatus.Shared{Incarnation: target}}
 }
 
 // take takes what the target said.
-func (r *rate) take(now time.Time, word quota.TargetLimit) {
-	wasNamed := r.limit.Named()
-	r.limit = r.limit.With(word)
-	if r.limit.Named() && !wasNamed {
+func (r *rate) take(now time.Time, u targetstatus.Update) {
+	had := r.hasLimit()
+	r.said = r.said.With(u)
+	if r.hasLimit() && !had {
 		r.tokens = 0
 		r.at = now
 		r.checkedAt = now
 	}
 }
 
-func (r *rate) perSecond() float64 { return max(r.limit.PerSecond, leastLimit) }
+func (r *rate) hasLimit() bool { return r.said.Limit() < targetstatus.NoLimit }
+
+func (r *rate) perSecond() float64 { return max(r.said.Limit(), leastLimit) }
 
 // free returns how many requests the limit allows now.
 func (r *rate) free(now time.Time) int {
@@ -61,14 +63,14 @@
 
 // grant counts a request that was granted.
 func (r *rate) grant() {
-	if r.limit.Named() {
+	if r.hasLimit() {
 		r.tokens--
 	}
 }
 
 // mayCheck reports whether the target's health may be checked now, and counts the check.
 func (r *rate) mayCheck(now time.Time) bool {
-	if !r.limit.Named() {
+	if !r.hasLimit() {
 		return true
 	}
 	pause := time.Duration(float64(time.Second) / (checkShare * r.perSecond()))
@@ -92,7 +94,7 @@
 
 // AnyLimited reports whether a target names a limit.
 func (p *Pool) AnyLimited() bool {
-	return slices.ContainsFunc(p.targets, func(t *target) bool { return t.rate.limit.Named() })
+	return slices.ContainsFunc(p.targets, func(t *target) bool { return t.rate.hasLimit() })
 }
 
 // limitedRate is how many requests a second the pool can grant where all targets in service
@@ -102,7 +104,7 @@
 		if !t.inService(now) {
 			continue
 		}
-		if !t.rate.limit.Named() {
+		if !t.rate.hasLimit() {
 			return 0, false
 		}
 		perSecond += limitShare * t.rate.perSecond()
--- a/pkg/admission/limited_test.go
+++ b/pkg/admission/limited_test.go
@@ -4,11 +4,11 @@
 	"testing"
 	"time"
 
-	"ledgesill.dev/ledgesill/pkg/quota"
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
-func named(target string, perSecond float64, now time.Time) Named {
-	return Named{target, quota.TargetLimit{Life: target, PerSecond: perSecond, Sent: now, Heard: now}}
+func named(target string, perSecond float64, now time.Time) Said {
+	return Said{target, targetstatus.Update{Incarnation: target, Limit: perSecond, Sent: now, Received: now}}
 }
 
 // limitedPool is a pool that is asked for more than its targets' limits for a time.
@@ -56,7 +56,7 @@
 	if len(l.refused) > 0 {
 		t.Errorf("%d requests were refused, the other targets have room", len(l.refused))
 	}
-	l.handle(named("t0", quota.NoLimit, l.now))
+	l.handle(named("t0", targetstatus.NoLimit, l.now))
 	clear(l.granted)
 	l.load(10 * time.Second)
 	if got := l.granted["t0"]; got < 200 {
@@ -71,7 +71,7 @@
 	l.now = l.now.Add(time.Minute)
 	l.handle(Tick{})
 	l.pool.free(l.now)
-	l.handle(named("t0", quota.NoLimit, l.now))
+	l.handle(named("t0", targetstatus.NoLimit, l.now))
 	l.handle(named("t0", 100, l.now))
 	if n := l.pool.free(l.now); n != 0 {
 		t.Errorf("%d requests may be granted at once", n)
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -63,9 +63,9 @@
 		if t := p.find(e.Target); t != nil {
 			t.measure(now, e, p.config)
 		}
-	case Named:
+	case Said:
 		if t := p.find(e.Target); t != nil {
-			t.rate.take(now, e.Word)
+			t.rate.take(now, e.Update)
 		}
 	case Tick:
 	}
--- a/pkg/admission/target.go
+++ b/pkg/admission/target.go
@@ -83,7 +83,7 @@
 
 func (t *target) free(now time.Time, c Config) int {
 	slots := max(t.limit(now, c)-t.inFlight, 0)
-	if !t.rate.limit.Named() {
+	if !t.rate.hasLimit() {
 		return slots
 	}
 	return min(slots, t.rate.free(now))
--- a/pkg/quota/alone.go
+++ b/pkg/quota/alone.go
@@ -28,16 +28,17 @@
 // SetBoxes takes the names of the boxes that serve.
 func (a *Alone) SetBoxes(names []string) { a.boxes = names }
 
-// Take reports whether the box may send a request to a target with a limit, and counts it.
-func (a *Alone) Take(now time.Time, limit TargetLimit) (until time.Time, ok bool) {
-	if !slices.Contains(topRanked(limit.Life, a.boxes, aloneBoxes), a.box) {
+// Take reports whether the box may send a request to a target with a limit, in requests a
+// second, and counts it.
+func (a *Alone) Take(now time.Time, target string, limit float64) (until time.Time, ok bool) {
+	if !slices.Contains(topRanked(target, a.boxes, aloneBoxes), a.box) {
 		return until, false
 	}
-	p := part{rate: max(limit.PerSecond, leastTargetRate) * aloneShare, depth: 1, life: targetLife}
-	b := a.buckets[limit.Life]
+	p := part{rate: max(limit, leastTargetRate) * aloneShare, depth: 1, life: targetLife}
+	b := a.buckets[target]
 	if b == nil {
 		b = &bucket{part: p, at: now}
-		a.buckets[limit.Life] = b
+		a.buckets[target] = b
 	}
 	b.resize(now, p)
 	if b.tokens < 1 {
--- a/pkg/quota/targetissuer.go
+++ b/pkg/quota/targetissuer.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 // What all boxes together send to a target that names a limit L, in any span of W:
@@ -70,7 +72,7 @@
 type TargetIssuer struct {
 	own      string
 	replicas []string
-	limits   *TargetLimits
+	known    *targetstatus.Registry
 	buckets  map[string]*bucket
 	tallies  map[string]*TargetTally
 }
@@ -84,11 +86,11 @@
 
 // NewTargetIssuer returns the issuer of a replica that other processes know by an address.
 func NewTargetIssuer(own string) *TargetIssuer {
-	return &TargetIssuer{own: own, limits: NewTargetLimits(), buckets: make(map[string]*bucket), tallies: make(map[string]*TargetTally)}
+	return &TargetIssuer{own: own, known: targetstatus.NewRegistry(), buckets: make(map[string]*bucket), tallies: make(map[string]*TargetTally)}
 }
 
-// Limits is what the replica knows of the limits of targets.
-func (i *TargetIssuer) Limits() *TargetLimits { return i.limits }
+// Known is what the replica knows of targets.
+func (i *TargetIssuer) Known() *targetstatus.Registry { return i.known }
 
 // SetReplicas takes the addresses of all replicas.
 func (i *TargetIssuer) SetReplicas(now time.Time, addresses []string) {
@@ -101,24 +103,23 @@
 	}
 }
 
-// Take takes a target's word and reports whether it changed the limit.
-func (i *TargetIssuer) Take(now time.Time, word TargetLimit) (c LimitChange, changed bool) {
-	c, changed = i.limits.Take(word)
+// Take takes what a target said and reports whether it changed what is known.
+func (i *TargetIssuer) Take(now time.Time, u targetstatus.Update) (c targetstatus.Change, changed bool) {
+	c, changed = i.known.Take(u)
 	if changed {
-		i.resize(now, word.Life)
+		i.resize(now, u.Incarnation)
 	}
 	return c, changed
 }
 
 // resize has a target's bucket follow its limit and the issuers.
 func (i *TargetIssuer) resize(now time.Time, life string) {
-	limit := i.limits.Of(life)
 	issuers := TargetIssuers(life, i.replicas)
-	if !limit.Named() || !slices.Contains(issuers, i.own) {
+	if !i.known.HasLimit(life) || !slices.Contains(issuers, i.own) {
 		delete(i.buckets, life)
 		return
 	}
-	p := partOfTarget(limit.PerSecond, len(issuers))
+	p := partOfTarget(i.known.Limit(life), len(issuers))
 	if b := i.buckets[life]; b != nil {
 		b.resize(now, p)
 		return
@@ -141,7 +142,7 @@
 	if b := i.buckets[a.Of]; b != nil {
 		return b.grant(now, a)
 	}
-	if i.limits.Of(a.Of).Named() {
+	if i.known.HasLimit(a.Of) {
 		return Grant{Of: a.Of, Wait: longestWait} // others issue its permits
 	}
 	return Grant{Of: a.Of, Count: a.Count, Life: targetLife}
@@ -170,7 +171,7 @@
 
 // Keep forgets targets whose lives are over.
 func (i *TargetIssuer) Keep(now time.Time, lives func(life string) bool) {
-	i.limits.Keep(now, lives)
+	i.known.Keep(now, lives)
 	for life := range i.tallies {
 		if !lives(life) {
 			delete(i.tallies, life)
--- a/pkg/quota/targetlimit_bench_test.go
+++ b/pkg/quota/targetlimit_bench_test.go
@@ -7,13 +7,14 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
 // limitedTargets are the lives of targets that name 5.6 requests a second, a third of 3,000.
-func limitedTargets(now time.Time) (out []TargetLimit) {
+func limitedTargets(now time.Time) (out []targetstatus.Update) {
 	for i := range 1000 {
-		out = append(out, TargetLimit{Life: fmt.Sprintf("i-%010d@1785000000000", i), PerSecond: 5.6, Sent: now, Heard: now})
+		out = append(out, targetstatus.Update{Incarnation: fmt.Sprintf("i-%010d@1785000000000", i), Limit: 5.6, Sent: now, Received: now})
 	}
 	return out
 }
@@ -33,7 +34,7 @@
 		now = now.Add(time.Millisecond)
 		word := limits[i%len(limits)]
 		issuer.Take(now, word)
-		issuer.Issue(now, []Ask{{word.Life, 1}})
+		issuer.Issue(now, []Ask{{word.Incarnation, 1}})
 	}
 }
 
@@ -49,7 +50,7 @@
 	limits := limitedTargets(now)
 	for i := 0; b.Loop(); i++ {
 		now = now.Add(time.Millisecond)
-		life := limits[i%len(limits)].Life
+		life := limits[i%len(limits)].Incarnation
 		stock.Count(now, life)
 		stock.Wait(life)
 		for _, a := range stock.Asks(now) {
--- a/pkg/quota/targetlimit_test.go
+++ b/pkg/quota/targetlimit_test.go
@@ -7,144 +7,12 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 const oneTarget = "t"
 
-// said is a word of the target of these tests.
-func said(perSecond float64, sent, heard time.Duration) TargetLimit {
-	return TargetLimit{Life: oneTarget, PerSecond: perSecond, Sent: time.Time{}.Add(sent), Heard: time.Time{}.Add(heard)}
-}
-
-func TestAnswersOutOfOrder(t *testing.T) {
-	known := said(5, 10, 20)
-	cases := map[string]struct {
-		word TargetLimit
-		want float64
-	}{
-		"later, raised":          {said(8, 20, 30), 8},
-		"later, taken back":      {said(NoLimit, 25, 30), NoLimit},
-		"later, hardly raised":   {said(5.4, 20, 30), 5},
-		"later, hardly lowered":  {said(4.9, 20, 30), 4.9},
-		"earlier, none yet":      {said(NoLimit, 1, 10), 5},
-		"beside it, none":        {said(NoLimit, 15, 40), 5},
-		"beside it, raised":      {said(8, 5, 40), 5},
-		"beside it, lowered":     {said(2, 5, 15), 2},
-		"long under way, lower":  {said(2, 1, 60), 2},
-		"later, the same limit":  {said(5, 30, 40), 5},
-		"beside it, still valid": {said(5, 15, 40), 5},
-	}
-	for name, c := range cases {
-		if got := known.With(c.word).PerSecond; got != c.want {
-			t.Errorf("%s: %v a second, want %v", name, got, c.want)
-		}
-	}
-}
-
-// Two answers that ran beside each other named the same limit; a third that ran beside the
-// second names none.
-func TestLimitHoldsWhileAnyAnswerThatNamedItMayBeTheLast(t *testing.T) {
-	known := said(5, 10, 20).With(said(5, 15, 40)).With(said(NoLimit, 25, 50))
-	if known.PerSecond != 5 {
-		t.Errorf("%v a second is known", known.PerSecond)
-	}
-}
-
-// A word waits on its way, which its ages don't count: one that another process tells as
-// said just after a limit was named here may have been said before.
-func TestRelayedWordMayBeOlderThanItsAges(t *testing.T) {
-	now := time.Time{}.Add(time.Hour)
-	named := TargetLimit{Life: oneTarget, PerSecond: 5, Sent: now.Add(-20 * time.Millisecond), Heard: now}
-	message := TargetLimit{Life: oneTarget, PerSecond: NoLimit, Sent: now.Add(-150 * time.Millisecond), Heard: now.Add(-120 * time.Millisecond)}.Message(now)
-	arrived := now.Add(200 * time.Millisecond)
-	if got := named.With(TargetLimitOf(arrived, message)); got.PerSecond != 5 {
-		t.Errorf("%v a second is known", got.PerSecond)
-	}
-	now = now.Add(2 * time.Second)
-	message = TargetLimit{Life: oneTarget, PerSecond: NoLimit, Sent: now.Add(-time.Second), Heard: now}.Message(now)
-	if got := named.With(TargetLimitOf(now, message)); got.PerSecond != NoLimit {
-		t.Errorf("%v a second is known", got.PerSecond)
-	}
-}
-
-// A target that reckons its limit anew for each answer is no news each time, and one that
-// names a little more each time has its limit raised in the end.
-func TestNoiseIsNoNews(t *testing.T) {
-	book := NewTargetLimits()
-	changes := 0
-	take := func(at time.Duration, perSecond float64) {
-		if _, changed := book.Take(said(perSecond, at, at+1)); changed {
-			changes++
-		}
-	}
-	for i := range 1000 {
-		take(time.Duration(2*i), 10+float64(i*7%10)/20)
-	}
-	if changes > 3 || book.Of(oneTarget).PerSecond != 10 {
-		t.Errorf("%d changes, %v a second", changes, book.Of(oneTarget).PerSecond)
-	}
-	for i := range 100 {
-		take(time.Duration(3000+2*i), 10+float64(i)/5)
-	}
-	if got := book.Of(oneTarget).PerSecond; got < 27 {
-		t.Errorf("a limit that rose to 29.8 is known as %v", got)
-	}
-}
-
-// Of words in any order, with answers that ran beside each other, what is known is never
-// above the least of what the target may have said last.
-func TestLimitIsNeverAboveWhatWasSaidLast(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		type answer struct {
-			TargetLimit
-			at time.Duration
-		}
-		var answers []answer
-		limits := []float64{NoLimit, 1, 2, 3}
-		now := time.Duration(0)
-		for range rapid.IntRange(1, 12).Draw(t, "answers") {
-			now += time.Duration(rapid.IntRange(1, 20).Draw(t, "pause"))
-			sent := now - time.Duration(rapid.IntRange(0, 30).Draw(t, "service"))
-			heard := now + time.Duration(rapid.IntRange(0, 30).Draw(t, "way"))
-			answers = append(answers, answer{said(rapid.SampledFrom(limits).Draw(t, "limit"), sent, heard), now})
-		}
-		last := answers[len(answers)-1]
-		order := rapid.Permutation(answers).Draw(t, "order")
-		book := NewTargetLimits()
-		for _, a := range order {
-			book.Take(a.TargetLimit)
-		}
-		if got := book.Of(oneTarget).PerSecond; got > last.PerSecond {
-			t.Fatalf("%v a second is known, the target said %v last", got, last.PerSecond)
-		}
-	})
-}
-
-// A limit that is taken back is gone once an answer has come whose request was sent after
-// the last answer that named it.
-func TestLimitThatIsTakenBackIsForgotten(t *testing.T) {
-	book := NewTargetLimits()
-	book.Take(said(5, 10, 20))
-	if _, changed := book.Take(said(NoLimit, 15, 30)); changed {
-		t.Error("taken back by an answer that ran beside")
-	}
-	c, changed := book.Take(said(NoLimit, 20, 40))
-	if !changed || c.Before != 5 || c.After != NoLimit || book.Named() != 0 {
-		t.Errorf("got %+v, changed %v", c, changed)
-	}
-	if _, changed := book.Take(said(5, 1, 19)); changed {
-		t.Error("named again by an answer of before")
-	}
-	words, last := book.Since(0)
-	if len(words) != 1 || words[0].Named() || last != 2 {
-		t.Errorf("subscribers are told %+v, %d", words, last)
-	}
-	book.Keep(time.Time{}.Add(time.Hour), func(string) bool { return true })
-	if words, _ := book.Since(0); len(words) != 0 {
-		t.Errorf("still known after an hour: %+v", words)
-	}
-}
-
 // needWindow is the span in which targets count what they get.
 const needWindow = 4 * time.Second
 
@@ -156,7 +24,7 @@
 type needy struct {
 	t        *rapid.T
 	now      time.Time
-	limit    TargetLimit
+	limit    targetstatus.Update
 	issuers  map[string]*TargetIssuer
 	replicas []string
 	boxes    []*needyBox
@@ -219,7 +87,7 @@
 		}
 		b.stock.Unwait(oneTarget)
 	}
-	return b.alone.Take(n.now, n.limit)
+	return b.alone.Take(n.now, oneTarget, n.limit.Limit)
 }
 
 func (n *needy) answer(b *needyBox, a IssuerAsks) {
@@ -276,7 +144,7 @@
 func TestTargetBoundHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := &needy{t: t, now: time.Time{}.Add(time.Hour), issuers: make(map[string]*TargetIssuer), cut: make(map[string]bool)}
-		n.limit = TargetLimit{Life: oneTarget, PerSecond: rapid.SampledFrom([]float64{0, 0.3, 1, 5.6, 40}).Draw(t, "limit"), Sent: n.now, Heard: n.now}
+		n.limit = targetstatus.Update{Incarnation: oneTarget, Limit: rapid.SampledFrom([]float64{0, 0.3, 1, 5.6, 40}).Draw(t, "limit"), Sent: n.now, Received: n.now}
 		for k := range rapid.IntRange(1, 9).Draw(t, "replicas") {
 			n.replicas = append(n.replicas, fmt.Sprint("r", k))
 		}
@@ -287,7 +155,7 @@
 		for k := range n.boxes {
 			n.startBox(k)
 		}
-		higher, lowered := n.limit.PerSecond, time.Time{}
+		higher, lowered := n.limit.Limit, time.Time{}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			n.pass(time.Duration(rapid.IntRange(1, 900).Draw(t, "pause")) * time.Millisecond)
 			box := rapid.IntRange(0, len(n.boxes)-1).Draw(t, "box")
@@ -311,7 +179,7 @@
 				n.cut[replica+n.boxes[box].name] = !n.cut[replica+n.boxes[box].name]
 			case "lower":
 				if lowered.IsZero() {
-					n.limit = TargetLimit{Life: oneTarget, PerSecond: higher / 3, Sent: n.now, Heard: n.now}
+					n.limit = targetstatus.Update{Incarnation: oneTarget, Limit: higher / 3, Sent: n.now, Received: n.now}
 					lowered = n.now
 				}
 			}
@@ -343,7 +211,7 @@
 
 func worstOfTarget(perSecond float64, replicas int) float64 {
 	now := time.Time{}.Add(time.Hour)
-	limit := TargetLimit{Life: oneTarget, PerSecond: perSecond, Sent: now, Heard: now}
+	limit := targetstatus.Update{Incarnation: oneTarget, Limit: perSecond, Sent: now, Received: now}
 	var all []string
 	for k := range replicas {
 		all = append(all, fmt.Sprint("r", k))
@@ -357,7 +225,7 @@
 	}
 	alone := NewAlone("b")
 	alone.SetBoxes([]string{"b"})
-	alone.Take(now, limit)
+	alone.Take(now, oneTarget, perSecond)
 	now = now.Add(time.Minute)
 	used := 0
 	for end := now.Add(targetLife + needWindow); now.Before(end); now = now.Add(time.Millisecond) {
@@ -365,7 +233,7 @@
 			used += i.Issue(now, []Ask{{oneTarget, 1 << 20}})[0].Count
 		}
 		if now.After(end.Add(-needWindow)) {
-			if _, ok := alone.Take(now, limit); ok {
+			if _, ok := alone.Take(now, oneTarget, perSecond); ok {
 				used++
 			}
 		}
@@ -378,7 +246,7 @@
 func TestWhoIssuesForATarget(t *testing.T) {
 	now := time.Time{}.Add(time.Hour)
 	replicas := []string{"r0", "r1", "r2", "r3", "r4"}
-	limit := TargetLimit{Life: oneTarget, PerSecond: 10, Sent: now, Heard: now}
+	limit := targetstatus.Update{Incarnation: oneTarget, Limit: 10, Sent: now, Received: now}
 	issuers := TargetIssuers(oneTarget, replicas)
 	if len(issuers) != targetIssuers {
 		t.Fatalf("issuers %v", issuers)
@@ -394,7 +262,7 @@
 		if isIssuer := slices.Contains(issuers, name); isIssuer != (g.Count > 0) {
 			t.Errorf("%s, issuer %v: %+v", name, isIssuer, g)
 		}
-		i.Take(now, TargetLimit{Life: oneTarget, PerSecond: NoLimit, Sent: now.Add(time.Second), Heard: now.Add(time.Second)})
+		i.Take(now, targetstatus.Update{Incarnation: oneTarget, Limit: targetstatus.NoLimit, Sent: now.Add(time.Second), Received: now.Add(time.Second)})
 		if g := i.Issue(now.Add(time.Second), []Ask{{oneTarget, 7}})[0]; g.Count != 7 {
 			t.Errorf("%s after the limit was taken back: %+v", name, g)
 		}
--- /dev/null
+++ b/pkg/targetstatus/shared.go
@@ -0,0 +1,125 @@
+package targetstatus
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// NoLimit is the limit of a target that names none.
+var NoLimit = math.Inf(1)
+
+// Update is what one answer of one incarnation of a target says to all boxes. The target
+// said so after Sent, when the request that it answered was sent, and before Received, when
+// the answer had come.
+type Update struct {
+	Incarnation string
+	// Limit is in requests a second, all boxes together.
+	Limit float64
+	// Leaving tells that the target leaves.
+	Leaving  bool
+	Sent     time.Time
+	Received time.Time
+}
+
+// HasLimit reports whether the target named a limit.
+func (u Update) HasLimit() bool { return u.Limit < NoLimit }
+
+// WithoutLimit returns the update with nothing on the limit, neither one nor that there is
+// none: an update that was said before all others takes none of them back.
+func (u Update) WithoutLimit() Update {
+	u.Limit = NoLimit
+	u.Sent = time.Time{}
+	return u
+}
+
+// saidLimit is a limit and when the last answer that named it had come.
+type saidLimit struct {
+	perSecond float64
+	received  time.Time
+}
+
+// maxSaidLimits bounds the limits of one target of which each may be the one that it said
+// last.
+const maxSaidLimits = 8
+
+// Shared is what the updates of one incarnation lead to, in whatever order they come and
+// however often. It is a join of them: associative, commutative and idempotent.
+//
+// An update is superseded by another one whose request was sent after its answer had come.
+// Of those that are not superseded each may be what the target said last; the lowest limit
+// of them holds.
+type Shared struct {
+	Incarnation string
+	Leaving     bool
+	// sent is the latest time at which a request was sent whose answer speaks of the limit:
+	// what had come by then is superseded.
+	sent time.Time
+	// limits have come after sent. They rise, and so do their times: a limit that is
+	// superseded sooner than a lower one never holds.
+	limits []saidLimit
+}
+
+// With returns what is known once a further update has come.
+func (s Shared) With(u Update) Shared {
+	s.Leaving = s.Leaving || u.Leaving
+	if u.Sent.After(s.sent) {
+		s.sent = u.Sent
+	}
+	said := slices.Clone(s.limits)
+	if u.HasLimit() {
+		said = append(said, saidLimit{u.Limit, u.received()})
+	}
+	said = slices.DeleteFunc(said, func(l saidLimit) bool { return !l.received.After(s.sent) })
+	s.limits = rising(said)
+	return s
+}
+
+// received is after Sent, also where the clock did not move between them.
+func (u Update) received() time.Time {
+	if u.Received.After(u.Sent) {
+		return u.Received
+	}
+	return u.Sent.Add(1)
+}
+
+// rising sorts limits and drops those that never hold.
+func rising(said []saidLimit) []saidLimit {
+	slices.SortFunc(said, func(a, b saidLimit) int {
+		if a.perSecond != b.perSecond {
+			return int(math.Copysign(1, a.perSecond-b.perSecond))
+		}
+		return b.received.Compare(a.received)
+	})
+	out := said[:0]
+	for _, l := range said {
+		if len(out) == 0 || l.received.After(out[len(out)-1].received) {
+			out = append(out, l)
+		}
+	}
+	if len(out) > maxSaidLimits { // the lower limit then holds for longer than it must
+		out[maxSaidLimits-1].received = out[len(out)-1].received
+		out = out[:maxSaidLimits]
+	}
+	return out
+}
+
+// Limit returns the limit that holds, NoLimit for none.
+func (s Shared) Limit() float64 {
+	if len(s.limits) == 0 {
+		return NoLimit
+	}
+	return s.limits[0].perSecond
+}
+
+// Updates returns updates that lead to the same: what another process is told.
+func (s Shared) Updates() []Update {
+	if len(s.limits) == 0 {
+		return []Update{{Incarnation: s.Incarnation, Limit: NoLimit, Leaving: s.Leaving, Sent: s.sent, Received: s.sent}}
+	}
+	out := make([]Update, 0, len(s.limits))
+	for _, l := range s.limits {
+		out = append(out, Update{Incarnation: s.Incarnation, Limit: l.perSecond, Leaving: s.Leaving, Sent: s.sent, Received: l.received})
+	}
+	return out
+}
