gateway: send a target that says in an answer that it leaves nothing more

Cause: no box read the header; what a target says in an answer reached the box that got it at most. The same class as the limits of targets and the back-off. Change: leaving is a field of what targets say to all boxes: one box reports it to each replica at once, these tell all boxes with the next update (as limits). It holds to the end of the incarnation: no heartbeat, state or answer takes it back. Where no other target can be used one that has just said so serves on for 1 s, shorter than the time for which it keeps serving. Requests are looked at once more when they have their connection. ledgesill targets shows it.

--- a/internal/command/targets.go
+++ b/internal/command/targets.go
@@ -68,6 +68,8 @@
 	switch {
 	case t.Draining:
 		return "draining"
+	case t.Leaving:
+		return "leaving"
 	case t.ColdMillis > 0:
 		return "cold"
 	}
--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -209,7 +209,7 @@
 // collect takes the reports of boxes.
 func (d *Daemon) collect(r *wire.Report) {
 	d.publishing.Collect(r)
-	d.takeLimits(r.Limits)
+	d.takeUpdates(r.Limits)
 	for _, b := range r.Boxes {
 		d.serving.heard(b)
 	}
--- a/internal/control/catalogapi.go
+++ b/internal/control/catalogapi.go
@@ -121,6 +121,7 @@
 			Sequence:   r.Sequence,
 			BornMillis: r.BornUnixMilli,
 			Limit:      d.limitOf(r),
+			Leaving:    d.targetLimits.of(catalog.LifeOf(r).String()).isLeaving,
 		})
 	}
 	_ = c.JSON(out) // the client sees a broken answer
--- a/internal/control/permits_test.go
+++ b/internal/control/permits_test.go
@@ -99,7 +99,7 @@
 		t.Errorf("subscribers are told %v", told)
 	}
 	time.Sleep(400 * time.Millisecond)
-	d.takeLimits([]*wire.TargetLimit{{Life: "t"}})
+	d.takeUpdates([]*wire.TargetLimit{{Life: "t"}})
 	if told, _ := d.targetLimits.since(last); len(told) != 1 || told[0].Limited {
 		t.Errorf("subscribers are told %v", told)
 	}
--- a/internal/control/targetlimits.go
+++ b/internal/control/targetlimits.go
@@ -118,8 +118,8 @@
 	return t.issuer.Known().Limited()
 }
 
-// takeLimits takes what targets told boxes and has the subscribers told.
-func (d *Daemon) takeLimits(words []*wire.TargetLimit) {
+// takeUpdates takes what targets told boxes and has the subscribers told.
+func (d *Daemon) takeUpdates(words []*wire.TargetLimit) {
 	if len(words) == 0 {
 		return
 	}
@@ -129,14 +129,20 @@
 	}
 	d.publishing.LimitsChanged()
 	for _, c := range changes {
-		d.noteLimit(c)
+		d.logChange(c)
 	}
 }
 
-func (d *Daemon) noteLimit(c targetstatus.Change) {
+func (d *Daemon) logChange(c targetstatus.Change) {
 	if !d.targetLimits.lines.Take(d.clock.Now()) {
 		return
 	}
+	if c.Leaving {
+		d.process.Log.Info().Str("kind", "targetLeaving").Str("target", c.Incarnation).Msg("a box reported that a target leaves")
+	}
+	if !c.LimitChanged() {
+		return
+	}
 	line := d.process.Log.Info().Str("kind", "targetLimit").Str("target", c.Incarnation)
 	if c.Before < targetstatus.NoLimit {
 		line = line.Float64("before", c.Before)
@@ -144,7 +150,7 @@
 	if c.After < targetstatus.NoLimit {
 		line = line.Float64("perSecond", c.After)
 	}
-	line.Msg("boxes tell that a target's limit has changed")
+	line.Msg("a box reported that a target's rate limit changed")
 }
 
 // issueForTargets answers what a box asks for targets.
@@ -156,6 +162,6 @@
 			words = append(words, a.Further...)
 		}
 	}
-	d.takeLimits(words)
+	d.takeUpdates(words)
 	return grantMessages(d.targetLimits.issue(d.clock.Now(), asks))
 }
--- a/internal/gateway/backoff_test.go
+++ b/internal/gateway/backoff_test.go
@@ -222,3 +222,25 @@
 		}
 	})
 }
+
+// Guards against a request that is given up as if it had failed to connect so often: what
+// was not sent because of back-offs is no failed connection.
+func TestWithdrawnAttemptsAreNoFailedConnections(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newNeedyScene(t, 1, maxDials+3)
+		d := s.boxes[0]
+		dial := d.connections.dial
+		d.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if address != "0" {
+				d.balancing.Lock()
+				d.balancing.balancer.BackOff(d.clock.Now(), "t"+address, time.Minute)
+				d.balancing.Unlock()
+			}
+			return dial(ctx, network, address)
+		}
+		s.ask(d, 1)
+		if s.served != 1 {
+			t.Error("the request was refused, a target has room")
+		}
+	})
+}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -147,7 +147,7 @@
 		Sources:     d.sources,
 		PutInForce:  d.putInForce,
 		EntryBoxes:  d.setBoxes,
-		Limits:      d.takeLimits,
+		Limits:      d.takeUpdates,
 		Event:       d.noteEvent,
 	})
 	d.controlAge = d.following.Age
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -128,7 +128,7 @@
 	}
 	if !a.gateway.canSend(a.target.ID) {
 		_ = c.Close() // nothing was sent on it
-		return nil, &attemptError{outcome: balance.Withdrawn, err: errBackedOff}
+		return nil, &attemptError{outcome: balance.Withdrawn, err: errWithdrawn}
 	}
 	a.connection = c
 	if !c.used {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,8 @@
 	// backOffs and backOffSkips are about targets that ask this box for a back-off.
 	backOffs     prometheus.Counter
 	backOffSkips prometheus.Counter
+	// targetsLeaving counts targets that said in an answer that they leave.
+	targetsLeaving prometheus.Counter
 }
 
 // latencyBuckets are in seconds; the objectives of the users' routes lie
@@ -76,7 +78,10 @@
 	m.backOffSkips = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "ledgesill_back_off_skipped_requests_total", Help: "Requests kept from targets in back-offs that have ended.",
 	})
-	r.MustRegister(m.backOffs, m.backOffSkips,
+	m.targetsLeaving = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "ledgesill_targets_leaving_total", Help: "Targets that said in an answer, to this box or another, that they leave.",
+	})
+	r.MustRegister(m.backOffs, m.backOffSkips, m.targetsLeaving,
 		m.requests, m.latency, m.attempts, m.beside, m.connections, m.permitAsks, m.looks, m.endedRuns, m.held,
 		m.targetLimits, m.targetPermits, m.passedOver)
 	return m
--- a/internal/gateway/needy_test.go
+++ b/internal/gateway/needy_test.go
@@ -257,7 +257,7 @@
 		c.mu.Unlock()
 		time.Sleep(controlWay)
 		for _, d := range boxes {
-			d.takeLimits(news)
+			d.takeUpdates(news)
 		}
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -78,6 +78,9 @@
 	d.balancing.balancer.SetEvacuated(now, c.Evacuated())
 	for _, t := range changed {
 		d.balancing.balancer.SetLimited(t.ID, d.targetLimits.hasLimit(t.ID))
+		if d.targetLimits.isLeaving(t.ID) {
+			d.balancing.balancer.SetLeaving(now, t.ID)
+		}
 	}
 	d.balancing.Unlock()
 	d.log.Info().Str("kind", "targets").Int("targets", len(c.Targets())).Int("draining", draining(c.Targets())).
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -84,7 +84,7 @@
 
 // hear takes what a target told this box in an answer.
 func (l *targetLimits) hear(u targetstatus.Update) (c targetstatus.Change, changed bool) {
-	if !u.HasLimit() && l.named.Load() == 0 {
+	if !u.HasLimit() && !u.Leaving && l.named.Load() == 0 {
 		return c, false
 	}
 	l.mu.Lock()
@@ -101,7 +101,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c, changed = l.take(u)
-	if l.known.Limit(u.Incarnation) != u.Limit {
+	if l.known.Limit(u.Incarnation) != u.Limit || l.known.IsLeaving(u.Incarnation) && !u.Leaving {
 		l.told[u.Incarnation] = l.clock.Now()
 	}
 	return c, changed
@@ -134,6 +134,13 @@
 	return l.known.Limit(target)
 }
 
+// isLeaving reports whether a target said that it leaves.
+func (l *targetLimits) isLeaving(target string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known.IsLeaving(target)
+}
+
 func (l *targetLimits) hasLimit(target string) bool { return l.limit(target) < targetstatus.NoLimit }
 
 // toTell returns what a report is to tell of limits.
@@ -267,24 +274,36 @@
 	d.balancing.balancer.Withhold(now, choice.Target.ID, now.Add(pauseAfter(cause)))
 }
 
-// takeLimits takes what other boxes were told of limits.
-func (d *Daemon) takeLimits(list []*wire.TargetLimit) {
+// takeUpdates takes what targets said to other boxes.
+func (d *Daemon) takeUpdates(list []*wire.TargetLimit) {
 	now := d.clock.Now()
 	for _, m := range list {
 		if change, changed := d.targetLimits.hearOf(targetstatus.UpdateOf(now, m)); changed {
-			d.noteLimit(change, "")
+			d.applyChange(change, "")
 		}
 	}
 }
 
-// noteLimit puts a changed limit in force and tells of it; request is the id of the request
-// whose answer told it, empty where another box was told.
-func (d *Daemon) noteLimit(c targetstatus.Change, request string) {
+// applyChange has the balancer use what became known of a target; request is the id of the
+// request whose answer said so, empty where it was another box's.
+func (d *Daemon) applyChange(c targetstatus.Change, request string) {
 	d.balancing.Lock()
-	// Another change may have been told meanwhile: what is known now counts.
+	// Another change may have been reported meanwhile: what is known now counts.
 	d.balancing.balancer.SetLimited(c.Incarnation, d.targetLimits.hasLimit(c.Incarnation))
+	if c.Leaving {
+		d.balancing.balancer.SetLeaving(d.clock.Now(), c.Incarnation)
+	}
 	d.balancing.Unlock()
 	d.metrics.targetLimits.Set(float64(d.targetLimits.named.Load()))
+	if c.LimitChanged() {
+		d.logLimit(c, request)
+	}
+	if c.Leaving {
+		d.logLeaving(c, request)
+	}
+}
+
+func (d *Daemon) logLimit(c targetstatus.Change, request string) {
 	if !d.otherLines.Take(d.clock.Now()) {
 		return
 	}
@@ -296,8 +315,20 @@
 		line = line.Str("request", request)
 	}
 	if c.After < targetstatus.NoLimit {
-		line.Float64("perSecond", c.After).Msg("a target names what it takes from all boxes together")
+		line.Float64("perSecond", c.After).Msg("target reported a rate limit")
 		return
 	}
-	line.Msg("a target names no limit any more")
+	line.Msg("target reports no rate limit any more")
+}
+
+func (d *Daemon) logLeaving(c targetstatus.Change, request string) {
+	d.metrics.targetsLeaving.Inc()
+	if !d.otherLines.Take(d.clock.Now()) {
+		return
+	}
+	line := d.log.Info().Str("kind", "targetLeaving").Str("target", c.Incarnation)
+	if request != "" {
+		line = line.Str("request", request)
+	}
+	line.Msg("target reported that it leaves")
 }
--- a/internal/gateway/targetlimits_test.go
+++ b/internal/gateway/targetlimits_test.go
@@ -273,7 +273,7 @@
 		for i := range s.targets {
 			word := targetstatus.Update{Incarnation: fmt.Sprint("t", i), Limit: 1, Sent: now, Received: now}
 			if c, changed := d.targetLimits.hear(word); changed {
-				d.noteLimit(c, "")
+				d.applyChange(c, "")
 			}
 		}
 		s.ask(d, 1)
--- a/internal/gateway/targetpermits_test.go
+++ b/internal/gateway/targetpermits_test.go
@@ -50,7 +50,7 @@
 func (s *scene) heard(life string, perSecond float64) {
 	now := boottime.Now()
 	if c, changed := s.daemon.targetLimits.hear(targetstatus.Update{Incarnation: life, Limit: perSecond, Sent: now, Received: now}); changed {
-		s.daemon.noteLimit(c, "")
+		s.daemon.applyChange(c, "")
 	}
 }
 
@@ -105,12 +105,12 @@
 			t.Fatalf("still tells %v", told)
 		}
 		before := targetstatus.Update{Incarnation: "t0", Limit: targetstatus.NoLimit, Sent: now.Add(-time.Minute), Received: now.Add(-time.Second)}
-		s.daemon.takeLimits([]*wire.TargetLimit{before.Message(boottime.Now())})
+		s.daemon.takeUpdates([]*wire.TargetLimit{before.Message(boottime.Now())})
 		if told := s.daemon.targetLimits.toTell(); len(told) != 1 || told[0].PerSecond != 5 {
 			t.Errorf("tells %v", told)
 		}
 		later := targetstatus.Update{Incarnation: "t0", Limit: 3, Sent: boottime.Now().Add(-time.Second), Received: boottime.Now()}
-		s.daemon.takeLimits([]*wire.TargetLimit{later.Message(boottime.Now())})
+		s.daemon.takeUpdates([]*wire.TargetLimit{later.Message(boottime.Now())})
 		if got := s.limitOf("t0"); got != 3 {
 			t.Errorf("%v a second is known", got)
 		}
@@ -122,7 +122,7 @@
 	inVirtualTime(t, func(t *testing.T) {
 		s, _ := namedScene(t, 1, nil)
 		word := targetstatus.Update{Incarnation: "t9", Limit: 2, Sent: boottime.Now(), Received: boottime.Now()}
-		s.daemon.takeLimits([]*wire.TargetLimit{word.Message(boottime.Now())})
+		s.daemon.takeUpdates([]*wire.TargetLimit{word.Message(boottime.Now())})
 		s.daemon.targetLimits.keep(boottime.Now(), s.daemon.knows)
 		state := steering.State{}
 		state, _ = state.Apply(&wire.Command{Registration: &wire.RegistrationCommand{Registration: &wire.Registration{
--- a/internal/gateway/targetstatus.go
+++ b/internal/gateway/targetstatus.go
@@ -9,8 +9,8 @@
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
-// errBackedOff says why a request was not sent to the target that was chosen for it.
-var errBackedOff = errors.New("not sent: the target has asked for a back-off meanwhile")
+// errWithdrawn says why a request was not sent to the target that was chosen for it.
+var errWithdrawn = errors.New("not sent: the target has asked for a back-off, or left, meanwhile")
 
 // observe takes what an answer says of its target as soon as its head has come, whatever
 // becomes of the body and the request.
@@ -26,23 +26,26 @@
 	if said.BackOff > 0 {
 		d.backOff(a, said.BackOff)
 	}
-	if said.SaysLimit() {
-		d.observeLimit(a, said)
+	if said.SaysLimit() || said.Leaving {
+		d.share(a, said)
 	}
 	return said
 }
 
-// observeLimit takes the limit that an answer names, or that it names none.
-func (d *Daemon) observeLimit(a *attempt, said targetstatus.Status) {
-	u := targetstatus.Update{Incarnation: a.target.ID, Limit: targetstatus.NoLimit, Sent: a.began, Received: d.clock.Now()}
+// share takes what an answer says to all boxes, and has them told if that is new.
+func (d *Daemon) share(a *attempt, said targetstatus.Status) {
+	u := targetstatus.Update{Incarnation: a.target.ID, Limit: targetstatus.NoLimit, Leaving: said.Leaving, Sent: a.began, Received: d.clock.Now()}
 	if said.HasLimit {
 		u.Limit = said.Limit
 	}
+	if !said.SaysLimit() {
+		u = u.WithoutLimit()
+	}
 	change, changed := d.targetLimits.hear(u)
 	if !changed {
 		return
 	}
-	d.noteLimit(change, a.id)
+	d.applyChange(change, a.id)
 	if d.targetLimits.mayHurry() {
 		d.reportsChanged()
 	}
--- a/internal/operator/catalog.go
+++ b/internal/operator/catalog.go
@@ -20,6 +20,8 @@
 	Sequence uint64 `json:"sequence"`
 	// BornMillis is when the target started, in Unix milliseconds; 0 if not told.
 	BornMillis int64 `json:"bornMillis,omitempty"`
+	// Leaving tells that the target said in an answer that it leaves.
+	Leaving bool `json:"leaving,omitempty"`
 	// Limit is set while the target names how much it takes from all boxes together.
 	Limit *TargetLimit `json:"limit,omitempty"`
 }
--- a/pkg/balance/backoff.go
+++ b/pkg/balance/backoff.go
@@ -43,7 +43,7 @@
 // target may have asked for a back-off since it was chosen, or said that it leaves.
 func (b *Balancer) CanSend(now time.Time, id string) bool {
 	t := b.byID[id]
-	return t == nil || !t.isBackedOff(now)
+	return t == nil || !t.isBackedOff(now) && !t.isGone(now)
 }
 
 // EndedBackOff is a back-off that is over.
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -195,10 +195,11 @@
 // Knows reports whether a target is registered.
 func (b *Balancer) Knows(id string) bool { return b.byID[id] != nil }
 
-// IsLeaving reports whether a target ends as planned: it drains, or has left.
+// IsLeaving reports whether a target ends as planned: it drains, said that it leaves, or
+// has left.
 func (b *Balancer) IsLeaving(id string) bool {
 	t := b.byID[id]
-	return t == nil || t.Draining
+	return t == nil || t.Draining || t.isLeaving()
 }
 
 func (b *Balancer) service(name string) *service {
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -36,12 +36,16 @@
 	learned := b.timesOf(r)
 	key := s.keyHash(r)
 	chosen, skipped := b.home(now, s, r, key)
+	hasHome := chosen != nil
+	if !hasHome {
+		chosen = b.lastResort(now, s, r, key)
+	}
 	if chosen == nil {
 		return Choice{}, b.noneUsable(now, s, r)
 	}
 	wait := chosen.wait(now, learned.mixed)
 	longest := longestWait(r, learned)
-	if wait > learned.detour(r, longest) && (r.Key == "" || !s.crowd.isCrowded()) {
+	if hasHome && wait > learned.detour(r, longest) && (r.Key == "" || !s.crowd.isCrowded()) {
 		chosen, wait = b.besideHome(now, s, r, key, b.inReach(chosen, r)).pick(now, learned.mixed)
 	}
 	if wait > longest {
@@ -205,6 +209,12 @@
 
 // isOpen is isUsable but for permits and back-offs.
 func (b *Balancer) isOpen(now time.Time, t *targetState) bool {
+	return !t.isLeaving() && b.isReachable(now, t)
+}
+
+// isReachable reports whether a target is registered as serving, and neither ejected nor
+// slow.
+func (b *Balancer) isReachable(now time.Time, t *targetState) bool {
 	return !t.Draining && !b.evacuated[t.Zone] && !t.isOut(now) && t.paceNow(now) <= slowPace
 }
 
