entry: failing tests of targets that ask for a back-off or say that they leave

The same class as at the gateway: the holder of a pool hands the Retry-After of a target's 503 to the caller and lowers what it gives the target by one slot, and checks its health as often as before.

--- a/contrib/standin/target.go
+++ b/contrib/standin/target.go
@@ -38,6 +38,7 @@
 	config   TargetConfig
 	started  time.Time
 	busy     atomic.Int64
+	requests atomic.Int64
 	draining atomic.Bool
 	broken   atomic.Bool
 	shedding atomic.Bool
@@ -51,11 +52,16 @@
 	// requests reached it, checks of its health included.
 	limit    string
 	arrivals []time.Time
+	// retryAfter is the Retry-After of a rejection, rejections are when there were any, and
+	// leaving tells that its answers say that it leaves.
+	retryAfter string
+	rejections []time.Time
+	leaving    bool
 }
 
 // NewTarget returns a target that starts cold now.
 func NewTarget(c TargetConfig) *Target {
-	return &Target{config: c, started: time.Now(), runs: make(map[string]int)}
+	return &Target{config: c, started: time.Now(), runs: make(map[string]int), retryAfter: "1"}
 }
 
 // SetDraining makes the target's health say that it is leaving.
@@ -67,6 +73,30 @@
 // SetShedding makes the target refuse all work.
 func (t *Target) SetShedding(v bool) { t.shedding.Store(v) }
 
+// SetRetryAfter sets the Retry-After of the target's rejections, in seconds.
+func (t *Target) SetRetryAfter(seconds string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.retryAfter = seconds
+}
+
+// Requests returns how many requests reached the target, without checks of its health.
+func (t *Target) Requests() int { return int(t.requests.Load()) }
+
+// Rejections returns when the target rejected requests.
+func (t *Target) Rejections() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]time.Time(nil), t.rejections...)
+}
+
+// SetLeaving makes the target's answers say that it leaves.
+func (t *Target) SetLeaving(v bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = v
+}
+
 // SetMute makes the target's health give no usable answer.
 func (t *Target) SetMute(v bool) { t.mute.Store(v) }
 
@@ -114,11 +144,14 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		t.mu.Lock()
 		t.arrivals = append(t.arrivals, time.Now())
-		limit := t.limit
+		limit, leaving := t.limit, t.leaving
 		t.mu.Unlock()
 		if limit != "" {
 			w.Header().Set(caller.HeaderLimit, limit)
 		}
+		if leaving {
+			w.Header().Set(caller.HeaderLeaving, "1")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -141,14 +174,14 @@
 // slotted runs a request in a slot, or sheds it.
 func (t *Target) slotted(run http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		t.requests.Add(1)
 		n := t.busy.Add(1)
 		defer t.busy.Add(-1)
 		t.mu.Lock()
 		t.most = max(t.most, int(n))
 		t.mu.Unlock()
 		if int(n) > t.config.Slots || t.shedding.Load() {
-			w.Header().Set("Retry-After", "1")
-			http.Error(w, "no slot is free", http.StatusServiceUnavailable)
+			t.reject(w)
 			return
 		}
 		if t.broken.Load() {
@@ -162,6 +195,14 @@
 	}
 }
 
+func (t *Target) reject(w http.ResponseWriter) {
+	t.mu.Lock()
+	t.rejections = append(t.rejections, time.Now())
+	w.Header().Set("Retry-After", t.retryAfter)
+	t.mu.Unlock()
+	http.Error(w, "no slot is free", http.StatusServiceUnavailable)
+}
+
 func (t *Target) serviceTime() time.Duration {
 	d := t.config.ServiceTime
 	if t.cold() {
--- /dev/null
+++ b/internal/entry/backoff_test.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/caller"
+	"ledgesill.dev/ledgesill/pkg/settings"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+const (
+	// backOffGrace is how long after a rejection requests are not counted, and
+	// backOffSlack how many may come between it and the end of the back-off.
+	backOffGrace = 500 * time.Millisecond
+	backOffSlack = 2
+)
+
+// reads has four callers read for a time; each read must be answered.
+func (s *system) reads(length time.Duration) {
+	var asking sync.WaitGroup
+	for range 4 {
+		asking.Go(func() {
+			c := s.client("flags")
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
+				if a := s.read(c, time.Second); a.Outcome != caller.Ran {
+					s.problem("a read got %s, the other targets have room", a.Outcome)
+				}
+			}
+		})
+	}
+	asking.Wait()
+}
+
+// Guards against requests and checks of health that reach a target which has answered 503
+// with Retry-After, before that time is over.
+func TestTargetGetsNothingWhileItsPoolBacksOff(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSystem(t, 4)
+		s.change(&wire.Edit{Path: "/", Key: settings.ReportIntervalMillis, Value: "100"})
+		s.reads(time.Second)
+		target := s.target("a1").target
+		target.SetRetryAfter("3")
+		target.SetShedding(true)
+		s.reads(4 * time.Second)
+		target.SetShedding(false)
+		s.reads(4 * time.Second)
+		rejections := target.Rejections()
+		if len(rejections) == 0 {
+			t.Error("the target rejected nothing")
+		}
+		for _, at := range rejections {
+			count := 0
+			for _, arrival := range target.Arrivals() {
+				if arrival.After(at.Add(backOffGrace)) && arrival.Before(at.Add(3*time.Second)) {
+					count++
+				}
+			}
+			if count > backOffSlack {
+				t.Errorf("%d requests came in the back-off, at most %d may", count, backOffSlack)
+				break
+			}
+		}
+		after := 0
+		for _, at := range target.Arrivals() {
+			if time.Since(at) < 2*time.Second {
+				after++
+			}
+		}
+		if after < 20 {
+			t.Errorf("the target got %d requests in the last 2 s, it could do more", after)
+		}
+		s.close(4)
+		report(t, s)
+	})
+}
+
+// Guards against requests to a target whose answers say that it leaves, and against its next
+// incarnation being left out.
+func TestTargetThatLeavesGetsNothingMore(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		s := newSystem(t, 4)
+		s.reads(time.Second)
+		target := s.target("a1").target
+		target.SetLeaving(true)
+		s.reads(2 * time.Second)
+		before := target.Requests()
+		s.reads(4 * time.Second)
+		if got := target.Requests() - before; got > 0 {
+			t.Errorf("%d requests came later than 2 s after it had said so", got)
+		}
+		target.SetMute(true) // it ends
+		s.reads(3 * time.Second)
+		target.SetLeaving(false)
+		target.SetMute(false)
+		s.reads(8 * time.Second)
+		if got := target.Requests() - before; got < 20 {
+			t.Errorf("its next incarnation got %d requests", got)
+		}
+		s.close(4)
+		report(t, s)
+	})
+}
