entry: obey back-offs and leaving that targets ask for in answers

Cause: the holder of a pool read the Retry-After of a target's 503 for the caller only, and checked the target's health as often as before. The box that holds a pool sends its requests itself, so that the box that is told is the one that obeys. Change: answers and checks of health are decoded by pkg/targetstatus; the back-off is one value for both kinds of box. A pool gives a backed-off target no request and no check, begins again with one request at once, and refuses at once what can't wait for the end. A target that leaves is left out until its health shows its next incarnation, or for a minute after its last answer that says so, as incarnations are not told apart here.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -15,7 +15,6 @@
 	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/caller"
 	"ledgesill.dev/ledgesill/pkg/retry"
-	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 // attemptEnd is how one attempt of a request has ended.
@@ -216,24 +215,6 @@
 	})
 }
 
-// readLimit tells the pool what an answer says of its target's limit. One that was turned
-// away does not take a limit back.
-func (s *slot) readLimit(response *http.Response) {
-	text := response.Header.Get(caller.HeaderLimit)
-	if text == "" && (shed(response) || !s.pool.limited.Load()) {
-		return
-	}
-	word := targetstatus.Update{Incarnation: s.target, Limit: targetstatus.NoLimit, Sent: s.began, Received: s.pool.clock.Now()}
-	if text != "" {
-		perSecond, ok := targetstatus.ParseLimit(text)
-		if !ok {
-			return
-		}
-		word.Limit = perSecond
-	}
-	s.pool.inbox <- poolEvent{admission.Said{Target: s.target, Update: word}}
-}
-
 // slotStream is the rest of an answer; closing it frees the slot.
 type slotStream struct {
 	io.ReadCloser
@@ -270,14 +251,15 @@
 	}
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx = context.WithValue(ctx, slotKey{}, s)
 	response, err := d.toTargets.RoundTrip(h.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return failedAttempt(ctx, err, connected.Load())
 	}
-	s.readLimit(response)
+	said := s.pool.observe(s.target, response, s.began)
 	if shed(response) {
 		_ = response.Body.Close()
-		return refusal("the target refused it", retryAfterOf(response)), retry.NotRun, admission.Shed
+		return refusal("the target refused it", retryAfterOf(response, said)), retry.NotRun, admission.Shed
 	}
 	return readAnswer(response, s, r.repeatable)
 }
@@ -286,7 +268,8 @@
 // had a connection surely did not run.
 func failedAttempt(ctx context.Context, err error, connected bool) (*answer, retry.End, admission.Result) {
 	result := admission.Failed
-	if errors.Is(ctx.Err(), context.Canceled) {
+	var backedOff *BackedOffError
+	if errors.Is(ctx.Err(), context.Canceled) || errors.As(err, &backedOff) {
 		result = admission.Canceled
 	}
 	if !connected {
@@ -304,14 +287,6 @@
 	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != ""
 }
 
-func retryAfterOf(response *http.Response) time.Duration {
-	wait, err := time.ParseDuration(response.Header.Get("Retry-After") + "s")
-	if err != nil || wait <= 0 {
-		return minRetryAfter
-	}
-	return wait
-}
-
 // readAnswer reads a small answer whole, and the beginning of a large one.
 func readAnswer(response *http.Response, s *slot, repeatable bool) (*answer, retry.End, admission.Result) {
 	a := &answer{outcome: caller.Ran, status: response.StatusCode, header: response.Header}
--- a/internal/entry/backoff_test.go
+++ b/internal/entry/backoff_test.go
@@ -1,10 +1,16 @@
 package entry
 
 import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/caller"
 	"ledgesill.dev/ledgesill/pkg/settings"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -102,3 +108,46 @@
 		report(t, s)
 	})
 }
+
+// Guards against a request that has its slot, and is sent to a target that asked for a
+// back-off while the request waited for its connection.
+func TestRequestThatWaitsForAConnectionIsNotSent(t *testing.T) {
+	p := newPool("s", "box", "i", 1)
+	header := http.Header{"Retry-After": {"3"}}
+	p.observe("t", &http.Response{StatusCode: http.StatusServiceUnavailable, Header: header}, time.Time{})
+	d := &Daemon{network: link.Network{Dial: func(context.Context, string) (net.Conn, error) {
+		near, _ := net.Pipe()
+		return near, nil
+	}}}
+	ctx := context.WithValue(t.Context(), slotKey{}, &slot{pool: p, target: "t"})
+	var backedOff *BackedOffError
+	if _, err := d.dialForSlot(ctx, "tcp", "a"); !errors.As(err, &backedOff) || backedOff.Target != "t" {
+		t.Errorf("got %v", err)
+	}
+	if _, _, result := failedAttempt(ctx, backedOff, false); result != admission.Canceled {
+		t.Errorf("counts as %v", result)
+	}
+	ctx = context.WithValue(t.Context(), slotKey{}, &slot{pool: p, target: "other"})
+	if _, err := d.dialForSlot(ctx, "tcp", "a"); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against answers to checks of health whose headers nobody reads, and against one
+// without a limit that takes a limit back.
+func TestChecksOfHealthAreRead(t *testing.T) {
+	p := newPool("s", "box", "i", 1)
+	p.limited.Store(true)
+	p.observeCheck("t", &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}, time.Time{})
+	if n := len(p.inbox); n > 0 {
+		t.Errorf("%d events of an answer that says nothing", n)
+	}
+	p.observeCheck("t", &http.Response{StatusCode: http.StatusOK, Header: http.Header{caller.HeaderLeaving: {"1"}}}, time.Now())
+	if u := (<-p.inbox).(poolEvent).event.(admission.Said).Update; !u.Leaving || !u.Sent.IsZero() {
+		t.Errorf("the pool is told %+v", u)
+	}
+	p.observeCheck("t", &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {"2"}}}, time.Now())
+	if b := (<-p.inbox).(poolEvent).event.(admission.BackOff); b.Wait != 2*time.Second {
+		t.Errorf("the pool is told %+v", b)
+	}
+}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -85,6 +85,7 @@
 
 	requests *prometheus.CounterVec
 	refusals *prometheus.CounterVec
+	backOffs *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 }
@@ -152,7 +153,7 @@
 		return errors.Join(err, d.callers.Close())
 	}
 	d.toTargets = &http.Transport{
-		DialContext:         d.dialTarget,
+		DialContext:         d.dialForSlot,
 		MaxIdleConnsPerHost: idlePerTarget,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -180,6 +181,8 @@
 func (d *Daemon) registerMetrics() {
 	d.requests = d.process.Counter("requests_total", "Requests answered, by service and outcome.", "service", "outcome")
 	d.refusals = d.process.Counter("refusals_total", "Requests that got no slot, by service and reason.", "service", "reason")
+	d.backOffs = d.process.Counter("back_offs_total", "Back-offs that targets asked this box for, by service.", "service")
+	d.process.Gauge("backed_off_targets", "Targets that this box sends nothing at their request.", d.backedOffTargets)
 	d.retries = d.process.Counter("retries_total", "Attempts after the first, by service.", "service")
 	d.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name:    "ledgesill_request_seconds",
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -64,7 +64,7 @@
 	var running sync.WaitGroup
 	for name, address := range targets {
 		running.Go(func() {
-			m, err := d.probe(ctx, name, address)
+			m, err := d.probe(ctx, p, name, address)
 			results <- result{m, err != nil}
 		})
 	}
@@ -84,17 +84,19 @@
 	}
 }
 
-func (d *Daemon) probe(ctx context.Context, name, address string) (admission.Measure, error) {
+func (d *Daemon) probe(ctx context.Context, p *pool, name, address string) (admission.Measure, error) {
 	m := admission.Measure{Target: name, Busy: -1}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/healthz", nil)
 	if err != nil {
 		return m, err
 	}
+	began := d.clock.Now()
 	response, err := d.probes.Do(request)
 	if err != nil {
 		return m, err
 	}
 	defer response.Body.Close()
+	p.observeCheck(name, response, began)
 	var h targetHealth
 	if err := json.NewDecoder(response.Body).Decode(&h); err != nil {
 		return m, err
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -85,10 +85,15 @@
 	// limited tells that a target names a limit: while none does, answers without one say
 	// nothing new.
 	limited atomic.Bool
+	// backOffs are what a request that has its slot looks at once more when its connection
+	// is there.
+	backOffs backOffs
 
 	ask     func([]lease.Request)
 	changed func(held bool)
 	refused func(admission.Reason)
+	// backedOff is told of a target that asked for a back-off.
+	backedOff func(target string, wait time.Duration)
 }
 
 const poolInbox = 4096
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -104,6 +104,11 @@
 	p.clock = d.clock
 	p.ask = func(requests []lease.Request) { d.askVoters(p, requests) }
 	p.refused = func(reason admissionReason) { d.refusals.WithLabelValues(service, string(reason)).Inc() }
+	p.backedOff = func(target string, wait time.Duration) {
+		d.backOffs.WithLabelValues(service).Inc()
+		d.process.Log.Warn().Str("kind", "backOff").Str("service", service).Str("target", target).Dur("retryAfter", wait).
+			Msg("target asked for a back-off")
+	}
 	p.changed = func(held bool) {
 		detail := "gave up or lost the lease on " + service
 		if held {
--- a/internal/entry/targetlimits_test.go
+++ b/internal/entry/targetlimits_test.go
@@ -84,12 +84,12 @@
 		"names one that can't be read": {200, http.Header{caller.HeaderLimit: {"some"}}, 0},
 	}
 	for name, c := range cases {
-		s := &slot{pool: newPool("s", "box", "i", 1), target: "t"}
-		s.pool.limited.Store(true)
-		s.readLimit(&http.Response{StatusCode: c.status, Header: c.header})
-		got := 0.0 // for no word
-		if len(s.pool.inbox) > 0 {
-			got = (<-s.pool.inbox).(poolEvent).event.(admission.Said).Update.Limit
+		p := newPool("s", "box", "i", 1)
+		p.limited.Store(true)
+		p.observe("t", &http.Response{StatusCode: c.status, Header: c.header}, time.Time{})
+		got := 0.0 // for no update
+		if len(p.inbox) > 0 {
+			got = (<-p.inbox).(poolEvent).event.(admission.Said).Update.Limit
 		}
 		if got != c.want {
 			t.Errorf("%s: the pool is told %v, want %v", name, got, c.want)
--- a/pkg/admission/event.go
+++ b/pkg/admission/event.go
@@ -123,6 +123,12 @@
 	Update targetstatus.Update
 }
 
+// BackOff is a target's request to send it nothing for a time.
+type BackOff struct {
+	Target string
+	Wait   time.Duration
+}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -133,6 +139,7 @@
 func (Finish) event()    {}
 func (Measure) event()   {}
 func (Said) event()      {}
+func (BackOff) event()   {}
 func (Tick) event()      {}
 
 // Reason says why a request was refused.
--- a/pkg/admission/limited.go
+++ b/pkg/admission/limited.go
@@ -85,7 +85,7 @@
 // those that name limits.
 func (p *Pool) Checks(now time.Time) (names []string) {
 	for _, t := range p.targets {
-		if !t.removed && t.rate.mayCheck(now) {
+		if !t.removed && !t.backOff.IsActive(now) && t.rate.mayCheck(now) {
 			names = append(names, t.name)
 		}
 	}
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 const (
@@ -66,12 +68,18 @@
 	case Said:
 		if t := p.find(e.Target); t != nil {
 			t.rate.take(now, e.Update)
+			t.takeLeaving(e.Update)
+		}
+	case BackOff:
+		if t := p.find(e.Target); t != nil {
+			t.backOff = t.backOff.With(now.Add(e.Wait + targetstatus.Jitter(e.Wait, p.random.Float64())))
 		}
 	case Tick:
 	}
 	for _, w := range p.queue.expired(now) {
 		p.refuse(now, w.arrive.ID, QueueTimeout)
 	}
+	p.refuseHopeless(now)
 	p.serveQueue(now)
 	p.out.Wake = p.wake(now)
 	return p.out
@@ -130,7 +138,7 @@
 		p.refuse(now, e.ID, QueueTimeout)
 		return
 	}
-	if p.capacity(now) == 0 && !p.mayRecover() {
+	if p.capacity(now) == 0 && !p.mayRecover(now) {
 		p.refuse(now, e.ID, NoTarget)
 		return
 	}
@@ -149,9 +157,9 @@
 }
 
 // mayRecover reports whether a target is only left out for a while.
-func (p *Pool) mayRecover() bool {
+func (p *Pool) mayRecover(now time.Time) bool {
 	return slices.ContainsFunc(p.targets, func(t *target) bool {
-		return !t.draining && !t.removed && !t.unready && !t.saysDraining
+		return t.isServing(now)
 	})
 }
 
@@ -192,7 +200,7 @@
 		}
 	}
 	wait := p.mean * time.Duration(ahead) / time.Duration(max(p.capacity(now), 1))
-	return max(wait, p.limitedWait(now, ahead))
+	return max(wait, p.limitedWait(now, ahead), p.backOffWait(now))
 }
 
 // serveQueue grants waiting requests in order. One that can't be granted now
@@ -284,7 +292,7 @@
 	busy := len(p.running) + len(p.queue.items) + 1
 	wait := p.mean * time.Duration(busy) / time.Duration(max(p.capacity(now), 1))
 	wait = max(wait, p.limitedWait(now, len(p.queue.items)+1))
-	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	wait = max(min(max(wait, minRetryAfter), maxRetryAfter), p.backOffWait(now))
 	wait += time.Duration(p.random.Int64N(int64(wait)))
 	p.out.Refusals = append(p.out.Refusals, Refusal{ID: id, Reason: reason, RetryAfter: wait})
 }
--- a/pkg/admission/target.go
+++ b/pkg/admission/target.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
+)
 
 const (
 	// latencyWeight is the share of the newest latency in the moving mean.
@@ -41,11 +45,20 @@
 
 	latency float64
 	rate    rate
+	// backOff is until when the target asked this box to send it nothing, and leavingAt when
+	// its last answer came that said that it leaves; zero for none.
+	backOff   targetstatus.BackOff
+	leavingAt time.Time
 }
 
 // inService reports whether the target may get new work.
 func (t *target) inService(now time.Time) bool {
-	return !t.draining && !t.removed && !t.unready && !t.saysDraining && !now.Before(t.ejectedUntil)
+	return t.isServing(now) && !now.Before(t.ejectedUntil) && !t.backOff.IsActive(now)
+}
+
+// isServing is inService but for ejections and back-offs, which end by themselves.
+func (t *target) isServing(now time.Time) bool {
+	return !t.draining && !t.removed && !t.unready && !t.saysDraining && !t.isLeaving(now)
 }
 
 // limit returns how many requests the target may have in flight.
@@ -60,6 +73,7 @@
 	if since := now.Sub(t.rampFrom); !t.rampFrom.IsZero() && since < c.Ramp {
 		n = min(n, 1+int(float64(c.Slots-1)*float64(since)/float64(c.Ramp)))
 	}
+	n = t.backOff.Limit(now, n)
 	n -= t.shedding(now)
 	n -= t.foreignBusy(now)
 	return max(n, 0)
@@ -93,6 +107,9 @@
 // give back only what an earlier measurement took.
 func (t *target) measure(now time.Time, m Measure, c Config) {
 	cameBack := t.unready && m.Ready
+	if cameBack || t.saysDraining && !m.Draining {
+		t.leavingAt = time.Time{} // the next incarnation answers
+	}
 	t.unready = !m.Ready
 	t.saysDraining = m.Draining
 	if cameBack || (m.Cold && t.rampFrom.IsZero()) {
@@ -118,6 +135,7 @@
 	case Succeeded:
 		t.observe(e.Latency)
 		t.failures = 0
+		t.backOff = t.backOff.WithRun(now, c.Slots)
 		if t.probing {
 			t.probing = false
 			t.ejections = 0
@@ -156,7 +174,11 @@
 // answered there. A target that has just failed comes after all others for as
 // long as it would be left out.
 func (t *target) score(now time.Time, c Config) float64 {
-	load := float64(t.inFlight+1) / float64(max(t.limit(now, c), 1))
+	slots := t.limit(now, c)
+	if t.backOff.IsRecovering() {
+		slots = c.Slots // it would be chosen last, and not recover while others are idle
+	}
+	load := float64(t.inFlight+1) / float64(max(slots, 1))
 	score := load * max(t.latency, minLatency)
 	if t.failures > 0 && now.Sub(t.failedAt) < c.EjectFor {
 		score *= failurePenalty
--- a/pkg/balance/backoff.go
+++ b/pkg/balance/backoff.go
@@ -3,42 +3,24 @@
 import (
 	"math"
 	"time"
-)
 
-const (
-	// backOffJitter is the part of a back-off by which it is prolonged at most, and
-	// longestJitter bounds that. Boxes that a target told at one moment return apart.
-	backOffJitter = 0.1
-	longestJitter = time.Second
-	// firstRecovering is how many requests at once a target gets after a back-off, doubled
-	// with each one that it runs.
-	firstRecovering = 1
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 // BackOff takes that a target asked this box to send it nothing for a time, and reports
-// whether it had not before. Of several such requests the one that ends last counts, in
-// whatever order they come; a later answer of another kind does not end it.
+// whether it had not before.
 func (b *Balancer) BackOff(now time.Time, id string, wait time.Duration) (began bool) {
 	t := b.byID[id]
 	if t == nil || wait <= 0 {
 		return false
 	}
 	began = !t.isBackedOff(now)
-	until := now.Add(wait + b.jitter(wait))
-	if until.After(t.backedOffUntil) {
-		t.backedOffUntil = until
-	}
-	t.recovering = firstRecovering
+	_, b.jitterTurn = math.Modf(b.jitterTurn + goldenPart)
+	t.backOff = t.backOff.With(now.Add(wait + targetstatus.Jitter(wait, b.jitterTurn)))
 	t.backOffOpen = true
 	return began
 }
 
-func (b *Balancer) jitter(wait time.Duration) time.Duration {
-	_, b.jitterTurn = math.Modf(b.jitterTurn + goldenPart)
-	most := min(time.Duration(backOffJitter*float64(wait)), longestJitter)
-	return time.Duration(b.jitterTurn * float64(most))
-}
-
 // CanSend reports whether a request that was to go to a target may still be sent: the
 // target may have asked for a back-off since it was chosen, or said that it leaves.
 func (b *Balancer) CanSend(now time.Time, id string) bool {
@@ -77,19 +59,4 @@
 	return n
 }
 
-func (t *targetState) isBackedOff(now time.Time) bool { return now.Before(t.backedOffUntil) }
-
-// isRecoveringFull reports whether the target has as many requests as it may get at once
-// after a back-off.
-func (t *targetState) isRecoveringFull() bool { return t.recovering > 0 && t.inFlight >= t.recovering }
-
-// noteRecovery takes that the target ran a request.
-func (t *targetState) noteRecovery(now time.Time) {
-	if t.recovering == 0 || t.isBackedOff(now) {
-		return
-	}
-	t.recovering *= 2
-	if t.recovering > t.Slots {
-		t.recovering = 0
-	}
-}
+func (t *targetState) isBackedOff(now time.Time) bool { return t.backOff.IsActive(now) }
--- a/pkg/balance/backoff_test.go
+++ b/pkg/balance/backoff_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 // backOffWorld is a balancer with some targets of one service.
@@ -108,7 +110,7 @@
 		if none.Reason != ReasonBackedOff || none.Target != "t1" || none.BackedOff != 3 {
 			t.Fatalf("got %+v", none)
 		}
-		if none.RetryAfter < 2*time.Second || none.RetryAfter > 2*time.Second+longestJitter+limitedSpread {
+		if none.RetryAfter < 2*time.Second || none.RetryAfter > 2*time.Second+targetstatus.Jitter(2*time.Second, 1)+limitedSpread {
 			t.Fatalf("told to come back after %s", none.RetryAfter)
 		}
 		told[none.RetryAfter] = true
@@ -148,17 +150,17 @@
 
 // Guards against boxes that a target told at one moment and that return at one moment.
 func TestBoxesReturnApart(t *testing.T) {
-	ends := make(map[time.Time]bool)
+	ends := make(map[time.Duration]bool)
 	now := time.Time{}.Add(time.Hour)
 	for i := range 30 {
 		b := New(Config{Box: fmt.Sprint("box", i), Zone: "z", Region: "r"})
 		b.SetTargets(now, []Target{{ID: "t", Service: "s", Zone: "z", Region: "r", Slots: 4}})
 		b.BackOff(now, "t", 3*time.Second)
-		until := b.byID["t"].backedOffUntil
-		if until.Before(now.Add(3*time.Second)) || until.After(now.Add(3300*time.Millisecond)) {
-			t.Errorf("box %d returns after %s", i, until.Sub(now))
+		left := b.byID["t"].backOff.Left(now)
+		if left < 3*time.Second || left > 3300*time.Millisecond {
+			t.Errorf("box %d returns after %s", i, left)
 		}
-		ends[until] = true
+		ends[left] = true
 	}
 	if len(ends) < 29 {
 		t.Errorf("30 boxes return at %d moments", len(ends))
--- a/pkg/balance/limited.go
+++ b/pkg/balance/limited.go
@@ -76,8 +76,8 @@
 	if t.limited {
 		wait, reason = max(t.withheldUntil.Sub(now), 0), ReasonLimited
 	}
-	if t.isBackedOff(now) || t.isRecoveringFull() {
-		wait, reason = max(t.backedOffUntil.Sub(now), wait), ReasonBackedOff
+	if !t.backOff.Allows(now, t.inFlight) {
+		wait, reason = max(t.backOff.Left(now), wait), ReasonBackedOff
 	}
 	return wait, reason
 }
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -94,7 +94,7 @@
 	switch r.Outcome {
 	case Answered:
 		b.noteTime(now, t, r)
-		t.noteRecovery(now)
+		t.backOff = t.backOff.WithRun(now, t.Slots)
 	case TurnedAway:
 		b.noteFull(now, t, r)
 	case Unreachable, Stuck:
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -85,10 +85,8 @@
 	// and withheldUntil is until when there is none to be had.
 	limited       bool
 	withheldUntil time.Time
-	// backedOffUntil is until when the target asked this box to send it nothing, and
-	// recovering how many requests it may get at once after that; zero for any number.
-	backedOffUntil time.Time
-	recovering     int
+	// backOff is until when the target asked this box to send it nothing.
+	backOff targetstatus.BackOff
 	// backOffOpen tells that the end of a back-off has not been reported, and skipped is
 	// how many requests were kept from the target since it began.
 	backOffOpen bool
