balance: fill a target no further than its rejections taught

What callers saw (model of a full service, 12 targets with 4 slots and a queue of 6 that ask for 3 s when full, 40 s with a burst): boxes that only obey back-offs serve much less, as what the backed-off targets don't get fills the others until all are. Nothing changes where no target asks for a back-off.

--- a/internal/gateway/backoff_test.go
+++ b/internal/gateway/backoff_test.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 const (
@@ -169,7 +171,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 		d.balancing.Lock()
-		d.balancing.balancer.BackOff(d.clock.Now(), "t0", 3*time.Second)
+		d.balancing.balancer.BackOff(d.clock.Now(), "t0", targetstatus.Status{BackOff: 3 * time.Second})
 		d.balancing.Unlock()
 		time.Sleep(2 * time.Second)
 		if got := s.targets[0].between(time.Time{}, time.Now()); got > 0 {
@@ -209,7 +211,7 @@
 	inVirtualTime(t, func(t *testing.T) {
 		s := newNeedyScene(t, 1, 2)
 		for i := range s.targets {
-			s.boxes[0].balancing.balancer.BackOff(s.boxes[0].clock.Now(), fmt.Sprint("t", i), 30*time.Second)
+			s.boxes[0].balancing.balancer.BackOff(s.boxes[0].clock.Now(), fmt.Sprint("t", i), targetstatus.Status{BackOff: 30 * time.Second})
 		}
 		s.ask(s.boxes[0], 1)
 		if s.refused != 1 || s.slowest > 0 {
@@ -233,7 +235,7 @@
 		d.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 			if address != "0" {
 				d.balancing.Lock()
-				d.balancing.balancer.BackOff(d.clock.Now(), "t"+address, time.Minute)
+				d.balancing.balancer.BackOff(d.clock.Now(), "t"+address, targetstatus.Status{BackOff: time.Minute})
 				d.balancing.Unlock()
 			}
 			return dial(ctx, network, address)
--- a/internal/gateway/needy_test.go
+++ b/internal/gateway/needy_test.go
@@ -277,11 +277,15 @@
 	served, refused int
 	told            map[string]bool
 	slowest         time.Duration
+	// inTime counts those that were served within fullObjective, and deadline is what
+	// callers say that they wait, in milliseconds.
+	inTime   int
+	deadline string
 }
 
 func newNeedyScene(t *testing.T, boxes, targets int) *needyScene {
 	t.Helper()
-	s := &needyScene{random: rand.New(rand.NewPCG(1, 1)), control: newControlScene(6), told: make(map[string]bool)}
+	s := &needyScene{random: rand.New(rand.NewPCG(1, 1)), control: newControlScene(6), told: make(map[string]bool), deadline: "1500"}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	t.Cleanup(func() {
@@ -305,15 +309,7 @@
 		config.Clock = boottime.NewClock(func() time.Duration { return time.Duration(asleep.Load()) })
 		d := newDaemon(t, config, addresses...)
 		d.setBoxes(list)
-		d.connections.dial = func(_ context.Context, _, address string) (net.Conn, error) {
-			var n int
-			if _, err := fmt.Sscan(address, &n); err != nil {
-				return nil, err
-			}
-			near, far := net.Pipe()
-			go s.targets[n].serve(i, far)
-			return near, nil
-		}
+		d.connections.dial = s.dialer(func(n int, c net.Conn) { s.targets[n].serve(i, c) })
 		d.targetLimits.permits.call = s.control.call
 		d.targetLimits.permits.replicas = s.control.addresses
 		running.Go(func() { _ = d.targetLimits.permits.run(ctx) }) // ends with the test
@@ -330,6 +326,19 @@
 	return s
 }
 
+// dialer connects a box to targets, which serve their ends of the connections.
+func (s *needyScene) dialer(serve func(target int, c net.Conn)) func(context.Context, string, string) (net.Conn, error) {
+	return func(_ context.Context, _, address string) (net.Conn, error) {
+		var n int
+		if _, err := fmt.Sscan(address, &n); err != nil {
+			return nil, err
+		}
+		near, far := net.Pipe()
+		go serve(n, far)
+		return near, nil
+	}
+}
+
 // load has callers send requests for a time, each at a box by lot.
 func (s *needyScene) load(perSecond int, length time.Duration) {
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Second / time.Duration(perSecond)) {
@@ -349,7 +358,7 @@
 	r.Host = "a.example"
 	r.Header.Set("Test-Id", fmt.Sprint("id", n))
 	r.Header.Set("Test-Key", fmt.Sprint("key", n))
-	r.Header.Set("Test-Deadline", "1500")
+	r.Header.Set("Test-Deadline", s.deadline)
 	w := httptest.NewRecorder()
 	began := time.Now()
 	d.ServeHTTP(w, r)
@@ -357,6 +366,9 @@
 	defer s.mu.Unlock()
 	if w.Code == http.StatusOK {
 		s.served++
+		if time.Since(began) <= fullObjective {
+			s.inTime++
+		}
 		return
 	}
 	s.refused++
--- a/internal/gateway/targetstatus.go
+++ b/internal/gateway/targetstatus.go
@@ -24,7 +24,7 @@
 		d.noteCold(a.target.ID, said.ColdLeft)
 	}
 	if said.BackOff > 0 {
-		d.backOff(a, said.BackOff)
+		d.backOff(a, said)
 	}
 	if said.SaysLimit() || said.Leaving {
 		d.share(a, said)
@@ -52,10 +52,10 @@
 }
 
 // backOff has this box send a target nothing for a time.
-func (d *Daemon) backOff(a *attempt, wait time.Duration) {
+func (d *Daemon) backOff(a *attempt, said targetstatus.Status) {
 	now := d.clock.Now()
 	d.balancing.Lock()
-	began := d.balancing.balancer.BackOff(now, a.target.ID, wait)
+	began := d.balancing.balancer.BackOff(now, a.target.ID, said)
 	d.balancing.Unlock()
 	if !began {
 		return
@@ -63,7 +63,7 @@
 	d.metrics.backOffs.Inc()
 	if d.otherLines.Take(now) {
 		d.log.Warn().Str("kind", "backOff").Str("target", a.target.ID).Str("targetZone", a.target.Zone).
-			Str("request", a.id).Dur("retryAfter", wait).Msg("target asked for a back-off")
+			Str("request", a.id).Dur("retryAfter", said.BackOff).Msg("target asked for a back-off")
 	}
 }
 
--- a/pkg/balance/backoff.go
+++ b/pkg/balance/backoff.go
@@ -7,13 +7,18 @@
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
-// BackOff takes that a target asked this box to send it nothing for a time, and reports
-// whether it had not before.
-func (b *Balancer) BackOff(now time.Time, id string, wait time.Duration) (began bool) {
+// BackOff takes a rejection in which a target asked this box to send it nothing for a time,
+// and reports whether it had not before. The rejected request still counts as in flight.
+func (b *Balancer) BackOff(now time.Time, id string, said targetstatus.Status) (began bool) {
 	t := b.byID[id]
+	wait := said.BackOff
 	if t == nil || wait <= 0 {
 		return false
 	}
+	t.room = b.roomOf(t).withRejection(now, t.Slots, t.load(now)-1, said.ToldLoad())
+	if t.room.requests > 0 {
+		b.service(t.Service).roomPerSlot = t.room.requests / float64(max(t.Slots, 1))
+	}
 	began = !t.isBackedOff(now)
 	_, b.jitterTurn = math.Modf(b.jitterTurn + goldenPart)
 	t.backOff = t.backOff.With(now.Add(wait + targetstatus.Jitter(wait, b.jitterTurn)))
@@ -21,6 +26,20 @@
 	return began
 }
 
+// roomOf returns what is known of a target's room: what it taught itself, or another target of
+// its service.
+func (b *Balancer) roomOf(t *targetState) targetRoom {
+	if t.room.requests > 0 {
+		return t.room
+	}
+	return targetRoom{requests: b.service(t.Service).roomPerSlot * float64(max(t.Slots, 1)), part: 1}
+}
+
+// hasRoom reports whether one more request fits, as far as is known.
+func (b *Balancer) hasRoom(now time.Time, t *targetState) bool {
+	return b.roomOf(t).allows(now, t.load(now))
+}
+
 // CanSend reports whether a request that was to go to a target may still be sent: the
 // target may have asked for a back-off since it was chosen, or said that it leaves.
 func (b *Balancer) CanSend(now time.Time, id string) bool {
--- a/pkg/balance/backoff_test.go
+++ b/pkg/balance/backoff_test.go
@@ -62,7 +62,7 @@
 			case "backOff":
 				id := fmt.Sprint("t", rapid.IntRange(0, 2).Draw(t, "target"))
 				wait := time.Duration(rapid.IntRange(1, 5000).Draw(t, "wait")) * time.Millisecond
-				w.balancer.BackOff(w.now, id, wait)
+				w.balancer.BackOff(w.now, id, targetstatus.Status{BackOff: wait})
 				if ends := w.now.Add(wait); ends.After(until[id]) {
 					until[id] = ends
 				}
@@ -83,12 +83,12 @@
 // Guards against a new incarnation that inherits the back-off of the one before.
 func TestBackOffEndsWithTheIncarnation(t *testing.T) {
 	w := newBackOffWorld(1)
-	w.balancer.BackOff(w.now, "t0", time.Minute)
+	w.balancer.BackOff(w.now, "t0", targetstatus.Status{BackOff: time.Minute})
 	w.balancer.ChangeTargets(w.now, []Target{{ID: "t0/2", Name: "t0", Service: "s", Zone: "z", Region: "r", Slots: 4}}, []string{"t0"})
 	if c, err := w.choose(); err != nil || c.Target.ID != "t0/2" {
 		t.Errorf("got %v, %v", c.Target.ID, err)
 	}
-	if w.balancer.BackOff(w.now, "t0", time.Minute) {
+	if w.balancer.BackOff(w.now, "t0", targetstatus.Status{BackOff: time.Minute}) {
 		t.Error("an answer of the former incarnation begins a back-off")
 	}
 }
@@ -98,7 +98,7 @@
 func TestRefusalWhileAllTargetsAreBackedOff(t *testing.T) {
 	w := newBackOffWorld(3)
 	for i, wait := range []time.Duration{5, 2, 9} {
-		w.balancer.BackOff(w.now, fmt.Sprint("t", i), wait*time.Second)
+		w.balancer.BackOff(w.now, fmt.Sprint("t", i), targetstatus.Status{BackOff: wait * time.Second})
 	}
 	told := make(map[time.Duration]bool)
 	for range 100 {
@@ -124,7 +124,7 @@
 // back-off ends.
 func TestTargetRecoversGently(t *testing.T) {
 	w := newBackOffWorld(1)
-	w.balancer.BackOff(w.now, "t0", time.Second)
+	w.balancer.BackOff(w.now, "t0", targetstatus.Status{BackOff: time.Second})
 	w.now = w.now.Add(2 * time.Second)
 	for _, want := range []int{1, 2, 4, 4} {
 		var got []Choice
@@ -155,7 +155,7 @@
 	for i := range 30 {
 		b := New(Config{Box: fmt.Sprint("box", i), Zone: "z", Region: "r"})
 		b.SetTargets(now, []Target{{ID: "t", Service: "s", Zone: "z", Region: "r", Slots: 4}})
-		b.BackOff(now, "t", 3*time.Second)
+		b.BackOff(now, "t", targetstatus.Status{BackOff: 3 * time.Second})
 		left := b.byID["t"].backOff.Left(now)
 		if left < 3*time.Second || left > 3300*time.Millisecond {
 			t.Errorf("box %d returns after %s", i, left)
@@ -171,7 +171,7 @@
 // a target that are not counted.
 func TestBackOffIsReportedOnce(t *testing.T) {
 	w := newBackOffWorld(2)
-	if !w.balancer.BackOff(w.now, "t0", time.Second) || w.balancer.BackOff(w.now, "t0", 2*time.Second) {
+	if !w.balancer.BackOff(w.now, "t0", targetstatus.Status{BackOff: time.Second}) || w.balancer.BackOff(w.now, "t0", targetstatus.Status{BackOff: 2 * time.Second}) {
 		t.Error("a back-off begins once")
 	}
 	skipped := 0
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -28,6 +28,9 @@
 	cold    ColdLimit
 	mean    time.Duration
 	crowd   crowd
+	// roomPerSlot is what the target bears, in requests a slot, that was last learned of;
+	// zero for none. It stands for the targets that nothing was learned of.
+	roomPerSlot float64
 	// turns spreads requests without a key, and returnTurn callers that come back.
 	turns      uint64
 	returnTurn float64
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -204,10 +204,10 @@
 
 // isUsable reports whether a target may be sent any request at all.
 func (b *Balancer) isUsable(now time.Time, t *targetState) bool {
-	return b.isOpen(now, t) && !now.Before(t.withheldUntil) && t.backOff.Allows(now, t.inFlight)
+	return b.isOpen(now, t) && !now.Before(t.withheldUntil) && t.backOff.Allows(now, t.inFlight) && b.hasRoom(now, t)
 }
 
-// isOpen is isUsable but for permits and back-offs.
+// isOpen is isUsable but for permits, back-offs and room.
 func (b *Balancer) isOpen(now time.Time, t *targetState) bool {
 	return !t.isLeaving() && b.isReachable(now, t)
 }
--- a/pkg/balance/leaving_test.go
+++ b/pkg/balance/leaving_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
 // Guards against a target that is used longer than leavingGrace after it said that it
@@ -17,7 +19,7 @@
 		}
 		w.done(c, Answered)
 	}
-	w.balancer.BackOff(w.now, "t1", time.Minute)
+	w.balancer.BackOff(w.now, "t1", targetstatus.Status{BackOff: time.Minute})
 	c, err := w.choose()
 	if err != nil || c.Target.ID != "t0" {
 		t.Fatalf("got %s, %v", c.Target.ID, err)
@@ -31,7 +33,7 @@
 	}
 	w = newBackOffWorld(1)
 	w.balancer.SetLeaving(w.now, "t0")
-	w.balancer.BackOff(w.now, "t0", time.Minute)
+	w.balancer.BackOff(w.now, "t0", targetstatus.Status{BackOff: time.Minute})
 	if c, err := w.choose(); err == nil {
 		t.Errorf("%s is chosen while it is backed off", c.Target.ID)
 	}
--- a/pkg/balance/limited.go
+++ b/pkg/balance/limited.go
@@ -59,7 +59,7 @@
 		if !r.allows(t) || !b.isOpen(now, t) {
 			continue
 		}
-		wait, reason := t.untilRoom(now)
+		wait, reason := b.untilRoom(now, s, t)
 		if t.isBackedOff(now) {
 			next.backedOff++
 		}
@@ -71,10 +71,13 @@
 }
 
 // untilRoom returns how long it takes until the target may have room for a request, and why
-// it has none now; empty where that is neither a limit nor a back-off.
-func (t *targetState) untilRoom(now time.Time) (wait time.Duration, reason string) {
+// it has none now; empty where it has room, as far as is known.
+func (b *Balancer) untilRoom(now time.Time, s *service, t *targetState) (wait time.Duration, reason string) {
+	if !b.hasRoom(now, t) {
+		wait, reason = s.mean/time.Duration(max(t.Slots, 1)), ReasonFull
+	}
 	if t.limited {
-		wait, reason = max(t.withheldUntil.Sub(now), 0), ReasonLimited
+		wait, reason = max(t.withheldUntil.Sub(now), wait), ReasonLimited
 	}
 	if !t.backOff.Allows(now, t.inFlight) {
 		wait, reason = max(t.backOff.Left(now), wait), ReasonBackedOff
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -83,6 +83,7 @@
 		return Unchanged
 	}
 	if r.HasLoad {
+		t.room = b.roomOf(t).withLoad(r.Load)
 		t.noteLoad(now, r.Load)
 	}
 	b.noteDistance(t.Region, r.Connect)
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -87,6 +87,8 @@
 	withheldUntil time.Time
 	// backOff is until when the target asked this box to send it nothing.
 	backOff targetstatus.BackOff
+	// room is what its rejections taught of how much it bears.
+	room targetRoom
 	// backOffOpen tells that the end of a back-off has not been reported, and skipped is
 	// how many requests were kept from the target since it began.
 	backOffOpen bool
--- a/pkg/targetstatus/status.go
+++ b/pkg/targetstatus/status.go
@@ -51,6 +51,14 @@
 	return s.HasLimit || !s.NotRun && !s.limitUnread && s.BackOff == 0
 }
 
+// ToldLoad returns the load, nil if the answer tells none.
+func (s Status) ToldLoad() *Load {
+	if !s.HasLoad {
+		return nil
+	}
+	return &s.Load
+}
+
 // Headers names the headers in which targets say these things, and reads those that have a
 // format of their own; ok is false if they can't be read.
 type Headers struct {
