soak: targets that ask for back-offs and leave by their answers alone

In each run, beside needy targets: one target after the other rejects all for up to 2 s with a Retry-After of 1 to 3 s, and each third of them leaves by its answers alone. Targets count by box, through the box that callers sent each attempt to; what a restart, a signal or a disturbed link may have kept from the box is excused. Seen to fail with a build that reads neither header.

--- a/contrib/soak/clients.go
+++ b/contrib/soak/clients.go
@@ -81,7 +81,7 @@
 	workspace := workspaceOf(c.number)
 	r.Header.Set("Api-Key", keyOf(workspace))
 	r.Header.Set("X-Ledgesill-Tenant", "of the caller's own making")
-	record := attemptRecord{id: id, once: once, workspace: workspace, sent: time.Now()}
+	record := attemptRecord{id: id, once: once, workspace: workspace, sent: time.Now(), box: r.URL.Host}
 	record.status = c.exchange(r, standin.Answer(id, path, []byte(body)))
 	c.records = append(c.records, record)
 	kind := "broken"
--- a/contrib/soak/faults.go
+++ b/contrib/soak/faults.go
@@ -273,5 +273,5 @@
 func (c *counts) String() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return fmt.Sprintf("requests %v; faults %v", c.requests, c.faults)
+	return fmt.Sprintf("requests %v; faults %v; checked %v", c.requests, c.faults, c.checks)
 }
--- a/contrib/soak/main.go
+++ b/contrib/soak/main.go
@@ -7,6 +7,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -155,6 +156,11 @@
 		defer close(needed)
 		w.keepInNeed(ctx)
 	}()
+	spoke := make(chan struct{})
+	go func() {
+		defer close(spoke)
+		w.keepSpeaking(ctx, rand.New(rand.NewPCG(w.seed, 13)))
+	}()
 	if n.allOff {
 		w.disturbances(length / 2)
 		w.restartAll(append(slices.Clone(w.controls), w.entries...))
@@ -173,7 +179,10 @@
 	all := <-seen
 	records := all.records
 	<-needed
+	<-spoke
 	w.checkNeeds()
+	w.checkBackOffs(records)
+	w.checkLeaving(records)
 	w.checkFatal(all.fatal, calmSince)
 	w.checkRuns(records)
 	w.checkServed(records, good)
--- a/contrib/soak/need.go
+++ b/contrib/soak/need.go
@@ -117,9 +117,9 @@
 	defer w.mu.Unlock()
 	for _, n := range w.needs {
 		var counted []time.Time
-		for _, at := range n.target.Arrivals() {
-			if at.After(n.from.Add(contactTime)) && at.Before(n.to) {
-				counted = append(counted, at)
+		for _, a := range n.target.Arrivals() {
+			if a.At.After(n.from.Add(contactTime)) && a.At.Before(n.to) {
+				counted = append(counted, a.At)
 			}
 		}
 		most := int(needExcess*n.limit*(needWindow+heldBack).Seconds() + needSlack)
--- a/contrib/soak/process.go
+++ b/contrib/soak/process.go
@@ -38,6 +38,8 @@
 	// expected tells that its end was asked for.
 	expected bool
 	starts   int
+	// disturbed are the times at which it was started or got a signal.
+	disturbed moments
 }
 
 func (p *process) start() error {
@@ -66,6 +68,7 @@
 		return fmt.Errorf("starting %s: %w", p.name, err)
 	}
 	p.command = c
+	p.disturbed.add()
 	p.expected = false
 	p.starts++
 	ended := make(chan error, 1)
@@ -81,6 +84,7 @@
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		p.expected = true
 	}
+	p.disturbed.add()
 	_ = p.command.Process.Signal(s) // it may have ended already
 }
 
--- a/contrib/soak/promises.go
+++ b/contrib/soak/promises.go
@@ -39,6 +39,8 @@
 	sent   time.Time
 	// workspace is the one whose key it carried.
 	workspace string
+	// box is the address of the entry box that it was sent to.
+	box string
 }
 
 // checkRuns compares what callers were told with what targets ran.
--- a/contrib/soak/proxy.go
+++ b/contrib/soak/proxy.go
@@ -49,6 +49,8 @@
 	mode     mode
 	conns    map[net.Conn]connState
 	running  sync.WaitGroup
+	// disturbed are the times at which the mode changed or connections went silent.
+	disturbed moments
 }
 
 func newProxy(listen, to string) (*proxy, error) {
@@ -69,6 +71,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
+	p.disturbed.add()
 	if m != reset {
 		return
 	}
--- a/contrib/soak/silence.go
+++ b/contrib/soak/silence.go
@@ -13,6 +13,7 @@
 func (p *proxy) silenceOpen() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.disturbed.add()
 	for c := range p.conns {
 		p.conns[c] = silenced
 	}
--- a/contrib/soak/world.go
+++ b/contrib/soak/world.go
@@ -60,6 +60,7 @@
 	mu       sync.Mutex
 	requests map[string]int
 	faults   map[string]int
+	checks   map[string]int
 }
 
 func (c *counts) request(kind string) {
@@ -68,6 +69,13 @@
 	c.requests[kind]++
 }
 
+// checked tells how often something was looked at that must hold.
+func (c *counts) checked(kind string, count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.checks[kind] += count
+}
+
 func (c *counts) fault(kind string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -86,7 +94,7 @@
 		inNeed:  make(map[string]bool),
 	}
 	w.config.doubtful = make(map[int][]byte)
-	w.counts.requests, w.counts.faults = make(map[string]int), make(map[string]int)
+	w.counts.requests, w.counts.faults, w.counts.checks = make(map[string]int), make(map[string]int), make(map[string]int)
 	for i := range n.controls {
 		w.controls = append(w.controls, w.newProcess(binary, fmt.Sprint("control", i), true, i))
 	}
--- a/contrib/standin/served.go
+++ b/contrib/standin/served.go
@@ -75,14 +75,21 @@
 	// DrainedAt is when its drain was acknowledged; zero if it was not.
 	drainedAt time.Time
 	loseShare int
-	// limit is the limit that it names in its answers; empty for none. arrivals are when
-	// requests reached it, also those that it turned away.
+	// limit is the limit that it names in its answers; empty for none. arrivals are the
+	// requests that reached it, also those that it rejected.
 	limit    string
-	arrivals []time.Time
-	requests int
-	ctx      context.Context
-	cancel   context.CancelFunc
-	done     chan struct{}
+	arrivals []Arrival
+	// backOff is what its rejections ask for while it rejects all; zero if it does not.
+	backOff    time.Duration
+	rejections []Rejection
+	// leaving tells that its answers say that it leaves, and toldLeaving the attempts that
+	// were answered so.
+	leaving     bool
+	toldLeaving []Arrival
+	requests    int
+	ctx         context.Context
+	cancel      context.CancelFunc
+	done        chan struct{}
 }
 
 const (
@@ -131,19 +138,73 @@
 	s.limit = perSecond
 }
 
-// Arrivals returns when requests reached it.
-func (s *Served) Arrivals() []time.Time {
+// Arrival is a request that reached a target.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
+// Rejection is a request that a target rejected, asking for a back-off.
+type Rejection struct {
+	Arrival
+	BackOff time.Duration
+}
+
+// Arrivals returns the requests that reached it.
+func (s *Served) Arrivals() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Arrival(nil), s.arrivals...)
+}
+
+// RejectFor makes it reject all requests and ask for a back-off, or serve again for zero.
+func (s *Served) RejectFor(backOff time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backOff = backOff
+}
+
+// Rejections returns the requests that it rejected, asking for a back-off.
+func (s *Served) Rejections() []Rejection {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Rejection(nil), s.rejections...)
+}
+
+// Leave makes its answers, and nothing else, say that it leaves.
+func (s *Served) Leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]time.Time(nil), s.arrivals...)
+	s.leaving = true
 }
 
-// arrive counts a request and returns the limit to be named in its answer.
-func (s *Served) arrive() string {
+// ToldLeaving returns the requests whose answers said that it leaves.
+func (s *Served) ToldLeaving() []Arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals = append(s.arrivals, time.Now())
-	return s.limit
+	return append([]Arrival(nil), s.toldLeaving...)
+}
+
+// arrive counts a request, sets what its answer says of the target and reports whether it is
+// taken.
+func (s *Served) arrive(id string, h http.Header) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := Arrival{ID: id, At: time.Now()}
+	s.arrivals = append(s.arrivals, a)
+	if s.limit != "" {
+		h.Set("Server-Limit", s.limit)
+	}
+	if s.leaving {
+		h.Set("Server-Leaving", "1")
+		s.toldLeaving = append(s.toldLeaving, a)
+	}
+	if s.backOff == 0 {
+		return true
+	}
+	s.rejections = append(s.rejections, Rejection{Arrival: a, BackOff: s.backOff})
+	h.Set("Retry-After", strconv.FormatFloat(s.backOff.Seconds(), 'f', -1, 64))
+	return false
 }
 
 // Drain makes its next words say that it leaves.
@@ -238,15 +299,15 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if limit := s.arrive(); limit != "" {
-		w.Header().Set("Server-Limit", limit)
+	if !s.arrive(id, w.Header()) {
+		reject(w)
+		return
 	}
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
 	default:
-		w.Header().Set("X-Ledgesill-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		reject(w)
 		return
 	}
 	s.ledger.add(id, Run{At: time.Now(), Target: s.ID, Workspace: r.Header.Get("X-Ledgesill-Tenant"), Key: r.Header.Get("Api-Key")})
@@ -270,6 +331,11 @@
 	_, _ = w.Write(answer) // the caller sees a broken answer
 }
 
+func reject(w http.ResponseWriter) {
+	w.Header().Set("X-Ledgesill-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // Answer is what a served target answers to a request.
 func Answer(id, path string, body []byte) []byte {
 	return []byte(fmt.Sprintf("%s %s %d %s", id, path, len(body), bytes.Repeat([]byte{'.'}, len(id)*20)))
