gateway: say skipped and throttled of rate-limited targets

passedOver, withheld and Withhold become skippedLimited, throttled and ThrottleUntil, the fields of request lines skippedLimited and skippedFor.

--- a/contrib/measure/objects.go
+++ b/contrib/measure/objects.go
@@ -227,7 +227,7 @@
 // choose chooses a target and passes over those in need that have no permit now.
 func (b *objectBox) choose(q balance.Request) (balance.Choice, error) {
 	for passed := 0; ; passed++ {
-		q.Unlimited = passed >= mostPassedOverObject
+		q.Unlimited = passed >= maxSkippedLimitedObject
 		choice, err := b.balancer.Choose(b.sim.now, q)
 		if err != nil || !choice.Limited {
 			return choice, err
@@ -237,12 +237,12 @@
 		if room == 0 {
 			return choice, nil
 		}
-		b.balancer.Withhold(b.sim.now, t.ID, b.sim.now.Add(room))
+		b.balancer.ThrottleUntil(b.sim.now, t.ID, b.sim.now.Add(room))
 	}
 }
 
-// mostPassedOverObject is that of the gateway.
-const mostPassedOverObject = 1
+// maxSkippedLimitedObject is that of the gateway.
+const maxSkippedLimitedObject = 1
 
 // permit takes a permit of a target in need; if there is none it returns when there is.
 func (t *objectTarget) permit(now time.Time) (room time.Duration) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,10 +18,10 @@
 	looks     *prometheus.CounterVec
 	endedRuns prometheus.Counter
 	held      prometheus.Gauge
-	// targetLimits, targetPermits and passedOver are about targets that name limits.
-	targetLimits  prometheus.Gauge
-	targetPermits prometheus.Counter
-	passedOver    prometheus.Counter
+	// targetLimits, targetPermits and skippedLimited are about targets that name limits.
+	targetLimits   prometheus.Gauge
+	targetPermits  prometheus.Counter
+	skippedLimited prometheus.Counter
 	// backOffs and backOffSkips are about targets that ask this box for a back-off.
 	backOffs     prometheus.Counter
 	backOffSkips prometheus.Counter
@@ -69,7 +69,7 @@
 	m.targetPermits = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "ledgesill_target_permits_total", Help: "Requests that got a permit of a target that names a limit.",
 	})
-	m.passedOver = prometheus.NewCounter(prometheus.CounterOpts{
+	m.skippedLimited = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "ledgesill_targets_passed_over_total", Help: "Times that a request went on to another target for want of a permit.",
 	})
 	m.backOffs = prometheus.NewCounter(prometheus.CounterOpts{
@@ -83,7 +83,7 @@
 	})
 	r.MustRegister(m.backOffs, m.backOffSkips, m.targetsLeaving,
 		m.requests, m.latency, m.attempts, m.beside, m.connections, m.permitAsks, m.looks, m.endedRuns, m.held,
-		m.targetLimits, m.targetPermits, m.passedOver)
+		m.targetLimits, m.targetPermits, m.skippedLimited)
 	return m
 }
 
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -38,7 +38,7 @@
 	line = c.addBeside(line)
 	line = c.addRefusal(line)
 	line = c.addQuarantine(line)
-	line = c.addPassedOver(line)
+	line = c.addSkipped(line)
 	if cause == nil {
 		cause = c.last.err
 	}
@@ -75,15 +75,15 @@
 	return line.Int("beside", c.beside.count).Dur("besideAfter", c.beside.after)
 }
 
-// addPassedOver adds the targets in need that the request was kept from, and why.
-func (c *call) addPassedOver(line *zerolog.Event) *zerolog.Event {
+// addSkipped adds the targets in need that the request was kept from, and why.
+func (c *call) addSkipped(line *zerolog.Event) *zerolog.Event {
 	if c.targetPermitWait > 0 {
 		line = line.Dur("targetPermitWait", c.targetPermitWait)
 	}
-	if len(c.passedOver) == 0 {
+	if len(c.skippedLimited) == 0 {
 		return line
 	}
-	return line.Strs("passedOver", c.passedOver).AnErr("passedOverFor", c.passedOverFor)
+	return line.Strs("skippedLimited", c.skippedLimited).AnErr("skippedFor", c.skippedFor)
 }
 
 // addQuarantine adds by what the request is known again, where that was worked out, and
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -39,10 +39,10 @@
 	permits      []time.Time
 	possibleRuns int
 	permitWait   time.Duration
-	// passedOver are targets in need for which there was no permit, and passedOverFor is
+	// skippedLimited are targets in need for which there was no permit, and skippedFor is
 	// why for the last one; targetPermitWait is how long was waited for such permits.
-	passedOver       []string
-	passedOverFor    error
+	skippedLimited   []string
+	skippedFor       error
 	targetPermitWait time.Duration
 	body             *requestBody
 	// service is the destination that the request is for.
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -21,13 +21,13 @@
 	// targetPermitWait bounds how long a request waits for permits of targets that name
 	// limits before it goes to others: a way between regions and back.
 	targetPermitWait = 100 * time.Millisecond
-	// mostPassedOver is how many targets in need a request is kept from before it goes to one
+	// maxSkippedLimited is how many targets in need a request is kept from before it goes to one
 	// that names no limit, or is refused if there is none: where a thousand are at their
 	// limits, asking for each in turn would take the box's processor time. One about an object
 	// is kept from its home alone: another target in need does not know the object, takes
 	// longer for it, and lacks the permit for objects of its own.
-	mostPassedOver       = 4
-	mostPassedOverObject = 1
+	maxSkippedLimited       = 4
+	maxSkippedLimitedObject = 1
 	// permitPause is for how long a target gets nothing for which no permit came in time.
 	permitPause = 50 * time.Millisecond
 	// leastPermitPause keeps a target from being asked for by each request in turn.
@@ -225,7 +225,7 @@
 	waitEnds := c.gateway.permitWaitEnds(wait)
 	for {
 		wanted := c.wanted()
-		wanted.Unlimited = len(c.passedOver) >= mostPassed(wanted)
+		wanted.Unlimited = len(c.skippedLimited) >= maxSkippedOf(wanted)
 		choice, err := c.gateway.choose(wanted)
 		if err != nil || !choice.Limited {
 			return chosen{Choice: choice}, err
@@ -237,15 +237,15 @@
 			c.gateway.metrics.targetPermits.Inc()
 			return chosen{choice, until}, nil
 		}
-		c.passOver(choice, err)
+		c.skip(choice, err)
 	}
 }
 
-func mostPassed(r balance.Request) int {
+func maxSkippedOf(r balance.Request) int {
 	if r.Key != "" {
-		return mostPassedOverObject
+		return maxSkippedLimitedObject
 	}
-	return mostPassedOver
+	return maxSkippedLimited
 }
 
 // returnPermit gives a permit back with which nothing was sent.
@@ -262,16 +262,16 @@
 	return d.clock.Now().Add(wait)
 }
 
-// passOver takes a choice back for which there is no permit.
-func (c *call) passOver(choice balance.Choice, cause error) {
+// skip takes a choice back for which there is no permit.
+func (c *call) skip(choice balance.Choice, cause error) {
 	d := c.gateway
-	d.metrics.passedOver.Inc()
-	c.passedOver = append(c.passedOver, choice.Target.ID)
-	c.passedOverFor = cause
+	d.metrics.skippedLimited.Inc()
+	c.skippedLimited = append(c.skippedLimited, choice.Target.ID)
+	c.skippedFor = cause
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
 	now := c.gateway.clock.Now()
-	d.balancing.balancer.Withhold(now, choice.Target.ID, now.Add(pauseAfter(cause)))
+	d.balancing.balancer.ThrottleUntil(now, choice.Target.ID, now.Add(pauseAfter(cause)))
 }
 
 // takeUpdates takes what targets said to other boxes.
--- a/internal/gateway/targetlimits_test.go
+++ b/internal/gateway/targetlimits_test.go
@@ -249,11 +249,11 @@
 		now := time.Now()
 		s.boxes[0].balancing.balancer.SetLimited("t0", true)
 		_, _ = s.boxes[0].choose(balance.Request{Service: "s", Route: "r", Key: "any", Objective: time.Second, Left: time.Second})
-		s.boxes[0].balancing.balancer.Withhold(now, "t0", now.Add(time.Second))
+		s.boxes[0].balancing.balancer.ThrottleUntil(now, "t0", now.Add(time.Second))
 		during := homes()
 		for key, home := range during {
 			if home == "t0" || before[key] != "t0" && home != before[key] {
-				t.Errorf("%s, at home at %s, is at %s while t0 is withheld", key, before[key], home)
+				t.Errorf("%s, at home at %s, is at %s while t0 is throttled", key, before[key], home)
 			}
 		}
 		s.boxes[0].balancing.balancer.SetLimited("t0", false)
@@ -277,16 +277,16 @@
 			}
 		}
 		s.ask(d, 1)
-		if passed := s.passedOver(t); passed != 1 || s.refused != 1 {
+		if passed := s.skippedLimited(t); passed != 1 || s.refused != 1 {
 			t.Errorf("%v targets were passed over, %d requests refused", passed, s.refused)
 		}
 	})
 }
 
-func (s *needyScene) passedOver(t *testing.T) float64 {
+func (s *needyScene) skippedLimited(t *testing.T) float64 {
 	t.Helper()
 	m := &dto.Metric{}
-	if err := s.boxes[0].metrics.passedOver.Write(m); err != nil {
+	if err := s.boxes[0].metrics.skippedLimited.Write(m); err != nil {
 		t.Fatal(err)
 	}
 	return m.GetCounter().GetValue()
--- a/internal/gateway/targetpermits_test.go
+++ b/internal/gateway/targetpermits_test.go
@@ -208,7 +208,7 @@
 		wantRefusal(t, s.ask(t.Context(), "/single/", ""), http.StatusServiceUnavailable)
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if most := mostPassedOver * len(r.left); r.asked > most {
+		if most := maxSkippedLimited * len(r.left); r.asked > most {
 			t.Errorf("%d asks for one request, want %d at most", r.asked, most)
 		}
 	})
--- a/pkg/balance/limited.go
+++ b/pkg/balance/limited.go
@@ -23,13 +23,13 @@
 	}
 	t.limited = limited
 	if !limited {
-		t.withheldUntil = time.Time{}
+		t.throttledUntil = time.Time{}
 	}
 }
 
-// Withhold takes a choice back for want of a permit: the request is not sent there, and no
+// ThrottleUntil takes a choice back for want of a permit: the request is not sent there, and no
 // other before a time. Its objects have their second home meanwhile.
-func (b *Balancer) Withhold(now time.Time, id string, until time.Time) {
+func (b *Balancer) ThrottleUntil(now time.Time, id string, until time.Time) {
 	t := b.byID[id]
 	if t == nil {
 		return
@@ -38,7 +38,7 @@
 	if t.isCold(now) {
 		t.tokens++
 	}
-	t.withheldUntil = until
+	t.throttledUntil = until
 }
 
 // room is when a service that can't be used may be used again, by which target, and why not
@@ -77,7 +77,7 @@
 		wait, reason = s.mean/time.Duration(max(t.Slots, 1)), ReasonFull
 	}
 	if t.limited {
-		wait, reason = max(t.withheldUntil.Sub(now), wait), ReasonLimited
+		wait, reason = max(t.throttledUntil.Sub(now), wait), ReasonLimited
 	}
 	if !t.backOff.Allows(now, t.inFlight) {
 		wait, reason = max(t.backOff.Left(now), wait), ReasonBackedOff
--- a/pkg/balance/limited_test.go
+++ b/pkg/balance/limited_test.go
@@ -9,7 +9,7 @@
 
 var anyRequest = Request{Service: "s", Route: "r", Key: "a", Objective: time.Second, Left: time.Second}
 
-// A cold target that is withheld for want of a permit keeps its turn: it may be sent the
+// A cold target that is throttled for want of a permit keeps its turn: it may be sent the
 // next request as soon as there is one.
 func TestWithheldTargetKeepsItsTurnWhileItIsCold(t *testing.T) {
 	b := New(Config{Box: "box", Zone: "z", Region: "r"})
@@ -23,10 +23,10 @@
 	if err != nil || !choice.Limited {
 		t.Fatalf("got %+v, %v", choice, err)
 	}
-	b.Withhold(now, "t", now.Add(time.Second))
+	b.ThrottleUntil(now, "t", now.Add(time.Second))
 	var none *NoTargetError
 	if _, err := b.Choose(now, anyRequest); !errors.As(err, &none) || none.Reason != ReasonLimited || none.RetryAfter < time.Second {
-		t.Errorf("while it is withheld: %v", err)
+		t.Errorf("while it is throttled: %v", err)
 	}
 	now = now.Add(time.Second)
 	if choice, err := b.Choose(now, anyRequest); err != nil || choice.Load > 0 {
@@ -42,7 +42,7 @@
 	b.SetTargets(now, []Target{{ID: "t", Service: "s", Zone: "z", Region: "r", Slots: 4}, {ID: "u", Service: "s", Zone: "z", Region: "r", Slots: 4, Draining: true}})
 	for _, id := range []string{"t", "u"} {
 		b.SetLimited(id, true)
-		b.Withhold(now, id, now.Add(time.Minute))
+		b.ThrottleUntil(now, id, now.Add(time.Minute))
 	}
 	b.SetEvacuated(now, []string{"z"})
 	var none *NoTargetError
@@ -52,7 +52,7 @@
 }
 
 // BenchmarkChooseAmongLimited is one choice and its report where a third of 3,000 targets is
-// withheld for want of permits.
+// throttled for want of permits.
 func BenchmarkChooseAmongLimited(b *testing.B) {
 	balancer := New(Config{Box: "box0", Zone: "z0", Region: "r0"})
 	var all []Target
@@ -63,7 +63,7 @@
 	balancer.SetTargets(now, all)
 	for i := 0; i < len(all); i += 3 {
 		balancer.SetLimited(all[i].ID, true)
-		balancer.Withhold(now, all[i].ID, now.Add(time.Hour))
+		balancer.ThrottleUntil(now, all[i].ID, now.Add(time.Hour))
 	}
 	for i := 0; b.Loop(); i++ {
 		now = now.Add(time.Millisecond)
--- a/pkg/balance/request.go
+++ b/pkg/balance/request.go
@@ -32,7 +32,7 @@
 type Choice struct {
 	Target Target
 	// Limited tells that the target names a limit. Without a permit of it the choice must
-	// be taken back by Withhold.
+	// be taken back by ThrottleUntil.
 	Limited bool
 	// Remote tells that the target is in another region.
 	Remote bool
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -82,9 +82,9 @@
 	pace   float64
 	paceAt time.Time
 	// limited tells that the target names a limit, so that a request to it needs a permit,
-	// and withheldUntil is until when there is none to be had.
-	limited       bool
-	withheldUntil time.Time
+	// and throttledUntil is until when there is none to be had.
+	limited        bool
+	throttledUntil time.Time
 	// backOff is until when the target asked this box to send it nothing.
 	backOff targetstatus.BackOff
 	// room is what its rejections taught of how much it bears.
