--- a/contrib/demo/need.go
+++ b/contrib/demo/need.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// One more target is in need: it names how many requests a second it takes from all boxes
+// One more target is rate-limited: it names how many requests a second it takes from all boxes
 // together, and counts what reaches it.
 const (
 	needPerSecond = 10
@@ -19,8 +19,8 @@
 	needShare = 0.5
 )
 
-// needyTarget is that target.
-type needyTarget struct {
+// limitedTarget is that target.
+type limitedTarget struct {
 	next http.Handler
 
 	mu       sync.Mutex
@@ -28,7 +28,7 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (t *needyTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (t *limitedTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	t.mu.Lock()
 	t.arrivals = append(t.arrivals, time.Now())
 	t.mu.Unlock()
@@ -38,11 +38,11 @@
 
 // report prints what it got once the boxes had been told, and fails if that was too much or
 // too little.
-func (t *needyTarget) report() error {
+func (t *limitedTarget) report() error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.arrivals) == 0 {
-		return fmt.Errorf("the target in need got nothing")
+		return fmt.Errorf("the rate-limited target got nothing")
 	}
 	told := t.arrivals[0].Add(needWindow)
 	end := t.arrivals[len(t.arrivals)-1]
@@ -61,7 +61,7 @@
 	allowed := int(needExcess*needPerSecond*needWindow.Seconds() + needSlack)
 	fmt.Printf("a target that names %d requests a second got %.1f, at most %d in %s of %d allowed\n", needPerSecond, perSecond, most, needWindow, allowed)
 	if most > allowed || perSecond < needShare*needPerSecond {
-		return fmt.Errorf("the target in need got %.1f requests a second, at most %d in %s", perSecond, most, needWindow)
+		return fmt.Errorf("the rate-limited target got %.1f requests a second, at most %d in %s", perSecond, most, needWindow)
 	}
 	return nil
 }
--- a/contrib/demo/workspaces.go
+++ b/contrib/demo/workspaces.go
@@ -103,7 +103,7 @@
 type workspaceDemo struct {
 	driver *driver
 	target *workspaceTarget
-	needy  *needyTarget
+	needy  *limitedTarget
 
 	mu     sync.Mutex
 	counts map[string]map[string]int
@@ -121,7 +121,7 @@
 			return nil, err
 		}
 	}
-	w.needy = &needyTarget{next: w.target}
+	w.needy = &limitedTarget{next: w.target}
 	if err := w.startTarget(ctx, workspaceTargets, w.needy); err != nil {
 		return nil, err
 	}
--- a/contrib/measure/objects.go
+++ b/contrib/measure/objects.go
@@ -224,7 +224,7 @@
 	s.after(way, func() { t.take(r.key, func(o balance.Outcome) { s.after(way, func() { done(o) }) }) })
 }
 
-// choose chooses a target and passes over those in need that have no permit now.
+// choose chooses a target and passes over rate-limited ones that have no permit now.
 func (b *objectBox) choose(q balance.Request) (balance.Choice, error) {
 	for passed := 0; ; passed++ {
 		q.Unlimited = passed >= maxSkippedLimitedObject
@@ -244,7 +244,7 @@
 // maxSkippedLimitedObject is that of the gateway.
 const maxSkippedLimitedObject = 1
 
-// permit takes a permit of a target in need; if there is none it returns when there is.
+// permit takes a permit of a rate-limited target; if there is none it returns when there is.
 func (t *objectTarget) permit(now time.Time) (room time.Duration) {
 	t.permits = min(t.permits+t.limit*now.Sub(t.permitsAt).Seconds(), permitsAtOnce)
 	t.permitsAt = now
--- a/contrib/measure/objectscenarios.go
+++ b/contrib/measure/objectscenarios.go
@@ -36,8 +36,8 @@
 		{"a third is gone at high load", 0.6, func(s *objectSim) { s.takeOut(0.34) }},
 		{"targets are replaced", 0.6, func(s *objectSim) { s.replace(0.5) }},
 		{"some are slow", objectLoad, func(s *objectSim) { s.slowDown(0.15, 5) }},
-		{"some are in need", objectLoad, func(s *objectSim) { s.need(0.09, 0.27) }},
-		{"all are in need", objectLoad, func(s *objectSim) { s.need(1, 0.85) }},
+		{"some are rate-limited", objectLoad, func(s *objectSim) { s.need(0.09, 0.27) }},
+		{"all are rate-limited", objectLoad, func(s *objectSim) { s.need(1, 0.85) }},
 		{"as many leave", objectLoad, func(s *objectSim) { s.takeOut(0.09) }},
 		{"a region is evacuated", objectLoad, func(s *objectSim) { s.evacuate("r1-a") }},
 	}
--- a/contrib/soak/faults.go
+++ b/contrib/soak/faults.go
@@ -38,7 +38,7 @@
 		{"lost answers", func(w *world, r *rand.Rand) { w.loseAnswers(r) }},
 		{"drain target", func(w *world, r *rand.Rand) { w.drainTarget(r) }},
 		{"crash target", func(w *world, r *rand.Rand) { w.crashTarget(r) }},
-		{"target in need", func(w *world, r *rand.Rand) { w.beInNeed(r) }},
+		{"rate-limited target", func(w *world, r *rand.Rand) { w.beInNeed(r) }},
 		{"change routes", func(w *world, r *rand.Rand) { w.changeRoutes(r) }},
 		{"evacuate", func(w *world, r *rand.Rand) { w.evacuate(r) }},
 	}
--- a/contrib/soak/need.go
+++ b/contrib/soak/need.go
@@ -9,16 +9,16 @@
 	"ledgesill.dev/ledgesill/contrib/standin"
 )
 
-// Targets in need name how many requests a second they take from all boxes together.
+// Rate-limited targets name how many requests a second they take from all boxes together.
 const (
 	// needExcess and needSlack are what such a target may get in needWindow beyond that.
 	needWindow = 4 * time.Second
 	needExcess = 1.5
 	needSlack  = 5
-	// needLeast and needMost are for how long a fault has a target be in need.
+	// needLeast and needMost are for how long a fault has a target be rate-limited.
 	needLeast = needWindow + contactTime
 	needMost  = 2 * needLeast
-	// needSeveral is that so many are in need at once in one run of so many.
+	// needSeveral is that so many are rate-limited at once in one run of so many.
 	needSeveral = 3
 	// needPause is how soon another target takes the place of one that has ended.
 	needPause = 200 * time.Millisecond
@@ -31,7 +31,7 @@
 	from, to time.Time
 }
 
-// claimTarget takes a target that is to be in need, unless it is already.
+// claimTarget takes a target that is to be rate-limited, unless it is already.
 func (w *world) claimTarget(t *standin.Served) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -70,7 +70,7 @@
 	t.SetLimit("")
 }
 
-// keepInNeed has one target be in need at each moment, or several, until the context ends:
+// keepInNeed has one target be rate-limited at each moment, or several, until the context ends:
 // when one leaves or ends another takes its place.
 func (w *world) keepInNeed(ctx context.Context) {
 	count := 1
@@ -111,7 +111,7 @@
 	return out
 }
 
-// checkNeeds checks what reached targets in need, once all boxes must know of that.
+// checkNeeds checks what reached rate-limited targets, once all boxes must know of that.
 func (w *world) checkNeeds() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/command/targets_test.go
+++ b/internal/command/targets_test.go
@@ -11,7 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// targetsAnswer is what a replica answers of two targets, one of which is in need.
+// targetsAnswer is what a replica answers of two targets, one of which is rate-limited.
 const targetsAnswer = `[
 {"id":"i-1","service":"resolver","address":"10.1.0.1:80","zone":"a","software":"v1","slots":9,"sequence":3,
  "limit":{"perSecond":5.6,"saidAgoMillis":2100,"issued":41,"refusedAsks":12}},
--- a/internal/gateway/backoff_test.go
+++ b/internal/gateway/backoff_test.go
@@ -39,14 +39,14 @@
 }
 
 // rejectWith has the target reject requests, or serve them again for nil.
-func (n *needy) rejectWith(r *rejection) {
+func (n *countedTarget) rejectWith(r *rejection) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.rejects = r
 }
 
 // reject answers a request by the rejection in force, if there is one.
-func (n *needy) reject(box int, r *http.Request, c net.Conn) bool {
+func (n *countedTarget) reject(box int, r *http.Request, c net.Conn) bool {
 	n.mu.Lock()
 	with := n.rejects
 	if with == nil {
@@ -69,14 +69,14 @@
 }
 
 // leave has the target's answers say that it leaves.
-func (n *needy) leave(leaving bool) {
+func (n *countedTarget) leave(leaving bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.leaving = leaving
 }
 
 // sayLeaving returns the header line of a target that leaves.
-func (n *needy) sayLeaving(box int) string {
+func (n *countedTarget) sayLeaving(box int) string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.leaving {
@@ -90,7 +90,7 @@
 
 // mostInBackOff returns the most requests that one box sent in the back-off of one
 // rejection.
-func (n *needy) mostInBackOff() (most int) {
+func (n *countedTarget) mostInBackOff() (most int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, b := range n.rejections {
@@ -107,7 +107,7 @@
 
 // afterLeaving counts the requests of boxes that came too late after these were told that
 // the target leaves.
-func (n *needy) afterLeaving() (count int) {
+func (n *countedTarget) afterLeaving() (count int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, a := range n.arrivals {
@@ -118,7 +118,7 @@
 	return count
 }
 
-func (s *needyScene) wantBackOffs(t *testing.T) {
+func (s *targetScene) wantBackOffs(t *testing.T) {
 	t.Helper()
 	for i, target := range s.targets {
 		if got := target.mostInBackOff(); got > backOffSlack {
@@ -135,7 +135,7 @@
 			for _, notRun := range []bool{true, false} {
 				t.Run(fmt.Sprint(boxes, " boxes, ", targets, " targets, not run ", notRun), func(t *testing.T) {
 					inVirtualTime(t, func(t *testing.T) {
-						s := newNeedyScene(t, boxes, 4)
+						s := newTargetScene(t, boxes, 4)
 						s.load(80, 2*time.Second)
 						for _, target := range s.targets[:targets] {
 							target.rejectWith(&rejection{retryAfter: "3", lasts: 3 * time.Second, notRun: notRun})
@@ -158,7 +158,7 @@
 // is sent after, when it has its connection.
 func TestRequestThatWaitsForAConnectionIsSentElsewhere(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		s := newNeedyScene(t, 1, 2)
+		s := newTargetScene(t, 1, 2)
 		d := s.boxes[0]
 		dial := d.connections.dial
 		d.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -186,7 +186,7 @@
 // Guards against a box that backs off by a clock that stands while the machine is suspended.
 func TestBackOffEndsWhileTheBoxIsSuspended(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		s := newNeedyScene(t, 1, 2)
+		s := newTargetScene(t, 1, 2)
 		d := s.boxes[0]
 		s.load(80, time.Second)
 		s.targets[0].rejectWith(&rejection{retryAfter: "60", lasts: time.Minute, notRun: true})
@@ -209,7 +209,7 @@
 // they are refused at once, with the end of the first back-off.
 func TestRequestIsRefusedAtOnceWhereAllTargetsAreBackedOff(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		s := newNeedyScene(t, 1, 2)
+		s := newTargetScene(t, 1, 2)
 		for i := range s.targets {
 			s.boxes[0].balancing.balancer.BackOff(s.boxes[0].clock.Now(), fmt.Sprint("t", i), targetstatus.Status{BackOff: 30 * time.Second})
 		}
@@ -229,7 +229,7 @@
 // was not sent because of back-offs is no failed connection.
 func TestWithdrawnAttemptsAreNoFailedConnections(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		s := newNeedyScene(t, 1, maxDials+3)
+		s := newTargetScene(t, 1, maxDials+3)
 		d := s.boxes[0]
 		dial := d.connections.dial
 		d.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/gateway/needy_test.go
+++ b/internal/gateway/countedtarget_test.go
@@ -27,7 +27,7 @@
 const (
 	// limitHeader is how the targets of these tests name their limit.
 	limitHeader = "Test-Limit"
-	// needWindow is the span in which a target in need counts what it gets.
+	// needWindow is the span in which a rate-limited target counts what it gets.
 	needWindow = 4 * time.Second
 	// needExcess and needSlack are what it may get in it beyond its limit, and toldBefore is
 	// how long ago a box must have been told for its requests to count.
@@ -36,8 +36,8 @@
 	toldBefore = 500 * time.Millisecond
 )
 
-// needy is a target that may be in need. It counts what reaches it.
-type needy struct {
+// countedTarget is a target that may be rate-limited. It counts what reaches it.
+type countedTarget struct {
 	mu sync.Mutex
 	// limit is what it names, empty for nothing.
 	limit    string
@@ -59,14 +59,14 @@
 	box int
 }
 
-func (n *needy) name(limit string) {
+func (n *countedTarget) name(limit string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.limit = limit
 }
 
 // serve answers the requests of one connection of a box.
-func (n *needy) serve(box int, c net.Conn) {
+func (n *countedTarget) serve(box int, c net.Conn) {
 	s := &target{script: func(_ int, r *http.Request, c net.Conn) bool {
 		n.arrive(box)
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -84,14 +84,14 @@
 	s.serve(c)
 }
 
-func (n *needy) arrive(box int) {
+func (n *countedTarget) arrive(box int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.arrivals = append(n.arrivals, arrival{time.Now(), box})
 }
 
 // tell returns the limit that is named to a box now.
-func (n *needy) tell(box int) string {
+func (n *countedTarget) tell(box int) string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if _, told := n.told[box]; n.limit != "" && !told {
@@ -102,7 +102,7 @@
 
 // most returns the most requests in any window that ends at from or later, of boxes that
 // had been told.
-func (n *needy) most(from time.Time) int {
+func (n *countedTarget) most(from time.Time) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var counted []time.Time
@@ -125,7 +125,7 @@
 
 // inSecond returns the most requests in any second that begins at from or later, of all
 // boxes.
-func (n *needy) inSecond(from time.Time) int {
+func (n *countedTarget) inSecond(from time.Time) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	most := 0
@@ -144,7 +144,7 @@
 }
 
 // between counts all requests of a span.
-func (n *needy) between(from, to time.Time) int {
+func (n *countedTarget) between(from, to time.Time) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	count := 0
@@ -262,10 +262,10 @@
 	}
 }
 
-// needyScene is some boxes that share targets in virtual time.
-type needyScene struct {
+// targetScene is some boxes that share targets in virtual time.
+type targetScene struct {
 	boxes   []*Daemon
-	targets []*needy
+	targets []*countedTarget
 	control *controlScene
 	// asleep is for how long the machine of each box was suspended, in nanoseconds.
 	asleep []*atomic.Int64
@@ -283,9 +283,9 @@
 	deadline string
 }
 
-func newNeedyScene(t *testing.T, boxes, targets int) *needyScene {
+func newTargetScene(t *testing.T, boxes, targets int) *targetScene {
 	t.Helper()
-	s := &needyScene{random: rand.New(rand.NewPCG(1, 1)), control: newControlScene(6), told: make(map[string]bool), deadline: "1500"}
+	s := &targetScene{random: rand.New(rand.NewPCG(1, 1)), control: newControlScene(6), told: make(map[string]bool), deadline: "1500"}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	t.Cleanup(func() {
@@ -294,7 +294,7 @@
 	})
 	var addresses []string
 	for i := range targets {
-		s.targets = append(s.targets, &needy{told: make(map[int]time.Time), toldLeaving: make(map[int]time.Time)})
+		s.targets = append(s.targets, &countedTarget{told: make(map[int]time.Time), toldLeaving: make(map[int]time.Time)})
 		addresses = append(addresses, fmt.Sprint(i))
 	}
 	var list []*wire.EntryBox
@@ -327,7 +327,7 @@
 }
 
 // dialer connects a box to targets, which serve their ends of the connections.
-func (s *needyScene) dialer(serve func(target int, c net.Conn)) func(context.Context, string, string) (net.Conn, error) {
+func (s *targetScene) dialer(serve func(target int, c net.Conn)) func(context.Context, string, string) (net.Conn, error) {
 	return func(_ context.Context, _, address string) (net.Conn, error) {
 		var n int
 		if _, err := fmt.Sscan(address, &n); err != nil {
@@ -340,7 +340,7 @@
 }
 
 // load has callers send requests for a time, each at a box by lot.
-func (s *needyScene) load(perSecond int, length time.Duration) {
+func (s *targetScene) load(perSecond int, length time.Duration) {
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Second / time.Duration(perSecond)) {
 		s.asked++
 		go s.ask(s.boxes[s.random.IntN(len(s.boxes))], s.asked)
@@ -348,12 +348,12 @@
 }
 
 // settle waits until all requests have been answered.
-func (s *needyScene) settle() {
+func (s *targetScene) settle() {
 	time.Sleep(5 * time.Second)
 	synctest.Wait()
 }
 
-func (s *needyScene) ask(d *Daemon, n int) {
+func (s *targetScene) ask(d *Daemon, n int) {
 	r := httptest.NewRequest(http.MethodPost, "/safe/", strings.NewReader(""))
 	r.Host = "a.example"
 	r.Header.Set("Test-Id", fmt.Sprint("id", n))
--- a/internal/gateway/fullservice_test.go
+++ b/internal/gateway/fullservice_test.go
@@ -63,7 +63,7 @@
 }
 
 // serveFull answers the requests of one connection of a box within the target's capacity.
-func (n *needy) serveFull(box int, c net.Conn, room *capacity) {
+func (n *countedTarget) serveFull(box int, c net.Conn, room *capacity) {
 	s := &target{script: func(_ int, r *http.Request, c net.Conn) bool {
 		n.arrive(box)
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -97,7 +97,7 @@
 
 func playFullService(t *testing.T, boxes int, load float64, backsOff bool) (out fullService) {
 	t.Helper()
-	s := newNeedyScene(t, boxes, fullTargets)
+	s := newTargetScene(t, boxes, fullTargets)
 	rooms := make([]*capacity, fullTargets)
 	for i := range rooms {
 		rooms[i] = newCapacity(backsOff)
--- a/internal/gateway/leavingtargets_test.go
+++ b/internal/gateway/leavingtargets_test.go
@@ -24,7 +24,7 @@
 			for _, control := range []bool{true, false} {
 				t.Run(fmt.Sprint(boxes, " boxes, ", targets, " targets, control ", control), func(t *testing.T) {
 					inVirtualTime(t, func(t *testing.T) {
-						s := newNeedyScene(t, boxes, 4)
+						s := newTargetScene(t, boxes, 4)
 						s.control.setOff(!control, s.control.addresses()...)
 						s.load(80, 2*time.Second)
 						for _, target := range s.targets[:targets] {
@@ -49,7 +49,7 @@
 	for _, boxes := range []int{9, 150} {
 		t.Run(fmt.Sprint(boxes, " boxes"), func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T) {
-				s := newNeedyScene(t, boxes, 4)
+				s := newTargetScene(t, boxes, 4)
 				s.load(80, 2*time.Second)
 				s.targets[0].leave(true)
 				s.load(80, 5*time.Second)
@@ -75,7 +75,7 @@
 // earlier state or an answer of before; only a new incarnation is.
 func TestTargetThatLeavesIsNotRevived(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		s := newNeedyScene(t, 1, 2)
+		s := newTargetScene(t, 1, 2)
 		d := s.boxes[0]
 		registration := func(sequence uint64, born int64) *wire.Command {
 			return &wire.Command{Registration: &wire.RegistrationCommand{Registration: &wire.Registration{
@@ -120,7 +120,7 @@
 // leave still serve, and against requests to them once that is over.
 func TestTargetsThatLeaveServeWhereThereIsNoOther(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		s := newNeedyScene(t, 1, 3)
+		s := newTargetScene(t, 1, 3)
 		s.load(40, time.Second)
 		for _, target := range s.targets {
 			target.leave(true)
@@ -158,7 +158,7 @@
 // that counts as serving.
 func TestTargetThatLeavesBeforeItIsRegisteredHere(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		s := newNeedyScene(t, 1, 1)
+		s := newTargetScene(t, 1, 1)
 		d := s.boxes[0]
 		d.takeUpdates([]*wire.TargetLimit{{Life: "t9", Leaving: true}})
 		state, _ := steering.State{}.Apply(&wire.Command{Registration: &wire.RegistrationCommand{Registration: &wire.Registration{
@@ -192,7 +192,7 @@
 // target may have ended.
 func TestRequestThatWaitsIsNotSentToATargetThatIsGone(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		s := newNeedyScene(t, 1, 2)
+		s := newTargetScene(t, 1, 2)
 		d := s.boxes[0]
 		dial := d.connections.dial
 		d.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -75,7 +75,7 @@
 	return line.Int("beside", c.beside.count).Dur("besideAfter", c.beside.after)
 }
 
-// addSkipped adds the targets in need that the request was kept from, and why.
+// addSkipped adds the rate-limited targets that the request was kept from, and why.
 func (c *call) addSkipped(line *zerolog.Event) *zerolog.Event {
 	if c.targetPermitWait > 0 {
 		line = line.Dur("targetPermitWait", c.targetPermitWait)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -39,7 +39,7 @@
 	permits      []time.Time
 	possibleRuns int
 	permitWait   time.Duration
-	// skippedLimited are targets in need for which there was no permit, and skippedFor is
+	// skippedLimited are rate-limited targets for which there was no permit, and skippedFor is
 	// why for the last one; targetPermitWait is how long was waited for such permits.
 	skippedLimited   []string
 	skippedFor       error
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -21,10 +21,10 @@
 	// targetPermitWait bounds how long a request waits for permits of targets that name
 	// limits before it goes to others: a way between regions and back.
 	targetPermitWait = 100 * time.Millisecond
-	// maxSkippedLimited is how many targets in need a request is kept from before it goes to one
+	// maxSkippedLimited is how many rate-limited targets a request is kept from before it goes to one
 	// that names no limit, or is refused if there is none: where a thousand are at their
 	// limits, asking for each in turn would take the box's processor time. One about an object
-	// is kept from its home alone: another target in need does not know the object, takes
+	// is kept from its home alone: another rate-limited target does not know the object, takes
 	// longer for it, and lacks the permit for objects of its own.
 	maxSkippedLimited       = 4
 	maxSkippedLimitedObject = 1
--- a/internal/gateway/targetlimits_test.go
+++ b/internal/gateway/targetlimits_test.go
@@ -31,7 +31,7 @@
 		t.Run(fmt.Sprint(boxes), func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T) {
 				const limit = 5.6
-				s := newNeedyScene(t, boxes, 4)
+				s := newTargetScene(t, boxes, 4)
 				s.control.setOff(true, s.control.addresses()...)
 				s.load(80, 2*time.Second)
 				s.targets[0].name("5.6")
@@ -52,14 +52,14 @@
 	}
 }
 
-// A target in need gets what it names, or what is asked of it if that is less, and its
+// A rate-limited target gets what it names, or what is asked of it if that is less, and its
 // requests are served elsewhere beyond.
 func TestTargetGetsWhatItNames(t *testing.T) {
 	for _, boxes := range []int{1, 9, 30, 150, 300} {
 		for _, limit := range []float64{0, 1.5, 5.6, 9.6} {
 			t.Run(fmt.Sprint(boxes, " boxes, ", limit), func(t *testing.T) {
 				inVirtualTime(t, func(t *testing.T) {
-					s := newNeedyScene(t, boxes, 4)
+					s := newTargetScene(t, boxes, 4)
 					s.load(80, 2*time.Second)
 					s.targets[0].name(fmt.Sprint(limit))
 					named := time.Now()
@@ -88,7 +88,7 @@
 }
 
 // wantWithin checks what a target got in each window that ends at from or later.
-func (s *needyScene) wantWithin(t *testing.T, target int, limit float64, from time.Time) {
+func (s *targetScene) wantWithin(t *testing.T, target int, limit float64, from time.Time) {
 	t.Helper()
 	if got := s.targets[target].most(from); got > allowedInWindow(limit) {
 		t.Errorf("target %d, which names %v a second, got %d requests in %s, allowed %d", target, limit, got, needWindow, allowedInWindow(limit))
@@ -101,7 +101,7 @@
 	for _, boxes := range []int{1, 9, 60} {
 		t.Run(fmt.Sprint(boxes), func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T) {
-				s := newNeedyScene(t, boxes, 4)
+				s := newTargetScene(t, boxes, 4)
 				s.load(80, time.Second)
 				for _, limit := range []float64{10, 2, 7} {
 					s.targets[0].name(fmt.Sprint(limit))
@@ -135,7 +135,7 @@
 		t.Run(fmt.Sprint(boxes), func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T) {
 				const limit = 4.0
-				s := newNeedyScene(t, boxes, 4)
+				s := newTargetScene(t, boxes, 4)
 				s.load(80, time.Second)
 				for _, target := range s.targets {
 					target.name(fmt.Sprint(limit))
@@ -171,7 +171,7 @@
 func TestLimitHoldsThroughRestarts(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		const limit = 5.6
-		s := newNeedyScene(t, 9, 4)
+		s := newTargetScene(t, 9, 4)
 		s.load(80, time.Second)
 		s.targets[0].name(fmt.Sprint(limit))
 		from := time.Now().Add(needWindow)
@@ -205,7 +205,7 @@
 func TestLimitHoldsWhileSingleBoxesAreSuspended(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		const limit = 9.6
-		s := newNeedyScene(t, 9, 4)
+		s := newTargetScene(t, 9, 4)
 		s.load(80, time.Second)
 		s.targets[0].name(fmt.Sprint(limit))
 		from := time.Now().Add(needWindow)
@@ -227,11 +227,11 @@
 	})
 }
 
-// The other targets serve what a target in need is kept from, and its own objects go back
+// The other targets serve what a rate-limited target is kept from, and its own objects go back
 // once it names no limit: they have one home each time.
 func TestObjectsOfALimitedTargetHaveASecondHome(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		s := newNeedyScene(t, 1, 8)
+		s := newTargetScene(t, 1, 8)
 		homes := func() map[string]string {
 			out := make(map[string]string)
 			for i := range 40 {
@@ -263,11 +263,11 @@
 	})
 }
 
-// A request about an object goes from its home in need to a target without a limit, never to
-// another one in need.
+// A request about an object goes from its rate-limited home to a target without a limit, never to
+// another rate-limited one.
 func TestObjectIsKeptFromItsHomeAlone(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		s := newNeedyScene(t, 1, 4)
+		s := newTargetScene(t, 1, 4)
 		d := s.boxes[0]
 		now := d.clock.Now()
 		for i := range s.targets {
@@ -283,7 +283,7 @@
 	})
 }
 
-func (s *needyScene) skippedLimited(t *testing.T) float64 {
+func (s *targetScene) skippedLimited(t *testing.T) float64 {
 	t.Helper()
 	m := &dto.Metric{}
 	if err := s.boxes[0].metrics.skippedLimited.Write(m); err != nil {
--- a/pkg/balance/limited_test.go
+++ b/pkg/balance/limited_test.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// Where no target in need has room, one without a limit is found at once; where there is
+// Where no rate-limited target has room, one without a limit is found at once; where there is
 // none, callers are told when the first has room.
 func TestUnlimitedRequestPassesTargetsInNeed(t *testing.T) {
 	now := time.Unix(0, 0)
--- a/pkg/quota/alone.go
+++ b/pkg/quota/alone.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// aloneBoxes is how many boxes may send to a target in need when no replica answers
+	// aloneBoxes is how many boxes may send to a rate-limited target when no replica answers
 	// them, and aloneShare the part of its limit for each. It comes on top of what others
 	// may get permits for, who reach a replica that these don't.
 	aloneBoxes = 1
--- a/pkg/quota/targetlimit_test.go
+++ b/pkg/quota/targetlimit_test.go
@@ -19,21 +19,21 @@
 // mostOfTarget is what a target that names a limit may get in it.
 func mostOfTarget(perSecond float64) float64 { return 1.5*perSecond*needWindow.Seconds() + 5 }
 
-// needy is a target in need, some replicas and boxes in virtual time, and a network that
+// limitedTarget is a rate-limited target, some replicas and boxes in virtual time, and a network that
 // loses what its cuts forbid.
-type needy struct {
+type limitedTarget struct {
 	t        *rapid.T
 	now      time.Time
 	limit    targetstatus.Update
 	issuers  map[string]*TargetIssuer
 	replicas []string
-	boxes    []*needyBox
+	boxes    []*limitedBox
 	cut      map[string]bool
 	sent     []time.Time
 }
 
-// needyBox is what a box has for the target.
-type needyBox struct {
+// limitedBox is what a box has for the target.
+type limitedBox struct {
 	name  string
 	stock *Stock
 	alone *Alone
@@ -41,14 +41,14 @@
 	taken []time.Time
 }
 
-func (n *needy) startIssuer(name string) {
+func (n *limitedTarget) startIssuer(name string) {
 	i := NewTargetIssuer(name)
 	i.SetReplicas(n.now, n.replicas)
 	n.issuers[name] = i
 }
 
-func (n *needy) startBox(k int) {
-	b := &needyBox{name: fmt.Sprint("b", k), alone: NewAlone(fmt.Sprint("b", k))}
+func (n *limitedTarget) startBox(k int) {
+	b := &limitedBox{name: fmt.Sprint("b", k), alone: NewAlone(fmt.Sprint("b", k))}
 	b.stock = NewTargetStock()
 	b.stock.SetIssuers(n.replicas)
 	var all []string
@@ -61,7 +61,7 @@
 
 // request has a box send a request if it gets a permit; late has it sent as late as the
 // permit allows.
-func (n *needy) request(b *needyBox, late bool) {
+func (n *limitedTarget) request(b *limitedBox, late bool) {
 	until, ok := n.permit(b)
 	switch {
 	case !ok:
@@ -72,7 +72,7 @@
 	}
 }
 
-func (n *needy) permit(b *needyBox) (until time.Time, ok bool) {
+func (n *limitedTarget) permit(b *limitedBox) (until time.Time, ok bool) {
 	b.stock.Count(n.now, oneTarget)
 	for range len(n.replicas) + 1 {
 		if until, ok := b.stock.Take(n.now, oneTarget); ok {
@@ -90,7 +90,7 @@
 	return b.alone.Take(n.now, oneTarget, n.limit.Limit)
 }
 
-func (n *needy) answer(b *needyBox, a IssuerAsks) {
+func (n *limitedTarget) answer(b *limitedBox, a IssuerAsks) {
 	if n.cut[b.name+a.Address] {
 		b.stock.Unanswered(n.now, a)
 		return
@@ -106,7 +106,7 @@
 }
 
 // pass lets time pass; permits that were taken are used at the last moment.
-func (n *needy) pass(d time.Duration) {
+func (n *limitedTarget) pass(d time.Duration) {
 	end := n.now.Add(d)
 	for _, b := range n.boxes {
 		b.taken = slices.DeleteFunc(b.taken, func(until time.Time) bool {
@@ -121,7 +121,7 @@
 }
 
 // check checks each window that begins at from or later.
-func (n *needy) check(from time.Time, perSecond float64) {
+func (n *limitedTarget) check(from time.Time, perSecond float64) {
 	slices.SortFunc(n.sent, time.Time.Compare)
 	first := 0
 	for i, at := range n.sent {
@@ -143,7 +143,7 @@
 // lowered.
 func TestTargetBoundHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := &needy{t: t, now: time.Time{}.Add(time.Hour), issuers: make(map[string]*TargetIssuer), cut: make(map[string]bool)}
+		n := &limitedTarget{t: t, now: time.Time{}.Add(time.Hour), issuers: make(map[string]*TargetIssuer), cut: make(map[string]bool)}
 		n.limit = targetstatus.Update{Incarnation: oneTarget, Limit: rapid.SampledFrom([]float64{0, 0.3, 1, 5.6, 40}).Draw(t, "limit"), Sent: n.now, Received: n.now}
 		for k := range rapid.IntRange(1, 9).Draw(t, "replicas") {
 			n.replicas = append(n.replicas, fmt.Sprint("r", k))
@@ -151,7 +151,7 @@
 		for _, r := range n.replicas {
 			n.startIssuer(r)
 		}
-		n.boxes = make([]*needyBox, rapid.IntRange(1, 12).Draw(t, "boxes"))
+		n.boxes = make([]*limitedBox, rapid.IntRange(1, 12).Draw(t, "boxes"))
 		for k := range n.boxes {
 			n.startBox(k)
 		}
