gateway: receive, merge and report updates of targets

hear, hearOf, toTell, mayHurry and told become receive, merge, pendingReports, allowReport and pending.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -384,7 +384,7 @@
 		return
 	}
 	d.noteHeard(v.status.LeaderSilence)
-	d.hearOf(v.membership)
+	d.merge(v.membership)
 	if v.status.Leader != d.reportedTo {
 		d.reportedTo = v.status.Leader
 		d.filter = relay.NewReportFilter()
--- a/internal/control/forming.go
+++ b/internal/control/forming.go
@@ -110,8 +110,8 @@
 	return slices.DeleteFunc(out, func(a string) bool { return a == d.config.PeerAddress })
 }
 
-// hearOf notes the replicas of a membership that another replica told.
-func (d *Daemon) hearOf(m *wire.Membership) {
+// merge notes the replicas of a membership that another replica told.
+func (d *Daemon) merge(m *wire.Membership) {
 	if !d.config.Seeded || m == nil {
 		return
 	}
@@ -151,7 +151,7 @@
 	for range known {
 		if a := <-answers; a.answer != nil {
 			out[a.address] = a.answer
-			d.hearOf(a.answer.Membership)
+			d.merge(a.answer.Membership)
 		}
 	}
 	return out
--- a/internal/control/submit.go
+++ b/internal/control/submit.go
@@ -217,5 +217,5 @@
 	for _, address := range seeds {
 		m.Voters = append(m.Voters, &wire.Replica{Address: address})
 	}
-	d.hearOf(m)
+	d.merge(m)
 }
--- a/internal/gateway/countedtarget_test.go
+++ b/internal/gateway/countedtarget_test.go
@@ -237,7 +237,7 @@
 		time.Sleep(gossipPause)
 		var told []*wire.TargetLimit
 		for _, d := range boxes {
-			told = append(told, d.targetLimits.toTell()...)
+			told = append(told, d.targetLimits.pendingReports()...)
 		}
 		var news []*wire.TargetLimit
 		c.mu.Lock()
--- a/internal/gateway/leavingtargets_test.go
+++ b/internal/gateway/leavingtargets_test.go
@@ -83,7 +83,7 @@
 			}}}
 		}
 		d.applyChange(targetstatus.Change{Incarnation: "t0", Leaving: true}, "")
-		d.targetLimits.hear(targetstatus.Update{Incarnation: "t0", Leaving: true}.WithoutLimit())
+		d.targetLimits.receive(targetstatus.Update{Incarnation: "t0", Leaving: true}.WithoutLimit())
 		time.Sleep(2 * time.Second)
 		chosen := func() map[string]int {
 			out := make(map[string]int)
@@ -176,13 +176,13 @@
 	inVirtualTime(t, func(t *testing.T) {
 		s, _ := namedScene(t, 1, nil)
 		d := s.daemon
-		d.targetLimits.hear(targetstatus.Update{Incarnation: "t0", Leaving: true}.WithoutLimit())
-		time.Sleep(2 * tellTime)
-		if told := d.targetLimits.toTell(); len(told) > 0 {
+		d.targetLimits.receive(targetstatus.Update{Incarnation: "t0", Leaving: true}.WithoutLimit())
+		time.Sleep(2 * reportTime)
+		if told := d.targetLimits.pendingReports(); len(told) > 0 {
 			t.Fatalf("still tells %v", told)
 		}
 		d.takeUpdates([]*wire.TargetLimit{{Life: "t0", Limited: true, PerSecond: 5}})
-		if told := d.targetLimits.toTell(); len(told) == 0 || !told[0].Leaving {
+		if told := d.targetLimits.pendingReports(); len(told) == 0 || !told[0].Leaving {
 			t.Errorf("tells %v", told)
 		}
 	})
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -84,7 +84,7 @@
 func (d *Daemon) reportTo(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, controlCallTimeout)
 	defer cancel()
-	request := &wire.CallRequest{Report: &wire.Report{Boxes: []*wire.BoxReport{d.ownReport()}, Limits: d.targetLimits.toTell()}}
+	request := &wire.CallRequest{Report: &wire.Report{Boxes: []*wire.BoxReport{d.ownReport()}, Limits: d.targetLimits.pendingReports()}}
 	_, err := d.node.Call(ctx, address, request)
 	d.noteControl(address, err)
 	return err
--- a/internal/gateway/suspension_test.go
+++ b/internal/gateway/suspension_test.go
@@ -283,8 +283,8 @@
 		if _, err := s.daemon.targetLimits.permit(t.Context(), "t0", targetPermitWait); err == nil {
 			t.Fatal("a permit of a limit that was just named")
 		}
-		suspend(2 * tellTime)
-		if told := s.daemon.targetLimits.toTell(); len(told) > 0 {
+		suspend(2 * reportTime)
+		if told := s.daemon.targetLimits.pendingReports(); len(told) > 0 {
 			t.Errorf("still tells %v", told)
 		}
 		if _, err := s.daemon.targetLimits.permit(t.Context(), "t0", targetPermitWait); err != nil {
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -32,14 +32,14 @@
 	permitPause = 50 * time.Millisecond
 	// leastPermitPause keeps a target from being asked for by each request in turn.
 	leastPermitPause = 5 * time.Millisecond
-	// tellTime is for how long each report tells what a target said: three of the longest
+	// reportTime is for how long each report tells what a target said: three of the longest
 	// intervals between two, as reports may be lost and replicas start anew.
-	tellTime = 6 * time.Second
-	// tellPause is the least time between two reports for the sake of limits. Asks for permits
+	reportTime = 6 * time.Second
+	// reportPause is the least time between two reports for the sake of limits. Asks for permits
 	// tell what is new besides.
-	tellPause = 250 * time.Millisecond
-	// mostTold bounds the words in one report, of some 40 bytes each.
-	mostTold = 256
+	reportPause = 250 * time.Millisecond
+	// maxReported bounds the words in one report, of some 40 bytes each.
+	maxReported = 256
 )
 
 // targetLimits is what a box knows of targets that name limits, and what it may send them.
@@ -53,23 +53,23 @@
 	mu    sync.Mutex
 	known *targetstatus.Registry
 	alone *quota.Alone
-	// told are changes that targets told this box itself, by their lives, with the times
+	// pending are changes that answers to this box brought, by incarnation, with the times
 	// since which they are reported.
-	told map[string]time.Time
-	// hurried is when a report was last asked for at once.
-	hurried time.Time
+	pending map[string]time.Time
+	// reportedAt is when a report was last asked for at once.
+	reportedAt time.Time
 }
 
 func newTargetLimits(box string, c *boottime.Clock) *targetLimits {
 	p := newPermits(c)
 	p.stock = quota.NewTargetStock()
-	l := &targetLimits{clock: c, permits: p, known: targetstatus.NewRegistry(), alone: quota.NewAlone(box), told: make(map[string]time.Time)}
+	l := &targetLimits{clock: c, permits: p, known: targetstatus.NewRegistry(), alone: quota.NewAlone(box), pending: make(map[string]time.Time)}
 	p.request = l.request
 	return l
 }
 
-// request asks a replica for permits; it tells what is known of the limits, as the replica
-// may have started since it was told.
+// request is for permits; it carries what is known of the limits, as the replica
+// may have started since.
 func (l *targetLimits) request(asks []quota.Ask) *wire.PermitRequest {
 	now := l.clock.Now()
 	l.mu.Lock()
@@ -82,8 +82,8 @@
 	return r
 }
 
-// hear takes what a target told this box in an answer.
-func (l *targetLimits) hear(u targetstatus.Update) (c targetstatus.Change, changed bool) {
+// receive takes what an answer to this box says.
+func (l *targetLimits) receive(u targetstatus.Update) (c targetstatus.Change, changed bool) {
 	if !u.HasLimit() && !u.Leaving && l.named.Load() == 0 {
 		return c, false
 	}
@@ -91,31 +91,31 @@
 	defer l.mu.Unlock()
 	c, changed = l.take(u)
 	if changed {
-		l.told[u.Incarnation] = u.Received
+		l.pending[u.Incarnation] = u.Received
 	}
 	return c, changed
 }
 
-// hearOf takes what another box was told. Where this box knows better, it tells so.
-func (l *targetLimits) hearOf(u targetstatus.Update) (c targetstatus.Change, changed bool) {
+// merge takes what another box reported. What this box knows better it reports in turn.
+func (l *targetLimits) merge(u targetstatus.Update) (c targetstatus.Change, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c, changed = l.take(u)
 	if l.known.Limit(u.Incarnation) != u.Limit || l.known.IsLeaving(u.Incarnation) && !u.Leaving {
-		l.told[u.Incarnation] = l.clock.Now()
+		l.pending[u.Incarnation] = l.clock.Now()
 	}
 	return c, changed
 }
 
-// mayHurry reports whether a report may be asked for at once, and counts that.
-func (l *targetLimits) mayHurry() bool {
+// allowReport reports whether a report may be asked for at once, and counts that.
+func (l *targetLimits) allowReport() bool {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.hurried) < tellPause {
+	if now.Sub(l.reportedAt) < reportPause {
 		return false
 	}
-	l.hurried = now
+	l.reportedAt = now
 	return true
 }
 
@@ -143,18 +143,18 @@
 
 func (l *targetLimits) hasLimit(target string) bool { return l.limit(target) < targetstatus.NoLimit }
 
-// toTell returns what a report is to tell of limits.
-func (l *targetLimits) toTell() []*wire.TargetLimit {
+// pendingReports returns the updates of the next report.
+func (l *targetLimits) pendingReports() []*wire.TargetLimit {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	maps.DeleteFunc(l.told, func(_ string, since time.Time) bool { return now.Sub(since) > tellTime })
-	if len(l.told) == 0 {
+	maps.DeleteFunc(l.pending, func(_ string, since time.Time) bool { return now.Sub(since) > reportTime })
+	if len(l.pending) == 0 {
 		return nil
 	}
-	lives := slices.SortedFunc(maps.Keys(l.told), func(a, b string) int { return l.told[b].Compare(l.told[a]) })
+	lives := slices.SortedFunc(maps.Keys(l.pending), func(a, b string) int { return l.pending[b].Compare(l.pending[a]) })
 	var out []*wire.TargetLimit
-	for _, life := range lives[:min(len(lives), mostTold)] {
+	for _, life := range lives[:min(len(lives), maxReported)] {
 		out = append(out, targetstatus.Messages(now, l.known.Updates(life))...)
 	}
 	return out
@@ -172,7 +172,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.known.Keep(now, lives)
-	maps.DeleteFunc(l.told, func(life string, _ time.Time) bool { return !lives(life) })
+	maps.DeleteFunc(l.pending, func(life string, _ time.Time) bool { return !lives(life) })
 	l.alone.Keep(func(life string) bool { return l.known.HasLimit(life) })
 	l.named.Store(int32(l.known.Limited()))
 }
@@ -278,7 +278,7 @@
 func (d *Daemon) takeUpdates(list []*wire.TargetLimit) {
 	now := d.clock.Now()
 	for _, m := range list {
-		if change, changed := d.targetLimits.hearOf(targetstatus.UpdateOf(now, m)); changed {
+		if change, changed := d.targetLimits.merge(targetstatus.UpdateOf(now, m)); changed {
 			d.applyChange(change, "")
 		}
 	}
--- a/internal/gateway/targetlimits_test.go
+++ b/internal/gateway/targetlimits_test.go
@@ -272,7 +272,7 @@
 		now := d.clock.Now()
 		for i := range s.targets {
 			word := targetstatus.Update{Incarnation: fmt.Sprint("t", i), Limit: 1, Sent: now, Received: now}
-			if c, changed := d.targetLimits.hear(word); changed {
+			if c, changed := d.targetLimits.receive(word); changed {
 				d.applyChange(c, "")
 			}
 		}
--- a/internal/gateway/targetpermits_test.go
+++ b/internal/gateway/targetpermits_test.go
@@ -46,10 +46,10 @@
 	return r.call(ctx, address, workspaces)
 }
 
-// heard has the box hear from a target that it names a limit.
+// heard has the box receive from a target that it names a limit.
 func (s *scene) heard(life string, perSecond float64) {
 	now := boottime.Now()
-	if c, changed := s.daemon.targetLimits.hear(targetstatus.Update{Incarnation: life, Limit: perSecond, Sent: now, Received: now}); changed {
+	if c, changed := s.daemon.targetLimits.receive(targetstatus.Update{Incarnation: life, Limit: perSecond, Sent: now, Received: now}); changed {
 		s.daemon.applyChange(c, "")
 	}
 }
@@ -100,13 +100,13 @@
 	inVirtualTime(t, func(t *testing.T) {
 		s, _ := namedScene(t, 1, nil)
 		now := boottime.Now()
-		time.Sleep(2 * tellTime)
-		if told := s.daemon.targetLimits.toTell(); len(told) > 0 {
+		time.Sleep(2 * reportTime)
+		if told := s.daemon.targetLimits.pendingReports(); len(told) > 0 {
 			t.Fatalf("still tells %v", told)
 		}
 		before := targetstatus.Update{Incarnation: "t0", Limit: targetstatus.NoLimit, Sent: now.Add(-time.Minute), Received: now.Add(-time.Second)}
 		s.daemon.takeUpdates([]*wire.TargetLimit{before.Message(boottime.Now())})
-		if told := s.daemon.targetLimits.toTell(); len(told) != 1 || told[0].PerSecond != 5 {
+		if told := s.daemon.targetLimits.pendingReports(); len(told) != 1 || told[0].PerSecond != 5 {
 			t.Errorf("tells %v", told)
 		}
 		later := targetstatus.Update{Incarnation: "t0", Limit: 3, Sent: boottime.Now().Add(-time.Second), Received: boottime.Now()}
@@ -215,19 +215,19 @@
 }
 
 // Limits that change with each answer have a box report at once no more often than each
-// tellPause.
+// reportPause.
 func TestReportsForLimitsAreSpaced(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		s, _ := namedScene(t, 1, nil)
-		hurried := 0
+		reportedAt := 0
 		for range 100 {
-			if s.daemon.targetLimits.mayHurry() {
-				hurried++
+			if s.daemon.targetLimits.allowReport() {
+				reportedAt++
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
-		if most := int(2*time.Second/tellPause) + 1; hurried > most || hurried < most/2 {
-			t.Errorf("%d reports in 2 s, want %d at most", hurried, most)
+		if most := int(2*time.Second/reportPause) + 1; reportedAt > most || reportedAt < most/2 {
+			t.Errorf("%d reports in 2 s, want %d at most", reportedAt, most)
 		}
 	})
 }
--- a/internal/gateway/targetstatus.go
+++ b/internal/gateway/targetstatus.go
@@ -41,12 +41,12 @@
 	if !said.SaysLimit() {
 		u = u.WithoutLimit()
 	}
-	change, changed := d.targetLimits.hear(u)
+	change, changed := d.targetLimits.receive(u)
 	if !changed {
 		return
 	}
 	d.applyChange(change, a.id)
-	if d.targetLimits.mayHurry() {
+	if d.targetLimits.allowReport() {
 		d.reportsChanged()
 	}
 }
