gateway: say hedged of an attempt beside one that is overdue

beside.go, seek, mayRunBeside and the like become hedging.go, hedge and canHedge; mayGoOn is canRetry, putAside stash, underWay pending. Fields of request lines and the metric keep their names.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -67,14 +67,14 @@
 // await takes the ends of the attempts that are under way and reports whether
 // the caller has been answered; if not, another target may be tried.
 func (c *call) await(ctx context.Context) bool {
-	for len(c.underWay) > 0 {
+	for len(c.pending) > 0 {
 		select {
 		case e := <-c.ended:
 			if c.take(ctx, e) {
 				return true
 			}
 		case <-c.alarm.C:
-			c.seek(ctx)
+			c.hedge(ctx)
 		}
 	}
 	return false
@@ -84,16 +84,16 @@
 // answered.
 func (c *call) take(ctx context.Context, e attemptEnd) bool {
 	c.settle(e)
-	if len(c.underWay) > 0 && !c.isFinal(e) {
-		c.putAside(e)
+	if len(c.pending) > 0 && !c.isFinal(e) {
+		c.stash(e)
 		c.watch()
 		return false
 	}
 	if e.failure != nil {
 		return c.takeFailure(ctx, e.failure)
 	}
-	if len(c.underWay) == 0 && c.worthAnother(e.out) {
-		c.putAside(e)
+	if len(c.pending) == 0 && c.worthAnother(e.out) {
+		c.stash(e)
 		return false
 	}
 	c.endOthers()
@@ -103,7 +103,7 @@
 
 // takeFailure takes the failure of the last attempt that was under way.
 func (c *call) takeFailure(ctx context.Context, failure *attemptError) bool {
-	if ctx.Err() == nil && c.mayGoOn(failure) {
+	if ctx.Err() == nil && c.canRetry(failure) {
 		return false
 	}
 	c.conclude(failure)
@@ -128,7 +128,7 @@
 // wanted is what a target is sought for.
 func (c *call) wanted() balance.Request {
 	left := c.route.Objective - c.gateway.clock.Since(c.began)
-	if c.sent+len(c.underWay) > 0 {
+	if c.sent+len(c.pending) > 0 {
 		left = c.gateway.clock.Until(c.ends) // late is better than not at all
 	}
 	return balance.Request{
@@ -234,18 +234,18 @@
 // the target did not run the request or failed one that may be repeated.
 func (c *call) worthAnother(out *answer) bool {
 	if c.notRun(out) {
-		return out.status != http.StatusBadRequest && c.mayGoOn(nil)
+		return out.status != http.StatusBadRequest && c.canRetry(nil)
 	}
-	return out.status >= http.StatusInternalServerError && c.route.Repeat != catalog.Unrepeatable && c.mayGoOn(nil)
+	return out.status >= http.StatusInternalServerError && c.route.Repeat != catalog.Unrepeatable && c.canRetry(nil)
 }
 
-// mayGoOn reports whether another target may be tried, and notes whether that
+// canRetry reports whether another target may be tried, and notes whether that
 // takes a retry from the budget.
-func (c *call) mayGoOn(failure *attemptError) bool {
+func (c *call) canRetry(failure *attemptError) bool {
 	if c.mayHaveRun && c.route.Repeat == catalog.Unrepeatable {
 		return false
 	}
-	if c.gateway.clock.Until(c.ends) < leastLeft || !c.body.repeatable() || !c.mayRepeat() {
+	if c.gateway.clock.Until(c.ends) < leastLeft || !c.body.repeatable() || !c.canRepeat() {
 		return false
 	}
 	c.retry = failure == nil || failure.sent
--- a/internal/gateway/beside.go
+++ b/internal/gateway/hedging.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	// leastAsk and mostAsk bound when another target is sought again after none
+	// minHedgePause and maxHedgePause bound when another target is sought again after none
 	// was found: below the first a request would ask for room that nothing has
 	// made, beyond the second one that is back after the shortest time for which
 	// a target is left out would be missed.
-	leastAsk = 50 * time.Millisecond
-	mostAsk  = 250 * time.Millisecond
+	minHedgePause = 50 * time.Millisecond
+	maxHedgePause = 250 * time.Millisecond
 )
 
 // errOtherAnswered is the cause of a context that ended because another target
@@ -27,8 +27,8 @@
 // errNoPermit says that the limit of the workspace leaves no further attempt.
 var errNoPermit = errors.New("no permit of the workspace is in stock")
 
-// underWay is an attempt that has not ended.
-type underWay struct {
+// pendingAttempt is an attempt that has not ended.
+type pendingAttempt struct {
 	attempt *attempt
 	choice  chosen
 	began   time.Time
@@ -40,7 +40,7 @@
 
 // attemptEnd is how an attempt has ended.
 type attemptEnd struct {
-	*underWay
+	*pendingAttempt
 	out     *answer
 	failure *attemptError
 	took    time.Duration
@@ -53,9 +53,9 @@
 		gateway: c.gateway, began: c.gateway.clock.Now(), request: c.request, id: c.id, body: c.body, target: choice.Target,
 		workspace: c.workspaceName(), ends: c.ends, permitEnds: firstOf(c.permitEnds(), choice.permitEnds),
 	}
-	u := &underWay{attempt: a, choice: choice, began: a.began, ctx: ctx, cancel: cancel}
+	u := &pendingAttempt{attempt: a, choice: choice, began: a.began, ctx: ctx, cancel: cancel}
 	c.tried = append(c.tried, choice.Target.ID)
-	c.underWay = append(c.underWay, u)
+	c.pending = append(c.pending, u)
 	go func() { c.ended <- u.run() }()
 	c.watch()
 }
@@ -71,70 +71,70 @@
 // run runs the attempt. A panic ends it as one whose target may have run the
 // request: net/http recovers those of its own goroutines only, and the box would end
 // with all its requests.
-func (u *underWay) run() (e attemptEnd) {
+func (u *pendingAttempt) run() (e attemptEnd) {
 	defer func() {
 		e.took = u.attempt.gateway.clock.Since(u.began)
 		if p := recover(); p != nil {
 			e.out, e.failure = nil, u.attempt.notePanic(p)
 		}
 	}()
-	e.underWay = u
+	e.pendingAttempt = u
 	e.out, e.failure = u.attempt.run(u.ctx)
 	return e
 }
 
 // watch sets the alarm to when the attempt that began last is overdue.
 func (c *call) watch() {
-	if !c.mayRunBeside() {
+	if !c.canHedge() {
 		c.alarm.Stop()
 		return
 	}
-	last := c.underWay[len(c.underWay)-1]
-	c.alarm.Reset(max(c.gateway.clock.Until(last.began.Add(last.choice.Patience)), leastAsk))
+	last := c.pending[len(c.pending)-1]
+	c.alarm.Reset(max(c.gateway.clock.Until(last.began.Add(last.choice.Patience)), minHedgePause))
 }
 
-// mayRunBeside reports whether the request may go to a further target while one
+// canHedge reports whether the request may go to a further target while one
 // may be running it.
-func (c *call) mayRunBeside() bool {
+func (c *call) canHedge() bool {
 	if c.route.Repeat == catalog.Unrepeatable || !c.body.whole() {
 		return false
 	}
-	if c.gateway.clock.Until(c.ends) < leastLeft || c.dials >= maxDials || !c.mayRepeat() {
+	if c.gateway.clock.Until(c.ends) < leastLeft || c.dials >= maxDials || !c.canRepeat() {
 		return false
 	}
-	return c.sent+len(c.underWay) < c.route.MaxAttempts
+	return c.sent+len(c.pending) < c.route.MaxAttempts
 }
 
-// seek looks for a target beside those that are overdue. They are kept whether
+// hedge starts an attempt at another target beside those that are overdue. They are kept whether
 // there is one or not: a target that is slow because its queue is long answers
 // in the end, and where all have queues there is no better one.
-func (c *call) seek(ctx context.Context) {
-	for _, u := range c.underWay {
-		c.noteOverdue(u)
+func (c *call) hedge(ctx context.Context) {
+	for _, u := range c.pending {
+		c.recordOverdue(u)
 	}
-	if ctx.Err() != nil || !c.mayRunBeside() {
+	if ctx.Err() != nil || !c.canHedge() {
 		return
 	}
 	if !c.permitsAnother() {
-		c.beside.none = errNoPermit
-		c.alarm.Reset(mostAsk)
+		c.hedges.none = errNoPermit
+		c.alarm.Reset(maxHedgePause)
 		return
 	}
 	choice, err := c.chooseRetry(ctx, 0)
 	if err != nil {
-		c.beside.none = err
-		c.alarm.Reset(untilAsk(err))
+		c.hedges.none = err
+		c.alarm.Reset(untilNextHedge(err))
 		return
 	}
-	c.beside.count++
-	c.beside.after = c.gateway.clock.Since(c.underWay[0].began)
-	c.gateway.metrics.beside.Inc()
+	c.hedges.count++
+	c.hedges.after = c.gateway.clock.Since(c.pending[0].began)
+	c.gateway.metrics.hedges.Inc()
 	c.launch(ctx, choice)
 }
 
-// noteOverdue tells the balancer of a target whose answer is overdue: one that has
+// recordOverdue tells the balancer of a target whose answer is overdue: one that has
 // gone silent would get further requests until this one has waited for all its time.
-func (c *call) noteOverdue(u *underWay) {
+func (c *call) recordOverdue(u *pendingAttempt) {
 	if u.overdue {
 		return
 	}
@@ -142,18 +142,18 @@
 	c.gateway.overdue(balance.Report{TargetID: u.choice.Target.ID, Route: c.route.Name, Outcome: balance.Stuck, Took: c.gateway.clock.Since(u.began)})
 }
 
-// untilAsk is when another target may be sought again.
-func untilAsk(err error) time.Duration {
+// untilNextHedge is when another target may be sought again.
+func untilNextHedge(err error) time.Duration {
 	var none *balance.NoTargetError
 	if !errors.As(err, &none) {
-		return mostAsk
+		return maxHedgePause
 	}
-	return min(max(none.RetryAfter, leastAsk), mostAsk)
+	return min(max(none.RetryAfter, minHedgePause), maxHedgePause)
 }
 
 // settle takes the end of an attempt: it is counted, judged and reported.
 func (c *call) settle(e attemptEnd) {
-	c.underWay = slices.DeleteFunc(c.underWay, func(u *underWay) bool { return u == e.underWay })
+	c.pending = slices.DeleteFunc(c.pending, func(u *pendingAttempt) bool { return u == e.pendingAttempt })
 	c.last = attemptRecord{target: e.choice.Target, choice: e.choice.Choice, fresh: e.attempt.connect > 0, took: e.took}
 	report := balance.Report{
 		TargetID: e.choice.Target.ID, Route: c.route.Name, Took: e.took, Connect: e.attempt.connect, ToldOverdue: e.overdue,
@@ -176,10 +176,10 @@
 	c.gateway.done(report)
 }
 
-// putAside takes an answer that a better one is sought for. A failure that its
+// stash takes an answer that a better one is sought for. A failure that its
 // target told is kept for the case that none comes, one that is not read to its end
 // with its connection.
-func (c *call) putAside(e attemptEnd) {
+func (c *call) stash(e attemptEnd) {
 	if e.out == nil {
 		return
 	}
@@ -216,10 +216,10 @@
 // that each is reported and none goes on behind the answer.
 func (c *call) endOthers() {
 	won := c.last
-	for _, u := range c.underWay {
+	for _, u := range c.pending {
 		u.cancel(errOtherAnswered)
 	}
-	for len(c.underWay) > 0 {
+	for len(c.pending) > 0 {
 		e := <-c.ended
 		c.settle(e)
 		if e.out != nil {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -53,7 +53,7 @@
 
 // permitEnds is when the permit of the next run ends; zero if it needs none.
 func (c *call) permitEnds() time.Time {
-	if i := c.possibleRuns + len(c.underWay); i < len(c.permits) {
+	if i := c.possibleRuns + len(c.pending); i < len(c.permits) {
 		return c.permits[i]
 	}
 	return time.Time{}
@@ -67,7 +67,7 @@
 	if ends.IsZero() || c.gateway.clock.Now().Before(ends) {
 		return true
 	}
-	i := c.possibleRuns + len(c.underWay)
+	i := c.possibleRuns + len(c.pending)
 	c.permits = slices.Delete(c.permits, i, i+1)
 	return c.obtainPermit(ctx)
 }
@@ -76,7 +76,7 @@
 // may have run it or may be running it takes a permit; one that is not in stock is
 // not waited for.
 func (c *call) permitsAnother() bool {
-	if !c.limited() || c.possibleRuns+len(c.underWay) < len(c.permits) {
+	if !c.limited() || c.possibleRuns+len(c.pending) < len(c.permits) {
 		return true
 	}
 	until, ok := c.gateway.permits.takeNow(c.workspace.Name)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,7 +11,7 @@
 	requests    *prometheus.CounterVec
 	latency     *prometheus.HistogramVec
 	attempts    *prometheus.CounterVec
-	beside      prometheus.Counter
+	hedges      prometheus.Counter
 	connections prometheus.Counter
 	permitAsks  *prometheus.CounterVec
 	// looks, endedRuns and held are about requests that end targets.
@@ -44,7 +44,7 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "ledgesill_attempts_total", Help: "Requests sent to targets by outcome.",
 		}, []string{"outcome"}),
-		beside: prometheus.NewCounter(prometheus.CounterOpts{
+		hedges: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "ledgesill_attempts_beside_total", Help: "Requests sent to a further target beside one whose answer was overdue.",
 		}),
 		connections: prometheus.NewCounter(prometheus.CounterOpts{
@@ -82,7 +82,7 @@
 		Name: "ledgesill_targets_leaving_total", Help: "Targets that said in an answer, to this box or another, that they leave.",
 	})
 	r.MustRegister(m.backOffs, m.backOffSkips, m.targetsLeaving,
-		m.requests, m.latency, m.attempts, m.beside, m.connections, m.permitAsks, m.looks, m.endedRuns, m.held,
+		m.requests, m.latency, m.attempts, m.hedges, m.connections, m.permitAsks, m.looks, m.endedRuns, m.held,
 		m.targetLimits, m.targetPermits, m.skippedLimited)
 	return m
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -139,9 +139,9 @@
 	}
 }
 
-// mayRepeat reports whether the request may go to a further target as far as targets
+// canRepeat reports whether the request may go to a further target as far as targets
 // that ended under it are concerned.
-func (c *call) mayRepeat() bool {
+func (c *call) canRepeat() bool {
 	if c.gateway.isolation.Idle() {
 		return true
 	}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -35,7 +35,7 @@
 			line = line.Str("skipped", c.last.choice.Skipped)
 		}
 	}
-	line = c.addBeside(line)
+	line = c.addHedges(line)
 	line = c.addRefusal(line)
 	line = c.addQuarantine(line)
 	line = c.addSkipped(line)
@@ -61,18 +61,18 @@
 		Float64("serviceLoad", c.none.ServiceLoad).Int("backedOff", c.none.BackedOff)
 }
 
-// addBeside adds what was done about an answer that was overdue.
-func (c *call) addBeside(line *zerolog.Event) *zerolog.Event {
-	if c.beside.none != nil {
-		line = line.Str("noneBeside", c.beside.none.Error())
+// addHedges adds the hedged attempts.
+func (c *call) addHedges(line *zerolog.Event) *zerolog.Event {
+	if c.hedges.none != nil {
+		line = line.Str("noneBeside", c.hedges.none.Error())
 	}
 	if others := c.otherTargets(); len(others) > 0 {
 		line = line.Strs("otherTargets", others)
 	}
-	if c.beside.count == 0 {
+	if c.hedges.count == 0 {
 		return line
 	}
-	return line.Int("beside", c.beside.count).Dur("besideAfter", c.beside.after)
+	return line.Int("beside", c.hedges.count).Dur("besideAfter", c.hedges.after)
 }
 
 // addSkipped adds the rate-limited targets that the request was kept from, and why.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,12 +56,12 @@
 	// retry tells that the next target takes a retry from the budget.
 	retry bool
 	last  attemptRecord
-	// underWay are the attempts that have not ended; their ends come on ended.
-	underWay []*underWay
-	ended    chan attemptEnd
+	// pending are the attempts that have not ended; their ends come on ended.
+	pending []*pendingAttempt
+	ended   chan attemptEnd
 	// alarm rings when another target is to be sought beside them.
 	alarm  *time.Timer
-	beside besideRecord
+	hedges hedgeRecord
 	// booked is what the answer was given of the link.
 	booked *booking
 	// records are those of all attempts that have ended, and fallback is an
@@ -90,8 +90,8 @@
 	err     error
 }
 
-// besideRecord is what the log tells of attempts beside overdue ones.
-type besideRecord struct {
+// hedgeRecord is what the log tells of hedged attempts.
+type hedgeRecord struct {
 	count int
 	// after is how long the first had been waited for when the last one began.
 	after time.Duration
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -68,7 +68,7 @@
 	if t == nil {
 		return Unchanged
 	}
-	t.noteOverdue()
+	t.recordOverdue()
 	if t.answeredSince(now.Add(-r.Took)) {
 		return Unchanged
 	}
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -160,9 +160,9 @@
 	return now.Before(t.ejectedUntil) || t.inFlight > t.overdue
 }
 
-// noteOverdue takes that a request in flight is overdue. One that was sent before
+// recordOverdue takes that a request in flight is overdue. One that was sent before
 // the target was registered anew is not counted in flight.
-func (t *targetState) noteOverdue() { t.overdue = min(t.overdue+1, t.inFlight) }
+func (t *targetState) recordOverdue() { t.overdue = min(t.overdue+1, t.inFlight) }
 
 // noteEnd takes that a request has ended.
 func (t *targetState) noteEnd(wasOverdue bool) {
--- a/pkg/routing/failover.go
+++ b/pkg/routing/failover.go
@@ -69,7 +69,7 @@
 	if keep {
 		f.last = r
 	}
-	return Decision{Next: f.mayGoOn(now, r), Keep: keep}
+	return Decision{Next: f.canRetry(now, r), Keep: keep}
 }
 
 // worse reports whether the answer before is to be kept: one that says that the
@@ -83,7 +83,7 @@
 	return bothRefused && f.last.RetryAfter > 0 && f.last.RetryAfter < r.RetryAfter
 }
 
-func (f *Failover) mayGoOn(now time.Time, r Result) bool {
+func (f *Failover) canRetry(now time.Time, r Result) bool {
 	if !f.config.Origin || f.tried >= min(f.config.Places, MaxPlaces) || !now.Before(f.config.Deadline) {
 		return false
 	}
