--- a/contrib/measure/figures.go
+++ b/contrib/measure/figures.go
@@ -86,10 +86,10 @@
 			s.apply(&wire.Command{Shift: d.Command})
 		}
 	}
-	s.noteOverCap()
+	s.logOverCap()
 }
 
-func (s *sim) noteOverCap() {
+func (s *sim) logOverCap() {
 	for _, home := range s.layout.Regions {
 		limit := s.values(s.order[0]).ShiftCapShare * lookup.Points / 100
 		moving := int(shift.Outstanding(s.now, s.state, s.service.Name, home))
--- a/contrib/measure/scenarios.go
+++ b/contrib/measure/scenarios.go
@@ -122,7 +122,7 @@
 	}
 	step := &wire.ShiftStep{Number: 1, Points: h.Points, TimeUnixMilli: s.now.UnixMilli()}
 	s.apply(&wire.Command{Shift: &wire.ShiftCommand{Action: wire.ShiftCommand_ACTION_STEP, Shift: h, Step: step}})
-	s.noteOverCap()
+	s.logOverCap()
 }
 
 // drainZone drains a zone and notes when its last request has ended.
--- a/contrib/soak/fatal.go
+++ b/contrib/soak/fatal.go
@@ -45,14 +45,14 @@
 		if answer, err := client.Do(r); err == nil {
 			text, _ := io.ReadAll(answer.Body) // a broken one is none
 			_ = answer.Body.Close()
-			w.noteFatal(answer.StatusCode, text)
+			w.recordFatal(answer.StatusCode, text)
 		}
 		time.Sleep(fatalPause)
 	}
 	return ids
 }
 
-func (w *world) noteFatal(status int, text []byte) {
+func (w *world) recordFatal(status int, text []byte) {
 	kind := fmt.Sprint("fatal ", status)
 	if bytes.HasPrefix(text, []byte(heldBody)) {
 		kind = "fatal held"
--- a/contrib/standin/served.go
+++ b/contrib/standin/served.go
@@ -262,14 +262,14 @@
 	for i := range controls {
 		if s.call(http.MethodPut, controls[(n+i)%len(controls)], body) {
 			if draining {
-				s.noteDrained()
+				s.recordDrained()
 			}
 			return
 		}
 	}
 }
 
-func (s *Served) noteDrained() {
+func (s *Served) recordDrained() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.drainedAt.IsZero() {
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -131,7 +131,7 @@
 	d.publishing.SetLimits(d.targetLimits.since)
 	d.publishing.SetClock(d.clock)
 	d.targetLimits.clock = d.clock
-	d.document = &documentInForce{decode: d.decodeRoutes, failed: d.noteUnreadDocument}
+	d.document = &documentInForce{decode: d.decodeRoutes, failed: d.logUnreadDocument}
 	d.leadership = newLeadership()
 	d.words = newWords()
 	d.words.clock = d.clock
@@ -178,17 +178,17 @@
 		syncTime.Add(took.Seconds())
 	}
 	d.measure(d.process)
-	d.replica.disk = d.noteDisk
+	d.replica.disk = d.recordDisk
 	d.replica.noticed = func(n consensus.Notice) {
 		d.leadership.note()
 		if n.Leader != "" {
-			d.noteHeard(0) // what subscribers are told would else lag by viewInterval
+			d.recordContact(0) // what subscribers are told would else lag by viewInterval
 		}
 		detail := fmt.Sprintf("%s in term %d: %s", n.Role, n.Term, n.Reason)
 		d.process.StateChange(&wire.TimelineEvent{Kind: "role", Box: id, Detail: detail})
 	}
 	d.replica.settled = func(c *wire.Command, result steering.Result) {
-		d.noteSettled(c, result)
+		d.recordSettled(c, result)
 		if v := result.Verdict; v != nil {
 			settled.WithLabelValues(verdictName(v.Kind)).Inc()
 		}
@@ -200,7 +200,7 @@
 	d.process.Gauge("control_age_seconds", "Age of the word of a leader with a quorum; a replica that is cut off shows it growing.", func() float64 { return d.age().Seconds() })
 }
 
-func (d *Daemon) noteSettled(c *wire.Command, result steering.Result) {
+func (d *Daemon) recordSettled(c *wire.Command, result steering.Result) {
 	switch {
 	case c.Change != nil:
 		detail := fmt.Sprintf("%s at version %d", verdictName(result.Verdict.Kind), result.Verdict.Version)
@@ -326,8 +326,8 @@
 	return max(d.clock.Since(d.started)-time.Duration(at), 0)
 }
 
-// noteHeard notes that a leader was heard of some time ago.
-func (d *Daemon) noteHeard(ago time.Duration) {
+// recordContact notes that a leader was heard of some time ago.
+func (d *Daemon) recordContact(ago time.Duration) {
 	d.heard.Store(int64(max(d.clock.Since(d.started)-ago, 0)))
 }
 
@@ -377,13 +377,13 @@
 	d.targetLimits.setReplicas(d.clock.Now(), v.membership)
 	d.targetLimits.keep(d.clock.Now(), v.state)
 	if v.status.Role == consensus.Leader {
-		d.noteHeard(0)
+		d.recordContact(0)
 		return
 	}
 	if v.status.Leader == "" {
 		return
 	}
-	d.noteHeard(v.status.LeaderSilence)
+	d.recordContact(v.status.LeaderSilence)
 	d.merge(v.membership)
 	if v.status.Leader != d.reportedTo {
 		d.reportedTo = v.status.Leader
--- a/internal/control/documentinforce.go
+++ b/internal/control/documentinforce.go
@@ -49,7 +49,7 @@
 	return &UnknownServiceError{Service: name, Number: d.Number}
 }
 
-func (d *Daemon) noteUnreadDocument(number uint64, err error) {
+func (d *Daemon) logUnreadDocument(number uint64, err error) {
 	d.process.Log.Error().Str("kind", "routes").Uint64("number", number).Err(err).
 		Msg("can't read the document of routes; the limits and services before stay in force")
 }
--- a/internal/control/forming.go
+++ b/internal/control/forming.go
@@ -184,7 +184,7 @@
 	}
 	for _, j := range d.joiningReplicas() {
 		step, next := d.nextRepair(v, j)
-		d.noteRepair(j, step)
+		d.logRepair(j, step)
 		if next == nil {
 			continue
 		}
@@ -224,7 +224,7 @@
 	return out
 }
 
-func (d *Daemon) noteRepair(j *wire.Replica, step consensus.RepairStep) {
+func (d *Daemon) logRepair(j *wire.Replica, step consensus.RepairStep) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.repairs[j.Id] != step {
--- a/internal/control/fulldisk.go
+++ b/internal/control/fulldisk.go
@@ -127,8 +127,8 @@
 	return nil
 }
 
-// noteDisk tells that the disk is full or has room again.
-func (d *Daemon) noteDisk(full *FullDiskError) {
+// recordDisk tells that the disk is full or has room again.
+func (d *Daemon) recordDisk(full *FullDiskError) {
 	if full != nil {
 		d.process.StateChange(&wire.TimelineEvent{Kind: "diskFull", Box: d.replica.id, Detail: "takes no part until there is room: " + full.Cause.Error()})
 		return
--- a/internal/control/words.go
+++ b/internal/control/words.go
@@ -156,7 +156,7 @@
 		case <-timer.C:
 		case took := <-ended:
 			underWay--
-			w.noteEnd(took)
+			w.recordEnd(took)
 		}
 		timer.Stop()
 	}
@@ -189,7 +189,7 @@
 	return at.Sub(now)
 }
 
-func (w *words) noteEnd(took time.Duration) {
+func (w *words) recordEnd(took time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.gatherer.Ended(took)
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -129,7 +129,7 @@
 	service := ""
 	if r != nil {
 		service = r.service
-		d.noteOutcome(r, a)
+		d.recordOutcome(r, a)
 	}
 	d.requests.WithLabelValues(service, string(a.outcome)).Inc()
 	a.writeHead(w)
@@ -143,9 +143,9 @@
 	}
 }
 
-// noteOutcome adds requests that may not be repeated, and all that did not run
+// recordOutcome adds requests that may not be repeated, and all that did not run
 // well, to the time line.
-func (d *Daemon) noteOutcome(r *request, a *answer) {
+func (d *Daemon) recordOutcome(r *request, a *answer) {
 	if a.outcome == caller.Ran && r.repeatable {
 		return
 	}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -163,33 +163,33 @@
 	}
 }
 
-// noteRun notes what the end of an attempt says of the request: a whole answer, or a
+// observeRun notes what the end of an attempt says of the request: a whole answer, or a
 // connection that broke while a target may have run it.
-func (c *call) noteRun(e attemptEnd) {
+func (c *call) observeRun(e attemptEnd) {
 	switch {
 	case e.failure != nil:
 		if c.last.outcome == balance.Broken {
-			c.noteBroken(e)
+			c.recordBroken(e)
 		}
 	case c.notRun(e.out):
 	case e.out.rest == nil:
-		c.noteWhole()
+		c.recordAnswer()
 	default:
-		c.noteStream(e)
+		c.observeStream(e)
 	}
 }
 
-// noteStream notes how an answer that is passed on as it comes has ended.
-func (c *call) noteStream(e attemptEnd) {
+// observeStream notes how an answer that is passed on as it comes has ended.
+func (c *call) observeStream(e attemptEnd) {
 	finish := e.out.finish
 	e.out.finish = func(whole bool) {
 		wanted := c.request.Context().Err() == nil && e.ctx.Err() == nil
 		finish(whole)
 		switch {
 		case whole:
-			c.noteWhole()
+			c.recordAnswer()
 		case wanted:
-			c.noteBroken(e)
+			c.recordBroken(e)
 		}
 	}
 }
--- a/internal/gateway/controls.go
+++ b/internal/gateway/controls.go
@@ -141,7 +141,7 @@
 	defer cancel()
 	answer, err := d.node.Call(ctx, address, &wire.CallRequest{Hello: &wire.HelloRequest{}})
 	if err != nil {
-		d.noteControl(address, err)
+		d.recordControl(address, err)
 		return
 	}
 	if answer.GetHello().GetLeader() == "" || !d.controls.setMembers(answer.Hello.Membership) {
@@ -152,8 +152,8 @@
 	d.reportsChanged()
 }
 
-// noteControl tells that a control replica was lost or is back.
-func (d *Daemon) noteControl(address string, err error) {
+// recordControl tells that a control replica was lost or is back.
+func (d *Daemon) recordControl(address string, err error) {
 	if !d.reportWord.note(address, err == nil) {
 		return
 	}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -124,11 +124,11 @@
 	d.permits.call = d.permitLinks.call
 	d.permits.replicas = d.controls.all
 	d.permits.request = d.workspaceRequest
-	d.permits.answered = d.notePermits
+	d.permits.answered = d.recordPermits
 	d.targetLimits = newTargetLimits(c.Name, d.clock)
 	d.targetLimits.permits.call = d.permitLinks.call
 	d.targetLimits.permits.replicas = d.controls.replicas
-	d.targetLimits.permits.answered = d.notePermits
+	d.targetLimits.permits.answered = d.recordPermits
 	p.Gauge("backed_off_targets", "Targets that this box sends nothing at their request.", d.backedOff)
 	d.isolation = d.newIsolation()
 	p.Gauge("quarantine_suspects", "Requests under which a target ended at this box.", func() float64 { return float64(d.isolation.Suspects()) })
@@ -148,15 +148,15 @@
 		PutInForce:  d.putInForce,
 		EntryBoxes:  d.setBoxes,
 		Limits:      d.takeUpdates,
-		Event:       d.noteEvent,
+		Event:       d.recordEvent,
 	})
 	d.controlAge = d.following.Age
 	return d, d.listen()
 }
 
-// noteEvent keeps an event in the time line. What comes into force has its own
+// recordEvent keeps an event in the time line. What comes into force has its own
 // line in the log, one for many commands; other events are logged as they are.
-func (d *Daemon) noteEvent(e *wire.TimelineEvent) {
+func (d *Daemon) recordEvent(e *wire.TimelineEvent) {
 	if e.Kind == relay.EventInForce {
 		d.process.Event(e)
 		return
@@ -264,7 +264,7 @@
 			d.targetLimits.keep(now, d.knows)
 			d.reportBackOffs()
 		case <-lines.C:
-			d.noteLeftOut()
+			d.logDroppedLines()
 		}
 	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -100,8 +100,8 @@
 // Error implements error.
 func (e *panicError) Error() string { return fmt.Sprintf("panic: %v", e.value) }
 
-// notePanic logs a panic of the attempt, ends its connection and returns its failure.
-func (a *attempt) notePanic(value any) *attemptError {
+// logPanic logs a panic of the attempt, ends its connection and returns its failure.
+func (a *attempt) logPanic(value any) *attemptError {
 	if a.gateway.otherLines.Take(a.gateway.clock.Now()) {
 		stack := make([]byte, panicStack)
 		stack = stack[:runtime.Stack(stack, false)]
--- a/internal/gateway/hedging.go
+++ b/internal/gateway/hedging.go
@@ -75,7 +75,7 @@
 	defer func() {
 		e.took = u.attempt.gateway.clock.Since(u.began)
 		if p := recover(); p != nil {
-			e.out, e.failure = nil, u.attempt.notePanic(p)
+			e.out, e.failure = nil, u.attempt.logPanic(p)
 		}
 	}()
 	e.pendingAttempt = u
@@ -172,7 +172,7 @@
 	}
 	c.last.outcome = report.Outcome
 	c.records = append(c.records, c.last)
-	c.noteRun(e)
+	c.observeRun(e)
 	c.gateway.done(report)
 }
 
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -90,18 +90,18 @@
 // SetReadDeadline implements net.Conn.
 func (c *crossingConn) SetReadDeadline(at time.Time) error {
 	if !at.IsZero() && at.Before(time.Now()) {
-		c.noteEnd()
+		c.recordEnd()
 	}
 	return c.Conn.SetReadDeadline(at)
 }
 
 // Close implements net.Conn.
 func (c *crossingConn) Close() error {
-	c.noteEnd()
+	c.recordEnd()
 	return c.Conn.Close()
 }
 
-func (c *crossingConn) noteEnd() {
+func (c *crossingConn) recordEnd() {
 	if c.crossing.Load() {
 		c.endOnce.Do(func() { close(c.ends) })
 	}
--- a/internal/gateway/loglimit.go
+++ b/internal/gateway/loglimit.go
@@ -27,8 +27,8 @@
 	return d.log.Warn()
 }
 
-// noteLeftOut tells how many lines were left out.
-func (d *Daemon) noteLeftOut() {
+// logDroppedLines tells how many lines were left out.
+func (d *Daemon) logDroppedLines() {
 	served, others := d.servedLines.LeftOut(), d.otherLines.LeftOut()
 	if served+others == 0 {
 		return
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -242,9 +242,9 @@
 	return 0
 }
 
-// notePermits counts an ask that has ended. Why it was not answered is told once,
+// recordPermits counts an ask that has ended. Why it was not answered is told once,
 // until the replica answers again.
-func (d *Daemon) notePermits(a quota.IssuerAsks, err error) {
+func (d *Daemon) recordPermits(a quota.IssuerAsks, err error) {
 	d.metrics.permitAsks.WithLabelValues(strconv.FormatBool(err == nil)).Inc()
 	if !d.permitWord.note(a.Address, err == nil) {
 		return
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -23,7 +23,7 @@
 		Replicas:    d.controls.all,
 		Tell:        d.tellEvidence,
 		Looked:      func(l isolation.Look) { d.metrics.looks.WithLabelValues(l.String()).Inc() },
-		Ended:       d.noteEnded,
+		Ended:       d.recordEnded,
 	})
 }
 
@@ -35,7 +35,7 @@
 	return err
 }
 
-func (d *Daemon) noteEnded(r isolation.Run) {
+func (d *Daemon) recordEnded(r isolation.Run) {
 	d.metrics.endedRuns.Inc()
 	if !d.otherLines.Take(d.clock.Now()) {
 		return
@@ -149,8 +149,8 @@
 	return !c.probation && c.gateway.isolation.MayRepeat(id.digest, id.caller)
 }
 
-// noteBroken takes that the connection of an attempt broke: its target may have ended.
-func (c *call) noteBroken(e attemptEnd) {
+// recordBroken takes that the connection of an attempt broke: its target may have ended.
+func (c *call) recordBroken(e attemptEnd) {
 	id := c.identity()
 	now := c.gateway.clock.Now()
 	c.gateway.isolation.Broke(isolation.Run{
@@ -163,8 +163,8 @@
 	})
 }
 
-// noteWhole takes that a target gave a whole answer.
-func (c *call) noteWhole() {
+// recordAnswer takes that a target gave a whole answer.
+func (c *call) recordAnswer() {
 	if c.gateway.isolation.Idle() {
 		return
 	}
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -86,7 +86,7 @@
 	defer cancel()
 	request := &wire.CallRequest{Report: &wire.Report{Boxes: []*wire.BoxReport{d.ownReport()}, Limits: d.targetLimits.pendingReports()}}
 	_, err := d.node.Call(ctx, address, request)
-	d.noteControl(address, err)
+	d.recordControl(address, err)
 	return err
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -161,7 +161,7 @@
 	d.balancing.Lock()
 	change := d.balancing.balancer.Done(d.clock.Now(), r)
 	d.balancing.Unlock()
-	d.noteTarget(change, r)
+	d.logTarget(change, r)
 }
 
 // overdue tells the balancer of a request whose target has not answered for longer
@@ -170,11 +170,11 @@
 	d.balancing.Lock()
 	change := d.balancing.balancer.Overdue(d.clock.Now(), r)
 	d.balancing.Unlock()
-	d.noteTarget(change, r)
+	d.logTarget(change, r)
 }
 
-// noteTarget tells that a target was lost or is back.
-func (d *Daemon) noteTarget(change balance.Change, r balance.Report) {
+// logTarget tells that a target was lost or is back.
+func (d *Daemon) logTarget(change balance.Change, r balance.Report) {
 	if change == balance.Unchanged || !d.otherLines.Take(d.clock.Now()) {
 		return
 	}
@@ -186,10 +186,10 @@
 	line.Msg("target answers again")
 }
 
-func (d *Daemon) noteCold(target string, left time.Duration) {
+func (d *Daemon) setColdLeft(target string, left time.Duration) {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
-	d.balancing.balancer.NoteCold(d.clock.Now(), target, left)
+	d.balancing.balancer.SetColdLeft(d.clock.Now(), target, left)
 }
 
 // retryAfter is when a request that a target did not run may come back.
--- a/internal/gateway/targetstatus.go
+++ b/internal/gateway/targetstatus.go
@@ -18,10 +18,10 @@
 	d := a.gateway
 	said := d.config.Protocol.Status.Decode(response.StatusCode, response.Header, time.Now) // time of day: a Retry-After may be a date
 	if len(said.Unread) > 0 {
-		d.noteUnread(a, said.Unread)
+		d.recordUnread(a, said.Unread)
 	}
 	if said.ColdLeft > 0 {
-		d.noteCold(a.target.ID, said.ColdLeft)
+		d.setColdLeft(a.target.ID, said.ColdLeft)
 	}
 	if said.BackOff > 0 {
 		d.backOff(a, said)
@@ -95,8 +95,8 @@
 	return float64(d.balancing.balancer.BackedOff(d.clock.Now()))
 }
 
-// noteUnread logs headers of a target that could not be read; the answer counts as without.
-func (d *Daemon) noteUnread(a *attempt, headers []string) {
+// recordUnread logs headers of a target that could not be read; the answer counts as without.
+func (d *Daemon) recordUnread(a *attempt, headers []string) {
 	if d.otherLines.Take(d.clock.Now()) {
 		d.log.Warn().Str("kind", "unreadHeaders").Str("target", a.target.ID).Str("request", a.id).Strs("headers", headers).
 			Msg("headers of a target can't be read")
--- a/internal/relay/following.go
+++ b/internal/relay/following.go
@@ -170,7 +170,7 @@
 	if len(f.inbox) > 0 || ctx.Err() != nil {
 		return
 	}
-	f.noteProgress(ctx)
+	f.observeProgress(ctx)
 	f.handle(ctx, distribution.Tick{})
 }
 
@@ -185,9 +185,9 @@
 	}
 }
 
-// noteProgress tells the machine how much of an update has come. What has come
+// observeProgress tells the machine how much of an update has come. What has come
 // whole is handled before, else it would count as on its way.
-func (f *Following) noteProgress(ctx context.Context) {
+func (f *Following) observeProgress(ctx context.Context) {
 	if f.reading.stream == nil {
 		return
 	}
@@ -232,12 +232,12 @@
 		return
 	}
 	f.subscriber.PutInForce(*out.State, out.Commands)
-	f.noteInForce(out.Commands)
+	f.recordActive(out.Commands)
 	f.report()
 	f.sourcesDue = true
 }
 
-func (f *Following) noteInForce(commands []*wire.Command) {
+func (f *Following) recordActive(commands []*wire.Command) {
 	if commands == nil {
 		f.subscriber.Event(&wire.TimelineEvent{Kind: EventInForce, Box: f.subscriber.Box, Detail: "a whole state"})
 	}
--- a/pkg/balance/limited.go
+++ b/pkg/balance/limited.go
@@ -34,7 +34,7 @@
 	if t == nil {
 		return
 	}
-	t.noteEnd(false)
+	t.recordEnd(false)
 	if t.isCold(now) {
 		t.tokens++
 	}
@@ -100,6 +100,6 @@
 // Release takes a choice back to which nothing was sent.
 func (b *Balancer) Release(id string) {
 	if t := b.byID[id]; t != nil {
-		t.noteEnd(false)
+		t.recordEnd(false)
 	}
 }
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -72,7 +72,7 @@
 	if t.answeredSince(now.Add(-r.Took)) {
 		return Unchanged
 	}
-	t.noteUnreachable(now)
+	t.eject(now)
 	return LeftOut
 }
 
@@ -84,29 +84,29 @@
 	}
 	if r.HasLoad {
 		t.room = b.roomOf(t).withLoad(r.Load)
-		t.noteLoad(now, r.Load)
+		t.observeLoad(now, r.Load)
 	}
-	b.noteDistance(t.Region, r.Connect)
-	t.noteEnd(r.ToldOverdue)
+	b.observeDistance(t.Region, r.Connect)
+	t.recordEnd(r.ToldOverdue)
 	if r.Outcome == Answered || r.Outcome == TurnedAway {
 		b.service(t.Service).crowd.note(b.crowdLoad(t, r))
 	}
 	wasOut := t.failures > 0
 	switch r.Outcome {
 	case Answered:
-		b.noteTime(now, t, r)
+		b.observeTime(now, t, r)
 		t.backOff = t.backOff.WithRun(now, t.Slots)
 	case TurnedAway:
-		b.noteFull(now, t, r)
+		b.observeFull(now, t, r)
 	case Unreachable, Stuck:
 		if r.ToldOverdue || t.answeredSince(now.Add(-r.Took)) {
 			return Unchanged
 		}
-		t.noteUnreachable(now)
+		t.eject(now)
 		return LeftOut
 	case Broken:
 		if t.broken++; t.broken >= maxBroken {
-			t.noteUnreachable(now)
+			t.eject(now)
 			return LeftOut
 		}
 		return Unchanged
@@ -122,7 +122,7 @@
 	return Unchanged
 }
 
-func (b *Balancer) noteDistance(region string, connect time.Duration) {
+func (b *Balancer) observeDistance(region string, connect time.Duration) {
 	if connect <= 0 {
 		return
 	}
@@ -131,7 +131,7 @@
 	}
 }
 
-func (b *Balancer) noteTime(now time.Time, t *targetState, r Report) {
+func (b *Balancer) observeTime(now time.Time, t *targetState, r Report) {
 	if learned := b.times[r.Route]; learned != nil {
 		learned.note(r.Took)
 	}
@@ -139,13 +139,13 @@
 	if s.mean == 0 {
 		s.mean = r.Took
 	}
-	t.notePace(now, float64(r.Took)/float64(max(s.mean, time.Millisecond)))
+	t.observePace(now, float64(r.Took)/float64(max(s.mean, time.Millisecond)))
 	s.mean = average(s.mean, r.Took)
 }
 
-// noteFull makes a target that turned a request away count as full for a
+// observeFull makes a target that turned a request away count as full for a
 // while, also where it does not tell its load.
-func (b *Balancer) noteFull(now time.Time, t *targetState, r Report) {
+func (b *Balancer) observeFull(now time.Time, t *targetState, r Report) {
 	if r.HasLoad {
 		return
 	}
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -116,9 +116,9 @@
 	return float64(t.inFlight) + t.foreign*fade(now.Sub(t.foreignAt), foreignHalfLife)
 }
 
-// noteLoad takes the load that an answer told, made while inFlight requests of
+// observeLoad takes the load that an answer told, made while inFlight requests of
 // this box were there, the answered one included.
-func (t *targetState) noteLoad(now time.Time, l targetstatus.Load) {
+func (t *targetState) observeLoad(now time.Time, l targetstatus.Load) {
 	t.foreign = max(float64(l.Running+l.Waiting-t.inFlight), 0)
 	t.foreignAt = now
 	if l.Slots > 0 {
@@ -126,7 +126,7 @@
 	}
 }
 
-func (t *targetState) notePace(now time.Time, ratio float64) {
+func (t *targetState) observePace(now time.Time, ratio float64) {
 	t.pace = t.paceNow(now)*(1-paceWeight) + ratio*paceWeight
 	t.paceAt = now
 }
@@ -138,8 +138,8 @@
 	return 1 + (t.pace-1)*fade(now.Sub(t.paceAt), paceHalfLife)
 }
 
-// noteUnreachable leaves the target out for a while.
-func (t *targetState) noteUnreachable(now time.Time) {
+// eject leaves the target out for a while.
+func (t *targetState) eject(now time.Time) {
 	out := firstEjection << min(t.failures, 4)
 	t.failures++
 	t.ejectedUntil = now.Add(min(out, longestEjection))
@@ -164,8 +164,8 @@
 // the target was registered anew is not counted in flight.
 func (t *targetState) recordOverdue() { t.overdue = min(t.overdue+1, t.inFlight) }
 
-// noteEnd takes that a request has ended.
-func (t *targetState) noteEnd(wasOverdue bool) {
+// recordEnd takes that a request has ended.
+func (t *targetState) recordEnd(wasOverdue bool) {
 	t.inFlight = max(t.inFlight-1, 0)
 	if wasOverdue {
 		t.overdue = max(t.overdue-1, 0)
--- a/pkg/targetstatus/status.go
+++ b/pkg/targetstatus/status.go
@@ -85,32 +85,32 @@
 	s := Status{NotRun: header.Get(h.NotRun) != ""}
 	if text := header.Get(h.Load); text != "" {
 		s.Load, s.HasLoad = h.ParseLoad(text)
-		s.noteUnread(h.Load, s.HasLoad)
+		s.recordUnread(h.Load, s.HasLoad)
 	}
 	if text := header.Get(h.ColdLeft); text != "" {
 		left, ok := h.ParseCold(text)
 		s.ColdLeft = max(left, 0)
-		s.noteUnread(h.ColdLeft, ok)
+		s.recordUnread(h.ColdLeft, ok)
 	}
 	if text := header.Get(h.Limit); text != "" {
 		s.Limit, s.HasLimit = ParseLimit(text)
 		s.limitUnread = !s.HasLimit
-		s.noteUnread(h.Limit, s.HasLimit)
+		s.recordUnread(h.Limit, s.HasLimit)
 	}
 	if text := header.Get(h.Leaving); text != "" {
 		leaving, err := strconv.ParseBool(strings.TrimSpace(text))
 		s.Leaving = leaving
-		s.noteUnread(h.Leaving, err == nil)
+		s.recordUnread(h.Leaving, err == nil)
 	}
 	if text := header.Get(retryAfter); text != "" && code == http.StatusServiceUnavailable {
 		backOff, ok := parseRetryAfter(text, header.Get("Date"), timeOfDay)
 		s.BackOff = backOff
-		s.noteUnread(retryAfter, ok)
+		s.recordUnread(retryAfter, ok)
 	}
 	return s
 }
 
-func (s *Status) noteUnread(header string, ok bool) {
+func (s *Status) recordUnread(header string, ok bool) {
 	if !ok {
 		s.Unread = append(s.Unread, header)
 	}
