control: say registration update of a target's word

words.go and its neighbours become registrations.go, registrationcalls.go and repeatedupdates.go; the type words is registrationQueue, waitingWord pendingUpdate. Log messages say that a registration was committed, or an update rejected. Names on the wire, of metrics and their labels stay.

--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -11,7 +11,7 @@
 )
 
 // maxApplied is how many committed entries are applied before the loop hears the other
-// replicas again: thousands of words of targets that come at once must not keep a leader
+// replicas again: thousands of registration updates that come at once must not keep a leader
 // from its heartbeats.
 const maxApplied = 64
 
--- a/internal/control/burst_test.go
+++ b/internal/control/burst_test.go
@@ -20,14 +20,14 @@
 // How it came about: half of the targets are replaced in one moment. Each tells a
 // control replica of itself and gives up after 0.9 s; then it tells the next one.
 //
-// Cause: each word was a command of its own, stored, sent and applied by itself, and
+// Cause: each update was a command of its own, stored, sent and applied by itself, and
 // work whose asker had given up was done all the same, beside the repetition of it.
-// Where the words of one moment are more work than 0.6 s of the leader's loop, the
+// Where the updates of one moment are more work than 0.6 s of the leader's loop, the
 // work grew by its own delay. Documents, heartbeats and votes waited in the same
 // line; what was dropped or came too late there deposed the leader as well.
 //
 // Proof: three replicas whose loops take a fixed time for each command, below. With
-// 1,356 words of 1 ms the document was acknowledged after 3.6 s and 7,293 commands were
+// 1,356 updates of 1 ms the document was acknowledged after 3.6 s and 7,293 commands were
 // settled of 4,071 needed; with 3,002 of 2 ms after 11.2 s, in term 6 instead of 2. How
 // long a command takes on the machines of the deployment was not measured.
 
@@ -38,12 +38,12 @@
 	// long it rests before it tells the next replica.
 	targetPatience = 900 * time.Millisecond
 	targetPause    = 100 * time.Millisecond
-	// burstAcknowledged bounds the acknowledgement of a document while words of
+	// burstAcknowledged bounds the acknowledgement of a document while updates of
 	// targets come at once.
 	burstAcknowledged = time.Second
 )
 
-// burst is words of targets that come at one moment.
+// burst is registration updates that come at one moment.
 type burst struct {
 	targets int
 	// takes is the time of a replica's loop for one command.
@@ -71,17 +71,17 @@
 	settled := s.slowDown(b.takes)
 	term := s.term(t)
 	began := time.Now()
-	var words sync.WaitGroup
+	var updates sync.WaitGroup
 	for i := range b.targets {
-		words.Go(func() { s.tell(t.Context(), i) })
+		updates.Go(func() { s.tell(t.Context(), i) })
 	}
 	time.Sleep(10 * time.Millisecond)
 	took := s.putUntilAcknowledged(t)
-	words.Wait()
+	updates.Wait()
 	all := time.Since(began)
 	time.Sleep(restTime)
 	needed := len(s.daemons) * (b.targets + 1)
-	t.Logf("document after %v, all words after %v, %d commands settled of %d needed, term %d after %d", took, all, settled(), needed, s.term(t), term)
+	t.Logf("document after %v, all updates after %v, %d commands settled of %d needed, term %d after %d", took, all, settled(), needed, s.term(t), term)
 	if took > burstAcknowledged {
 		t.Errorf("the document was acknowledged after %v, want at most %v", took, burstAcknowledged)
 	}
@@ -92,7 +92,7 @@
 		t.Errorf("the replicas are in term %d, were in %d", s.term(t), term)
 	}
 	if most := time.Duration(b.targets)*b.takes*3/2 + 2*time.Second; all > most {
-		t.Errorf("all words were settled after %v, want at most %v", all, most)
+		t.Errorf("all updates were settled after %v, want at most %v", all, most)
 	}
 }
 
@@ -121,11 +121,11 @@
 // tell has a target tell replicas of itself, one after the other, until one answers.
 func (s *slowReplicas) tell(ctx context.Context, i int) {
 	for at := i; ctx.Err() == nil; at++ {
-		word := &wire.Registration{
+		update := &wire.Registration{
 			Id: fmt.Sprint("t", i), Address: fmt.Sprint("a", i), Service: "s", Zone: "z", Slots: 9, Sequence: uint64(at - i + 1), ColdMilli: 3000,
 		}
 		call, cancel := context.WithTimeout(ctx, targetPatience)
-		err := s.daemons[at%len(s.daemons)].Register(call, word)
+		err := s.daemons[at%len(s.daemons)].Register(call, update)
 		cancel()
 		if err == nil {
 			return
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -27,7 +27,7 @@
 	case request.Workspaces != nil:
 		return &wire.CallAnswer{Workspaces: d.ownWorkspaces()}
 	case request.Words != nil:
-		return d.serveWords(ctx, request.Words)
+		return d.serveUpdates(ctx, request.Words)
 	case request.Evidence != nil:
 		return d.serveEvidence(request.Evidence)
 	}
--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -40,8 +40,8 @@
 }
 
 // mostAhead is how far ahead of this replica's time of day a target's start may lie.
-// Clocks of the users' deployments step by seconds. A word with a later start would
-// shut the target's own words out until then.
+// Clocks of the users' deployments step by seconds. A update with a later start would
+// shut the target's own updates out until then.
 const mostAhead = time.Minute
 
 // NoDocumentError says that no document of routes has been put in force yet.
@@ -50,7 +50,7 @@
 // Error implements error.
 func (*NoDocumentError) Error() string { return "no document of routes is in force" }
 
-// Register takes a target's word. One that says nothing new is acknowledged
+// Register takes a target's update. One that says nothing new is acknowledged
 // from what this replica knows, all others once a majority has stored them.
 func (d *Daemon) Register(ctx context.Context, r *wire.Registration) error {
 	return d.register(ctx, &wire.RegistrationCommand{Registration: r})
@@ -75,18 +75,18 @@
 		return nil
 	}
 	began := d.clock.Now()
-	err := d.words.tell(ctx, c, false)
+	err := d.registrations.tell(ctx, c, false)
 	line := d.process.Log.Info()
 	if err != nil {
 		line = d.process.Log.Warn().Err(err)
 	}
 	line.Str("kind", "registration").Str("target", r.Id).Str("service", r.Service).Str("address", r.Address).
 		Bool("draining", r.Draining).Bool("leaves", c.Leave).Int64("coldMillis", r.ColdMilli).Uint64("sequence", r.Sequence).Int64("born", r.BornUnixMilli).
-		Uint64("stateVersion", state.Version()).Dur("took", d.clock.Since(began)).Msg("a target's word was settled")
+		Uint64("stateVersion", state.Version()).Dur("took", d.clock.Since(began)).Msg("registration committed")
 	return err
 }
 
-// checkWord reports a word that names no target which could be used.
+// checkWord reports an update that names no target which could be used.
 func (d *Daemon) checkWord(s steering.State, c *wire.RegistrationCommand) error {
 	if c.Leave {
 		return nil
@@ -98,18 +98,18 @@
 	return d.document.checkService(s.Catalog().Document(), c.Registration.Service)
 }
 
-// unreadLinesPerSecond bounds the log lines on words of targets that can't be used: a
+// unreadLinesPerSecond bounds the log lines on registration updates that can't be used: a
 // few show what comes, the counter tells how many.
 const unreadLinesPerSecond = 5
 
-// NoteUnread counts a target's word that can't be used. Of those that come at once
+// NoteUnread counts a target's update that can't be used. Of those that come at once
 // some have a line in the log.
 func (d *Daemon) NoteUnread(id string, cause error) {
-	d.unreadWords.Inc()
+	d.unreadUpdates.Inc()
 	if !d.unreadLines.Take(d.clock.Now()) {
 		return
 	}
-	d.process.Log.Warn().Str("kind", "registration").Str("target", id).Err(cause).Msg("a target's word can't be used; what is known of it holds")
+	d.process.Log.Warn().Str("kind", "registration").Str("target", id).Err(cause).Msg("registration update rejected")
 }
 
 // PutRoutes puts a document of routes in force. The text is what a read gives
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -39,19 +39,19 @@
 	publishing *relay.Publishing
 	permits    *permits
 	// targetLimits are about targets that name limits.
-	targetLimits *targetLimits
-	document     *documentInForce
-	repeated     repeatedWords
-	words        *words
-	suspicions   *suspicions
-	leadership   *leadership
-	serving      servingBoxes
-	// unreadWords counts words of targets that can't be used, and unreadLines
+	targetLimits  *targetLimits
+	document      *documentInForce
+	repeated      repeatedUpdates
+	registrations *registrationQueue
+	suspicions    *suspicions
+	leadership    *leadership
+	serving       servingBoxes
+	// unreadUpdates counts registration updates that can't be used, and unreadLines
 	// bounds their log lines.
-	unreadWords prometheus.Counter
-	unreadLines *process.LineLimit
-	operators   net.Listener
-	extra       []process.Service
+	unreadUpdates prometheus.Counter
+	unreadLines   *process.LineLimit
+	operators     net.Listener
+	extra         []process.Service
 
 	started time.Time
 	// heard is when a leader was last heard of, in nanoseconds after started;
@@ -133,11 +133,11 @@
 	d.targetLimits.clock = d.clock
 	d.document = &documentInForce{decode: d.decodeRoutes, failed: d.logUnreadDocument}
 	d.leadership = newLeadership()
-	d.words = newWords()
-	d.words.clock = d.clock
+	d.registrations = newRegistrationQueue()
+	d.registrations.clock = d.clock
 	d.suspicions = newSuspicions()
 	d.suspicions.hello = d.askHello
-	d.words.settle = d.settleWords
+	d.registrations.settle = d.settleUpdates
 	d.permits = &permits{bound: d.config.LimitBound, document: d.document}
 	d.permits.put(r.state)
 	secure, err := d.config.TLS()
@@ -162,7 +162,7 @@
 func (d *Daemon) connect(id string) {
 	syncs := d.process.Counter("journal_syncs_total", "Syncs of the journal.").WithLabelValues()
 	syncTime := d.process.Counter("journal_sync_seconds_total", "Time spent in syncs of the journal.").WithLabelValues()
-	d.unreadWords = d.process.Counter("target_words_unread_total", "Words of targets that can't be used.").WithLabelValues()
+	d.unreadUpdates = d.process.Counter("target_words_unread_total", "Words of targets that can't be used.").WithLabelValues()
 	d.unreadLines = process.NewLineLimit(unreadLinesPerSecond)
 	settled := d.process.Counter("changes_settled_total", "Changes that got a verdict, by verdict.", "verdict")
 	d.replica.send = func(m *wire.ConsensusMessage) {
@@ -197,7 +197,7 @@
 	d.process.Gauge("target_limits", "Targets that name how much they take from all boxes together.", func() float64 { return float64(d.targetLimits.named()) })
 	d.process.Gauge("control_bytes_sent", "Bytes sent to other processes.", func() float64 { return float64(d.node.Control.Sent.Load()) })
 	d.process.Gauge("control_bytes_received", "Bytes received from other processes.", func() float64 { return float64(d.node.Control.Received.Load()) })
-	d.process.Gauge("control_age_seconds", "Age of the word of a leader with a quorum; a replica that is cut off shows it growing.", func() float64 { return d.age().Seconds() })
+	d.process.Gauge("control_age_seconds", "Age of the update of a leader with a quorum; a replica that is cut off shows it growing.", func() float64 { return d.age().Seconds() })
 }
 
 func (d *Daemon) recordSettled(c *wire.Command, result steering.Result) {
@@ -241,7 +241,7 @@
 
 	root := d.process.Supervisor()
 	root.Add(process.Service{Name: "publishing", Run: d.publishing.Run})
-	root.Add(process.Service{Name: "words", Run: d.words.run})
+	root.Add(process.Service{Name: "words", Run: d.registrations.run})
 	root.Add(process.Service{Name: "quarantine", Run: d.keepQuarantine})
 	root.Add(process.Service{Name: "suspensions", Run: d.process.NoteSuspensions})
 	root.Add(process.Service{Name: "forming", Run: d.form})
@@ -367,7 +367,7 @@
 
 const viewInterval = 200 * time.Millisecond
 
-// watch keeps the age of the leader's word and passes reports to the leader.
+// watch keeps the age of the leader's update and passes reports to the leader.
 func (d *Daemon) watch(ctx context.Context) {
 	v, err := d.replica.view(ctx)
 	if err != nil {
--- a/internal/control/fulldisk.go
+++ b/internal/control/fulldisk.go
@@ -11,7 +11,7 @@
 )
 
 // roomInterval is how often a replica whose disk is full looks for room. Others
-// elect a leader after 0.8 s without its word.
+// elect a leader after 0.8 s without its update.
 const roomInterval = 100 * time.Millisecond
 
 // FullDiskError says that a replica can store nothing because its disk is full.
@@ -69,9 +69,9 @@
 	switch m := m.(type) {
 	case proposal:
 		m.reply <- outcome{err: &consensus.NotLeaderError{}}
-	case wordBatch:
-		for i := range m.words {
-			m.reply <- wordOutcome{i, &consensus.NotLeaderError{}}
+	case updateBatch:
+		for i := range m.updates {
+			m.reply <- updateOutcome{i, &consensus.NotLeaderError{}}
 		}
 	case membershipChange:
 		m.reply <- outcome{err: &consensus.NotLeaderError{}}
--- a/internal/control/inbox.go
+++ b/internal/control/inbox.go
@@ -9,13 +9,13 @@
 
 const (
 	// consensusRoom is how many messages of other replicas wait for the loop, orderRoom
-	// how many orders and questions, and wordRoom how many batches of targets' words, of
-	// which no more are under way at once than wordBatches allows. Each has a line of its
-	// own, so that no number of words keeps heartbeats, votes or operators' changes from
+	// how many orders and questions, and updateRoom how many batches of registration updates, of
+	// which no more are under way at once than updateBatches allows. Each has a line of its
+	// own, so that no number of updates keeps heartbeats, votes or operators' changes from
 	// the loop.
 	consensusRoom = 1024
 	orderRoom     = 1024
-	wordRoom      = 16
+	updateRoom    = 16
 )
 
 // arrival is an input of the loop.
@@ -35,14 +35,14 @@
 	clock     *boottime.Clock
 	consensus chan arrival
 	orders    chan arrival
-	words     chan arrival
+	updates   chan arrival
 }
 
 func newInbox() inbox {
 	return inbox{
 		consensus: make(chan arrival, consensusRoom),
 		orders:    make(chan arrival, orderRoom),
-		words:     make(chan arrival, wordRoom),
+		updates:   make(chan arrival, updateRoom),
 	}
 }
 
@@ -51,8 +51,8 @@
 	switch m.(type) {
 	case received:
 		return i.consensus
-	case wordBatch:
-		return i.words
+	case updateBatch:
+		return i.updates
 	}
 	return i.orders
 }
@@ -79,9 +79,9 @@
 }
 
 // next returns what waits, messages of other replicas before orders and those before
-// words.
+// updates.
 func (i inbox) next() (a arrival, ok bool) {
-	for _, line := range []chan arrival{i.consensus, i.orders, i.words} {
+	for _, line := range []chan arrival{i.consensus, i.orders, i.updates} {
 		select {
 		case a := <-line:
 			return a, true
@@ -96,7 +96,7 @@
 	switch m.(type) {
 	case received:
 		return "consensus"
-	case wordBatch:
+	case updateBatch:
 		return "words"
 	case proposal, membershipChange, bootstrap, handover:
 		return "order"
--- a/internal/control/lives_test.go
+++ b/internal/control/lives_test.go
@@ -16,21 +16,21 @@
 	id       string
 	life     int64
 	sequence uint64
-	// acked is the latest life of which a word was acknowledged.
+	// acked is the latest life of which an update was acknowledged.
 	acked int64
 }
 
-func (b *bornTarget) word(life int64, sequence uint64) *wire.Command {
+func (b *bornTarget) update(life int64, sequence uint64) *wire.Command {
 	return &wire.Command{Registration: &wire.RegistrationCommand{Registration: &wire.Registration{
 		Id: b.id, Address: "at-" + b.id, Service: "s", Zone: "z1", Slots: 1, BornUnixMilli: life, Sequence: sequence,
 	}}}
 }
 
-// toldWords are words that a node was given in one batch.
-type toldWords struct {
+// sentUpdates are updates that a node was given in one batch.
+type sentUpdates struct {
 	targets []*bornTarget
 	lives   []int64
-	reply   chan wordOutcome
+	reply   chan updateOutcome
 }
 
 // livesRun has targets crash and start again, behind cuts too, while replicas are cut
@@ -38,7 +38,7 @@
 type livesRun struct {
 	w       *world
 	targets []*bornTarget
-	told    []toldWords
+	told    []sentUpdates
 	// held is the latest life of each target that each node's state has held since the
 	// node's start, which begins with its last snapshot.
 	held map[string]int64
@@ -48,10 +48,10 @@
 	if n == nil || !n.alive || n.frozen {
 		return
 	}
-	t := toldWords{reply: make(chan wordOutcome, 2*len(r.targets))}
-	batch := wordBatch{reply: t.reply}
+	t := sentUpdates{reply: make(chan updateOutcome, 2*len(r.targets))}
+	batch := updateBatch{reply: t.reply}
 	add := func(b *bornTarget, life int64, sequence uint64) {
-		batch.words = append(batch.words, b.word(life, sequence))
+		batch.updates = append(batch.updates, b.update(life, sequence))
 		t.targets = append(t.targets, b)
 		t.lives = append(t.lives, life)
 	}
@@ -66,7 +66,7 @@
 	r.told = append(r.told, t)
 }
 
-// take notes which words were acknowledged.
+// take notes which updates were acknowledged.
 func (r *livesRun) take() {
 	for _, t := range r.told {
 		for len(t.reply) > 0 {
@@ -142,7 +142,7 @@
 		}
 		for _, b := range r.targets {
 			if b.acked != b.life {
-				w.problem("no word of life %d of %s was acknowledged, the latest is %d", b.life, b.id, b.acked)
+				w.problem("no update of life %d of %s was acknowledged, the latest is %d", b.life, b.id, b.acked)
 			}
 			for _, n := range w.nodes {
 				if known, ok := n.replica.state.Catalog().Target(b.id); !ok || known.BornUnixMilli != b.life {
--- a/internal/control/loopmetrics.go
+++ b/internal/control/loopmetrics.go
@@ -10,7 +10,7 @@
 // seconds: from one that does not wait to several election timeouts.
 var loopWaits = []float64{0.0005, 0.002, 0.01, 0.05, 0.2, 0.6, 1, 3, 10}
 
-// measure gives the loop and the words their metrics.
+// measure gives the loop and the updates their metrics.
 func (d *Daemon) measure(p *process.Process) {
 	waits := p.Histogram("loop_wait_seconds", "How long inputs waited for the replica's loop, by kind.", loopWaits, "kind")
 	abandoned := p.Counter("loop_abandoned_total", "Inputs that were dropped as their asker had gone, by kind.", "kind")
@@ -21,5 +21,5 @@
 		}
 	}
 	late := p.Counter("words_let_go_total", "Words of targets that were let go as their askers had gone.").WithLabelValues()
-	d.words.let = func(count int) { late.Add(float64(count)) }
+	d.registrations.let = func(count int) { late.Add(float64(count)) }
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -14,15 +14,15 @@
 	reply   chan<- outcome
 }
 
-// wordBatch is words of targets that are proposed together. The outcome of each comes
-// on reply, which has room for all of them, with its place among the words.
-type wordBatch struct {
-	words []*wire.Command
-	reply chan<- wordOutcome
+// updateBatch is registration updates that are proposed together. The outcome of each comes
+// on reply, which has room for all of them, with its place among the updates.
+type updateBatch struct {
+	updates []*wire.Command
+	reply   chan<- updateOutcome
 }
 
-// wordOutcome is what became of the word at a place of a batch.
-type wordOutcome struct {
+// updateOutcome is what became of the update at a place of a batch.
+type updateOutcome struct {
 	place int
 	err   error
 }
@@ -43,7 +43,7 @@
 type handover struct{}
 
 func (proposal) input()         {}
-func (wordBatch) input()        {}
+func (updateBatch) input()      {}
 func (reading) input()          {}
 func (received) input()         {}
 func (viewing) input()          {}
--- a/internal/control/quarantine_test.go
+++ b/internal/control/quarantine_test.go
@@ -17,7 +17,7 @@
 )
 
 // Boxes tell every replica of targets that ended under a request. The leader has it
-// watched, then held, within the time in which all boxes must know; an operator's word
+// watched, then held, within the time in which all boxes must know; an operator's update
 // lets it go at all replicas.
 func TestEvidenceHasARequestHeld(t *testing.T) {
 	const bound = 2 * time.Second
--- a/internal/control/wordcalls.go
+++ b/internal/control/registrationcalls.go
@@ -11,8 +11,8 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// settleWords has the leader settle words, and returns the outcome of each.
-func (d *Daemon) settleWords(ctx context.Context, batch []*waitingWord) []error {
+// settleUpdates has the leader settle updates, and returns the outcome of each.
+func (d *Daemon) settleUpdates(ctx context.Context, batch []*pendingUpdate) []error {
 	ctx, done := d.leadership.during(ctx)
 	defer done()
 	v, err := d.replica.view(ctx)
@@ -20,7 +20,7 @@
 		return all(len(batch), err)
 	}
 	if v.status.Role == consensus.Leader {
-		return d.replica.submitWords(ctx, batch)
+		return d.replica.submitUpdates(ctx, batch)
 	}
 	address := addressOf(v.membership, v.status.Leader)
 	if address == "" {
@@ -29,7 +29,7 @@
 	return d.handOn(ctx, address, batch)
 }
 
-// all returns an error for each of some words.
+// all returns an error for each of some updates.
 func all(count int, err error) []error {
 	out := make([]error, count)
 	for i := range out {
@@ -38,19 +38,19 @@
 	return out
 }
 
-// handOn has the leader settle words for this replica. Those that came from another
+// handOn has the leader settle updates for this replica. Those that came from another
 // one are not handed on again.
-func (d *Daemon) handOn(ctx context.Context, leader string, batch []*waitingWord) []error {
+func (d *Daemon) handOn(ctx context.Context, leader string, batch []*pendingUpdate) []error {
 	out := all(len(batch), &consensus.NotLeaderError{})
 	request := &wire.WordsRequest{}
 	var places []int
 	now := d.clock.Now()
-	for i, word := range batch {
-		if word.forwarded {
+	for i, update := range batch {
+		if update.forwarded {
 			continue
 		}
 		places = append(places, i)
-		request.Words = append(request.Words, &wire.WaitingWord{Word: word.command, LeftMilli: word.deadline.Sub(now).Milliseconds()})
+		request.Words = append(request.Words, &wire.WaitingWord{Word: update.command, LeftMilli: update.deadline.Sub(now).Milliseconds()})
 	}
 	if len(places) == 0 {
 		return out
@@ -67,26 +67,26 @@
 	return out
 }
 
-// handOnSingly hands words on to a leader of an earlier version, which takes no words
+// handOnSingly hands updates on to a leader of an earlier version, which takes no updates
 // together: one that knows them answers each, and no error for all.
-func (d *Daemon) handOnSingly(ctx context.Context, leader string, batch []*waitingWord, out []error) {
+func (d *Daemon) handOnSingly(ctx context.Context, leader string, batch []*pendingUpdate, out []error) {
 	var running sync.WaitGroup
-	for i, word := range batch {
-		if word.forwarded {
+	for i, update := range batch {
+		if update.forwarded {
 			continue
 		}
 		running.Go(func() {
-			_, out[i] = d.node.Call(ctx, leader, &wire.CallRequest{Submit: &wire.Command{Registration: word.command}})
+			_, out[i] = d.node.Call(ctx, leader, &wire.CallRequest{Submit: &wire.Command{Registration: update.command}})
 		})
 	}
 	running.Wait()
 }
 
-// WordRefusedError says why the leader did not settle a word.
-type WordRefusedError struct{ Reason string }
+// UpdateRefusedError says why the leader did not settle an update.
+type UpdateRefusedError struct{ Reason string }
 
 // Error implements error.
-func (e *WordRefusedError) Error() string { return "the leader did not settle it: " + e.Reason }
+func (e *UpdateRefusedError) Error() string { return "the leader did not settle it: " + e.Reason }
 
 func outcomeOf(a *wire.WordsAnswer, place int, err error) error {
 	switch {
@@ -95,21 +95,21 @@
 	case place < len(a.GetSettled()) && a.Settled[place]:
 		return nil
 	}
-	return &WordRefusedError{a.GetFailure()}
+	return &UpdateRefusedError{a.GetFailure()}
 }
 
-// serveWords settles words for another replica.
-func (d *Daemon) serveWords(ctx context.Context, request *wire.WordsRequest) *wire.CallAnswer {
+// serveUpdates settles updates for another replica.
+func (d *Daemon) serveUpdates(ctx context.Context, request *wire.WordsRequest) *wire.CallAnswer {
 	out := &wire.WordsAnswer{Settled: make([]bool, len(request.Words))}
 	replies := make([]<-chan error, len(request.Words))
 	for i, asked := range request.Words {
 		if asked.Word.GetRegistration() == nil {
-			out.Failure = "a word without content"
+			out.Failure = "a update without content"
 			continue
 		}
 		left := time.Duration(asked.LeftMilli) * time.Millisecond
 		asker, cancel := context.WithTimeout(ctx, left)
-		reply, err := d.words.add(asker, asked.Word, true)
+		reply, err := d.registrations.add(asker, asked.Word, true)
 		cancel() // its deadline is what counts
 		if err != nil {
 			out.Failure = err.Error()
@@ -134,16 +134,16 @@
 	return &wire.CallAnswer{Words: out}
 }
 
-// submitWords has words proposed together and waits for their outcomes until the
+// submitUpdates has updates proposed together and waits for their outcomes until the
 // context ends.
-func (r *replica) submitWords(ctx context.Context, batch []*waitingWord) []error {
+func (r *replica) submitUpdates(ctx context.Context, batch []*pendingUpdate) []error {
 	out := all(len(batch), &UnavailableError{Cause: errNotSettled})
 	commands := make([]*wire.Command, len(batch))
-	for i, word := range batch {
-		commands[i] = &wire.Command{Registration: word.command}
+	for i, update := range batch {
+		commands[i] = &wire.Command{Registration: update.command}
 	}
-	reply := make(chan wordOutcome, len(batch))
-	if err := r.inbox.put(ctx, wordBatch{commands, reply}); err != nil {
+	reply := make(chan updateOutcome, len(batch))
+	if err := r.inbox.put(ctx, updateBatch{commands, reply}); err != nil {
 		return all(len(batch), err)
 	}
 	for range batch {
--- a/internal/control/words.go
+++ b/internal/control/registrations.go
@@ -12,13 +12,13 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// wordBatches bounds what targets' words take of a replica. A word by itself costs the
+// updateBatches bounds what registration updates take of a replica. A update by itself costs the
 // leader a message to each of eight replicas, their answers and a call; a batch pays that
 // once. What is under way is what an operator's document waits behind at most. Quick and
 // LeastLeft are a round trip between regions to the leader, one to a quorum and a sync.
-// The spacing is that of updates to subscribers (package relay): settled sooner, a word
+// The spacing is that of updates to subscribers (package relay): settled sooner, an update
 // is not told sooner.
-var wordBatches = batch.Config{
+var updateBatches = batch.Config{
 	MaxItems:    64,
 	MaxUnderWay: 4,
 	Quick:       150 * time.Millisecond,
@@ -26,65 +26,65 @@
 	LeastLeft:   150 * time.Millisecond,
 }
 
-// waitingWord is a target's word whose askers wait for what becomes of it.
-type waitingWord struct {
-	key     wordKey
+// pendingUpdate is a target's update whose askers wait for what becomes of it.
+type pendingUpdate struct {
+	key     updateKey
 	command *wire.RegistrationCommand
 	// deadline is when its first asker gives up. Who joined it later and still waits
 	// then tells it again.
 	deadline time.Time
 	// forwarded tells that another replica has handed it on: it isn't handed on again.
 	forwarded bool
-	// replies have room for one outcome each; the lock of words guards them.
+	// replies have room for one outcome each; the lock of updates guards them.
 	replies []chan<- error
 }
 
-// wordKey tells a word that comes again while it waits.
-type wordKey struct {
+// updateKey tells an update that comes again while it waits.
+type updateKey struct {
 	id       string
 	born     int64
 	sequence uint64
 	leave    bool
-	// forwarded words don't join those that were told here, which are handed on.
+	// forwarded updates don't join those that were told here, which are handed on.
 	forwarded bool
 }
 
-func keyOf(c *wire.RegistrationCommand, forwarded bool) wordKey {
+func keyOf(c *wire.RegistrationCommand, forwarded bool) updateKey {
 	r := c.Registration
-	return wordKey{r.Id, r.BornUnixMilli, r.Sequence, c.Leave, forwarded}
+	return updateKey{r.Id, r.BornUnixMilli, r.Sequence, c.Leave, forwarded}
 }
 
-// words has targets' words settled by the leader, in batches. A word that is told
+// registrationQueue has registration updates settled by the leader, in batches. A update that is told
 // again while it waits is settled once.
-type words struct {
-	// settle tries to have words settled and returns the outcome of each.
-	settle func(ctx context.Context, batch []*waitingWord) []error
-	// let is told of words that are let go as their askers had gone.
+type registrationQueue struct {
+	// settle tries to have updates settled and returns the outcome of each.
+	settle func(ctx context.Context, batch []*pendingUpdate) []error
+	// let is told of updates that are let go as their askers had gone.
 	let func(count int)
 
 	mu       sync.Mutex
-	gatherer *batch.Gatherer[*waitingWord]
-	known    map[wordKey]*waitingWord
+	gatherer *batch.Gatherer[*pendingUpdate]
+	known    map[updateKey]*pendingUpdate
 	clock    *boottime.Clock
 	// due holds a token when a batch may begin.
 	due chan struct{}
 }
 
-func newWords() *words {
-	return &words{
-		gatherer: batch.New[*waitingWord](wordBatches),
-		known:    make(map[wordKey]*waitingWord),
+func newRegistrationQueue() *registrationQueue {
+	return &registrationQueue{
+		gatherer: batch.New[*pendingUpdate](updateBatches),
+		known:    make(map[updateKey]*pendingUpdate),
 		due:      make(chan struct{}, 1),
 		let:      func(int) {},
 	}
 }
 
-// errNotSettled says that no leader settled a word while its asker waited.
+// errNotSettled says that no leader settled an update while its asker waited.
 var errNotSettled = errors.New("not settled in time")
 
-// tell has a word settled and waits for it until the context ends. The error is that
+// tell has an update settled and waits for it until the context ends. The error is that
 // of the last try, a batch.BusyError or the context's.
-func (w *words) tell(ctx context.Context, c *wire.RegistrationCommand, forwarded bool) error {
+func (w *registrationQueue) tell(ctx context.Context, c *wire.RegistrationCommand, forwarded bool) error {
 	reply, err := w.add(ctx, c, forwarded)
 	if err != nil {
 		return err
@@ -97,11 +97,11 @@
 	}
 }
 
-// longestAsk bounds how long a word is tried for an asker that names no time.
+// longestAsk bounds how long an update is tried for an asker that names no time.
 const longestAsk = 4 * time.Second
 
-// add has a word settled; what becomes of it comes on the channel.
-func (w *words) add(ctx context.Context, c *wire.RegistrationCommand, forwarded bool) (<-chan error, error) {
+// add has an update settled; what becomes of it comes on the channel.
+func (w *registrationQueue) add(ctx context.Context, c *wire.RegistrationCommand, forwarded bool) (<-chan error, error) {
 	now := w.clock.Now()
 	deadline, ok := w.clock.Deadline(ctx)
 	if !ok {
@@ -115,16 +115,16 @@
 		known.replies = append(known.replies, reply)
 		return reply, nil
 	}
-	word := &waitingWord{key: key, command: c, deadline: deadline, forwarded: forwarded, replies: []chan<- error{reply}}
-	if err := w.gatherer.Add(now, word, deadline); err != nil {
+	update := &pendingUpdate{key: key, command: c, deadline: deadline, forwarded: forwarded, replies: []chan<- error{reply}}
+	if err := w.gatherer.Add(now, update, deadline); err != nil {
 		return nil, err
 	}
-	w.known[key] = word
+	w.known[key] = update
 	w.wake()
 	return reply, nil
 }
 
-func (w *words) wake() {
+func (w *registrationQueue) wake() {
 	select {
 	case w.due <- struct{}{}:
 	default:
@@ -132,7 +132,7 @@
 }
 
 // run begins batches until the context ends, and waits for those under way.
-func (w *words) run(ctx context.Context) error {
+func (w *registrationQueue) run(ctx context.Context) error {
 	ended := make(chan time.Duration)
 	underWay := 0
 	for {
@@ -162,13 +162,13 @@
 	}
 }
 
-// next returns the batch to begin now and answers the words that are let go.
-func (w *words) next(now time.Time) []*waitingWord {
+// next returns the batch to begin now and answers the updates that are let go.
+func (w *registrationQueue) next(now time.Time) []*pendingUpdate {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	begin, late := w.gatherer.Next(now)
-	for _, word := range late {
-		w.answer(word, &UnavailableError{Cause: errNotSettled})
+	for _, update := range late {
+		w.answer(update, &UnavailableError{Cause: errNotSettled})
 	}
 	if len(late) > 0 {
 		w.let(len(late))
@@ -176,10 +176,10 @@
 	return begin
 }
 
-// restBetweenWords is how long nothing is looked for while no word waits.
+// restBetweenWords is how long nothing is looked for while no update waits.
 const restBetweenWords = time.Minute
 
-func (w *words) untilDue(now time.Time) time.Duration {
+func (w *registrationQueue) untilDue(now time.Time) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	at, ok := w.gatherer.Due()
@@ -189,23 +189,23 @@
 	return at.Sub(now)
 }
 
-func (w *words) recordEnd(took time.Duration) {
+func (w *registrationQueue) recordEnd(took time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.gatherer.Ended(took)
 }
 
-// answer tells the askers of a word what became of it. Its lock is held.
-func (w *words) answer(word *waitingWord, err error) {
-	delete(w.known, word.key)
-	for _, reply := range word.replies {
+// answer tells the askers of an update what became of it. Its lock is held.
+func (w *registrationQueue) answer(update *pendingUpdate, err error) {
+	delete(w.known, update.key)
+	for _, reply := range update.replies {
 		reply <- err
 	}
 }
 
-// carry tries a batch until each word is settled or its askers have gone, and returns
+// carry tries a batch until each update is settled or its askers have gone, and returns
 // how long that took.
-func (w *words) carry(ctx context.Context, batch []*waitingWord) time.Duration {
+func (w *registrationQueue) carry(ctx context.Context, batch []*pendingUpdate) time.Duration {
 	began := w.clock.Now()
 	for len(batch) > 0 {
 		outcomes := w.try(ctx, batch)
@@ -222,29 +222,29 @@
 }
 
 // try tries until the last asker has gone.
-func (w *words) try(ctx context.Context, batch []*waitingWord) []error {
-	last := slices.MaxFunc(batch, func(a, b *waitingWord) int { return a.deadline.Compare(b.deadline) })
+func (w *registrationQueue) try(ctx context.Context, batch []*pendingUpdate) []error {
+	last := slices.MaxFunc(batch, func(a, b *pendingUpdate) int { return a.deadline.Compare(b.deadline) })
 	ctx, cancel := w.clock.WithDeadline(ctx, last.deadline)
 	defer cancel()
 	return w.settle(ctx, batch)
 }
 
-// take answers the words that are settled or whose time is over, and returns the
+// take answers the updates that are settled or whose time is over, and returns the
 // others.
-func (w *words) take(ctx context.Context, batch []*waitingWord, outcomes []error) (left []*waitingWord) {
+func (w *registrationQueue) take(ctx context.Context, batch []*pendingUpdate, outcomes []error) (left []*pendingUpdate) {
 	now := w.clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for i, word := range batch {
+	for i, update := range batch {
 		err := outcomes[i]
-		if err != nil && ctx.Err() == nil && !word.forwarded && word.deadline.After(now.Add(leaderPause)) {
-			left = append(left, word)
+		if err != nil && ctx.Err() == nil && !update.forwarded && update.deadline.After(now.Add(leaderPause)) {
+			left = append(left, update)
 			continue
 		}
 		if err != nil {
 			err = &UnavailableError{Cause: err}
 		}
-		w.answer(word, err)
+		w.answer(update, err)
 	}
 	return left
 }
--- a/internal/control/words_bench_test.go
+++ b/internal/control/registrations_bench_test.go
@@ -40,9 +40,9 @@
 			b.Fatal(err)
 		}
 		d.replica.state = state
-		running.Go(func() { _ = d.replica.run(ctx) })    // ends with the context
-		running.Go(func() { _ = d.publishing.Run(ctx) }) // the same
-		running.Go(func() { _ = d.words.run(ctx) })      // the same
+		running.Go(func() { _ = d.replica.run(ctx) })       // ends with the context
+		running.Go(func() { _ = d.publishing.Run(ctx) })    // the same
+		running.Go(func() { _ = d.registrations.run(ctx) }) // the same
 	}
 	b.Cleanup(func() {
 		stop()
@@ -88,7 +88,7 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// BenchmarkWordsAtOnce is what nine replicas take together for words of targets that
+// BenchmarkWordsAtOnce is what nine replicas take together for registration updates that
 // all join at the same moment, each at one of the replicas.
 func BenchmarkWordsAtOnce(b *testing.B) {
 	for _, n := range []int{400, 1356, 3000} {
@@ -128,7 +128,7 @@
 				telling.Wait()
 				b.StopTimer()
 				took := processorTime() - used
-				b.ReportMetric(float64(took.Microseconds())/float64(n), "cpu-us/word")
+				b.ReportMetric(float64(took.Microseconds())/float64(n), "cpu-us/update")
 				b.ReportMetric(float64(calls), "calls")
 				b.ReportMetric(float64(failed), "failed")
 				b.StartTimer()
--- a/internal/control/words_test.go
+++ b/internal/control/registrations_test.go
@@ -16,11 +16,11 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// runWords runs a function in virtual time with words that settle tries to settle.
-func runWords(t *testing.T, settle func(context.Context, []*waitingWord) []error, run func(t *testing.T, w *words)) {
+// runWords runs a function in virtual time with updates that settle tries to settle.
+func runWords(t *testing.T, settle func(context.Context, []*pendingUpdate) []error, run func(t *testing.T, w *registrationQueue)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := newWords()
+		w := newRegistrationQueue()
 		w.settle = settle
 		ctx, stop := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
@@ -37,12 +37,12 @@
 
 func TestWordToldAgainWhileItWaitsIsSettledOnce(t *testing.T) {
 	settled := 0
-	settle := func(_ context.Context, batch []*waitingWord) []error {
+	settle := func(_ context.Context, batch []*pendingUpdate) []error {
 		time.Sleep(300 * time.Millisecond)
 		settled += len(batch)
 		return make([]error, len(batch))
 	}
-	runWords(t, settle, func(t *testing.T, w *words) {
+	runWords(t, settle, func(t *testing.T, w *registrationQueue) {
 		var telling sync.WaitGroup
 		for range 3 {
 			telling.Go(func() {
@@ -59,15 +59,15 @@
 	}
 }
 
-// A word is tried until its asker gives up, and no longer.
+// A update is tried until its asker gives up, and no longer.
 func TestWordIsTriedWhileItsAskerWaits(t *testing.T) {
 	var tries []time.Duration
 	began := time.Time{}
-	settle := func(_ context.Context, batch []*waitingWord) []error {
+	settle := func(_ context.Context, batch []*pendingUpdate) []error {
 		tries = append(tries, time.Since(began))
 		return all(len(batch), &consensus.NotLeaderError{})
 	}
-	runWords(t, settle, func(t *testing.T, w *words) {
+	runWords(t, settle, func(t *testing.T, w *registrationQueue) {
 		began = time.Now()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -84,15 +84,15 @@
 	}
 }
 
-// A word that another replica has handed on is not handed on again, so that no word
+// A update that another replica has handed on is not handed on again, so that no update
 // goes round among replicas that each hold the other to be the leader.
 func TestForwardedWordIsTriedOnce(t *testing.T) {
 	tries := 0
-	settle := func(_ context.Context, batch []*waitingWord) []error {
+	settle := func(_ context.Context, batch []*pendingUpdate) []error {
 		tries++
 		return all(len(batch), &consensus.NotLeaderError{})
 	}
-	runWords(t, settle, func(t *testing.T, w *words) {
+	runWords(t, settle, func(t *testing.T, w *registrationQueue) {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		var unavailable *UnavailableError
@@ -105,7 +105,7 @@
 	}
 }
 
-// A leader of an earlier version, which knows no words that are handed on together,
+// A leader of an earlier version, which knows no updates that are handed on together,
 // gets each by itself.
 func TestWordsAreHandedOnSinglyToAnEarlierVersion(t *testing.T) {
 	var mu sync.Mutex
@@ -125,8 +125,8 @@
 		t.Fatal(err)
 	}
 	d := &Daemon{node: link.Dialer(link.Identity{Name: "new"}, clock, nil)}
-	words := []*waitingWord{{command: wordNumber("a", 1)}, {command: wordNumber("b", 1), forwarded: true}, {command: wordNumber("c", 1)}}
-	outcomes := d.handOn(t.Context(), leader.Address(), words)
+	updates := []*pendingUpdate{{command: wordNumber("a", 1)}, {command: wordNumber("b", 1), forwarded: true}, {command: wordNumber("c", 1)}}
+	outcomes := d.handOn(t.Context(), leader.Address(), updates)
 	if outcomes[0] != nil || outcomes[1] == nil || outcomes[2] != nil {
 		t.Errorf("outcomes %v", outcomes)
 	}
@@ -202,19 +202,19 @@
 	}
 }
 
-// However many words wait, messages of other replicas and orders are taken first.
+// However many updates wait, messages of other replicas and orders are taken first.
 func TestWordsWaitBehindMessagesAndOrders(t *testing.T) {
 	i := newInbox()
-	for range wordRoom {
-		if !i.offer(wordBatch{}) {
+	for range updateRoom {
+		if !i.offer(updateBatch{}) {
 			t.Fatal("no room")
 		}
 	}
-	if i.offer(wordBatch{}) {
-		t.Error("words took more than their room")
+	if i.offer(updateBatch{}) {
+		t.Error("updates took more than their room")
 	}
 	if !i.offer(reading{}) || !i.offer(received{}) {
-		t.Fatal("words left no room for others")
+		t.Fatal("updates left no room for others")
 	}
 	var got []string
 	for a, ok := i.next(); ok && len(got) < 3; a, ok = i.next() {
@@ -230,11 +230,11 @@
 func TestLongCommitIsAppliedInTurns(t *testing.T) {
 	r := aloneReplica(t)
 	const count = 3*maxApplied + 5
-	reply := make(chan wordOutcome, count)
-	batch := wordBatch{reply: reply}
+	reply := make(chan updateOutcome, count)
+	batch := updateBatch{reply: reply}
 	for i := range count {
 		id := string(rune('a'+i%26)) + string(rune('a'+i/26))
-		batch.words = append(batch.words, &wire.Command{Registration: &wire.RegistrationCommand{Registration: &wire.Registration{Id: id, Address: id, Sequence: 1}}})
+		batch.updates = append(batch.updates, &wire.Command{Registration: &wire.RegistrationCommand{Registration: &wire.Registration{Id: id, Address: id, Sequence: 1}}})
 	}
 	read := make(chan readOutcome, 1)
 	if err := r.carryOut(r.handle(batch)); err != nil {
@@ -264,7 +264,7 @@
 	}
 	for range count {
 		if o := <-reply; o.err != nil {
-			t.Errorf("word %d: %v", o.place, o.err)
+			t.Errorf("update %d: %v", o.place, o.err)
 		}
 	}
 }
--- a/internal/control/repeatedwords.go
+++ b/internal/control/repeatedupdates.go
@@ -7,17 +7,17 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// repeatedWords knows by their ids the targets of the state that was applied last, so
-// that a word which says nothing new, as nearly all do, costs the same at any number of
+// repeatedUpdates knows by their ids the targets of the state that was applied last, so
+// that an update which says nothing new, as nearly all do, costs the same at any number of
 // targets and nothing of the replica's loop.
-type repeatedWords struct {
+type repeatedUpdates struct {
 	mu      sync.Mutex
 	state   catalog.State
 	targets map[string]*wire.Registration
 }
 
-// covers reports whether a state holds what a target's word says.
-func (w *repeatedWords) covers(s catalog.State, r *wire.Registration) bool {
+// covers reports whether a state holds what a target's update says.
+func (w *repeatedUpdates) covers(s catalog.State, r *wire.Registration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.take(s)
@@ -25,7 +25,7 @@
 	return known != nil && catalog.Repeats(known, r)
 }
 
-func (w *repeatedWords) take(s catalog.State) {
+func (w *repeatedUpdates) take(s catalog.State) {
 	if w.targets == nil {
 		w.targets = make(map[string]*wire.Registration)
 	}
--- a/internal/control/repeatedwords_test.go
+++ b/internal/control/repeatedupdates_test.go
@@ -14,7 +14,7 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Load: 3,002 targets, each telling six replicas each 1.5 s what they know, 333 words a
+// Load: 3,002 targets, each telling six replicas each 1.5 s what they know, 333 updates a
 // second at a replica; its processor was full, documents were acknowledged after 11 s,
 // and the document could not be read back at the end of a day.
 
@@ -22,11 +22,11 @@
 	return &wire.Registration{Id: id, Service: "s", Address: id, Zone: "z", Slots: slots, Sequence: sequence, BornUnixMilli: born}
 }
 
-// Whatever came before, a word that is covered would change nothing, and one of a known
+// Whatever came before, an update that is covered would change nothing, and one of a known
 // life that would change nothing is covered.
 func TestCoveredWordsChangeNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var w repeatedWords
+		var w repeatedUpdates
 		s := catalog.State{}
 		for range rapid.IntRange(1, 60).Draw(t, "words") {
 			id := fmt.Sprint("i", rapid.IntRange(0, 1).Draw(t, "id"))
@@ -43,7 +43,7 @@
 	})
 }
 
-// BenchmarkRepeatedWord is one word that says nothing new, among 3,000 targets.
+// BenchmarkRepeatedWord is one update that says nothing new, among 3,000 targets.
 func BenchmarkRepeatedWord(b *testing.B) {
 	s := catalog.State{}
 	for i := range 3000 {
@@ -51,7 +51,7 @@
 	}
 	r := wordOf("i2999", 0, 7, 4)
 	b.Run("index", func(b *testing.B) {
-		var w repeatedWords
+		var w repeatedUpdates
 		for b.Loop() {
 			w.covers(s, r)
 		}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -132,7 +132,7 @@
 			err = r.carryOut(r.drain(a))
 		case a := <-r.inbox.orders:
 			err = r.carryOut(r.drain(a))
-		case a := <-r.inbox.words:
+		case a := <-r.inbox.updates:
 			err = r.carryOut(r.drain(a))
 		case <-r.mayApply():
 			err = r.carryOut(r.drainWaiting(consensus.Output{}))
@@ -220,9 +220,9 @@
 		return r.machine.Handle(now, consensus.Receive{Message: m.message})
 	case proposal:
 		r.keep(m.command, func(o outcome) { m.reply <- o })
-	case wordBatch:
-		for i, c := range m.words {
-			r.keep(c, func(o outcome) { m.reply <- wordOutcome{i, o.err} })
+	case updateBatch:
+		for i, c := range m.updates {
+			r.keep(c, func(o outcome) { m.reply <- updateOutcome{i, o.err} })
 		}
 	case reading:
 		r.token++
--- a/internal/control/slowlinks_test.go
+++ b/internal/control/slowlinks_test.go
@@ -110,7 +110,7 @@
 		}
 		d.replica.state = state
 		go func() { s.ended <- d.replica.run(ctx) }()
-		go func() { s.ended <- d.words.run(ctx) }()
+		go func() { s.ended <- d.registrations.run(ctx) }()
 	}
 	time.Sleep(formTime)
 	return s
--- a/internal/control/suspension_test.go
+++ b/internal/control/suspension_test.go
@@ -8,11 +8,11 @@
 	"ledgesill.dev/ledgesill/pkg/steering"
 )
 
-// Seen: by reading, a replica whose machine was suspended took the word of its leader for
+// Seen: by reading, a replica whose machine was suspended took the update of its leader for
 // as fresh as before, and one that led itself for leader.
 // Cause: the steady clock, which stands still in a suspension.
 // Proof: seconds pass in a suspension only. The replica's own clock, by which it votes,
-// leads and confirms reads, goes on by them, and so does the age of its leader's word.
+// leads and confirms reads, goes on by them, and so does the age of its leader's update.
 func TestReplicaCountsASuspension(t *testing.T) {
 	const length = 5 * time.Second
 	runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
@@ -23,7 +23,7 @@
 				t.Errorf("%s: its clock went on by %s in a suspension of %s", d.config.Name, got, length)
 			}
 			if got := d.age(); got < age+length {
-				t.Errorf("%s: the leader's word was %s old and is %s old after a suspension of %s", d.config.Name, age, got, length)
+				t.Errorf("%s: the leader's update was %s old and is %s old after a suspension of %s", d.config.Name, age, got, length)
 			}
 		}
 	})
--- a/internal/control/targetlimits.go
+++ b/internal/control/targetlimits.go
@@ -49,11 +49,11 @@
 	t.issuer.SetReplicas(now, addresses)
 }
 
-// take takes words of targets and returns the changes.
-func (t *targetLimits) take(now time.Time, words []*wire.TargetLimit) (changes []targetstatus.Change) {
+// take takes registration updates and returns the changes.
+func (t *targetLimits) take(now time.Time, updates []*wire.TargetLimit) (changes []targetstatus.Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, w := range words {
+	for _, w := range updates {
 		if c, changed := t.issuer.Take(now, targetstatus.UpdateOf(now, w)); changed {
 			changes = append(changes, c)
 		}
@@ -119,11 +119,11 @@
 }
 
 // takeUpdates takes what targets told boxes and has the subscribers told.
-func (d *Daemon) takeUpdates(words []*wire.TargetLimit) {
-	if len(words) == 0 {
+func (d *Daemon) takeUpdates(updates []*wire.TargetLimit) {
+	if len(updates) == 0 {
 		return
 	}
-	changes := d.targetLimits.take(d.clock.Now(), words)
+	changes := d.targetLimits.take(d.clock.Now(), updates)
 	if len(changes) == 0 {
 		return
 	}
@@ -155,13 +155,13 @@
 
 // issueForTargets answers what a box asks for targets.
 func (d *Daemon) issueForTargets(asks []*wire.TargetPermitAsk) []*wire.PermitGrant {
-	words := make([]*wire.TargetLimit, 0, len(asks))
+	updates := make([]*wire.TargetLimit, 0, len(asks))
 	for _, a := range asks {
 		if a.Limit != nil {
-			words = append(words, a.Limit)
-			words = append(words, a.Further...)
+			updates = append(updates, a.Limit)
+			updates = append(updates, a.Further...)
 		}
 	}
-	d.takeUpdates(words)
+	d.takeUpdates(updates)
 	return grantMessages(d.targetLimits.issue(d.clock.Now(), asks))
 }
--- a/internal/control/word_test.go
+++ b/internal/control/update_test.go
@@ -15,9 +15,9 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// A word that names a service which the document does not have took the address of
+// A update that names a service which the document does not have took the address of
 // a sound target and ended it; one whose start lies ahead would shut the target's own
-// words out until then.
+// updates out until then.
 func TestWordsThatNameNothingUsableAreRefused(t *testing.T) {
 	d := &Daemon{document: &documentInForce{
 		decode: func([]byte) (catalog.Document, error) {
