--- a/internal/control/burst_test.go
+++ b/internal/control/burst_test.go
@@ -14,23 +14,6 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Seen: with hundreds of boxes too little was served, and a valid document of routes
-// had no acknowledgement after 5 s of calm.
-//
-// How it came about: half of the targets are replaced in one moment. Each tells a
-// control replica of itself and gives up after 0.9 s; then it tells the next one.
-//
-// Cause: each update was a command of its own, stored, sent and applied by itself, and
-// work whose asker had given up was done all the same, beside the repetition of it.
-// Where the updates of one moment are more work than 0.6 s of the leader's loop, the
-// work grew by its own delay. Documents, heartbeats and votes waited in the same
-// line; what was dropped or came too late there deposed the leader as well.
-//
-// Proof: three replicas whose loops take a fixed time for each command, below. With
-// 1,356 updates of 1 ms the document was acknowledged after 3.6 s and 7,293 commands were
-// settled of 4,071 needed; with 3,002 of 2 ms after 11.2 s, in term 6 instead of 2. How
-// long a command takes on the machines of the deployment was not measured.
-
 const (
 	// wideBytes is what all links between the replicas together carry: 1 Gbit/s.
 	wideBytes = 1_000_000_000 / 8
@@ -50,6 +33,8 @@
 	takes time.Duration
 }
 
+// Guards against a leader that is deposed, and a document that is not acknowledged, while many
+// targets change at once.
 func TestDocumentIsAcknowledgedWhileTargetsAreReplaced(t *testing.T) {
 	for _, b := range []burst{
 		{300, 2 * time.Millisecond},
--- a/internal/control/leadercontact_test.go
+++ b/internal/control/leadercontact_test.go
@@ -6,11 +6,8 @@
 	"ledgesill.dev/ledgesill/pkg/steering"
 )
 
-// Seen: after all machines were off, boxes asked three replicas in turn though a
-// leader had been elected, as none had update of it yet.
-// Cause: a replica noted that it had heard of a leader with the next look at its
-// own state, up to 0.2 s later.
-// Proof: replicas that follow a leader and never take that look have its update.
+// Guards against boxes that ask several replicas though a leader has been elected, as none has
+// heard of it yet.
 func TestReplicaHasWordOfItsLeaderAtOnce(t *testing.T) {
 	runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
 		for _, d := range s.daemons {
--- a/internal/control/slowlinks_test.go
+++ b/internal/control/slowlinks_test.go
@@ -23,20 +23,6 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Seen: documents of 4,200 routes were acknowledged after 2.5 s, and others
-// not at all.
-//
-// How it came about: an operator gives a document to a replica that does not
-// lead. It hands the whole text to the leader, and the leader hands it to each
-// other replica.
-//
-// Cause: a try with the leader may take 0.6 s in all; what takes longer is begun
-// anew from the first byte, and so is each append that is not acknowledged
-// within a heartbeat.
-//
-// Proof: three replicas over links that together carry 8 Mbit/s, below, with the
-// bytes that they sent to each other.
-
 const (
 	// replicaBytes is what all links between the replicas together carry in a
 	// second, each way: 8 Mbit/s.
@@ -172,6 +158,7 @@
 	return []byte(out.String())
 }
 
+// Guards against a long document that slow links between replicas never carry whole.
 func TestDocumentCrossesSlowLinksOnce(t *testing.T) {
 	for _, routes := range []int{1400, 5600} {
 		t.Run(fmt.Sprintf("put/%d", routes), func(t *testing.T) {
--- a/internal/control/suspension_test.go
+++ b/internal/control/suspension_test.go
@@ -8,11 +8,8 @@
 	"ledgesill.dev/ledgesill/pkg/steering"
 )
 
-// Seen: by reading, a replica whose machine was suspended took the update of its leader for
-// as fresh as before, and one that led itself for leader.
-// Cause: the steady clock, which stands still in a suspension.
-// Proof: seconds pass in a suspension only. The replica's own clock, by which it votes,
-// leads and confirms reads, goes on by them, and so does the age of its leader's update.
+// Guards against a replica that takes its leader for fresh, or itself for the leader, after a
+// suspension.
 func TestReplicaCountsASuspension(t *testing.T) {
 	const length = 5 * time.Second
 	runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
--- a/internal/entry/attempt_test.go
+++ b/internal/entry/attempt_test.go
@@ -10,10 +10,7 @@
 	"ledgesill.dev/ledgesill/pkg/retry"
 )
 
-// Seen: by reading. A target told a failure, the attempt beside it was refused, and
-// the caller got "unknown" in place of the failure.
-// How: the last answer that came was kept, whatever it said.
-// Proof: the two ends in this order.
+// Guards against a target's failure that is replaced by the refusal of a hedged attempt.
 func TestToldFailureIsKeptWhenTheHedgeIsRefused(t *testing.T) {
 	now := time.Now()
 	e := &execution{
--- a/internal/entry/suspension_test.go
+++ b/internal/entry/suspension_test.go
@@ -12,10 +12,7 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Seen: by reading, a box whose machine was suspended for longer than its lease on a pool
-// went on granting slots while another box held the lease.
-// Cause: the steady clock, which stands still in a suspension.
-// Proof: seconds pass in a suspension only, and the pool is no longer held.
+// Guards against a box that goes on granting slots after its lease ended in a suspension.
 func TestLeaseEndsInASuspension(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var asleep atomic.Int64
--- a/internal/entry/targetlimits_test.go
+++ b/internal/entry/targetlimits_test.go
@@ -13,10 +13,8 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Seen: a target that named how many requests a second it takes from all boxes together
-// got 50 times as much from the box that holds its pool, and its checks came on top.
-// Cause: what a target said of itself in an answer was read by nobody.
-// Proof: the target's own count, checks included.
+// Guards against a rate-limited target that gets more than it names, checks of its health
+// included.
 func TestTargetGetsNoMoreThanItNames(t *testing.T) {
 	const (
 		limit  = 3.0
--- a/internal/gateway/failures_test.go
+++ b/internal/gateway/failures_test.go
@@ -28,11 +28,7 @@
 	})
 }
 
-// Seen: a 5xx answer that was long or slow was replaced by 502 of the box's own.
-// How: the target was the only one, or the others broke or turned the request away.
-// Cause: an answer whose body had not been collected whole was given up before a
-// better one was known.
-// Proof: the caller gets it whole where nothing better comes.
+// Guards against a target's long or slow 5xx that is replaced by an answer of the box's own.
 func TestLongFailureIsPassedOnWhereNothingBetterComes(t *testing.T) {
 	long := strings.Repeat("x", 2*wholeAnswer)
 	t.Run("the only target", func(t *testing.T) {
@@ -117,11 +113,8 @@
 	})
 }
 
-// Seen: a request that found no second target took a retry from the budget, which
-// another request that had a second target then lacked.
-// Cause: the retry was taken before a target was chosen.
-// Proof: with a budget of one retry, a request without another target leaves it to
-// the next one.
+// Guards against a retry that is taken from the budget by a request that finds no second
+// target.
 func TestRetryIsTakenOnlyWithATarget(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		config := testConfig()
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -124,10 +124,8 @@
 	return c, nil
 }
 
-// Seen: by reading only. A box that stops closed the connections that rested. A
-// request that had been read, but whose connection did not count as active yet, went
-// to a target, and its caller lost the answer; a planned stop must not do that.
-// Proof: with the stop between the two the caller gets no answer.
+// Guards against a stopping box that closes a connection on which a request has just been
+// read.
 func TestRequestThatCrossesTheStopIsServed(t *testing.T) {
 	g := newGateway(t, newTarget(t, served))
 	c := g.daemon.callers
--- a/internal/gateway/longanswers_test.go
+++ b/internal/gateway/longanswers_test.go
@@ -37,13 +37,7 @@
 	return int(n), nil
 }
 
-// Seen: a download whose target began to answer after 0.6 s was not at its caller
-// after 9.6 s, and held a slot of its target for 3.4 s.
-// Cause: all long answers under way shared a third of the link piece by piece, and
-// more were let in than that third carries, so that none ended.
-// Proof: the load above. Before, 63 of 400 were in time, the slowest took 12.7 s and
-// held its target for 12.2 s; now 120 are, with 231 let in instead of 282, and none
-// waits for more than 0.75 s beyond its own bytes.
+// Guards against long answers that share a narrow link so that none of them ends.
 func TestLongAnswersOfABusyBoxEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := rand.New(rand.NewPCG(1, 1))
--- a/internal/gateway/overdue_test.go
+++ b/internal/gateway/overdue_test.go
@@ -7,10 +7,8 @@
 	"time"
 )
 
-// Seen: since an overdue target is no longer given up, one that had gone silent got
-// further requests until the first had waited for all of its time.
-// How: the balancer heard of a stuck target when its attempt ended.
-// Proof: while a request waits at a silent target, others were sent there too.
+// Guards against further requests to a target that has gone silent, while the first one still
+// waits there.
 func TestOverdueTargetGetsNoFurtherRequests(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		config := testConfig()
@@ -32,13 +30,7 @@
 	})
 }
 
-// Seen: all requests to the only target of a route were refused for as long as one
-// request was overdue there, up to the route's time-out, while the target was sound.
-// How: one connection had gone silent; the target answered on all others.
-// Cause: a target that is left out is tried by one request at once, and the overdue
-// request counted as that one until it ended.
-// Proof: once the time is over for which the target is left out, it gets requests
-// while the overdue one is still there.
+// Guards against a sound target that gets nothing for as long as one request to it is overdue.
 func TestTargetWithAnOverdueRequestIsTriedAgain(t *testing.T) {
 	t.Run("one connection is silent", targetWithASilentConnection)
 	t.Run("all targets are at work", targetsAtWork)
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -26,11 +26,7 @@
 	return p.Conn.Close()
 }
 
-// Seen: a panic in an attempt ended the box with all its requests.
-// Cause: net/http recovers panics of its handlers only; attempts run in goroutines
-// of their own.
-// Proof: the request of the attempt ends as one that may have run, its connection
-// is closed, the log has the stack, and the box serves the next request.
+// Guards against a panic in an attempt that ends the box with all its requests.
 func TestPanicOfAnAttemptEndsItsRequestOnly(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		s := newScene(t, testConfig(), 1)
--- a/internal/gateway/patience_test.go
+++ b/internal/gateway/patience_test.go
@@ -1,15 +1,5 @@
 package gateway
 
-// Seen: during a planned stop of an entry box callers got 502 within a second
-// after their target had begun to work, with seconds left for the box and for the
-// caller; the same happens at boxes that do not stop.
-// How: all targets of the route had queues. The request waited at its target for
-// longer than the balancer's patience, and the box ended it there.
-// Cause: the attempt was ended before another target was known. None had room, so
-// the request had no target at all.
-// Proof: one target that takes longer than the patience and none beside it gives
-// that 502 with the same cause in the log; where another has room it does not.
-
 import (
 	"bytes"
 	"context"
@@ -28,6 +18,8 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
+// Guards against an attempt that is ended for a target at work while no other one has
+// answered.
 // A target that works on a request for longer than the patience is not given up
 // for another one that does not answer, and never before another is known.
 func TestTargetAtWorkIsNotGivenUp(t *testing.T) {
--- a/internal/gateway/suspension_test.go
+++ b/internal/gateway/suspension_test.go
@@ -18,12 +18,6 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Seen: after a machine was suspended for seconds, by reading, what had run out
-// meanwhile still counted: the steady clock stands still in a suspension.
-//
-// Proof: each test lets seconds pass in a suspension only, in which virtual time stands
-// still as the steady clock does.
-
 // suspensions lets a test suspend the machine.
 func suspensions(t *testing.T) (suspend func(time.Duration)) {
 	t.Helper()
@@ -32,6 +26,7 @@
 	return func(d time.Duration) { asleep.Add(int64(d)) }
 }
 
+// Guards against what ran out while the machine was suspended and still counts after.
 // A permit of a window that is over would count in two windows.
 func TestPermitIsNotUsedAfterASuspension(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
--- a/internal/gateway/targetlimits_test.go
+++ b/internal/gateway/targetlimits_test.go
@@ -12,18 +12,7 @@
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
-// Seen: a target named in its answers how many requests a second it takes from all boxes
-// together, and went on getting twice as much, for as long as it said so.
-//
-// How it came about: boxes passed the answers on to their callers and sent it what they had sent
-// before.
-//
-// Cause: no box read the limit, and what a target says of itself in an answer was one box's
-// knowledge: nine boxes that each keep to all of it send nine times as much.
-//
-// Proof: the counts of a target of these tests, on the code of before 74 to 82 requests in 4 s of
-// 38 with 1, 9 and 30 boxes, none of them a second attempt; and with each guard taken out.
-
+// Guards against a rate-limited target that gets more than it names from all boxes together.
 // The sum over all boxes keeps to what a target names, for as long as it does, also where
 // no control replica can be asked.
 func TestTargetGetsNoMoreThanItNames(t *testing.T) {
--- a/internal/link/redial_test.go
+++ b/internal/link/redial_test.go
@@ -48,12 +48,8 @@
 	return counting{near, &s.closed}, nil
 }
 
-// Seen: after all machines were off, boxes that came back 0.3 s before the replicas
-// served 0.8 s after their start. How: "i/o timeout" 0.5 s after the start, for
-// replicas that had listened for 0.1 s by then.
-// Cause: the opening packet to a machine that is off is lost, and nothing was sent
-// again until the attempt was given up.
-// Proof: a process that begins to listen 0.25 s after the first attempt.
+// Guards against a process that begins to listen and is reached only when the first attempt
+// has timed out.
 func TestProcessThatStartsIsReachedSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &starting{from: time.Now().Add(250 * time.Millisecond)}
--- a/internal/link/transfer_test.go
+++ b/internal/link/transfer_test.go
@@ -16,19 +16,6 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Seen: while boxes received long updates over full links their connections to
-// control ended, and the updates began anew without end.
-//
-// How it came about: the question whether the peer is there, and its answer,
-// wait behind the data that is sent on the same connection.
-//
-// Cause: only the answer counted as the peer being there, and it had 1 s; the
-// data that arrived meanwhile did not count. And a frame as long as a stream's
-// window, 256 KB, had to be written within 2 s.
-//
-// Proof: the tests below, in virtual time: links on which every byte arrives
-// at a steady rate were closed, and the same links carry all now.
-
 func longMessage(length int) *wire.Subscribe {
 	return &wire.Subscribe{Box: strings.Repeat("x", length)}
 }
@@ -75,6 +62,7 @@
 	return took, err
 }
 
+// Guards against a connection that is closed as dead while a long message arrives on it.
 // The answer waits behind a stream's window of data in the socket's buffer,
 // 3.5 s at the 600 kbit/s that callers may leave of a link. The connection
 // stays, as data arrives.
--- a/internal/relay/following_test.go
+++ b/internal/relay/following_test.go
@@ -11,18 +11,6 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Seen: a review of the code found that a box may follow a parent that has
-// departed, that its stack grows with the updates that wait, and that it goes
-// on with them after it was told to end.
-//
-// How it came about: a state in force had the sources handed over, after all
-// that waited; each state among that did the same within it.
-//
-// Cause: a recursion, whose outermost call, with the oldest sources, came last.
-// And an update counted as sent when it was handled, not when it came.
-//
-// Proof: a box that is busy with one state while others come, below.
-
 // follow lets a number of states come, so close that they wait for a busy box.
 func (p *replicaPair) follow(n int, spacing time.Duration) {
 	state := steering.State{}
@@ -34,6 +22,8 @@
 	}
 }
 
+// Guards against a box that follows a parent which has departed, as updates that waited hand
+// over old sources last.
 // The sources of the latest state stay, also where it waited behind another.
 func TestSourcesOfTheLatestStateAreFollowed(t *testing.T) {
 	followPair(t, func(t *testing.T, p *replicaPair, inForce <-chan uint64) {
--- a/internal/relay/publishing_test.go
+++ b/internal/relay/publishing_test.go
@@ -153,10 +153,7 @@
 	})
 }
 
-// Seen: by a review. After its service had started again a publishing told
-// subscribers that all was fresh, with the version before, until the next change.
-// How: what waited when the service ended was dropped and never put again.
-// Proof: a state that is put before the end, and a new start.
+// Guards against a publishing that starts again and tells an old version as fresh.
 func TestPublishingThatStartsAgainHasTheLatestState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := NewPublishing(steering.State{}, func() time.Duration { return 0 }, func() *wire.Clock { return nil })
--- a/internal/relay/suspension_test.go
+++ b/internal/relay/suspension_test.go
@@ -10,10 +10,7 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Seen: by reading, a box took word of control of 5.1 s ago for word of 0.1 s after
-// its machine was suspended for 5 s, and a replica counted reports of boxes as fresh.
-// Cause: the steady clock, which stands still in a suspension.
-// Proof: seconds pass in a suspension only, and both are older by them.
+// Guards against word of control, and reports of boxes, that do not age in a suspension.
 func TestWordAndReportsAgeInASuspension(t *testing.T) {
 	const length = 5 * time.Second
 	followPair(t, func(t *testing.T, p *replicaPair, _ <-chan uint64) {
--- a/internal/relay/transfer_test.go
+++ b/internal/relay/transfer_test.go
@@ -19,19 +19,6 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Seen: boxes with links of 4 Mbit/s received without end after two documents
-// of together 1.2 MB; the replicas' memory grew.
-//
-// How it came about: the follower left the upstream in the middle of the
-// update and had another send the same from the first byte. The one that was
-// left went on waiting to send the rest.
-//
-// Cause: bytes that arrive did not count as a sign of life, at the follower
-// and at the connection.
-//
-// Proof: a following and two replicas over such links, below, with the bytes
-// that were sent: the state never came.
-
 const (
 	// boxBytes is what a box's link carries in a second, 4 Mbit/s.
 	boxBytes = 4_000_000 / 8
@@ -175,6 +162,7 @@
 	}
 }
 
+// Guards against a long update over a slow link that is broken off and begun anew without end.
 // An update that is longer than the follower waits for word of control.
 func TestLongUpdateArrivesOnce(t *testing.T) {
 	for _, length := range []int{1_500_000, 5_000_000} {
--- a/pkg/caller/client_test.go
+++ b/pkg/caller/client_test.go
@@ -30,10 +30,8 @@
 	return b.entryBox.RoundTrip(r)
 }
 
-// Seen: by reading and a trial. A request was sent once, then no box answered the
-// look-up; its outcome was unknown and its key empty, so that it could not be sent
-// again without the risk of a second run.
-// How: the key was told where the time ran out, not where no box was found.
+// Guards against a request that was sent and whose key is not told, so that it can't be sent
+// again safely.
 func TestKeyIsToldWhereNoBoxIsLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := caller.NewClient(caller.Config{
--- a/pkg/catalog/pack_test.go
+++ b/pkg/catalog/pack_test.go
@@ -270,11 +270,7 @@
 	}
 }
 
-// Seen: by a review. A difference whose text has 1,024 bytes could not be unpacked
-// by anyone.
-// How: at that length the frame told a window that is one byte more than the
-// decoder was given.
-// Proof: the lengths around the powers of two, to documents of several lengths.
+// Guards against a difference that nobody can unpack, at lengths around powers of two.
 func TestEveryLengthCanBeUnpacked(t *testing.T) {
 	text := bytes.Repeat([]byte("0123456789abcdef"), 8<<10)
 	for _, before := range []int{0, 1, 50, 2000, 100_000} {
--- a/pkg/consensus/longappend_test.go
+++ b/pkg/consensus/longappend_test.go
@@ -10,17 +10,6 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Seen: replicas sent several times the bytes of the documents that operators
-// put, 4 to 7 MB in each second.
-//
-// How it came about: a document of 1.5 MB takes 3 s on a link of 4 Mbit/s;
-// until then its append is not acknowledged.
-//
-// Cause: an append that is not acknowledged within a heartbeat is queued again
-// with each heartbeat, behind itself; a batch is bounded by entries, not by bytes.
-//
-// Proof: what a leader queues for one replica that does not answer, below.
-
 const (
 	// longEntry is a document of about 7,000 routes as it is written.
 	longEntry = 1_500_000
@@ -68,6 +57,7 @@
 	return appends
 }
 
+// Guards against a long append that is queued again with each heartbeat, behind itself.
 func TestLongAppendIsQueuedOnce(t *testing.T) {
 	if n := len(longAppends(t, 1, 900*time.Millisecond)); n != 1 {
 		t.Errorf("an entry under way was queued %d times within 0.9 s", n)
--- a/pkg/consensus/snapshot_test.go
+++ b/pkg/consensus/snapshot_test.go
@@ -75,11 +75,7 @@
 	}
 }
 
-// Seen: by a review. A committed entry was gone once its leader had died.
-// How: a follower acknowledged entries late, got a snapshot that ended before them,
-// and cut its log back to it; the leader had committed with that acknowledgement.
-// Cause: a snapshot replaced the log also where the log held its last entry.
-// Proof: the order below, with messages taken out by hand.
+// Guards against a late snapshot that cuts off entries which a follower has acknowledged.
 func TestSnapshotLeavesAcknowledgedEntries(t *testing.T) {
 	s := newSlowFollower(t)
 	r := s.leader.replica
@@ -116,10 +112,7 @@
 	}
 }
 
-// Seen: by a review. A long append that was lost was sent again 40 times.
-// How: each read sends an empty append; each of those behind the lost one is
-// rejected, and each rejection had the entries sent again.
-// Proof: 40 reads within a round trip.
+// Guards against a lost append that is sent again with each rejection behind it.
 func TestRejectionsOfOneLossSendItOnce(t *testing.T) {
 	c := newCluster(3, 1)
 	leader := c.elect(t)
--- a/pkg/distribution/joining_test.go
+++ b/pkg/distribution/joining_test.go
@@ -12,14 +12,6 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Seen: after all boxes of a large deployment were down at once it took its entry
-// boxes longer to serve than those of a small one, while the replicas had
-// their state from the disk at once.
-// Cause: a box that has just started takes the state of a source without word of
-// control only after it has asked all sources, and each of them sent it the whole
-// state: of 1,400 targets that is a third of a second on its link, each time.
-// Proof: the bytes of all updates to a box that meets three such sources.
-
 const (
 	// joinTargets is how many targets the largest deployment of the users has.
 	joinTargets = 1_400
@@ -53,6 +45,7 @@
 	return s
 }
 
+// Guards against a box that starts and receives the whole state from each source that it asks.
 func TestStateCrossesTheLinkOnceWhenAllWereDown(t *testing.T) {
 	full := targetsState(t, joinTargets)
 	earlier := targetsState(t, joinTargets-10)
--- a/pkg/distribution/sources_test.go
+++ b/pkg/distribution/sources_test.go
@@ -6,18 +6,6 @@
 	"time"
 )
 
-// Seen: a review of the code found that a sound upstream is given up for a dead
-// first choice every 6 s, and that a box without sources may end with a panic.
-//
-// How it came about: a follower of another than its first choice goes back to
-// it after 5 s, whatever came of the last time; and the event of a subscription
-// that was being opened when the sources became none was taken.
-//
-// Cause: the follower did not remember that the return had failed, and a
-// subscription whose source is gone kept its number.
-//
-// Proof: the machine with a dead first choice, and without sources, below.
-
 // choices is a follower whose first choice may be dead; the second is sound.
 type choices struct {
 	*following
@@ -55,6 +43,8 @@
 	}
 }
 
+// Guards against a sound upstream that is left again and again for a dead first choice, and a
+// panic without sources.
 // A dead first choice is tried again and again, but ever more seldom.
 func TestSoundUpstreamIsSeldomGivenUpForADeadOne(t *testing.T) {
 	c := &choices{following: newTestFollowing(), dead: true}
--- a/pkg/distribution/transfer_test.go
+++ b/pkg/distribution/transfer_test.go
@@ -8,18 +8,6 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Seen: boxes with links of 4 Mbit/s received without end after two documents
-// of together 1.2 MB, and went by the old ones for a minute.
-//
-// How it came about: an update of 1.2 MB takes 2.4 s there, and while it
-// arrives no other word does. The follower counted that as silence, left its
-// upstream after 1.6 s and had another send the same from the first byte.
-//
-// Cause: only whole updates counted as a sign of life.
-//
-// Proof: the machine with what it is told of an update that arrives steadily,
-// below; it left its upstream in the middle.
-
 const (
 	testStale = 1600 * time.Millisecond
 	testStep  = 100 * time.Millisecond
@@ -81,6 +69,7 @@
 	return after, false
 }
 
+// Guards against a follower that leaves its upstream in the middle of a long update.
 func TestUpstreamThatIsSendingAnUpdateIsKept(t *testing.T) {
 	f := newTestFollowing()
 	f.open()
--- a/pkg/distribution/words_test.go
+++ b/pkg/distribution/words_test.go
@@ -8,25 +8,11 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// Seen: on a day on which half of the targets were replaced twice and others were
-// released and scaled in, each entry box was reported to take three times as much
-// processor time as on other days, and the day was given up for it.
-//
-// How it came about: an update brings a box some twenty words of targets at once, up to
-// 25 times a second, and the box applies them one by one.
-//
-// Cause: each word went through all targets several times and copied their list, so
-// that an update cost the product of its words and all targets: at 3,000 targets and
-// 20 words 1.6 ms of a core and 660 KB of garbage (BenchmarkTargetsReplaced of the
-// gateway). That this is what the boxes of that day did is supposed: no play of ours
-// showed three times the time, one day and seed fell by a quarter without it.
-//
-// Proof: the bytes that an update leaves, below; they are those of 20 lists.
-
 // mostLists is how many times the list of targets may be copied for an update, however
 // many words it brings.
 const mostLists = 3
 
+// Guards against an update whose cost is the product of its registrations and all targets.
 func TestUpdateCopiesTargetsOnce(t *testing.T) {
 	const targets, words, pointer = 3000, 20, 8
 	s := steering.State{}
--- a/pkg/retry/window_test.go
+++ b/pkg/retry/window_test.go
@@ -70,13 +70,8 @@
 	}
 }
 
-// Seen: on one day of 120 the boxes together sent 0.4 in 100 more repeats than the
-// share allows; the same day broke it on the code of before, and once not.
-// How: suspected, not shown on that day: callers move from one box to another while
-// targets begin to turn requests away.
-// Cause: each box counts its own window. The one that callers left still has the
-// retries of the requests of before, the other those of the requests that came.
-// Proof: two boxes, of whose callers nine in ten of the first go to the second.
+// Guards against more repeats than the share allows where callers move from one box to
+// another.
 func TestWindowsOfTwoBoxesBoundRetriesWhenCallersMove(t *testing.T) {
 	const (
 		share, extra = 0.2, 4.0
