--- a/contrib/demo/workspaces.go
+++ b/contrib/demo/workspaces.go
@@ -101,9 +101,11 @@
 
 // workspaceDemo drives the workspaces and keeps what became of their requests.
 type workspaceDemo struct {
-	driver *driver
-	target *workspaceTarget
-	needy  *limitedTarget
+	driver  *driver
+	target  *workspaceTarget
+	limited *limitedTarget
+	// backingOff is the target that asks for back-offs.
+	backingOff *backingOffTarget
 
 	mu     sync.Mutex
 	counts map[string]map[string]int
@@ -121,8 +123,12 @@
 			return nil, err
 		}
 	}
-	w.needy = &limitedTarget{next: w.target}
-	if err := w.startTarget(ctx, workspaceTargets, w.needy); err != nil {
+	w.limited = &limitedTarget{next: w.target}
+	if err := w.startTarget(ctx, workspaceTargets, w.limited); err != nil {
+		return nil, err
+	}
+	w.backingOff = &backingOffTarget{next: w.target}
+	if err := w.startTarget(ctx, workspaceTargets+1, w.backingOff); err != nil {
 		return nil, err
 	}
 	for i := range gateways {
@@ -202,7 +208,7 @@
 
 func (w *workspaceDemo) send(ctx context.Context, one demoWorkspace, box, id string) {
 	kind := "other"
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+box+"/flag/"+id, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+box+"/flag/"+id+"/"+box, nil)
 	if err == nil {
 		request.Host = workspaceHost
 		request.Header.Set("Ledgesill-Request-Id", id)
@@ -254,7 +260,7 @@
 		}
 		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t\n", one.name, limit, asked, c["served"], c["overLimit"], c["other"], most, allowed)
 	}
-	broken = append(broken, table.Flush(), w.needy.report())
+	broken = append(broken, table.Flush(), w.limited.report(), w.backingOff.report())
 	return errors.Join(broken...)
 }
 
