balance: let a target recover beside an overdue request

What callers would see: after a back-off a target gets nothing for as long as one request to it is overdue, up to the route's time-out. By reading; the new test TestOverdueRequestDoesNotKeepATargetFromRecovering failed before. Cause: the one request that a recovering target may have counted overdue ones.

--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -21,8 +21,8 @@
 	// targetPermitWait bounds how long a request waits for permits of targets that name
 	// limits before it goes to others: a way between regions and back.
 	targetPermitWait = 100 * time.Millisecond
-	// maxSkippedLimited is how many rate-limited targets a request is kept from before it goes to one
-	// that names no limit, or is refused if there is none: where a thousand are at their
+	// maxSkippedLimited is how many rate-limited targets a request is kept from before it goes
+	// to one that names no limit, or is refused if there is none: where a thousand are at their
 	// limits, asking for each in turn would take the box's processor time. One about an object
 	// is kept from its home alone: another rate-limited target does not know the object, takes
 	// longer for it, and lacks the permit for objects of its own.
@@ -38,7 +38,7 @@
 	// reportPause is the least time between two reports for the sake of limits. Asks for permits
 	// tell what is new besides.
 	reportPause = 250 * time.Millisecond
-	// maxReported bounds the words in one report, of some 40 bytes each.
+	// maxReported bounds the targets in one report, of some 40 bytes each.
 	maxReported = 256
 )
 
@@ -219,7 +219,7 @@
 	permitEnds time.Time
 }
 
-// choosePermitted chooses a target. One that names a limit is passed over without a permit,
+// choosePermitted chooses a target. A rate-limited one is skipped without a permit,
 // for which it waits no longer than a time.
 func (c *call) choosePermitted(ctx context.Context, wait time.Duration) (chosen, error) {
 	waitEnds := c.gateway.permitWaitEnds(wait)
--- a/pkg/balance/backoff.go
+++ b/pkg/balance/backoff.go
@@ -78,4 +78,7 @@
 	return n
 }
 
+// trying is how many requests are in flight whose answers may still come in time.
+func (t *targetState) trying() int { return t.inFlight - t.overdue }
+
 func (t *targetState) isBackedOff(now time.Time) bool { return t.backOff.IsActive(now) }
--- a/pkg/balance/backoff_test.go
+++ b/pkg/balance/backoff_test.go
@@ -194,3 +194,23 @@
 		t.Errorf("ended: %+v, skipped %d", ended, skipped)
 	}
 }
+
+// Guards against a sound target that gets nothing after a back-off for as long as one
+// request to it is overdue.
+func TestOverdueRequestDoesNotKeepATargetFromRecovering(t *testing.T) {
+	w := newBackOffWorld(1)
+	w.balancer.BackOff(w.now, "t0", targetstatus.Status{BackOff: time.Second})
+	w.now = w.now.Add(2 * time.Second)
+	c, err := w.choose()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.choose(); err == nil {
+		t.Fatal("a second request at once")
+	}
+	w.balancer.Overdue(w.now, Report{TargetID: c.Target.ID, Route: "r", Outcome: Stuck, Took: time.Second})
+	w.now = w.now.Add(time.Minute)
+	if _, err := w.choose(); err != nil {
+		t.Errorf("gets nothing beside an overdue request: %v", err)
+	}
+}
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -204,7 +204,7 @@
 
 // isUsable reports whether a target may be sent any request at all.
 func (b *Balancer) isUsable(now time.Time, t *targetState) bool {
-	return b.isOpen(now, t) && !now.Before(t.throttledUntil) && t.backOff.Allows(now, t.inFlight) && b.hasRoom(now, t)
+	return b.isOpen(now, t) && !now.Before(t.throttledUntil) && t.backOff.Allows(now, t.trying()) && b.hasRoom(now, t)
 }
 
 // isOpen is isUsable but for permits, back-offs and room.
--- a/pkg/balance/limited.go
+++ b/pkg/balance/limited.go
@@ -79,7 +79,7 @@
 	if t.limited {
 		wait, reason = max(t.throttledUntil.Sub(now), wait), ReasonLimited
 	}
-	if !t.backOff.Allows(now, t.inFlight) {
+	if !t.backOff.Allows(now, t.trying()) {
 		wait, reason = max(t.backOff.Left(now), wait), ReasonBackedOff
 	}
 	return wait, reason
