targetstatus: say report, update and candidate of what answers carry

SaysLimit, ToldLoad, Said and the like become ReportsLimit, ReportedLoad and TargetUpdate. No behaviour changes; tests pass unchanged but for names.

--- a/contrib/soak/speaking.go
+++ b/contrib/soak/backoff.go
@@ -48,9 +48,9 @@
 	return false
 }
 
-// keepSpeaking has one target after the other ask for back-offs, and some of them leave,
+// keepRejecting has one target after the other ask for back-offs, and some of them leave,
 // until the context ends.
-func (w *world) keepSpeaking(ctx context.Context, r *rand.Rand) {
+func (w *world) keepRejecting(ctx context.Context, r *rand.Rand) {
 	var leaving sync.WaitGroup
 	defer leaving.Wait()
 	for n := 0; ctx.Err() == nil; n++ {
--- a/contrib/soak/main.go
+++ b/contrib/soak/main.go
@@ -159,7 +159,7 @@
 	spoke := make(chan struct{})
 	go func() {
 		defer close(spoke)
-		w.keepSpeaking(ctx, rand.New(rand.NewPCG(w.seed, 13)))
+		w.keepRejecting(ctx, rand.New(rand.NewPCG(w.seed, 13)))
 	}()
 	if n.allOff {
 		w.disturbances(length / 2)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -256,10 +256,10 @@
 	if err != nil {
 		return failedAttempt(ctx, err, connected.Load())
 	}
-	said := s.pool.observe(s.target, response, s.began)
+	status := s.pool.observe(s.target, response, s.began)
 	if shed(response) {
 		_ = response.Body.Close()
-		return refusal("the target refused it", retryAfterOf(response, said)), retry.NotRun, admission.Shed
+		return refusal("the target refused it", retryAfterOf(response, status)), retry.NotRun, admission.Shed
 	}
 	return readAnswer(response, s, r.repeatable)
 }
--- a/internal/entry/backoff_test.go
+++ b/internal/entry/backoff_test.go
@@ -138,15 +138,15 @@
 func TestChecksOfHealthAreRead(t *testing.T) {
 	p := newPool("s", "box", "i", 1)
 	p.limited.Store(true)
-	p.observeCheck("t", &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}, time.Time{})
+	p.observeHealth("t", &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}, time.Time{})
 	if n := len(p.inbox); n > 0 {
 		t.Errorf("%d events of an answer that says nothing", n)
 	}
-	p.observeCheck("t", &http.Response{StatusCode: http.StatusOK, Header: http.Header{caller.HeaderLeaving: {"1"}}}, time.Now())
-	if u := (<-p.inbox).(poolEvent).event.(admission.Said).Update; !u.Leaving || !u.Sent.IsZero() {
+	p.observeHealth("t", &http.Response{StatusCode: http.StatusOK, Header: http.Header{caller.HeaderLeaving: {"1"}}}, time.Now())
+	if u := (<-p.inbox).(poolEvent).event.(admission.TargetUpdate).Update; !u.Leaving || !u.Sent.IsZero() {
 		t.Errorf("the pool is told %+v", u)
 	}
-	p.observeCheck("t", &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {"2"}}}, time.Now())
+	p.observeHealth("t", &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {"2"}}}, time.Now())
 	if b := (<-p.inbox).(poolEvent).event.(admission.BackOff); b.Wait != 2*time.Second {
 		t.Errorf("the pool is told %+v", b)
 	}
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -96,7 +96,7 @@
 		return m, err
 	}
 	defer response.Body.Close()
-	p.observeCheck(name, response, began)
+	p.observeHealth(name, response, began)
 	var h targetHealth
 	if err := json.NewDecoder(response.Body).Decode(&h); err != nil {
 		return m, err
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -137,7 +137,7 @@
 			delete(p.waiting, c.ID)
 		}
 		out := p.admission.Handle(now, m.event)
-		if _, ok := m.event.(admission.Said); ok {
+		if _, ok := m.event.(admission.TargetUpdate); ok {
 			p.limited.Store(p.admission.AnyLimited())
 		}
 		return p.carryOut(now, out)
--- a/internal/entry/targetlimits_test.go
+++ b/internal/entry/targetlimits_test.go
@@ -87,7 +87,7 @@
 		p.observe("t", &http.Response{StatusCode: c.status, Header: c.header}, time.Time{})
 		got := 0.0 // for no update
 		if len(p.inbox) > 0 {
-			got = (<-p.inbox).(poolEvent).event.(admission.Said).Update.Limit
+			got = (<-p.inbox).(poolEvent).event.(admission.TargetUpdate).Update.Limit
 		}
 		if got != c.want {
 			t.Errorf("%s: the pool is told %v, want %v", name, got, c.want)
--- a/internal/entry/targetstatus.go
+++ b/internal/entry/targetstatus.go
@@ -18,38 +18,38 @@
 // observe tells the pool what an answer says of its target; began is when the request was
 // sent.
 func (p *pool) observe(target string, response *http.Response, began time.Time) targetstatus.Status {
-	said := statusHeaders.Decode(response.StatusCode, response.Header, time.Now) // time of day: a Retry-After may be a date
-	said.NotRun = shed(response)
-	p.tellSaid(target, said, began)
-	return said
+	status := statusHeaders.Decode(response.StatusCode, response.Header, time.Now) // time of day: a Retry-After may be a date
+	status.NotRun = shed(response)
+	p.report(target, status, began)
+	return status
 }
 
-// observeCheck tells the pool what the answer to a check of its health says of a target. One
+// observeHealth tells the pool what the answer to a check of its health says of a target. One
 // without a limit does not take a limit back: it may come from elsewhere in the target.
-func (p *pool) observeCheck(target string, response *http.Response, began time.Time) {
-	said := statusHeaders.Decode(response.StatusCode, response.Header, time.Now) // time of day: a Retry-After may be a date
-	said.NotRun = true
-	p.tellSaid(target, said, began)
+func (p *pool) observeHealth(target string, response *http.Response, began time.Time) {
+	status := statusHeaders.Decode(response.StatusCode, response.Header, time.Now) // time of day: a Retry-After may be a date
+	status.NotRun = true
+	p.report(target, status, began)
 }
 
-func (p *pool) tellSaid(target string, said targetstatus.Status, began time.Time) {
-	if said.BackOff > 0 {
-		if now := p.clock.Now(); p.backOffs.add(now, target, now.Add(said.BackOff)) && p.backedOff != nil {
-			p.backedOff(target, said.BackOff)
+func (p *pool) report(target string, status targetstatus.Status, began time.Time) {
+	if status.BackOff > 0 {
+		if now := p.clock.Now(); p.backOffs.add(now, target, now.Add(status.BackOff)) && p.backedOff != nil {
+			p.backedOff(target, status.BackOff)
 		}
-		p.inbox <- poolEvent{admission.BackOff{Target: target, Wait: said.BackOff}}
+		p.inbox <- poolEvent{admission.BackOff{Target: target, Wait: status.BackOff}}
 	}
-	if !said.HasLimit && !said.Leaving && !(said.SaysLimit() && p.limited.Load()) {
+	if !status.HasLimit && !status.Leaving && !(status.ReportsLimit() && p.limited.Load()) {
 		return // says nothing new
 	}
-	u := targetstatus.Update{Incarnation: target, Limit: targetstatus.NoLimit, Leaving: said.Leaving, Sent: began, Received: p.clock.Now()}
-	if said.HasLimit {
-		u.Limit = said.Limit
+	u := targetstatus.Update{Incarnation: target, Limit: targetstatus.NoLimit, Leaving: status.Leaving, Sent: began, Received: p.clock.Now()}
+	if status.HasLimit {
+		u.Limit = status.Limit
 	}
-	if !said.SaysLimit() {
+	if !status.ReportsLimit() {
 		u = u.WithoutLimit()
 	}
-	p.inbox <- poolEvent{admission.Said{Target: target, Update: u}}
+	p.inbox <- poolEvent{admission.TargetUpdate{Target: target, Update: u}}
 }
 
 // slotKey is the key of a request's slot in its context.
@@ -126,8 +126,8 @@
 
 // retryAfterOf is when the caller of a rejected request may come back: when the target
 // says so, or at once where that was about the box, as another target may have room.
-func retryAfterOf(response *http.Response, said targetstatus.Status) time.Duration {
-	if said.BackOff > 0 {
+func retryAfterOf(response *http.Response, status targetstatus.Status) time.Duration {
+	if status.BackOff > 0 {
 		return minRetryAfter
 	}
 	wait, ok := targetstatus.ParseRetryAfter(response.Header, time.Now) // time of day: a Retry-After may be a date
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -227,7 +227,7 @@
 }
 
 func (c *call) notRun(out *answer) bool {
-	return out.said.NotRun
+	return out.targetStatus.NotRun
 }
 
 // worthAnother reports whether an answer should be sought elsewhere, because
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -32,8 +32,8 @@
 type answer struct {
 	status int
 	header http.Header
-	// said is what its head says of the target.
-	said targetstatus.Status
+	// targetStatus is what its head says of the target.
+	targetStatus targetstatus.Status
 	// body is the whole body, or its beginning if rest is not nil.
 	body []byte
 	rest io.Reader
@@ -227,8 +227,8 @@
 }
 
 // read takes the body of the answer, at least its beginning.
-func (a *attempt) read(c *connection, response *http.Response, said targetstatus.Status, sent *sending) (*answer, error) {
-	out := &answer{status: response.StatusCode, header: response.Header, said: said, length: response.ContentLength}
+func (a *attempt) read(c *connection, response *http.Response, status targetstatus.Status, sent *sending) (*answer, error) {
+	out := &answer{status: response.StatusCode, header: response.Header, targetStatus: status, length: response.ContentLength}
 	idle := idleTime(response.Header.Get("Keep-Alive"))
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	out.finish = func(whole bool) {
--- a/internal/gateway/hedging.go
+++ b/internal/gateway/hedging.go
@@ -167,7 +167,7 @@
 		}
 	} else {
 		report.Outcome = c.judgeAnswer(e.out)
-		report.Load, report.HasLoad = e.out.said.Load, e.out.said.HasLoad
+		report.Load, report.HasLoad = e.out.targetStatus.Load, e.out.targetStatus.HasLoad
 		c.releaseWhenRead(e.out, func() { e.cancel(nil) })
 	}
 	c.last.outcome = report.Outcome
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -32,7 +32,7 @@
 	permitPause = 50 * time.Millisecond
 	// leastPermitPause keeps a target from being asked for by each request in turn.
 	leastPermitPause = 5 * time.Millisecond
-	// reportTime is for how long each report tells what a target said: three of the longest
+	// reportTime is for how long each report carries an update: three of the longest
 	// intervals between two, as reports may be lost and replicas start anew.
 	reportTime = 6 * time.Second
 	// reportPause is the least time between two reports for the sake of limits. Asks for permits
@@ -134,7 +134,7 @@
 	return l.known.Limit(target)
 }
 
-// isLeaving reports whether a target said that it leaves.
+// isLeaving reports whether a target reported that it leaves.
 func (l *targetLimits) isLeaving(target string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/gateway/targetstatus.go
+++ b/internal/gateway/targetstatus.go
@@ -16,29 +16,29 @@
 // becomes of the body and the request.
 func (a *attempt) observe(response *http.Response) targetstatus.Status {
 	d := a.gateway
-	said := d.config.Protocol.Status.Decode(response.StatusCode, response.Header, time.Now) // time of day: a Retry-After may be a date
-	if len(said.Unread) > 0 {
-		d.recordUnread(a, said.Unread)
+	status := d.config.Protocol.Status.Decode(response.StatusCode, response.Header, time.Now) // time of day: a Retry-After may be a date
+	if len(status.Unread) > 0 {
+		d.logUnread(a, status.Unread)
 	}
-	if said.ColdLeft > 0 {
-		d.setColdLeft(a.target.ID, said.ColdLeft)
+	if status.ColdLeft > 0 {
+		d.setColdLeft(a.target.ID, status.ColdLeft)
 	}
-	if said.BackOff > 0 {
-		d.backOff(a, said)
+	if status.BackOff > 0 {
+		d.backOff(a, status)
 	}
-	if said.SaysLimit() || said.Leaving {
-		d.share(a, said)
+	if status.ReportsLimit() || status.Leaving {
+		d.share(a, status)
 	}
-	return said
+	return status
 }
 
 // share takes what an answer says to all boxes, and has them told if that is new.
-func (d *Daemon) share(a *attempt, said targetstatus.Status) {
-	u := targetstatus.Update{Incarnation: a.target.ID, Limit: targetstatus.NoLimit, Leaving: said.Leaving, Sent: a.began, Received: d.clock.Now()}
-	if said.HasLimit {
-		u.Limit = said.Limit
+func (d *Daemon) share(a *attempt, status targetstatus.Status) {
+	u := targetstatus.Update{Incarnation: a.target.ID, Limit: targetstatus.NoLimit, Leaving: status.Leaving, Sent: a.began, Received: d.clock.Now()}
+	if status.HasLimit {
+		u.Limit = status.Limit
 	}
-	if !said.SaysLimit() {
+	if !status.ReportsLimit() {
 		u = u.WithoutLimit()
 	}
 	change, changed := d.targetLimits.receive(u)
@@ -52,10 +52,10 @@
 }
 
 // backOff has this box send a target nothing for a time.
-func (d *Daemon) backOff(a *attempt, said targetstatus.Status) {
+func (d *Daemon) backOff(a *attempt, status targetstatus.Status) {
 	now := d.clock.Now()
 	d.balancing.Lock()
-	began := d.balancing.balancer.BackOff(now, a.target.ID, said)
+	began := d.balancing.balancer.BackOff(now, a.target.ID, status)
 	d.balancing.Unlock()
 	if !began {
 		return
@@ -63,7 +63,7 @@
 	d.metrics.backOffs.Inc()
 	if d.otherLines.Take(now) {
 		d.log.Warn().Str("kind", "backOff").Str("target", a.target.ID).Str("targetZone", a.target.Zone).
-			Str("request", a.id).Dur("retryAfter", said.BackOff).Msg("target asked for a back-off")
+			Str("request", a.id).Dur("retryAfter", status.BackOff).Msg("target asked for a back-off")
 	}
 }
 
@@ -95,8 +95,8 @@
 	return float64(d.balancing.balancer.BackedOff(d.clock.Now()))
 }
 
-// recordUnread logs headers of a target that could not be read; the answer counts as without.
-func (d *Daemon) recordUnread(a *attempt, headers []string) {
+// logUnread logs headers of a target that could not be read; the answer counts as without.
+func (d *Daemon) logUnread(a *attempt, headers []string) {
 	if d.otherLines.Take(d.clock.Now()) {
 		d.log.Warn().Str("kind", "unreadHeaders").Str("target", a.target.ID).Str("request", a.id).Strs("headers", headers).
 			Msg("headers of a target can't be read")
--- a/pkg/admission/backoff.go
+++ b/pkg/admission/backoff.go
@@ -6,12 +6,12 @@
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
-// leavingMemory is for how long a target counts as leaving after the last answer that said
-// so. Its next incarnation has the same name, and may have started between two checks of
+// leavingMemory is for how long a target counts as leaving after the last answer that reported
+// it. Its next incarnation has the same name, and may have started between two checks of
 // its health.
 const leavingMemory = time.Minute
 
-func (t *target) takeLeaving(u targetstatus.Update) {
+func (t *target) receiveLeaving(u targetstatus.Update) {
 	if u.Leaving && u.Received.After(t.leavingAt) {
 		t.leavingAt = u.Received
 	}
--- a/pkg/admission/backoff_test.go
+++ b/pkg/admission/backoff_test.go
@@ -65,7 +65,7 @@
 // has the same name, being left out.
 func TestPoolUsesTheNextIncarnationOfATargetThatLeft(t *testing.T) {
 	leaves := func(l *limitedPool) {
-		l.handle(Said{"t0", targetstatus.Update{Incarnation: "t0", Leaving: true, Received: l.now}.WithoutLimit()})
+		l.handle(TargetUpdate{"t0", targetstatus.Update{Incarnation: "t0", Leaving: true, Received: l.now}.WithoutLimit()})
 		l.load(time.Second)
 		if l.granted["t0"] > 0 {
 			t.Fatalf("it got %d requests", l.granted["t0"])
--- a/pkg/admission/event.go
+++ b/pkg/admission/event.go
@@ -117,8 +117,8 @@
 	Busy int
 }
 
-// Said is what a target said in an answer that concerns all boxes.
-type Said struct {
+// TargetUpdate is what an answer of a target reports to all boxes.
+type TargetUpdate struct {
 	Target string
 	Update targetstatus.Update
 }
@@ -132,15 +132,15 @@
 // Tick lets time pass.
 type Tick struct{}
 
-func (Configure) event() {}
-func (Hold) event()      {}
-func (Arrive) event()    {}
-func (Cancel) event()    {}
-func (Finish) event()    {}
-func (Measure) event()   {}
-func (Said) event()      {}
-func (BackOff) event()   {}
-func (Tick) event()      {}
+func (Configure) event()    {}
+func (Hold) event()         {}
+func (Arrive) event()       {}
+func (Cancel) event()       {}
+func (Finish) event()       {}
+func (Measure) event()      {}
+func (TargetUpdate) event() {}
+func (BackOff) event()      {}
+func (Tick) event()         {}
 
 // Reason says why a request was refused.
 type Reason string
--- a/pkg/admission/limited.go
+++ b/pkg/admission/limited.go
@@ -26,20 +26,20 @@
 // grants at most limit * (limitShare+checkShare) * (T+limitDepth) + 2 requests and checks.
 // A new holder begins with an empty bucket once the target has told it.
 type rate struct {
-	said      targetstatus.Shared
+	shared    targetstatus.Shared
 	tokens    float64
 	at        time.Time
 	checkedAt time.Time
 }
 
 func newRate(target string) rate {
-	return rate{said: targetstatus.Shared{Incarnation: target}}
+	return rate{shared: targetstatus.Shared{Incarnation: target}}
 }
 
-// take takes what the target said.
+// take takes an update of the target.
 func (r *rate) take(now time.Time, u targetstatus.Update) {
 	had := r.hasLimit()
-	r.said = r.said.With(u)
+	r.shared = r.shared.With(u)
 	if r.hasLimit() && !had {
 		r.tokens = 0
 		r.at = now
@@ -47,9 +47,9 @@
 	}
 }
 
-func (r *rate) hasLimit() bool { return r.said.Limit() < targetstatus.NoLimit }
+func (r *rate) hasLimit() bool { return r.shared.Limit() < targetstatus.NoLimit }
 
-func (r *rate) perSecond() float64 { return max(r.said.Limit(), leastLimit) }
+func (r *rate) perSecond() float64 { return max(r.shared.Limit(), leastLimit) }
 
 // free returns how many requests the limit allows now.
 func (r *rate) free(now time.Time) int {
--- a/pkg/admission/limited_test.go
+++ b/pkg/admission/limited_test.go
@@ -7,8 +7,8 @@
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
-func named(target string, perSecond float64, now time.Time) Said {
-	return Said{target, targetstatus.Update{Incarnation: target, Limit: perSecond, Sent: now, Received: now}}
+func named(target string, perSecond float64, now time.Time) TargetUpdate {
+	return TargetUpdate{target, targetstatus.Update{Incarnation: target, Limit: perSecond, Sent: now, Received: now}}
 }
 
 // limitedPool is a pool that is asked for more than its targets' limits for a time.
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -65,10 +65,10 @@
 		if t := p.find(e.Target); t != nil {
 			t.measure(now, e, p.config)
 		}
-	case Said:
+	case TargetUpdate:
 		if t := p.find(e.Target); t != nil {
 			t.rate.take(now, e.Update)
-			t.takeLeaving(e.Update)
+			t.receiveLeaving(e.Update)
 		}
 	case BackOff:
 		if t := p.find(e.Target); t != nil {
--- a/pkg/admission/target.go
+++ b/pkg/admission/target.go
@@ -46,7 +46,7 @@
 	latency float64
 	rate    rate
 	// backOff is until when the target asked this box to send it nothing, and leavingAt when
-	// its last answer came that said that it leaves; zero for none.
+	// its last answer came that reported that it leaves; zero for none.
 	backOff   targetstatus.BackOff
 	leavingAt time.Time
 }
--- a/pkg/balance/backoff.go
+++ b/pkg/balance/backoff.go
@@ -9,13 +9,13 @@
 
 // BackOff takes a rejection in which a target asked this box to send it nothing for a time,
 // and reports whether it had not before. The rejected request still counts as in flight.
-func (b *Balancer) BackOff(now time.Time, id string, said targetstatus.Status) (began bool) {
+func (b *Balancer) BackOff(now time.Time, id string, status targetstatus.Status) (began bool) {
 	t := b.byID[id]
-	wait := said.BackOff
+	wait := status.BackOff
 	if t == nil || wait <= 0 {
 		return false
 	}
-	t.room = b.roomOf(t).withRejection(now, t.Slots, t.load(now)-1, said.ToldLoad())
+	t.room = b.roomOf(t).withRejection(now, t.Slots, t.load(now)-1, status.ReportedLoad())
 	if t.room.requests > 0 {
 		b.service(t.Service).roomPerSlot = t.room.requests / float64(max(t.Slots, 1))
 	}
@@ -41,7 +41,7 @@
 }
 
 // CanSend reports whether a request that was to go to a target may still be sent: the
-// target may have asked for a back-off since it was chosen, or said that it leaves.
+// target may have asked for a back-off since it was chosen, or status that it leaves.
 func (b *Balancer) CanSend(now time.Time, id string) bool {
 	t := b.byID[id]
 	return t == nil || !t.isBackedOff(now) && !t.isGone(now)
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -198,7 +198,7 @@
 // Knows reports whether a target is registered.
 func (b *Balancer) Knows(id string) bool { return b.byID[id] != nil }
 
-// IsLeaving reports whether a target ends as planned: it drains, said that it leaves, or
+// IsLeaving reports whether a target ends as planned: it drains, reported that it leaves, or
 // has left.
 func (b *Balancer) IsLeaving(id string) bool {
 	t := b.byID[id]
--- a/pkg/balance/leaving.go
+++ b/pkg/balance/leaving.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// leavingGrace is for how long a target that said that it leaves is still used where no
+// leavingGrace is for how long a target that reported that it leaves is still used where no
 // other can be: it serves for longer than that.
 const leavingGrace = time.Second
 
-// SetLeaving takes that a target said that it leaves: it gets no request any more where
+// SetLeaving takes that a target reported that it leaves: it gets no request any more where
 // another target can be used, and none at all after leavingGrace. Neither a registration
 // nor another answer takes that back.
 func (b *Balancer) SetLeaving(now time.Time, id string) {
@@ -23,7 +23,7 @@
 }
 
 // lastResort returns the target that ranks highest for an object of those that have just
-// said that they leave; nil if there is none.
+// reported that they leave; nil if there is none.
 func (b *Balancer) lastResort(now time.Time, s *service, r Request, key uint64) *targetState {
 	var best ranked
 	for _, t := range s.targets {
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -93,7 +93,7 @@
 	// how many requests were kept from the target since it began.
 	backOffOpen bool
 	skipped     int
-	// leavingSince is when the target said that it leaves; zero if it did not.
+	// leavingSince is when the target reported that it leaves; zero if it did not.
 	leavingSince time.Time
 	// coldUntil is when the target counts as warm; tokens are the requests
 	// that this box may send it before that.
--- a/pkg/quota/targetissuer.go
+++ b/pkg/quota/targetissuer.go
@@ -103,7 +103,7 @@
 	}
 }
 
-// Take takes what a target said and reports whether it changed what is known.
+// Take takes an update of a target and reports whether it changed what is known.
 func (i *TargetIssuer) Take(now time.Time, u targetstatus.Update) (c targetstatus.Change, changed bool) {
 	c, changed = i.known.Take(u)
 	if changed {
--- a/pkg/targetstatus/message.go
+++ b/pkg/targetstatus/message.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// relaySlack is how much earlier than told a relayed update may have been said: it
+	// relaySlack is how much earlier than told a relayed update may have been sent: it
 	// waited on its way, which its ages don't count.
 	relaySlack = 300 * time.Millisecond
 	// longestAge bounds the ages that are told. It is longer than any request is in flight.
--- a/pkg/targetstatus/parse.go
+++ b/pkg/targetstatus/parse.go
@@ -31,11 +31,11 @@
 	if err != nil {
 		return 0, false
 	}
-	said, err := http.ParseTime(date)
+	answered, err := http.ParseTime(date)
 	if err != nil {
-		said = timeOfDay()
+		answered = timeOfDay()
 	}
-	return min(max(until.Sub(said), 0), longestBackOff), true
+	return min(max(until.Sub(answered), 0), longestBackOff), true
 }
 
 func backOffOf(seconds float64) (wait time.Duration, ok bool) {
--- a/pkg/targetstatus/registry.go
+++ b/pkg/targetstatus/registry.go
@@ -95,14 +95,14 @@
 // HasLimit reports whether a target names a limit.
 func (r *Registry) HasLimit(incarnation string) bool { return r.Limit(incarnation) < NoLimit }
 
-// IsLeaving reports whether a target said that it leaves.
+// IsLeaving reports whether a target reported that it leaves.
 func (r *Registry) IsLeaving(incarnation string) bool { return r.known[incarnation].Leaving }
 
 // ReceivedAt returns when the last update on a target had come; zero for none.
 func (r *Registry) ReceivedAt(incarnation string) time.Time { return r.known[incarnation].at }
 
 // Updates returns updates that lead another process to what is known of a target; one
-// without a limit for a target that has said nothing.
+// without a limit for a target that has reported nothing.
 func (r *Registry) Updates(incarnation string) []Update {
 	if e, ok := r.known[incarnation]; ok {
 		return e.updates()
@@ -120,7 +120,7 @@
 	return n
 }
 
-// Leaving returns how many targets said that they leave.
+// Leaving returns how many targets reported that they leave.
 func (r *Registry) Leaving() (n int) {
 	for _, e := range r.known {
 		if e.Leaving {
--- a/pkg/targetstatus/shared.go
+++ b/pkg/targetstatus/shared.go
@@ -1,6 +1,7 @@
 package targetstatus
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -10,7 +11,7 @@
 var NoLimit = math.Inf(1)
 
 // Update is what one answer of one incarnation of a target says to all boxes. The target
-// said so after Sent, when the request that it answered was sent, and before Received, when
+// sent it after Sent, when the request that it answered was sent, and before Received, when
 // the answer had come.
 type Update struct {
 	Incarnation string
@@ -26,29 +27,28 @@
 func (u Update) HasLimit() bool { return u.Limit < NoLimit }
 
 // WithoutLimit returns the update with nothing on the limit, neither one nor that there is
-// none: an update that was said before all others takes none of them back.
+// none: an update that is older than all others takes none of them back.
 func (u Update) WithoutLimit() Update {
 	u.Limit = NoLimit
 	u.Sent = time.Time{}
 	return u
 }
 
-// saidLimit is a limit and when the last answer that named it had come.
-type saidLimit struct {
+// candidateLimit is a limit and when the last answer that named it had come.
+type candidateLimit struct {
 	perSecond float64
 	received  time.Time
 }
 
-// maxSaidLimits bounds the limits of one target of which each may be the one that it said
-// last.
-const maxSaidLimits = 8
+// maxCandidates bounds the limits of one target of which each may be the latest.
+const maxCandidates = 8
 
 // Shared is what the updates of one incarnation lead to, in whatever order they come and
 // however often. It is a join of them: associative, commutative and idempotent.
 //
 // An update is superseded by another one whose request was sent after its answer had come.
-// Of those that are not superseded each may be what the target said last; the lowest limit
-// of them holds.
+// Of those that are not superseded each may be the latest one; the lowest limit of them
+// holds.
 type Shared struct {
 	Incarnation string
 	Leaving     bool
@@ -57,7 +57,7 @@
 	sent time.Time
 	// limits have come after sent. They rise, and so do their times: a limit that is
 	// superseded sooner than a lower one never holds.
-	limits []saidLimit
+	limits []candidateLimit
 }
 
 // With returns what is known once a further update has come.
@@ -66,12 +66,12 @@
 	if u.Sent.After(s.sent) {
 		s.sent = u.Sent
 	}
-	said := slices.Clone(s.limits)
+	candidates := slices.Clone(s.limits)
 	if u.HasLimit() {
-		said = append(said, saidLimit{u.Limit, u.received()})
+		candidates = append(candidates, candidateLimit{u.Limit, u.received()})
 	}
-	said = slices.DeleteFunc(said, func(l saidLimit) bool { return !l.received.After(s.sent) })
-	s.limits = rising(said)
+	candidates = slices.DeleteFunc(candidates, func(l candidateLimit) bool { return !l.received.After(s.sent) })
+	s.limits = rising(candidates)
 	return s
 }
 
@@ -84,22 +84,22 @@
 }
 
 // rising sorts limits and drops those that never hold.
-func rising(said []saidLimit) []saidLimit {
-	slices.SortFunc(said, func(a, b saidLimit) int {
-		if a.perSecond != b.perSecond {
-			return int(math.Copysign(1, a.perSecond-b.perSecond))
+func rising(candidates []candidateLimit) []candidateLimit {
+	slices.SortFunc(candidates, func(a, b candidateLimit) int {
+		if c := cmp.Compare(a.perSecond, b.perSecond); c != 0 {
+			return c
 		}
 		return b.received.Compare(a.received)
 	})
-	out := said[:0]
-	for _, l := range said {
+	out := candidates[:0]
+	for _, l := range candidates {
 		if len(out) == 0 || l.received.After(out[len(out)-1].received) {
 			out = append(out, l)
 		}
 	}
-	if len(out) > maxSaidLimits { // the lower limit then holds for longer than it must
-		out[maxSaidLimits-1].received = out[len(out)-1].received
-		out = out[:maxSaidLimits]
+	if len(out) > maxCandidates { // the lower limit then holds for longer than it must
+		out[maxCandidates-1].received = out[len(out)-1].received
+		out = out[:maxCandidates]
 	}
 	return out
 }
--- a/pkg/targetstatus/shared_test.go
+++ b/pkg/targetstatus/shared_test.go
@@ -172,8 +172,8 @@
 	return out
 }
 
-// mayBeLast returns the lowest limit of the updates that no other one supersedes.
-func mayBeLast(updates []Update) float64 {
+// lowestCandidate returns the lowest limit of the updates that no other one supersedes.
+func lowestCandidate(updates []Update) float64 {
 	lowest := NoLimit
 	for _, u := range updates {
 		superseded := slices.ContainsFunc(updates, func(other Update) bool { return !other.Sent.Before(u.received()) })
@@ -210,7 +210,7 @@
 			relayed = relayed.With(u)
 		}
 		for name, s := range map[string]Shared{"once": once, "often": often, "relayed": relayed} {
-			if got, want := s.Limit(), mayBeLast(updates); got != want {
+			if got, want := s.Limit(), lowestCandidate(updates); got != want {
 				t.Fatalf("%s: limit %v, want %v", name, got, want)
 			}
 			if want := slices.ContainsFunc(updates, func(u Update) bool { return u.Leaving }); s.Leaving != want {
@@ -226,7 +226,7 @@
 	for i := range 100 {
 		s = s.With(said(float64(1+i), 0, time.Duration(10+i)))
 	}
-	if len(s.limits) > maxSaidLimits {
+	if len(s.limits) > maxCandidates {
 		t.Errorf("%d limits are remembered", len(s.limits))
 	}
 	for at := range time.Duration(99) {
--- a/pkg/targetstatus/status.go
+++ b/pkg/targetstatus/status.go
@@ -39,20 +39,20 @@
 	// BackOff is for how long this box is to send the target nothing, counted from the
 	// answer; zero for no such request. A later, shorter one does not end it sooner.
 	BackOff time.Duration
-	// limitUnread tells that a limit was named that could not be read.
-	limitUnread bool
+	// limitUnreadable tells that a limit was named that could not be read.
+	limitUnreadable bool
 	// Unread are the names of headers that could not be read. Their fields are empty.
 	Unread []string
 }
 
-// SaysLimit reports whether the answer tells what the limit is, none included. A rejection
+// ReportsLimit reports whether the answer tells what the limit is, none included. A rejection
 // without a limit does not take an earlier one back, nor does a limit that can't be read.
-func (s Status) SaysLimit() bool {
-	return s.HasLimit || !s.NotRun && !s.limitUnread && s.BackOff == 0
+func (s Status) ReportsLimit() bool {
+	return s.HasLimit || !s.NotRun && !s.limitUnreadable && s.BackOff == 0
 }
 
-// ToldLoad returns the load, nil if the answer tells none.
-func (s Status) ToldLoad() *Load {
+// ReportedLoad returns the load, nil if the answer tells none.
+func (s Status) ReportedLoad() *Load {
 	if !s.HasLoad {
 		return nil
 	}
@@ -85,32 +85,32 @@
 	s := Status{NotRun: header.Get(h.NotRun) != ""}
 	if text := header.Get(h.Load); text != "" {
 		s.Load, s.HasLoad = h.ParseLoad(text)
-		s.recordUnread(h.Load, s.HasLoad)
+		s.logUnread(h.Load, s.HasLoad)
 	}
 	if text := header.Get(h.ColdLeft); text != "" {
 		left, ok := h.ParseCold(text)
 		s.ColdLeft = max(left, 0)
-		s.recordUnread(h.ColdLeft, ok)
+		s.logUnread(h.ColdLeft, ok)
 	}
 	if text := header.Get(h.Limit); text != "" {
 		s.Limit, s.HasLimit = ParseLimit(text)
-		s.limitUnread = !s.HasLimit
-		s.recordUnread(h.Limit, s.HasLimit)
+		s.limitUnreadable = !s.HasLimit
+		s.logUnread(h.Limit, s.HasLimit)
 	}
 	if text := header.Get(h.Leaving); text != "" {
 		leaving, err := strconv.ParseBool(strings.TrimSpace(text))
 		s.Leaving = leaving
-		s.recordUnread(h.Leaving, err == nil)
+		s.logUnread(h.Leaving, err == nil)
 	}
 	if text := header.Get(retryAfter); text != "" && code == http.StatusServiceUnavailable {
 		backOff, ok := parseRetryAfter(text, header.Get("Date"), timeOfDay)
 		s.BackOff = backOff
-		s.recordUnread(retryAfter, ok)
+		s.logUnread(retryAfter, ok)
 	}
 	return s
 }
 
-func (s *Status) recordUnread(header string, ok bool) {
+func (s *Status) logUnread(header string, ok bool) {
 	if !ok {
 		s.Unread = append(s.Unread, header)
 	}
--- a/pkg/targetstatus/status_test.go
+++ b/pkg/targetstatus/status_test.go
@@ -87,7 +87,7 @@
 }
 
 // Guards against a limit that is taken back by an answer that does not speak of limits.
-func TestSaysLimit(t *testing.T) {
+func TestReportsLimit(t *testing.T) {
 	for name, c := range map[string]struct {
 		code int
 		head http.Header
@@ -101,7 +101,7 @@
 		"back-off, without the mark": {http.StatusServiceUnavailable, http.Header{"Retry-After": {"1"}}, false},
 		"of another target":          {http.StatusMisdirectedRequest, http.Header{"Limit": {"1"}}, false},
 	} {
-		if got := headers().Decode(c.code, c.head, time.Now).SaysLimit(); got != c.want {
+		if got := headers().Decode(c.code, c.head, time.Now).ReportsLimit(); got != c.want {
 			t.Errorf("%s: %v", name, got)
 		}
 	}
