--- a/internal/entry/targetlimits_test.go
+++ b/internal/entry/targetlimits_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -23,24 +22,10 @@
 	bubble(t, func(t *testing.T) {
 		s := newSystem(t, 4)
 		s.change(&wire.Edit{Path: "/", Key: settings.ReportIntervalMillis, Value: "100"})
-		load := func(length time.Duration) {
-			var asking sync.WaitGroup
-			for range 4 {
-				asking.Go(func() {
-					c := s.client("flags")
-					for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
-						if a := s.read(c, time.Second); a.Outcome != caller.Ran {
-							s.problem("a read got %s, the other targets have room", a.Outcome)
-						}
-					}
-				})
-			}
-			asking.Wait()
-		}
-		load(time.Second)
+		s.reads(time.Second)
 		s.target("a1").target.SetLimit("3")
 		named := time.Now()
-		load(14 * time.Second)
+		s.reads(14 * time.Second)
 		most, used := 0, 0
 		var counted []time.Time
 		for _, at := range s.target("a1").target.Arrivals() {
--- a/internal/entry/targetstatus.go
+++ b/internal/entry/targetstatus.go
@@ -42,13 +42,7 @@
 	if !status.HasLimit && !status.Leaving && !(status.ReportsLimit() && p.limited.Load()) {
 		return // says nothing new
 	}
-	u := targetstatus.Update{Incarnation: target, Limit: targetstatus.NoLimit, Leaving: status.Leaving, Sent: began, Received: p.clock.Now()}
-	if status.HasLimit {
-		u.Limit = status.Limit
-	}
-	if !status.ReportsLimit() {
-		u = u.WithoutLimit()
-	}
+	u := status.Update(target, began, p.clock.Now())
 	p.inbox <- poolEvent{admission.TargetUpdate{Target: target, Update: u}}
 }
 
--- a/internal/gateway/targetstatus.go
+++ b/internal/gateway/targetstatus.go
@@ -34,14 +34,7 @@
 
 // share takes what an answer says to all boxes, and has them told if that is new.
 func (d *Daemon) share(a *attempt, status targetstatus.Status) {
-	u := targetstatus.Update{Incarnation: a.target.ID, Limit: targetstatus.NoLimit, Leaving: status.Leaving, Sent: a.began, Received: d.clock.Now()}
-	if status.HasLimit {
-		u.Limit = status.Limit
-	}
-	if !status.ReportsLimit() {
-		u = u.WithoutLimit()
-	}
-	change, changed := d.targetLimits.receive(u)
+	change, changed := d.targetLimits.receive(status.Update(a.target.ID, a.began, d.clock.Now()))
 	if !changed {
 		return
 	}
--- a/pkg/targetstatus/shared.go
+++ b/pkg/targetstatus/shared.go
@@ -23,6 +23,18 @@
 	Received time.Time
 }
 
+// Update returns what an answer of an incarnation says to all boxes.
+func (s Status) Update(incarnation string, sent, received time.Time) Update {
+	u := Update{Incarnation: incarnation, Limit: NoLimit, Leaving: s.Leaving, Sent: sent, Received: received}
+	if s.HasLimit {
+		u.Limit = s.Limit
+	}
+	if !s.ReportsLimit() {
+		return u.WithoutLimit()
+	}
+	return u
+}
+
 // HasLimit reports whether the target named a limit.
 func (u Update) HasLimit() bool { return u.Limit < NoLimit }
 
