--- a/internal/gateway/backoff_test.go
+++ b/internal/gateway/backoff_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
@@ -174,6 +175,7 @@
 		d.balancing.balancer.BackOff(d.clock.Now(), "t0", targetstatus.Status{BackOff: 3 * time.Second})
 		d.balancing.Unlock()
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		if got := s.targets[0].between(time.Time{}, time.Now()); got > 0 {
 			t.Errorf("%d requests were sent", got)
 		}
--- a/internal/gateway/leavingtargets_test.go
+++ b/internal/gateway/leavingtargets_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"ledgesill.dev/ledgesill/pkg/balance"
@@ -127,6 +128,7 @@
 		}
 		left := time.Now()
 		s.load(40, 800*time.Millisecond)
+		synctest.Wait()
 		if s.refused > 0 {
 			t.Errorf("%d requests were refused within the first second", s.refused)
 		}
