entry: log headers of targets that can't be read

By reading; TestUnreadHeadersAreReported fails with the call taken out. Lines on what targets say are bounded for each pool. A count of backed-off targets that nobody used is gone.

--- a/internal/entry/backoff_test.go
+++ b/internal/entry/backoff_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -151,3 +152,16 @@
 		t.Errorf("the pool is told %+v", b)
 	}
 }
+
+// Guards against headers of a target that can't be read and leave no trace.
+func TestUnreadHeadersAreReported(t *testing.T) {
+	p := newPool("s", "box", "i", 1)
+	var got []string
+	p.unread = func(_ string, headers []string) { got = append(got, headers...) }
+	header := http.Header{"Retry-After": {"soon"}, caller.HeaderLimit: {"many"}}
+	p.observe("t", &http.Response{StatusCode: http.StatusServiceUnavailable, Header: header}, time.Time{})
+	p.observeHealth("t", &http.Response{StatusCode: http.StatusOK, Header: http.Header{caller.HeaderLeaving: {"x"}}}, time.Time{})
+	if want := []string{caller.HeaderLimit, "Retry-After", caller.HeaderLeaving}; !slices.Equal(got, want) {
+		t.Errorf("reported %v, want %v", got, want)
+	}
+}
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -92,8 +92,10 @@
 	ask     func([]lease.Request)
 	changed func(held bool)
 	refused func(admission.Reason)
-	// backedOff is told of a target that asked for a back-off.
+	// backedOff is called when a target asked for a back-off, and unread with the headers of
+	// an answer that could not be read.
 	backedOff func(target string, wait time.Duration)
+	unread    func(target string, headers []string)
 }
 
 const poolInbox = 4096
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -99,16 +99,29 @@
 	}
 }
 
+// targetLinesPerSecond bounds the log lines on what the targets of one pool say in answers.
+const targetLinesPerSecond = 20
+
 func (d *Daemon) startPool(service string) *runningPool {
 	p := newPool(service, d.config.Name, d.process.Incarnation, d.seed)
 	p.clock = d.clock
 	p.ask = func(requests []lease.Request) { d.askVoters(p, requests) }
 	p.refused = func(reason admissionReason) { d.refusals.WithLabelValues(service, string(reason)).Inc() }
+	lines := process.NewLineLimit(targetLinesPerSecond)
 	p.backedOff = func(target string, wait time.Duration) {
 		d.backOffs.WithLabelValues(service).Inc()
+		if !lines.Take(d.clock.Now()) {
+			return
+		}
 		d.process.Log.Warn().Str("kind", "backOff").Str("service", service).Str("target", target).Dur("retryAfter", wait).
 			Msg("target asked for a back-off")
 	}
+	p.unread = func(target string, headers []string) {
+		if lines.Take(d.clock.Now()) {
+			d.process.Log.Warn().Str("kind", "unreadHeaders").Str("service", service).Str("target", target).Strs("headers", headers).
+				Msg("headers of a target can't be read")
+		}
+	}
 	p.changed = func(held bool) {
 		detail := "gave up or lost the lease on " + service
 		if held {
--- a/pkg/admission/backoff.go
+++ b/pkg/admission/backoff.go
@@ -24,7 +24,7 @@
 // backOffWait returns how long it takes until a target may be used, where all that serve
 // are backed off.
 func (p *Pool) backOffWait(now time.Time) (wait time.Duration) {
-	any := false
+	found := false
 	for _, t := range p.targets {
 		if !t.isServing(now) {
 			continue
@@ -33,8 +33,8 @@
 		if left == 0 {
 			return 0
 		}
-		if !any || left < wait {
-			wait, any = left, true
+		if !found || left < wait {
+			wait, found = left, true
 		}
 	}
 	return wait
@@ -51,13 +51,3 @@
 		p.refuse(now, w.arrive.ID, Overloaded)
 	}
 }
-
-// BackedOff returns how many targets are backed off.
-func (p *Pool) BackedOff(now time.Time) (n int) {
-	for _, t := range p.targets {
-		if t.backOff.IsActive(now) {
-			n++
-		}
-	}
-	return n
-}
