--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -60,7 +60,7 @@
 
 // noneUsable says that no target of a service can be used.
 func (b *Balancer) noneUsable(now time.Time, s *service, r Request) *NoTargetError {
-	if next, ok := b.nextRoom(now, s, r); ok {
+	if next, ok := b.nextAvailable(now, s, r); ok {
 		return &NoTargetError{
 			Service: s.name, Reason: next.reason, RetryAfter: s.spread(next.wait), Registered: len(s.targets), Target: next.target.ID,
 			BackedOff: next.backedOff,
@@ -174,7 +174,7 @@
 			return leastRetryAfter
 		}
 	}
-	if next, ok := b.nextRoom(now, s, Request{}); ok {
+	if next, ok := b.nextAvailable(now, s, Request{}); ok {
 		return s.spread(next.wait)
 	}
 	return firstRetryAfter
--- a/pkg/balance/limited.go
+++ b/pkg/balance/limited.go
@@ -41,9 +41,9 @@
 	t.throttledUntil = until
 }
 
-// room is when a service that can't be used may be used again, by which target, and why not
+// availability is when a service that can't be used may be used again, by which target, and why not
 // before.
-type room struct {
+type availability struct {
 	target *targetState
 	wait   time.Duration
 	reason string
@@ -51,15 +51,15 @@
 	backedOff int
 }
 
-// nextRoom returns when a target that is at its limit or backed off may have room for a
+// nextAvailable returns when a target that is at its limit or backed off may have room for a
 // request; ok is false if there is none that could be used.
-func (b *Balancer) nextRoom(now time.Time, s *service, r Request) (next room, ok bool) {
+func (b *Balancer) nextAvailable(now time.Time, s *service, r Request) (next availability, ok bool) {
 	r.Unlimited = false
 	for _, t := range s.targets {
 		if !r.allows(t) || !b.isOpen(now, t) {
 			continue
 		}
-		wait, reason := b.untilRoom(now, s, t)
+		wait, reason := b.untilAvailable(now, s, t)
 		if t.isBackedOff(now) {
 			next.backedOff++
 		}
@@ -70,9 +70,9 @@
 	return next, ok
 }
 
-// untilRoom returns how long it takes until the target may have room for a request, and why
+// untilAvailable returns how long it takes until the target may have room for a request, and why
 // it has none now; empty where it has room, as far as is known.
-func (b *Balancer) untilRoom(now time.Time, s *service, t *targetState) (wait time.Duration, reason string) {
+func (b *Balancer) untilAvailable(now time.Time, s *service, t *targetState) (wait time.Duration, reason string) {
 	if !b.hasRoom(now, t) {
 		wait, reason = s.mean/time.Duration(max(t.Slots, 1)), ReasonFull
 	}
--- a/pkg/balance/room.go
+++ b/pkg/balance/room.go
@@ -26,12 +26,12 @@
 	at   time.Time
 }
 
-// withRejection returns what is known after a rejection of a target with slots, which was
-// thought to have a load and had one that it told, if it did.
-func (r targetRoom) withRejection(now time.Time, slots int, thought float64, told *targetstatus.Load) targetRoom {
-	bears := thought
-	if told != nil {
-		bears = float64(told.Running + told.Waiting)
+// withRejection returns what is known after a rejection of a target with slots, whose load
+// was estimated and is the reported one, if there is one.
+func (r targetRoom) withRejection(now time.Time, slots int, estimated float64, reported *targetstatus.Load) targetRoom {
+	bears := estimated
+	if reported != nil {
+		bears = float64(reported.Running + reported.Waiting)
 	}
 	if bears < float64(max(slots, 1)) {
 		return r // it had room: it rejects for another reason
@@ -43,9 +43,9 @@
 	return targetRoom{requests: bears, part: max(r.partAt(now)*roomCut, least), at: now}
 }
 
-// withLoad returns what is known after an answer told a load.
-func (r targetRoom) withLoad(told targetstatus.Load) targetRoom {
-	if has := float64(told.Running + told.Waiting); r.requests > 0 && has > r.requests {
+// withLoad returns what is known after an answer reported a load.
+func (r targetRoom) withLoad(reported targetstatus.Load) targetRoom {
+	if has := float64(reported.Running + reported.Waiting); r.requests > 0 && has > r.requests {
 		r.requests = has
 	}
 	return r
