soak: look how many targets serve before one of them is picked

By reading: with no serving target the soak itself would end in a panic, as it drew one of an empty list. Figures of the plan have names and units.

--- a/contrib/soak/backoff.go
+++ b/contrib/soak/backoff.go
@@ -16,6 +16,13 @@
 	// how many may come between it and the end of the back-off.
 	backOffGrace = 500 * time.Millisecond
 	backOffSlack = 2
+	// leastBackOff and mostBackOff bound what a target asks for.
+	leastBackOff = time.Second
+	mostBackOff  = 3 * time.Second
+	// leastServing is how many targets must serve for one of them to reject, and leaveEach
+	// that one of so many leaves after it.
+	leastServing = 5
+	leaveEach    = 3
 	// rejectTime is for how long a target rejects at most, and leaveTime for how long one
 	// that leaves serves on.
 	rejectTime = 2 * time.Second
@@ -53,20 +60,28 @@
 func (w *world) keepRejecting(ctx context.Context, r *rand.Rand) {
 	var leaving sync.WaitGroup
 	defer leaving.Wait()
-	for n := 0; ctx.Err() == nil; n++ {
-		list := w.servingTargets()
-		if t := pick(r, list); len(list) > 4 && w.claimTarget(t) {
-			w.rejectFor(ctx, t, some(r, time.Second, 3*time.Second), some(r, 0, rejectTime))
-			if n%3 == 2 {
-				leaving.Go(func() { w.leave(t) })
-			} else {
-				w.unclaimTarget(t)
-			}
+	for n := 1; ctx.Err() == nil; n++ {
+		if list := w.servingTargets(); len(list) >= leastServing {
+			w.haveReject(ctx, pick(r, list), r, n%leaveEach == 0, &leaving)
 		}
 		sleep(ctx, needPause)
 	}
 }
 
+// haveReject has a target ask for back-offs for a while, unless another part of the soak has
+// claimed it, and then leave if that is wanted.
+func (w *world) haveReject(ctx context.Context, t *standin.Served, r *rand.Rand, leaves bool, leaving *sync.WaitGroup) {
+	if !w.claimTarget(t) {
+		return
+	}
+	w.rejectFor(ctx, t, some(r, leastBackOff, mostBackOff), some(r, 0, rejectTime))
+	if !leaves {
+		w.unclaimTarget(t)
+		return
+	}
+	leaving.Go(func() { w.leave(t) })
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
