gateway: look once more whether the target is closed before a request is sent

Callers saw: a request that had its target chosen just before an evacuation, a drain or the end of the target was sent to it once its connection was there. Cause: the look right before the send (CanSend) knew of back-offs and of targets that say that they leave, not of what control says; a target that is registered no longer passed too. Why it works: the balancer is asked under the lock that puts a state in force, after the connection is there; what is not sent is chosen anew and counts as no failed connection.

--- a/internal/gateway/targetstatus.go
+++ b/internal/gateway/targetstatus.go
@@ -10,7 +10,7 @@
 )
 
 // errWithdrawn says why a request was not sent to the target that was chosen for it.
-var errWithdrawn = errors.New("not sent: the target has asked for a back-off, or left, meanwhile")
+var errWithdrawn = errors.New("not sent: after it was chosen the target asked for a back-off, drained, left or was evacuated")
 
 // observe takes what an answer says of its target as soon as its head has come, whatever
 // becomes of the body and the request.
--- /dev/null
+++ b/internal/gateway/withdrawn_test.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/balance"
+)
+
+// Guards against a request that was chosen for a target before the target drained, ended or
+// was evacuated, and is sent after, when it has its connection.
+func TestRequestIsNotSentToATargetThatIsClosedMeanwhile(t *testing.T) {
+	serving := balance.Target{ID: "t0", Name: "t0", Service: "s", Address: "0", Zone: "z", Slots: 4}
+	draining := serving
+	draining.Draining = true
+	cases := []struct {
+		name   string
+		close  func(now time.Time, b *balance.Balancer)
+		served int
+	}{
+		{"drains", func(now time.Time, b *balance.Balancer) { b.ChangeTargets(now, []balance.Target{draining}, nil) }, 4},
+		{"ended", func(now time.Time, b *balance.Balancer) { b.ChangeTargets(now, nil, []string{"t0"}) }, 4},
+		{"evacuated", func(now time.Time, b *balance.Balancer) { b.SetEvacuated(now, []string{"z"}) }, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				s := newTargetScene(t, 1, 2)
+				d := s.boxes[0]
+				dial := d.connections.dial
+				d.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+					time.Sleep(200 * time.Millisecond)
+					return dial(ctx, network, address)
+				}
+				for range 4 {
+					s.asked++
+					go s.ask(d, s.asked)
+				}
+				time.Sleep(100 * time.Millisecond)
+				d.balancing.Lock()
+				c.close(d.clock.Now(), d.balancing.balancer)
+				d.balancing.Unlock()
+				time.Sleep(2 * time.Second)
+				synctest.Wait()
+				if got := s.targets[0].between(time.Time{}, time.Now()); got > 0 {
+					t.Errorf("%d requests were sent to the closed target", got)
+				}
+				if s.served != c.served {
+					t.Errorf("%d of 4 requests were served, want %d", s.served, c.served)
+				}
+			})
+		})
+	}
+}
--- a/pkg/balance/backoff.go
+++ b/pkg/balance/backoff.go
@@ -40,11 +40,11 @@
 	return b.roomOf(t).allows(now, t.load(now))
 }
 
-// CanSend reports whether a request that was to go to a target may still be sent: the
-// target may have asked for a back-off since it was chosen, or status that it leaves.
+// CanSend reports whether a request may still be sent to the target that was chosen for it:
+// since then the target may have asked for a back-off, drained, left, ended or been evacuated.
 func (b *Balancer) CanSend(now time.Time, id string) bool {
 	t := b.byID[id]
-	return t == nil || !t.isBackedOff(now) && !t.isGone(now)
+	return t != nil && b.isServing(t) && !t.isBackedOff(now) && !t.isGone(now)
 }
 
 // EndedBackOff is a back-off that is over.
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -215,7 +215,12 @@
 // isReachable reports whether a target is registered as serving, and neither ejected nor
 // slow.
 func (b *Balancer) isReachable(now time.Time, t *targetState) bool {
-	return !t.Draining && !b.evacuated[t.Zone] && !t.isOut(now) && t.paceNow(now) <= slowPace
+	return b.isServing(t) && !t.isOut(now) && t.paceNow(now) <= slowPace
+}
+
+// isServing reports whether a target neither drains nor is evacuated.
+func (b *Balancer) isServing(t *targetState) bool {
+	return !t.Draining && !b.evacuated[t.Zone]
 }
 
 // keyHash stands for the object, or for a different one each time where the
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -23,7 +23,7 @@
 	Broken
 	// Dropped: the caller left.
 	Dropped
-	// Withdrawn: it was not sent, as the target had asked for a back-off or left meanwhile.
+	// Withdrawn: it was not sent, as the target was closed to requests after it was chosen.
 	Withdrawn
 )
 
