gateway: tell in a request's line which state's targets it went by

Cause: `stateVersion` is that of the routes; targets and evacuations of the same state come into force after them, so a line could not tell whether a box had an evacuation when it chose.

--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -65,6 +65,9 @@
 	known := d.steered != nil && c.SharesTargets(before)
 	d.steered = &c // also if known, so that no earlier document is kept in memory
 	if known {
+		d.balancing.Lock()
+		d.balancing.balancer.SetVersion(version)
+		d.balancing.Unlock()
 		return
 	}
 	registrations, ended := c.TargetsSince(before)
@@ -76,6 +79,7 @@
 	d.balancing.Lock()
 	d.balancing.balancer.ChangeTargets(now, changed, names(ended))
 	d.balancing.balancer.SetEvacuated(now, c.Evacuated())
+	d.balancing.balancer.SetVersion(version)
 	for _, t := range changed {
 		d.balancing.balancer.SetLimited(t.ID, d.targetLimits.hasLimit(t.ID))
 		if d.targetLimits.isLeaving(t.ID) {
--- a/internal/gateway/withdrawn_test.go
+++ b/internal/gateway/withdrawn_test.go
@@ -1,13 +1,20 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"ledgesill.dev/ledgesill/pkg/balance"
+	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
 // Guards against a request that was chosen for a target before the target drained, ended or
@@ -55,3 +62,24 @@
 		})
 	}
 }
+
+// Guards against a request whose line does not tell which evacuations it went by: routes and
+// targets of one state come into force one after the other.
+func TestRequestLineTellsTheVersionOfItsTargets(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newScene(t, testConfig(), 1)
+		var lines bytes.Buffer
+		s.daemon.log = zerolog.New(&lines)
+		s.scripts = scripts(s.answers(0, "a"), s.answers(0, "a"), s.answers(0, "a"))
+		evacuated, _ := s.daemon.steered.ApplyEvacuation(&wire.EvacuationCommand{Zone: "y"})
+		for i, c := range []catalog.State{*s.daemon.steered, evacuated, evacuated} {
+			version := uint64(i + 2)
+			s.daemon.putTargets(c, version)
+			lines.Reset()
+			s.ask(t.Context(), "/long/", "")
+			if want := fmt.Sprintf(`"targetsVersion":%d,`, version); !strings.Contains(lines.String(), want) {
+				t.Errorf("no %s in %s", want, lines.String())
+			}
+		}
+	})
+}
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -43,7 +43,9 @@
 	byID      map[string]*targetState
 	times     map[string]*times
 	evacuated map[string]bool
-	boxes     []rankedBox
+	// version is that of the state which targets and evacuations are from.
+	version uint64
+	boxes   []rankedBox
 	// boxesChange counts the changes of the boxes.
 	boxesChange uint64
 	// distances are the shortest round trips to the regions; a region that is
@@ -85,6 +87,9 @@
 // SetCold tells what cold targets of a service bear.
 func (b *Balancer) SetCold(name string, limit ColdLimit) { b.service(name).cold = limit }
 
+// SetVersion sets the version of the state which the targets and evacuations are from.
+func (b *Balancer) SetVersion(version uint64) { b.version = version }
+
 // SetEvacuated tells the zones whose targets get nothing. The targets of a
 // zone whose evacuation has ended count as cold.
 func (b *Balancer) SetEvacuated(now time.Time, zones []string) {
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -199,6 +199,7 @@
 		Wait:     wait,
 		Patience: max(patienceFactor*learned.cold+wait, leastPatience),
 		Load:     load,
+		Version:  b.version,
 	}
 }
 
--- a/pkg/balance/request.go
+++ b/pkg/balance/request.go
@@ -43,6 +43,8 @@
 	Patience time.Duration
 	// Load is what the target was thought to have.
 	Load float64
+	// Version is that of the state whose targets and evacuations the choice went by.
+	Version uint64
 	// Skipped is the target that would have been chosen, had it not asked this box for a
 	// back-off; empty for none.
 	Skipped string
