gateway: assume that downloads are long until one was measured

Cause: a box bounds the long answers that it lets in by the sizes that it measured, and one that starts has measured none: all downloads of that second (27 in its log, 90 KB in the mean, 3 s of its link of 2.6 Mbit/s with the 0.4 of the link that they may take, 7 s) were let in. Ruled out: a late or early acknowledgement (271 of 274 boxes had the order within 1.9 s), an older state (versions only grew), a request chosen before and sent after (0.4 s at most). Change: a route whose answers are large counts as one of 64 KB until one was measured. Measured: TestDownloadsOfUnknownSizeLeaveTheLinkRoom lets in 30 of 30 with the assumption taken out, 3 at most with it.

--- a/internal/gateway/linkqueue.go
+++ b/internal/gateway/linkqueue.go
@@ -15,6 +15,10 @@
 	admittedWait = 0.25
 	// sizeWeight is the weight of one answer in the mean size of a route's.
 	sizeWeight = 0.1
+	// assumedLong is the size, in bytes, of a download until one was measured: 0.2 s of the
+	// narrowest link of the users. A box that starts while callers come back would else
+	// let in downloads that fill its link for seconds, and hear nothing of control.
+	assumedLong = 64 << 10
 )
 
 // linkQueue bounds the long answers that are asked for to what the link
@@ -24,13 +28,19 @@
 	perByte time.Duration
 	mu      sync.Mutex
 	free    time.Time
-	sizes   map[string]float64
+	sizes   map[string]answerSize
+}
+
+// answerSize is the mean size of a route's answers in bytes, assumed until one was measured.
+type answerSize struct {
+	mean    float64
+	assumed bool
 }
 
 // newLinkQueue returns a queue for a link of a number of bytes a second; zero
 // for a link without a bound.
 func newLinkQueue(linkBytes float64) *linkQueue {
-	q := &linkQueue{sizes: make(map[string]float64)}
+	q := &linkQueue{sizes: make(map[string]answerSize)}
 	if linkBytes > 0 {
 		q.perByte = time.Duration(float64(time.Second) / (linkBytes * longShare))
 	}
@@ -50,7 +60,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	b = &booking{queue: q}
-	size := q.sizes[route]
+	size := q.sizes[route].mean
 	if size < longAnswer {
 		return b, 0, true
 	}
@@ -90,10 +100,21 @@
 func (q *linkQueue) note(route string, size int64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	mean, known := q.sizes[route]
-	if !known {
-		q.sizes[route] = float64(size)
+	known, ok := q.sizes[route]
+	if !ok || known.assumed {
+		q.sizes[route] = answerSize{mean: float64(size)}
 		return
 	}
-	q.sizes[route] = mean + sizeWeight*(float64(size)-mean)
+	q.sizes[route] = answerSize{mean: known.mean + sizeWeight*(float64(size)-known.mean)}
+}
+
+// assumeLong has routes of which no answer was measured count as long.
+func (q *linkQueue) assumeLong(routes []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, name := range routes {
+		if _, known := q.sizes[name]; !known {
+			q.sizes[name] = answerSize{mean: assumedLong, assumed: true}
+		}
+	}
 }
--- a/internal/gateway/linkqueue_test.go
+++ b/internal/gateway/linkqueue_test.go
@@ -68,3 +68,25 @@
 		}
 	}
 }
+
+// Guards against a box that starts while the callers of its zone come back, lets all their
+// downloads in as it knows no size yet, and hears nothing of control on the link that they fill.
+func TestDownloadsOfUnknownSizeLeaveTheLinkRoom(t *testing.T) {
+	const link, objective = 325_000, 1200 * time.Millisecond // 2.6 Mbit/s
+	q := newLinkQueue(link)
+	q.assumeLong([]string{"download"})
+	now := time.Unix(0, 0)
+	admitted := 0
+	for i := range 30 {
+		if _, _, ok := q.admit(now.Add(time.Duration(i)*20*time.Millisecond), "download", objective); ok {
+			admitted++
+		}
+	}
+	if admitted == 0 || admitted > 3 {
+		t.Errorf("%d of 30 downloads were let in before the size of one was known", admitted)
+	}
+	q.note("download", 400)
+	if _, _, ok := q.admit(now.Add(time.Minute), "download", objective); !ok || q.free.After(now.Add(time.Minute)) {
+		t.Error("the assumed size counts after one was measured")
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -37,6 +37,7 @@
 	}
 	next := &inForce{document: document, table: catalog.NewTable(document), keys: catalog.NewKeyTable(document), version: version}
 	d.setCold(document.Services)
+	d.longAnswers.assumeLong(downloads(document))
 	d.rules.Store(next)
 	d.forgetRoutes(document)
 	if before == nil {
@@ -46,6 +47,18 @@
 		Dur("controlAge", d.following.Age()).Msg("document of routes in force")
 }
 
+// downloads returns the names of the routes whose answers are large.
+func downloads(document catalog.Document) (names []string) {
+	for _, h := range document.Hosts {
+		for _, r := range h.Routes {
+			if r.Repeat == catalog.Download {
+				names = append(names, r.Name)
+			}
+		}
+	}
+	return names
+}
+
 func (d *Daemon) setCold(services []catalog.Service) {
 	d.balancing.Lock()
 	defer d.balancing.Unlock()
