requestkey: hand the request to run back instead of the name of its arrival

Callers saw, before: the box ended with all its callers (nil pointer in keys.run) when a caller left while the witness recorded the start of its key. Change: an arrival brings its request, the owner keeps it while the arrival waits and hands it back to be run. The host's map of begun requests, and the look-up that could miss, are gone. The attempt without a witness goes the same way. Ruled out: a guard in the host, which leaves the resend that waits without its attempt. Measured: 2,000 checks of TestAtMostOneRun, which also compares the request; TestCallersThatLeave.

--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -26,18 +26,17 @@
 	box *Daemon
 
 	mu      sync.Mutex
-	owner   *requestkey.Owner
+	owner   *requestkey.Owner[*request]
 	witness *requestkey.Witness
 	token   uint64
 	waiting map[uint64]chan requestkey.Reply
-	begun   map[uint64]*request
 }
 
 func newKeys(d *Daemon) *keys {
 	keep := settings.Tree{}.Values(settings.Path{}).KeyKeep
 	return &keys{
 		box: d,
-		owner: requestkey.NewOwner(requestkey.OwnerConfig{
+		owner: requestkey.NewOwner[*request](requestkey.OwnerConfig{
 			Name:        d.config.Name,
 			Incarnation: d.process.Incarnation,
 			Keep:        keep,
@@ -45,7 +44,6 @@
 		}),
 		witness: requestkey.NewWitness(d.config.Name, d.process.Incarnation, keep, maxKeys),
 		waiting: make(map[uint64]chan requestkey.Reply),
-		begun:   make(map[uint64]*request),
 	}
 }
 
@@ -106,12 +104,11 @@
 	reply := make(chan requestkey.Reply, 1)
 	k.mu.Lock()
 	k.token++
-	e := requestkey.Begin{Token: k.token, Key: key, Digest: r.digest()}
+	e := requestkey.Begin[*request]{Token: k.token, Key: key, Digest: r.digest(), Request: r}
 	k.waiting[e.Token] = reply
-	k.begun[e.Token] = r
 	k.handle(e)
 	k.mu.Unlock()
-	defer k.leave(e)
+	defer k.leave(key, e.Token)
 	select {
 	case got := <-reply:
 		return k.answer(got)
@@ -120,11 +117,11 @@
 	}
 }
 
-func (k *keys) leave(e requestkey.Begin) {
+func (k *keys) leave(key requestkey.Key, token uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	delete(k.waiting, e.Token)
-	k.handle(requestkey.Leave{Key: e.Key, Token: e.Token})
+	delete(k.waiting, token)
+	k.handle(requestkey.Leave{Key: key, Token: token})
 }
 
 func (k *keys) answer(r requestkey.Reply) *answer {
@@ -156,11 +153,7 @@
 		go k.record(out.Record)
 	}
 	if out.Run != nil {
-		r := k.begun[out.Run.Token]
-		go k.run(out.Run.Key, r)
-	}
-	if b, ok := e.(requestkey.Leave); ok {
-		delete(k.begun, b.Token)
+		go k.run(out.Run.Key, out.Run.Request)
 	}
 }
 
--- a/pkg/requestkey/key_test.go
+++ b/pkg/requestkey/key_test.go
@@ -27,7 +27,7 @@
 func TestAtMostOneRun(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := start
-		owner := NewOwner(OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 100})
+		owner := NewOwner[string](OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 100})
 		witness := NewWitness("w", "9", time.Minute, 100)
 		ran := make(map[string]int)     // ended as ran or unknown
 		running := make(map[string]Key) // attempts that go on
@@ -36,7 +36,7 @@
 		var token uint64
 		waits := make(map[uint64]string)
 		var answers []Witnessed // of the witness, on their way to the owner
-		carry := func(out Output) {
+		carry := func(out Output[string]) {
 			for _, r := range out.Reply {
 				name := waits[r.Token]
 				delete(waits, r.Token)
@@ -53,6 +53,9 @@
 				if _, ok := waits[out.Run.Token]; !ok {
 					t.Fatalf("key %s runs for arrival %d, whose caller has left", name, out.Run.Token)
 				}
+				if out.Run.Request != name {
+					t.Fatalf("key %s runs the request of %q", name, out.Run.Request)
+				}
 				if told[name] {
 					t.Fatalf("key %s runs after the witness said it never would", name)
 				}
@@ -87,7 +90,7 @@
 				token++
 				k := pick()
 				waits[token] = k.Nonce
-				carry(owner.Handle(now, Begin{Token: token, Key: k, Digest: 5}))
+				carry(owner.Handle(now, Begin[string]{Token: token, Key: k, Digest: 5, Request: k.Nonce}))
 			},
 			"end": func(t *rapid.T) {
 				for _, name := range names {
@@ -152,8 +155,8 @@
 }
 
 func TestForeignIncarnationIsUnknown(t *testing.T) {
-	o := NewOwner(OwnerConfig{Name: "a", Incarnation: "2", Keep: time.Minute, MaxKeys: 9})
-	out := o.Handle(start, Begin{Token: 1, Key: newKey("x", ""), Digest: 1})
+	o := NewOwner[string](OwnerConfig{Name: "a", Incarnation: "2", Keep: time.Minute, MaxKeys: 9})
+	out := o.Handle(start, Begin[string]{Token: 1, Key: newKey("x", ""), Digest: 1})
 	if out.Run != nil || out.Reply[0].State != wire.KeyState_KEY_STATE_UNKNOWN {
 		t.Errorf("got %+v, want unknown", out)
 	}
@@ -162,17 +165,17 @@
 // The caller of a key may leave while the witness records its start: without
 // another arrival there is nothing to run, and a resend runs in its place.
 func TestCallerLeavesWhileTheStartIsRecorded(t *testing.T) {
-	o := NewOwner(OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 9})
+	o := NewOwner[string](OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 9})
 	k := newKey("x", "w")
-	o.Handle(start, Begin{Token: 1, Key: k, Digest: 1})
+	o.Handle(start, Begin[string]{Token: 1, Key: k, Digest: 1})
 	o.Handle(start, Leave{Key: k, Token: 1})
 	out := o.Handle(start, Witnessed{Key: k})
 	if out.Run != nil || out.Record == nil || out.Record.State != wire.KeyState_KEY_STATE_NOT_RUN {
 		t.Errorf("got %+v, want the key recorded as not run", out)
 	}
 
-	o.Handle(start, Begin{Token: 2, Key: k, Digest: 1})
-	o.Handle(start, Begin{Token: 3, Key: k, Digest: 1})
+	o.Handle(start, Begin[string]{Token: 2, Key: k, Digest: 1})
+	o.Handle(start, Begin[string]{Token: 3, Key: k, Digest: 1})
 	o.Handle(start, Leave{Key: k, Token: 2})
 	out = o.Handle(start, Witnessed{Key: k})
 	if out.Run == nil || out.Run.Token != 3 {
@@ -181,27 +184,27 @@
 }
 
 func TestOldKeyIsUnknown(t *testing.T) {
-	o := NewOwner(OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 9})
-	out := o.Handle(start.Add(2*time.Minute), Begin{Token: 1, Key: newKey("x", ""), Digest: 1})
+	o := NewOwner[string](OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 9})
+	out := o.Handle(start.Add(2*time.Minute), Begin[string]{Token: 1, Key: newKey("x", ""), Digest: 1})
 	if out.Run != nil || out.Reply[0].State != wire.KeyState_KEY_STATE_UNKNOWN {
 		t.Errorf("got %+v, want unknown", out)
 	}
 }
 
 func TestOtherContentIsRefused(t *testing.T) {
-	o := NewOwner(OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 9})
+	o := NewOwner[string](OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 9})
 	k := newKey("x", "")
-	o.Handle(start, Begin{Token: 1, Key: k, Digest: 1})
-	out := o.Handle(start, Begin{Token: 2, Key: k, Digest: 2})
+	o.Handle(start, Begin[string]{Token: 1, Key: k, Digest: 1})
+	out := o.Handle(start, Begin[string]{Token: 2, Key: k, Digest: 2})
 	if out.Run != nil || len(out.Reply) != 1 || out.Reply[0].State != wire.KeyState_KEY_STATE_NOT_RUN {
 		t.Errorf("got %+v, want a refusal", out)
 	}
 }
 
 func TestFullMemoryRefusesNewKeys(t *testing.T) {
-	o := NewOwner(OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 1})
-	o.Handle(start, Begin{Token: 1, Key: newKey("x", ""), Digest: 1})
-	out := o.Handle(start, Begin{Token: 2, Key: newKey("y", ""), Digest: 1})
+	o := NewOwner[string](OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 1})
+	o.Handle(start, Begin[string]{Token: 1, Key: newKey("x", ""), Digest: 1})
+	out := o.Handle(start, Begin[string]{Token: 2, Key: newKey("y", ""), Digest: 1})
 	if out.Run != nil || out.Reply[0].State != wire.KeyState_KEY_STATE_NOT_RUN {
 		t.Errorf("got %+v, want a refusal", out)
 	}
@@ -224,13 +227,13 @@
 
 // ExampleOwner runs a request once and gives its resend the same answer.
 func ExampleOwner() {
-	o := NewOwner(OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 10})
+	o := NewOwner[string](OwnerConfig{Name: "a", Incarnation: "1", Keep: time.Minute, MaxKeys: 10})
 	k := newKey("order-7", "")
 	now := start
-	out := o.Handle(now, Begin{Token: 1, Key: k, Digest: 1})
+	out := o.Handle(now, Begin[string]{Token: 1, Key: k, Digest: 1})
 	fmt.Println("run:", out.Run != nil)
 	o.Handle(now, Finished{Key: k, State: wire.KeyState_KEY_STATE_RAN, Answer: &wire.StoredAnswer{Status: 200}})
-	out = o.Handle(now, Begin{Token: 2, Key: k, Digest: 1})
+	out = o.Handle(now, Begin[string]{Token: 2, Key: k, Digest: 1})
 	fmt.Println("run:", out.Run != nil, "answer:", out.Reply[0].Answer.Status)
 	// Output:
 	// run: true
--- a/pkg/requestkey/owner.go
+++ b/pkg/requestkey/owner.go
@@ -28,11 +28,13 @@
 // Event is one input of an Owner.
 type Event interface{ event() }
 
-// Begin is a request with a key that has arrived. Token names the arrival.
-type Begin struct {
-	Token  uint64
-	Key    Key
-	Digest uint64
+// Begin is a request with a key that has arrived. Token names the arrival, Request is what
+// the host needs to run it.
+type Begin[R any] struct {
+	Token   uint64
+	Key     Key
+	Digest  uint64
+	Request R
 }
 
 // Witnessed tells whether the witness has recorded the start of a key.
@@ -56,7 +58,7 @@
 	Token uint64
 }
 
-func (Begin) event()     {}
+func (Begin[R]) event()  {}
 func (Witnessed) event() {}
 func (Finished) event()  {}
 func (Leave) event()     {}
@@ -70,51 +72,65 @@
 	Reason string
 }
 
+// Run asks for the one attempt of a key, with the request of the arrival Token, which waits.
+// It holds the request itself: the host may have dropped what it kept of an arrival.
+type Run[R any] struct {
+	Token   uint64
+	Key     Key
+	Request R
+}
+
 // Output is what to carry out after an event.
-type Output struct {
-	// Run asks for the one attempt of the key, for the arrival Token, which still waits.
-	Run   *Begin
+type Output[R any] struct {
+	// Run is nil unless the attempt of a key is to be made.
+	Run   *Run[R]
 	Reply []Reply
 	// Record asks for a message to the witness. After a start is recorded a
 	// Witnessed event must follow.
 	Record *wire.WitnessRequest
 }
 
-type record struct {
+// arrival is a request that waits for the end of its key's attempt.
+type arrival[R any] struct {
+	token   uint64
+	request R
+}
+
+type record[R any] struct {
 	digest  uint64
 	state   wire.KeyState
 	answer  *wire.StoredAnswer
-	begun   Begin
 	attempt uint64
 	running bool
-	waiting []uint64
+	waiting []arrival[R]
 	expires time.Time
 }
 
-// Owner keeps the keys whose scopes one incarnation of a box has issued.
-type Owner struct {
+// Owner keeps the keys whose scopes one incarnation of a box has issued. R is the host's type
+// of a request.
+type Owner[R any] struct {
 	config OwnerConfig
-	keys   map[string]*record
+	keys   map[string]*record[R]
 	sweep  time.Time
 }
 
 // NewOwner returns an owner without keys.
-func NewOwner(c OwnerConfig) *Owner {
-	return &Owner{config: c, keys: make(map[string]*record)}
+func NewOwner[R any](c OwnerConfig) *Owner[R] {
+	return &Owner[R]{config: c, keys: make(map[string]*record[R])}
 }
 
 // SetKeep changes how long keys are kept. Keys already kept stay as long as
 // they were promised.
-func (o *Owner) SetKeep(keep time.Duration) { o.config.Keep = keep }
+func (o *Owner[R]) SetKeep(keep time.Duration) { o.config.Keep = keep }
 
 // Len returns the number of kept keys.
-func (o *Owner) Len() int { return len(o.keys) }
+func (o *Owner[R]) Len() int { return len(o.keys) }
 
 // Handle takes one event at now and returns what to carry out.
-func (o *Owner) Handle(now time.Time, e Event) Output {
+func (o *Owner[R]) Handle(now time.Time, e Event) Output[R] {
 	o.expire(now)
 	switch e := e.(type) {
-	case Begin:
+	case Begin[R]:
 		return o.begin(now, e)
 	case Witnessed:
 		return o.witnessed(e)
@@ -122,14 +138,14 @@
 		return o.finished(e)
 	case Leave:
 		if r := o.keys[e.Key.String()]; r != nil {
-			r.waiting = slices.DeleteFunc(r.waiting, func(t uint64) bool { return t == e.Token })
+			r.waiting = slices.DeleteFunc(r.waiting, func(a arrival[R]) bool { return a.token == e.Token })
 		}
 	}
-	return Output{}
+	return Output[R]{}
 }
 
 // expire drops keys that are past their time, at most once a second.
-func (o *Owner) expire(now time.Time) {
+func (o *Owner[R]) expire(now time.Time) {
 	if now.Before(o.sweep) {
 		return
 	}
@@ -141,64 +157,63 @@
 	}
 }
 
-func reply(token uint64, state wire.KeyState, answer *wire.StoredAnswer, reason string) Output {
-	return Output{Reply: []Reply{{Token: token, State: state, Answer: answer, Reason: reason}}}
+func (o *Owner[R]) reply(token uint64, state wire.KeyState, answer *wire.StoredAnswer, reason string) Output[R] {
+	return Output[R]{Reply: []Reply{{Token: token, State: state, Answer: answer, Reason: reason}}}
 }
 
-func (o *Owner) begin(now time.Time, e Begin) Output {
+func (o *Owner[R]) begin(now time.Time, e Begin[R]) Output[R] {
 	s := e.Key.Scope
 	if s.Owner != o.config.Name {
-		return reply(e.Token, wire.KeyState_KEY_STATE_UNKNOWN, nil, "the key belongs to another entry box")
+		return o.reply(e.Token, wire.KeyState_KEY_STATE_UNKNOWN, nil, "the key belongs to another entry box")
 	}
 	if s.OwnerIncarnation != o.config.Incarnation {
-		return reply(e.Token, wire.KeyState_KEY_STATE_UNKNOWN, nil, "the entry box of the key has restarted")
+		return o.reply(e.Token, wire.KeyState_KEY_STATE_UNKNOWN, nil, "the entry box of the key has restarted")
 	}
 	if s.IssuedAt.After(now.Add(clockMargin)) {
-		return reply(e.Token, wire.KeyState_KEY_STATE_NOT_RUN, nil, "the key's time is in the future")
+		return o.reply(e.Token, wire.KeyState_KEY_STATE_NOT_RUN, nil, "the key's time is in the future")
 	}
 	if r := o.keys[e.Key.String()]; r != nil {
 		return o.resend(e, r)
 	}
 	if now.After(s.IssuedAt.Add(o.config.Keep)) {
-		return reply(e.Token, wire.KeyState_KEY_STATE_UNKNOWN, nil, "the key is older than keys are kept")
+		return o.reply(e.Token, wire.KeyState_KEY_STATE_UNKNOWN, nil, "the key is older than keys are kept")
 	}
 	if len(o.keys) >= o.config.MaxKeys {
-		return reply(e.Token, wire.KeyState_KEY_STATE_NOT_RUN, nil, "too many keys are kept")
+		return o.reply(e.Token, wire.KeyState_KEY_STATE_NOT_RUN, nil, "too many keys are kept")
 	}
-	r := &record{digest: e.Digest, expires: s.IssuedAt.Add(o.config.Keep + 2*clockMargin)}
+	r := &record[R]{digest: e.Digest, expires: s.IssuedAt.Add(o.config.Keep + 2*clockMargin)}
 	o.keys[e.Key.String()] = r
 	return o.start(e, r)
 }
 
 // resend answers an arrival of a key that is kept.
-func (o *Owner) resend(e Begin, r *record) Output {
+func (o *Owner[R]) resend(e Begin[R], r *record[R]) Output[R] {
 	if r.digest != e.Digest {
-		return reply(e.Token, wire.KeyState_KEY_STATE_NOT_RUN, nil, "the key was used before for another request")
+		return o.reply(e.Token, wire.KeyState_KEY_STATE_NOT_RUN, nil, "the key was used before for another request")
 	}
 	if r.running {
-		r.waiting = append(r.waiting, e.Token)
-		return Output{}
+		r.waiting = append(r.waiting, arrival[R]{e.Token, e.Request})
+		return Output[R]{}
 	}
 	if r.state == wire.KeyState_KEY_STATE_NOT_RUN {
 		return o.start(e, r)
 	}
-	return reply(e.Token, r.state, r.answer, "")
+	return o.reply(e.Token, r.state, r.answer, "")
 }
 
 // start has the witness record the key, or runs it at once if there is none.
-func (o *Owner) start(e Begin, r *record) Output {
+func (o *Owner[R]) start(e Begin[R], r *record[R]) Output[R] {
 	r.running = true
-	r.begun = e
 	r.attempt++
 	r.state = wire.KeyState_KEY_STATE_STARTED
-	r.waiting = []uint64{e.Token}
+	r.waiting = []arrival[R]{{e.Token, e.Request}}
 	if e.Key.Scope.Witness == "" {
-		return Output{Run: &r.begun}
+		return o.run(e.Key, r)
 	}
-	return Output{Record: o.message(e.Key, r)}
+	return Output[R]{Record: o.message(e.Key, r)}
 }
 
-func (o *Owner) message(k Key, r *record) *wire.WitnessRequest {
+func (o *Owner[R]) message(k Key, r *record[R]) *wire.WitnessRequest {
 	return &wire.WitnessRequest{
 		Action:  wire.WitnessRequest_ACTION_RECORD,
 		Key:     k.String(),
@@ -209,10 +224,20 @@
 	}
 }
 
-func (o *Owner) witnessed(e Witnessed) Output {
+// run asks for the attempt of a key, with the request of the arrival that has waited longest.
+// If all arrivals have left, the key ends as not run.
+func (o *Owner[R]) run(k Key, r *record[R]) Output[R] {
+	if len(r.waiting) == 0 {
+		return o.finished(Finished{Key: k, State: wire.KeyState_KEY_STATE_NOT_RUN})
+	}
+	first := r.waiting[0]
+	return Output[R]{Run: &Run[R]{Token: first.token, Key: k, Request: first.request}}
+}
+
+func (o *Owner[R]) witnessed(e Witnessed) Output[R] {
 	r := o.keys[e.Key.String()]
 	if r == nil || !r.running || r.state != wire.KeyState_KEY_STATE_STARTED {
-		return Output{}
+		return Output[R]{}
 	}
 	switch {
 	case e.Refused:
@@ -220,17 +245,13 @@
 	case e.Failed:
 		return o.end(r, wire.KeyState_KEY_STATE_NOT_RUN, nil, "the witness can't be reached; look up again for a new scope")
 	}
-	if len(r.waiting) == 0 {
-		return o.finished(Finished{Key: e.Key, State: wire.KeyState_KEY_STATE_NOT_RUN})
-	}
-	r.begun.Token = r.waiting[0] // the first arrival may have left
-	return Output{Run: &r.begun}
+	return o.run(e.Key, r)
 }
 
-func (o *Owner) finished(e Finished) Output {
+func (o *Owner[R]) finished(e Finished) Output[R] {
 	r := o.keys[e.Key.String()]
 	if r == nil || !r.running {
-		return Output{}
+		return Output[R]{}
 	}
 	out := o.end(r, e.State, e.Answer, "")
 	if e.Key.Scope.Witness != "" {
@@ -240,10 +261,10 @@
 }
 
 // end answers all arrivals that wait for the attempt.
-func (o *Owner) end(r *record, state wire.KeyState, answer *wire.StoredAnswer, reason string) Output {
-	var out Output
-	for _, token := range r.waiting {
-		out.Reply = append(out.Reply, Reply{Token: token, State: state, Answer: answer, Reason: reason})
+func (o *Owner[R]) end(r *record[R], state wire.KeyState, answer *wire.StoredAnswer, reason string) Output[R] {
+	var out Output[R]
+	for _, a := range r.waiting {
+		out.Reply = append(out.Reply, Reply{Token: a.token, State: state, Answer: answer, Reason: reason})
 	}
 	r.running = false
 	r.waiting = nil
