entry: a panic of one request ends that request, not the box

Callers saw: with the listed nil pointer the whole box ended, with all callers of it; a resend went to the next box. No goroutine of a key's run, of its message to the witness or of an attempt recovered, those of internal/gateway did. Change: each of the three ends its request: unknown where a target may have run it, not run where the witness was not told; an attempt gives its slot back. A counter and a line with the stack and the request's id tell it, for both kinds of box. Budgets are locked by functions that unlock when they panic. An event tells when the end of a key did not reach its witness; before, it was dropped silently. Measured: TestPanicEndsOneRequest; without the guard of the run, of the message, of the attempt the test process ends, without the return of the slot the next requests are told not run. Not done: goroutines of link, peers, health and pools are listed, not tested.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -61,9 +61,7 @@
 
 // run hosts the plan until it is final.
 func (e *execution) run(ctx context.Context) *answer {
-	e.box.budgets.Lock()
-	out := e.plan.Begin(e.box.clock.Now())
-	e.box.budgets.Unlock()
+	out := e.begin()
 	timer := time.NewTimer(e.box.clock.Until(out.Wake))
 	defer timer.Stop()
 	for {
@@ -80,6 +78,12 @@
 	}
 }
 
+func (e *execution) begin() retry.Output {
+	e.box.budgets.Lock()
+	defer e.box.budgets.Unlock()
+	return e.plan.Begin(e.box.clock.Now())
+}
+
 // next waits for the next event of the plan.
 func (e *execution) next(ctx context.Context, timer *time.Timer) retry.Output {
 	select {
@@ -162,9 +166,22 @@
 	}
 }
 
-// attempt takes a slot, sends the request to its target and reads the answer.
-func (e *execution) attempt(ctx context.Context, cancel context.CancelFunc, number int, exclude []string) attemptEnd {
+// attempt takes a slot, sends the request to its target and reads the answer. A panic ends it
+// as one that may have run, and gives its slot back.
+func (e *execution) attempt(ctx context.Context, cancel context.CancelFunc, number int, exclude []string) (end attemptEnd) {
 	id := e.box.nextID.Add(1)
+	defer func() {
+		if p := recover(); p != nil {
+			e.box.process.RecordPanic("attempt", e.request.id, p)
+			cancel()
+			e.pool.abandon(id)
+			end = attemptEnd{number: number, end: retry.Failed, answer: unknown("the entry box failed while the request may run")}
+		}
+	}()
+	return e.tryTarget(ctx, cancel, id, number, exclude)
+}
+
+func (e *execution) tryTarget(ctx context.Context, cancel context.CancelFunc, id uint64, number int, exclude []string) attemptEnd {
 	got, err := e.pool.admit(ctx, admission.Arrive{
 		ID:       id,
 		Class:    e.request.class(),
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -47,9 +47,7 @@
 		visit := *r
 		visit.noWait = r.noWait || config.NoWait(i, len(places) > 1 && places[1].region == d.config.Region)
 		a := place.run(ctx, &visit)
-		d.budgets.Lock()
-		decision := failover.Ended(d.clock.Now(), a.result())
-		d.budgets.Unlock()
+		decision := d.placeEnded(failover, a.result())
 		if decision.Keep {
 			kept.discard()
 			kept = a
@@ -61,6 +59,13 @@
 	return kept
 }
 
+// placeEnded tells a failover how a request has ended at a place.
+func (d *Daemon) placeEnded(f *routing.Failover, r routing.Result) routing.Decision {
+	d.budgets.Lock()
+	defer d.budgets.Unlock()
+	return f.Ended(d.clock.Now(), r)
+}
+
 const retryWithoutPool = 500 * time.Millisecond
 
 // result is what the answer of a place means for the next place.
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -24,6 +24,8 @@
 // keys hosts the owner of this box's request keys and the witness of others.
 type keys struct {
 	box *Daemon
+	// call asks another box.
+	call func(ctx context.Context, address string, r *wire.CallRequest) (*wire.CallAnswer, error)
 
 	mu      sync.Mutex
 	owner   *requestkey.Owner[*request]
@@ -36,6 +38,9 @@
 	keep := settings.Tree{}.Values(settings.Path{}).KeyKeep
 	return &keys{
 		box: d,
+		call: func(ctx context.Context, address string, r *wire.CallRequest) (*wire.CallAnswer, error) {
+			return d.node.Call(ctx, address, r)
+		},
 		owner: requestkey.NewOwner[*request](requestkey.OwnerConfig{
 			Name:        d.config.Name,
 			Incarnation: d.process.Incarnation,
@@ -159,13 +164,28 @@
 
 // run makes the one attempt of a key. It goes on if the caller leaves.
 func (k *keys) run(key requestkey.Key, r *request) {
+	f := k.attempt(key, r)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.handle(f)
+}
+
+// attempt runs the request of a key. A panic ends it as one that may have run: the box goes on,
+// and arrivals of the key must not wait for an end that never comes.
+func (k *keys) attempt(key requestkey.Key, r *request) (f requestkey.Finished) {
+	defer func() {
+		if p := recover(); p != nil {
+			k.box.process.RecordPanic("keys", r.id, p)
+			f = requestkey.Finished{Key: key, State: wire.KeyState_KEY_STATE_UNKNOWN}
+		}
+	}()
 	ctx, cancel := k.box.clock.WithDeadline(context.Background(), r.deadline)
 	defer cancel()
 	a := k.box.dispatch(ctx, r.withoutKey())
 	if a.stream != nil {
 		a = readWhole(a)
 	}
-	f := requestkey.Finished{Key: key}
+	f = requestkey.Finished{Key: key}
 	switch a.outcome {
 	case caller.Ran:
 		f.State = wire.KeyState_KEY_STATE_RAN
@@ -178,9 +198,7 @@
 			f.Answer = a.stored()
 		}
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.handle(f)
+	return f
 }
 
 // readWhole reads the rest of a large answer, since an answer under a key is
@@ -216,6 +234,7 @@
 		}
 	}
 	if !starts {
+		k.reportLoss(m, err)
 		return
 	}
 	k.mu.Lock()
@@ -223,6 +242,14 @@
 	k.handle(requestkey.Witnessed{Key: key, Failed: err != nil, Refused: err == nil && a.Refused})
 }
 
+// reportLoss tells that the witness was not told the end of a key: if this box ends, a resend
+// is answered unknown.
+func (k *keys) reportLoss(m *wire.WitnessRequest, err error) {
+	if err != nil {
+		k.box.process.Event(&wire.TimelineEvent{Kind: "keyNotWitnessed", Box: k.box.config.Name, Detail: fmt.Sprintf("key %s, %s: %v", m.Key, m.State, err)})
+	}
+}
+
 func (k *keys) ask(ctx context.Context, key requestkey.Key, m *wire.WitnessRequest) (*wire.WitnessAnswer, error) {
 	if key.Scope.Witness == k.box.config.Name {
 		return k.testify(m), nil
@@ -231,9 +258,26 @@
 	if !ok {
 		return nil, errNoAddress
 	}
+	return k.callWitness(ctx, b.PeerAddress, m)
+}
+
+// panicError says that a call panicked.
+type panicError struct{ value any }
+
+// Error implements error.
+func (e *panicError) Error() string { return fmt.Sprintf("panic: %v", e.value) }
+
+// callWitness asks a witness at another box. A panic of the call is its error.
+func (k *keys) callWitness(ctx context.Context, address string, m *wire.WitnessRequest) (answer *wire.WitnessAnswer, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			k.box.process.RecordPanic("witness", m.Key, p)
+			answer, err = nil, &panicError{p}
+		}
+	}()
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
-	a, err := k.box.node.Call(ctx, b.PeerAddress, &wire.CallRequest{Witness: m})
+	a, err := k.call(ctx, address, &wire.CallRequest{Witness: m})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -285,13 +285,17 @@
 		return got, nil
 	case <-ctx.Done():
 	}
-	// The caller left: take the arrival back, or end the grant that was on its
-	// way.
-	p.inbox <- poolEvent{admission.Cancel{ID: a.ID}}
-	p.inbox <- poolEvent{admission.Finish{ID: a.ID, Result: admission.Canceled}}
+	p.abandon(a.ID)
 	return admitted{}, ctx.Err()
 }
 
+// abandon takes an arrival back that nobody waits for, or ends the grant that it has or that
+// is on its way.
+func (p *pool) abandon(id uint64) {
+	p.inbox <- poolEvent{admission.Cancel{ID: id}}
+	p.inbox <- poolEvent{admission.Finish{ID: id, Result: admission.Canceled}}
+}
+
 func (p *pool) finish(f admission.Finish) { p.inbox <- poolEvent{f} }
 
 // dueChecks returns the targets to be checked now.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"runtime"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
@@ -23,9 +23,6 @@
 	collectTime = 40 * time.Millisecond
 	// maxSkipped bounds the answers to earlier requests that are passed over.
 	maxSkipped = 4
-	// panicStack bounds the stack of a panic in the log, in bytes: some forty calls,
-	// more than an attempt is deep.
-	panicStack = 8 << 10
 )
 
 // answer is what a target answered.
@@ -102,11 +99,10 @@
 
 // logPanic logs a panic of the attempt, ends its connection and returns its failure.
 func (a *attempt) logPanic(value any) *attemptError {
+	a.gateway.process.CountPanic("attempt")
 	if a.gateway.otherLines.Take(a.gateway.clock.Now()) {
-		stack := make([]byte, panicStack)
-		stack = stack[:runtime.Stack(stack, false)]
 		a.gateway.log.Error().Str("kind", "panic").Str("request", a.id).Str("target", a.target.ID).
-			Str("panic", fmt.Sprint(value)).Bytes("stack", stack).Msg("an attempt panicked")
+			Str("panic", fmt.Sprint(value)).Bytes("stack", process.Stack()).Msg("an attempt panicked")
 	}
 	if a.connection != nil {
 		_ = a.connection.Close() // what is under way on it is of no use
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -48,7 +48,10 @@
 	Time   *boottime.Clock
 	Ring   *timeline.Ring
 	events *prometheus.CounterVec
-	file   *eventFile
+	panics *prometheus.CounterVec
+	// panicLines bounds the log lines of panics.
+	panicLines *LineLimit
+	file       *eventFile
 }
 
 // New returns a process with a new incarnation. If folder is not empty, events
@@ -67,6 +70,8 @@
 		Help: "Events of the time line by kind.",
 	}, []string{"kind"})
 	p.Metrics.MustRegister(p.events)
+	p.panics = p.Counter("panics_total", "Panics that ended one request, by the part of the process.", "part")
+	p.panicLines = NewLineLimit(panicLines)
 	var sink func(*wire.TimelineEvent)
 	if folder != "" {
 		f, err := openEventFile(filepath.Join(folder, timelineName))
