--- a/Makefile
+++ b/Makefile
@@ -24,10 +24,9 @@
 	go build -o $(GOBIN)/soak ./contrib/soak
 	$(GOBIN)/soak -binary $(GOBIN)/ledgesill -seeds $(SEEDS_OF_SOAK)
 
-# Fixed seeds, so that the verdict is the same every time. CI passes over the tests that SKIP matches.
-SKIP ?= ^$$
+# Fixed seeds, so that the verdict is the same every time. CI leaves out the tests that KNOWN-RED.txt names.
 test:
-	RAPID_SEED=1 RAPID_NOFAILFILE=1 go test -skip '$(SKIP)' ./...
+	RAPID_SEED=1 RAPID_NOFAILFILE=1 go test ./...
 
 # Property tests with fresh seeds and fuzz targets: SECONDS_EACH=60 make fresh
 fresh:
--- /dev/null
+++ b/contrib/knownred/testdata/module/a/one/one_test.go
@@ -0,0 +1,7 @@
+package one
+
+import "testing"
+
+func TestShared(t *testing.T) {}
+
+func TestOther(t *testing.T) {}
--- /dev/null
+++ b/contrib/knownred/testdata/module/b/one/one_test.go
@@ -0,0 +1,5 @@
+package one
+
+import "testing"
+
+func TestShared(t *testing.T) {}
