--- a/contrib/knownred/entry.go
+++ b/contrib/knownred/entry.go
@@ -14,6 +14,7 @@
 
 const (
 	form     = "PACKAGE TEST[|TEST]: what was seen[; command COMMAND][; seed SEED]; issue N[; CI does not pass over it]"
+	finding  = "finding"
 	notOver  = "CI does not pass over it"
 	issue    = "issue "
 	seed     = "seed "
@@ -22,12 +23,14 @@
 	testFile = "_test.go"
 )
 
-// entry is a line of the list: tests of a package that may fail.
+// entry is a line of the list: tests of a package that may fail, or a finding without a test.
 type entry struct {
 	// Line is its number in the list, from 1.
 	Line    int
 	Package string
 	Tests   []string
+	// Finding names what was seen without a test; empty for tests.
+	Finding string
 	Seen    string
 	// Command and Seed bring the failure about; empty if none is known.
 	Command string
@@ -76,16 +79,8 @@
 	if !ok {
 		return e, "it is not of the form " + form
 	}
-	name, tests, ok := strings.Cut(head, " ")
-	if !ok || !packageName.MatchString(name) {
-		return e, fmt.Sprintf("%q does not begin with a package and a test", head)
-	}
-	e.Package = name
-	e.Tests = strings.Split(tests, "|")
-	for _, t := range e.Tests {
-		if !testName.MatchString(t) {
-			return e, fmt.Sprintf("%q is not the name of a test", t)
-		}
+	if e, problem = parseHead(head); problem != "" {
+		return e, problem
 	}
 	parts := strings.Split(rest, between)
 	parts, e.Run = cutRun(parts)
@@ -98,6 +93,29 @@
 	if e.Seen = strings.Join(parts, between); e.Seen == "" {
 		return e, "it does not tell what was seen"
 	}
+	if e.Finding != "" && e.Run {
+		return e, "a finding names no test that CI could run"
+	}
+	return e, ""
+}
+
+// parseHead reads what a line is about: tests of a package, or a finding.
+func parseHead(head string) (e entry, problem string) {
+	name, rest, ok := strings.Cut(head, " ")
+	if !ok || !packageName.MatchString(name) {
+		return e, fmt.Sprintf("%q does not begin with a package and a test", head)
+	}
+	if name == finding {
+		e.Finding = rest
+		return e, ""
+	}
+	e.Package = name
+	e.Tests = strings.Split(rest, "|")
+	for _, t := range e.Tests {
+		if !testName.MatchString(t) {
+			return e, fmt.Sprintf("%q is not the name of a test", t)
+		}
+	}
 	return e, ""
 }
 
@@ -122,6 +140,9 @@
 // findTests reports the first entry whose test does not exist below a folder.
 func findTests(root string, entries []entry) error {
 	for _, e := range entries {
+		if e.Finding != "" {
+			continue
+		}
 		known, err := testsOf(filepath.Join(root, filepath.FromSlash(e.Package)))
 		if err != nil {
 			return &lineError{e.Line, fmt.Sprintf("package %s: %v", e.Package, err)}
--- a/contrib/knownred/plan.go
+++ b/contrib/knownred/plan.go
@@ -13,11 +13,7 @@
 	}
 	var out strings.Builder
 	for _, e := range entries {
-		what := "passed over"
-		if e.Run {
-			what = "known to fail at times, run"
-		}
-		fmt.Fprintf(&out, "%s: %s %s: %s (issue %d)\n", what, e.Package, strings.Join(e.Tests, ", "), e.Seen, e.Issue)
+		fmt.Fprintf(&out, "%s: %s (issue %d)\n", e.subject(), e.Seen, e.Issue)
 		if e.Command != "" || e.Seed != "" {
 			fmt.Fprintf(&out, "  command %q seed %q\n", e.Command, e.Seed)
 		}
@@ -25,12 +21,24 @@
 	return out.String()
 }
 
+// subject tells what an entry is about and what CI does with it.
+func (e entry) subject() string {
+	if e.Finding != "" {
+		return "open finding: " + e.Finding
+	}
+	tests := e.Package + " " + strings.Join(e.Tests, ", ")
+	if e.Run {
+		return "known to fail at times, run: " + tests
+	}
+	return "passed over: " + tests
+}
+
 // invocations returns the arguments of go that test packages: one without skipped tests for
 // those of which none is passed over, and one for each other.
 func invocations(packages []string, entries []entry, race bool) [][]string {
 	skipped := make(map[string][]string)
 	for _, e := range entries {
-		if !e.Run {
+		if e.Finding == "" && !e.Run {
 			skipped[e.Package] = append(skipped[e.Package], e.Tests...)
 		}
 	}
