caller: a resend for which no box can be asked is unknown, not as not run

Callers saw: a request that was sent, ran, and was sent again with its key came back as not run where no box answered the look-up of the resend; taking that at its word runs it twice. Cause: the client counts a request as not run until something of it was sent, and forgot that a request with a key was sent before. Why it works: what Do can't rule out is unknown; an answer of a box that says not run still counts.

--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -168,8 +168,11 @@
 	defer cancel()
 	key := r.Key
 	pause := firstPause
-	sent := false
+	sent := r.Key != "" // a resend: it may have run when it was sent before
 	out := Answer{Outcome: NotRun}
+	if sent {
+		out.Outcome = Unknown
+	}
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		look, err := c.Lookup(ctx)
 		if err != nil {
--- a/pkg/caller/client_test.go
+++ b/pkg/caller/client_test.go
@@ -48,3 +48,22 @@
 		}
 	})
 }
+
+// noBox is a network on which no box can be reached.
+type noBox struct{}
+
+// RoundTrip implements http.RoundTripper.
+func (noBox) RoundTrip(*http.Request) (*http.Response, error) { return nil, errGone }
+
+// Guards against a resend that is told that its request did not run, as no box could be asked:
+// it may have run when it was sent before.
+func TestResendThatReachesNoBoxIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := caller.NewClient(caller.Config{Boxes: []string{"10.0.0.1:7600"}, Service: "orders", Home: "east", HTTP: &http.Client{Transport: noBox{}}})
+		for key, want := range map[string]caller.Outcome{"": caller.NotRun, "east.7~order-17": caller.Unknown} {
+			if a, _ := c.Do(t.Context(), caller.Request{Method: http.MethodPost, Path: "/new", Key: key}); a.Outcome != want {
+				t.Errorf("with the key %q it is %s, want %s", key, a.Outcome, want)
+			}
+		}
+	})
+}
