gateway: the caller leaves at each step of a request

Steps: connect, head, wait, first byte, in mid answer, hedged attempt, retry. Afterwards nothing counts as in flight at the box, at a target or on the link, and the connections at targets ended. Not covered: permits of workspaces and of rate-limited targets, back-offs, look-up of the route.

--- /dev/null
+++ b/internal/gateway/callerleaves_test.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// leavesOnWrite is a connection on whose first write the caller leaves.
+type leavesOnWrite struct {
+	net.Conn
+	leave func()
+}
+
+// Write implements net.Conn.
+func (c *leavesOnWrite) Write(b []byte) (int, error) {
+	c.leave()
+	return c.Conn.Write(b)
+}
+
+// then has the caller leave when a request is at a target, after some bytes of an answer, and
+// waits for the end of its connection.
+func (s *scene) then(leave func(), begin string) script {
+	return func(r *http.Request, c net.Conn) bool {
+		if begin != "" {
+			if _, err := fmt.Fprintf(c, begin, r.Header.Get("Test-Id")); err != nil {
+				return false
+			}
+		}
+		leave()
+		return !s.endsWithin(time.Hour, r, c)
+	}
+}
+
+// leavingStep is a step of a request at which its caller leaves, and how many connections must
+// end at targets for it.
+type leavingStep struct {
+	name    string
+	prepare func(s *scene, leave func())
+	ended   int
+}
+
+func leavingSteps() []leavingStep {
+	const half = "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nContent-Length: 100\r\n\r\nhalf"
+	return []leavingStep{
+		{"connect", func(s *scene, leave func()) {
+			s.daemon.connections.dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+				leave()
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+		}, 0},
+		{"head", func(s *scene, leave func()) {
+			dial := s.daemon.connections.dial
+			s.daemon.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := dial(ctx, network, address)
+				return &leavesOnWrite{c, leave}, err
+			}
+			s.scripts = scripts(s.silent())
+		}, 0},
+		{"wait", func(s *scene, leave func()) { s.scripts = scripts(s.then(leave, "")) }, 1},
+		{"firstByte", func(s *scene, leave func()) { s.scripts = scripts(s.then(leave, "HTTP/1.1 200 OK\r\nTest-Id: %s\r\n")) }, 1},
+		{"midAnswer", func(s *scene, leave func()) { s.scripts = scripts(s.then(leave, half)) }, 1},
+		{"hedge", func(s *scene, leave func()) { s.scripts = scripts(s.silent(), s.then(leave, "")) }, 2},
+		{"retry", func(s *scene, leave func()) { s.scripts = scripts(s.turnsAway(), s.then(leave, "")) }, 1},
+	}
+}
+
+// Guards against a request whose caller leaves at some step and that counts as in flight
+// afterwards, at the box, at a target or on the link, or goes on at its target.
+func TestCallerLeavesAtEachStep(t *testing.T) {
+	for _, step := range leavingSteps() {
+		t.Run(step.name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				config := testConfig()
+				config.LinkBytes = 325_000
+				s := newScene(t, config, 2)
+				s.daemon.longAnswers.note("long", 90_000)
+				ctx, cancel := context.WithCancel(t.Context())
+				left := false
+				leave := func() {
+					left = true
+					cancel()
+				}
+				step.prepare(s, leave)
+				s.ask(ctx, "/long/", "")
+				synctest.Wait()
+				if !left {
+					t.Fatal("the step was not reached")
+				}
+				if n := s.daemon.inFlight.Load(); n != 0 {
+					t.Errorf("%d requests count as in flight at the box", n)
+				}
+				if len(s.ended) != step.ended {
+					t.Errorf("%d connections ended at targets, want %d", len(s.ended), step.ended)
+				}
+				if q := s.daemon.longAnswers; q.free.After(time.Now().Add(time.Millisecond)) {
+					t.Errorf("the link counts as full for %s", time.Until(q.free))
+				}
+				s.wantNoneCounted(t)
+			})
+		})
+	}
+}
