soak: clients that leave

One request of eight is left by its client within 30 ms; what it left must not run twice, and the checks of what ran hold for it as for the others. Its clients waited 2.5 s before.

--- a/contrib/soak/clients.go
+++ b/contrib/soak/clients.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -18,6 +19,10 @@
 	clientPause   = 15 * time.Millisecond
 	clientTimeout = 2500 * time.Millisecond
 	holdAnswer    = time.Second
+	// leaveOneOf is how many requests a client sends for one that it leaves, and leaveWithin
+	// in what time it does.
+	leaveOneOf  = 8
+	leaveWithin = 30 * time.Millisecond
 )
 
 // client sends requests to the boxes that look-ups name. It goes on using an
@@ -29,10 +34,13 @@
 	boxes   []string
 	asked   time.Time
 	records []attemptRecord
+	// random draws which requests the client leaves, and when.
+	random *rand.Rand
 }
 
 func newClient(w *world, number int) *client {
-	return &client{world: w, number: number, http: &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
+	random := rand.New(rand.NewPCG(w.seed, uint64(number)))
+	return &client{world: w, number: number, random: random, http: &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
 }
 
 func (c *client) run(ctx context.Context) {
@@ -82,15 +90,27 @@
 	r.Header.Set("Api-Key", keyOf(workspace))
 	r.Header.Set("X-Ledgesill-Tenant", "of the caller's own making")
 	record := attemptRecord{id: id, once: once, workspace: workspace, sent: time.Now(), box: r.URL.Host}
-	record.status = c.exchange(r, standin.Answer(id, path, []byte(body)))
+	ctx, left := c.patience()
+	defer left()
+	record.status = c.exchange(r.WithContext(ctx), standin.Answer(id, path, []byte(body)))
 	c.records = append(c.records, record)
 	kind := "broken"
 	if record.status != 0 {
 		kind = fmt.Sprint(record.status)
+	} else if ctx.Err() != nil {
+		kind = "left"
 	}
 	c.world.counts.request(kind)
 }
 
+// patience returns a context that ends when the client leaves, which it does now and then.
+func (c *client) patience() (context.Context, context.CancelFunc) {
+	if c.random.IntN(leaveOneOf) > 0 {
+		return context.Background(), func() {}
+	}
+	return context.WithTimeout(context.Background(), time.Duration(c.random.Int64N(int64(leaveWithin))))
+}
+
 func (c *client) exchange(r *http.Request, want []byte) int {
 	answer, err := c.http.Do(r)
 	if err != nil {
--- a/contrib/soak/promises.go
+++ b/contrib/soak/promises.go
@@ -35,7 +35,7 @@
 type attemptRecord struct {
 	id     string
 	once   bool
-	status int // 0 if the connection broke
+	status int // 0 if the connection broke or its client left
 	sent   time.Time
 	// workspace is the one whose key it carried.
 	workspace string
