catalog, steering: say registration update of a target's word

Comments, local variables and three names; the tests are the same but for aliveUpdates. Behaviour is unchanged: tests of both packages pass.

--- a/pkg/catalog/editing.go
+++ b/pkg/catalog/editing.go
@@ -6,8 +6,8 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// editing is a state while words of targets are applied to it. It knows by their ids
-// and addresses the targets and departures that the words may touch, and copies a
+// editing is a state while registration updates are applied to it. It knows by their ids
+// and addresses the targets and departures that the updates may touch, and copies a
 // list before its first change.
 type editing struct {
 	from State
@@ -27,13 +27,13 @@
 	kept   int
 }
 
-func newEditing(s State, words []*wire.RegistrationCommand) *editing {
+func newEditing(s State, updates []*wire.RegistrationCommand) *editing {
 	e := &editing{
 		from: s, targets: s.targets, departed: s.departed, kept: len(s.departed),
 		places: make(map[string]int), owners: make(map[string][]int), departures: make(map[string]int),
 	}
 	var ids, addresses names
-	for _, c := range words {
+	for _, c := range updates {
 		if r := c.Registration; r != nil {
 			ids.add(r.Id)
 			addresses.add(r.Address)
@@ -83,7 +83,7 @@
 	return true
 }
 
-// others returns the targets besides its own that have the address of a word.
+// others returns the targets besides its own that have the address of an update.
 func (e *editing) others(r *wire.Registration) []*wire.Registration {
 	var out []*wire.Registration
 	for _, i := range e.owners[r.Address] {
@@ -102,7 +102,7 @@
 	return nil
 }
 
-// isNews reports whether a target's word would change the state.
+// isNews reports whether a target's update would change the state.
 func (e *editing) isNews(r *wire.Registration, leave bool) bool {
 	if e.hasLeft(r, leave) {
 		return false
@@ -123,7 +123,7 @@
 	return !Repeats(known, r)
 }
 
-// hasLeft reports whether a word is of a life that has departed.
+// hasLeft reports whether an update is of a life that has departed.
 func (e *editing) hasLeft(r *wire.Registration, leave bool) bool {
 	i, ok := e.departures[r.Id]
 	if !ok {
@@ -134,11 +134,11 @@
 		return e.target(r.Id) == nil
 	}
 	order := compareBirths(r.BornUnixMilli, d.BornUnixMilli)
-	alive := order == 0 && r.BornUnixMilli > 0 && !r.Draining && r.Sequence >= d.Sequence+aliveWords
+	alive := order == 0 && r.BornUnixMilli > 0 && !r.Draining && r.Sequence >= d.Sequence+aliveUpdates
 	return order <= 0 && !alive
 }
 
-// isOlderThanOwner reports whether the address of a word belongs to another target
+// isOlderThanOwner reports whether the address of an update belongs to another target
 // that started later.
 func (e *editing) isOlderThanOwner(r *wire.Registration) bool {
 	return slices.ContainsFunc(e.others(r), func(other *wire.Registration) bool {
@@ -193,7 +193,7 @@
 	}
 }
 
-// state returns the state that the words have led to. A list that did not change is
+// state returns the state that the updates have led to. A list that did not change is
 // the one of the state before.
 func (e *editing) state() State {
 	s := e.from
--- a/pkg/catalog/editing_test.go
+++ b/pkg/catalog/editing_test.go
@@ -73,7 +73,7 @@
 	}
 	d := s.departed[i]
 	order := compareBirths(r.BornUnixMilli, d.BornUnixMilli)
-	alive := order == 0 && r.BornUnixMilli > 0 && !r.Draining && r.Sequence >= d.Sequence+aliveWords
+	alive := order == 0 && r.BornUnixMilli > 0 && !r.Draining && r.Sequence >= d.Sequence+aliveUpdates
 	return order <= 0 && !alive
 }
 
--- a/pkg/catalog/registration.go
+++ b/pkg/catalog/registration.go
@@ -25,28 +25,28 @@
 	return fmt.Sprintf("%s@%d", l.ID, l.Born)
 }
 
-// compareBirths tells whether a word is of a former (-1), the same (0) or a later
+// compareBirths tells whether an update is of a former (-1), the same (0) or a later
 // (1) life than the one that is known. One that tells no birth where one is known
 // is of another writer or a former life.
-func compareBirths(word, known int64) int {
+func compareBirths(update, known int64) int {
 	switch {
-	case word == known:
+	case update == known:
 		return 0
-	case word == 0:
+	case update == 0:
 		return -1
-	case known == 0 || word > known:
+	case known == 0 || update > known:
 		return 1
 	}
 	return -1
 }
 
-// aliveWords is after how many words of a target that departed it is taken in again.
+// aliveUpdates is after how many updates of a target that departed it is taken in again.
 // A leave names no life, so that a late one of the life before may have ended this
-// one. A target that does leave says nothing more, but for words that are late by
-// seconds; this many are 12 s of words where one comes each 1.5 s.
-const aliveWords = 8
+// one. A target that does leave says nothing more, but for updates that are late by
+// seconds; this many are 12 s of updates where one comes each 1.5 s.
+const aliveUpdates = 8
 
-// ApplyRegistration enters, changes or ends a registration. A word that is
+// ApplyRegistration enters, changes or ends a registration. An update that is
 // older than what is known of the target, or comes after its leave, changes
 // nothing; a target that takes the address of another one ends that one.
 func (s State) ApplyRegistration(c *wire.RegistrationCommand) (State, bool) {
@@ -54,24 +54,24 @@
 	return next, changed[0]
 }
 
-// ApplyRegistrations applies words of targets one after the other and tells of each
+// ApplyRegistrations applies registration updates one after the other and tells of each
 // whether it changed the state. It goes through the targets and copies their list
-// once, however many words there are.
-func (s State) ApplyRegistrations(words []*wire.RegistrationCommand) (State, []bool) {
-	e := newEditing(s, words)
-	changed := make([]bool, len(words))
-	for i, c := range words {
+// once, however many updates there are.
+func (s State) ApplyRegistrations(updates []*wire.RegistrationCommand) (State, []bool) {
+	e := newEditing(s, updates)
+	changed := make([]bool, len(updates))
+	for i, c := range updates {
 		changed[i] = e.apply(c)
 	}
 	return e.state(), changed
 }
 
-// News reports whether a target's word would change the state.
+// News reports whether a target's update would change the state.
 func (s State) News(r *wire.Registration, leave bool) bool {
 	return newEditing(s, []*wire.RegistrationCommand{{Registration: r, Leave: leave}}).isNews(r, leave)
 }
 
-// Repeats reports whether a word of the same life as a known one says nothing new:
+// Repeats reports whether an update of the same life as a known one says nothing new:
 // it is older, or says the same.
 func Repeats(known, r *wire.Registration) bool {
 	if r.BornUnixMilli != known.BornUnixMilli {
--- a/pkg/catalog/registration_test.go
+++ b/pkg/catalog/registration_test.go
@@ -61,17 +61,17 @@
 func TestLateLeaveOfTheFormerLifeDoesNotLast(t *testing.T) {
 	leave := &wire.RegistrationCommand{Registration: &wire.Registration{Id: "i"}, Leave: true}
 	s := apply(State{}, born("i", 200, 3), leave)
-	for n := uint64(4); n < 3+aliveWords; n++ {
+	for n := uint64(4); n < 3+aliveUpdates; n++ {
 		s = apply(s, born("i", 200, n))
 		if _, ok := s.Target("i"); ok {
 			t.Fatalf("word %d brought it back", n)
 		}
 	}
-	s = apply(s, born("i", 200, 3+aliveWords))
-	wantLife(t, s, "i", 200, 3+aliveWords)
+	s = apply(s, born("i", 200, 3+aliveUpdates))
+	wantLife(t, s, "i", 200, 3+aliveUpdates)
 	named := &wire.RegistrationCommand{Registration: &wire.Registration{Id: "i", BornUnixMilli: 100}, Leave: true}
 	s = apply(s, named)
-	wantLife(t, s, "i", 200, 3+aliveWords)
+	wantLife(t, s, "i", 200, 3+aliveUpdates)
 }
 
 func TestAddressStaysWithTheLaterLife(t *testing.T) {
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -15,7 +15,7 @@
 	// maxAccepted is how many accepted documents are recognised when they are
 	// sent again: several times the hundreds of changes of a busy day.
 	maxAccepted = 1024
-	// maxDeparted is how many departures of targets are kept, so that a late word
+	// maxDeparted is how many departures of targets are kept, so that a late update
 	// of one of them does not bring it back.
 	maxDeparted = 1024
 )
--- a/pkg/steering/state.go
+++ b/pkg/steering/state.go
@@ -100,12 +100,12 @@
 }
 
 // ApplyAll returns the state after commands, one after the other, with what each
-// gave. Words of targets that follow each other are applied together.
+// gave. Registration updates that follow each other are applied together.
 func (s State) ApplyAll(commands []*wire.Command) (State, []Result) {
 	results := make([]Result, 0, len(commands))
 	for len(commands) > 0 {
-		words := leadingWords(commands)
-		if len(words) == 0 {
+		updates := leadingUpdates(commands)
+		if len(updates) == 0 {
 			var result Result
 			s, result = s.Apply(commands[0])
 			results = append(results, result)
@@ -113,23 +113,23 @@
 			continue
 		}
 		var changed []bool
-		s.catalog, changed = s.catalog.ApplyRegistrations(words)
+		s.catalog, changed = s.catalog.ApplyRegistrations(updates)
 		for _, c := range changed {
 			results = append(results, Result{Changed: c})
 			if c {
 				s.version++
 			}
 		}
-		commands = commands[len(words):]
+		commands = commands[len(updates):]
 	}
 	return s, results
 }
 
-// leadingWords returns the words of targets that commands begin with.
-func leadingWords(commands []*wire.Command) []*wire.RegistrationCommand {
+// leadingUpdates returns the registration updates that commands begin with.
+func leadingUpdates(commands []*wire.Command) []*wire.RegistrationCommand {
 	var out []*wire.RegistrationCommand
 	for _, c := range commands {
-		if !isWord(c) {
+		if !isRegistrationUpdate(c) {
 			break
 		}
 		out = append(out, c.Registration)
@@ -137,8 +137,8 @@
 	return out
 }
 
-// isWord reports whether a command is nothing but a target's word.
-func isWord(c *wire.Command) bool {
+// isRegistrationUpdate reports whether a command is nothing but a target's update.
+func isRegistrationUpdate(c *wire.Command) bool {
 	return c.Registration != nil && c.Change == nil && c.Shift == nil && c.Routes == nil && c.Evacuation == nil && c.Quarantine == nil
 }
 
