gateway: the test of a caller that leaves at the head waits until the box has seen it

Cause, by reading the test: the caller leaves right before the write of the head; whether the box's function that ends the connection ran before the write or after was left to chance. After it, the request reaches its target and the connection ends there, which is allowed. Change: the write waits 1 ms of virtual time, in which that function has run; the check is the same and asks for the stricter outcome each time.

--- a/internal/gateway/callerleaves_test.go
+++ b/internal/gateway/callerleaves_test.go
@@ -10,7 +10,8 @@
 	"time"
 )
 
-// leavesOnWrite is a connection on whose first write the caller leaves.
+// leavesOnWrite is a connection on whose first write the caller leaves. The write goes on once
+// the box has seen that.
 type leavesOnWrite struct {
 	net.Conn
 	leave func()
@@ -19,6 +20,7 @@
 // Write implements net.Conn.
 func (c *leavesOnWrite) Write(b []byte) (int, error) {
 	c.leave()
+	time.Sleep(time.Millisecond)
 	return c.Conn.Write(b)
 }
 
