gateway: log every attempt of a request

A request was once reported to have reached one target twice. The box's own request line could neither confirm nor refute that: otherTargets left out an attempt at the target of the last attempt, and a second one at any target.

Now each ended attempt but the last has an entry. Nothing else reads the field.

Conclusion: the line can now tell the hypotheses apart.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -176,15 +176,18 @@
 	c.gateway.isolation.RecordAnswer(id.digest, id.caller)
 }
 
-// otherTargets lists the targets that received the request apart from the last one, each with its
+// otherTargets lists the targets of all ended attempts apart from the last attempt, each with its
 // outcome.
 func (c *callerRequest) otherTargets() []string {
 	var out []string
-	for _, r := range c.endedAttempts {
-		name := r.target.ID + " " + r.outcome.String()
-		if r.target.ID != c.lastAttempt.target.ID && !slices.Contains(out, name) {
-			out = append(out, name)
+	lastFound := false
+	for _, r := range slices.Backward(c.endedAttempts) {
+		if !lastFound && r.target.ID == c.lastAttempt.target.ID {
+			lastFound = true
+			continue
 		}
+		out = append(out, r.target.ID+" "+r.outcome.String())
 	}
+	slices.Reverse(out)
 	return out
 }
