gateway, balance: do not retry at a new incarnation that got the request

What callers saw: a repeatable request that failed at a target was sent to the same process a second time, and failed again, though other targets were free.

Cause: a request excluded the incarnations that were tried. A target that restarts at its address receives requests that were chosen for its previous incarnation until the box learns of the restart. If such a request fails after the box has learned of it, the new incarnation counts as another target, with the same rank, and is chosen again.

Ruled out: a resend on a reused connection (an attempt writes once), and hedged attempts (the same exclusion).

Why it works: what may have received the request is excluded by name, in all incarnations. Where no connection was made, the incarnation alone is excluded, as a restart may make the target reachable.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -139,9 +139,24 @@
 		Objective:   c.route.Objective,
 		Remaining:   remaining,
 		Tried:       c.tried,
+		Reached:     c.reachedTargets(),
 	}
 }
 
+// reachedTargets returns the names of the targets that may have received the request.
+func (c *callerRequest) reachedTargets() []string {
+	var out []string
+	for _, p := range c.pending {
+		out = append(out, p.choice.Target.Name)
+	}
+	for _, a := range c.endedAttempts {
+		if a.sent {
+			out = append(out, a.target.Name)
+		}
+	}
+	return out
+}
+
 // affinityKey returns the key by which a home target is chosen; empty on routes without affinity.
 func (c *callerRequest) affinityKey() string {
 	if !c.route.Affinity {
--- a/internal/gateway/hedging.go
+++ b/internal/gateway/hedging.go
@@ -151,7 +151,7 @@
 // recordAttempt records the result of an attempt and reports its outcome to the balancer.
 func (c *callerRequest) recordAttempt(e attemptEnd) {
 	c.pending = slices.DeleteFunc(c.pending, func(p *pendingAttempt) bool { return p == e.pendingAttempt })
-	c.lastAttempt = attemptRecord{target: e.choice.Target, choice: e.choice.Choice, newConnection: e.attempt.connectTime > 0, took: e.took}
+	c.lastAttempt = attemptRecord{target: e.choice.Target, choice: e.choice.Choice, newConnection: e.attempt.connectTime > 0, took: e.took, sent: e.failure == nil || e.failure.sent}
 	report := balance.Report{
 		TargetID: e.choice.Target.ID, Route: c.route.Name, Took: e.took, Connect: e.attempt.connectTime, MarkedOverdue: e.overdue,
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -85,8 +85,10 @@
 	choice        balance.Choice
 	outcome       balance.Outcome
 	newConnection bool
-	took          time.Duration
-	err           error
+	// sent tells that the target may have received the request.
+	sent bool
+	took time.Duration
+	err  error
 }
 
 // hedgeRecord is what the log reports of hedged attempts.
--- a/pkg/balance/request.go
+++ b/pkg/balance/request.go
@@ -24,8 +24,12 @@
 	Remaining time.Duration
 	// ExcludeLimited excludes targets that report a rate limit.
 	ExcludeLimited bool
-	// Tried holds the IDs of targets that the request was sent to before.
+	// Tried holds the IDs of targets that were tried before.
 	Tried []string
+	// Reached holds the names of targets that may have received the request. They are excluded in
+	// all incarnations: a box learns of a restart only after the new incarnation has begun to
+	// receive what is sent to the previous one.
+	Reached []string
 }
 
 // Choice is the target to send a request to. It must be followed by Done, Release or ThrottleUntil.
@@ -95,5 +99,5 @@
 	if len(r.Regions) > 0 && !slices.Contains(r.Regions, t.Region) {
 		return false
 	}
-	return !slices.Contains(r.Tried, t.ID)
+	return !slices.Contains(r.Tried, t.ID) && !slices.Contains(r.Reached, t.Name)
 }
