link: pass frames on to yamux only once they are whole

What callers saw: a call with a deadline could wait for 1 to 2 s while its connection stalled within a frame of the answer.

Cause: yamux locks a stream while it copies a frame's data from the connection. A reader that comes meanwhile waits for the lock, where its deadline does not apply.

Evidence: TestReadDeadlineHoldsWhileFrameIsIncomplete stalls a connection within a frame before the reader comes.

Ruled out: readers that wait already (their deadline releases them), and Stream.Close (it takes another lock).

Why it works: frames are collected before yamux sees them, so its copy never waits for the connection.

--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -55,7 +55,7 @@
 	if dialled {
 		start, interval, timeout = yamux.Client, keepAliveInterval, keepAliveTimeout
 	}
-	y, err := start(conn, sessionConfig())
+	y, err := start(&frameReader{Conn: conn}, sessionConfig())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/link/session_test.go
+++ b/internal/link/session_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"runtime"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -59,6 +61,12 @@
 	net.Conn
 	dropWrites atomic.Bool
 	failWrites atomic.Bool
+	// stallInFrame makes the connection deliver nothing more behind the header of the second data
+	// frame that it reads.
+	stallInFrame atomic.Bool
+	dataFrames   int
+	closing      sync.Once
+	closed       chan struct{}
 }
 
 func (c *faultyConn) Write(b []byte) (int, error) {
@@ -72,13 +80,24 @@
 }
 
 func (c *faultyConn) Read(b []byte) (int, error) {
+	if c.dataFrames >= 2 {
+		<-c.closed
+	}
 	n, err := c.Conn.Read(b)
 	if err != nil {
 		time.Sleep(time.Second)
 	}
+	if c.stallInFrame.Load() && n == frameHeaderBytes && b[1] == dataFrame {
+		c.dataFrames++
+	}
 	return n, err
 }
 
+func (c *faultyConn) Close() error {
+	c.closing.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // drainPools drops the timers that yamux keeps in a sync.Pool: they must not
 // cross the boundary of a synctest bubble. That takes two garbage collections.
 func drainPools() {
@@ -95,7 +114,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var conns []*faultyConn
 		p := &pipeNetwork{accept: make(chan net.Conn), wrap: func(c net.Conn) net.Conn {
-			f := &faultyConn{Conn: c}
+			f := &faultyConn{Conn: c, closed: make(chan struct{})}
 			conns = append(conns, f)
 			return f
 		}}
@@ -107,6 +126,8 @@
 				defer stop()
 				_ = m.Read(&wire.Subscribe{})
 				_ = m.Read(&wire.Subscribe{})
+				_ = m.Write(&wire.Update{Limits: []*wire.TargetLimit{{Life: strings.Repeat("x", 2*maxWriteBytes)}}})
+				_ = m.Read(&wire.Subscribe{})
 			},
 		}
 		server, err := Listen(p.network(), "server", Identity{Name: "server"}, clock, handlers, nil)
