distribution: count an update as contact once it is applied

A box that could not apply an update counted it as contact with control all the same: its control age was zero while it served by the state before, so neither it nor what follows it looked for another upstream. Callers could see requests sent by old routes, drains and evacuations for as long as that lasted.

Cause: the contact was recorded when an update arrived, before it was applied. The same mistake at four more places: a command without effect led to a new subscription from the same version, which got the same commands again; a box that has just started took its start for a contact, also with a state that it knew to be old; the age was stored before the state was put in force; and a publisher sent the age of its process with a state that others were still queued behind.

Now contact counts once the update is applied, a command without effect leads to the full state, the age of a box without contact is an hour, one from before its start is kept, and pending states count for the age that is sent. Later updates of a subscription whose update failed are ignored: each of them put off the next subscription.

Ruled out: a way by which a state of this version comes to differ was not found by reading. A command of a later version, of a kind that the box does not know, has no effect there either.

--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -61,7 +62,8 @@
 	events  chan distribution.Event
 	started time.Time
 	// lastContact is the time of the last contact with control, in nanoseconds
-	// after started; zero for never. It does not depend on the wall clock.
+	// after started, or noContact. It may lie before started, and does not depend on
+	// the wall clock.
 	lastContact atomic.Int64
 	stream      *link.Messages
 	// current is the subscription that is being read, set before its first update.
@@ -81,6 +83,9 @@
 	stream  *link.Messages
 }
 
+// noContact is the value of lastContact before the first contact.
+const noContact = math.MinInt64
+
 // NewFollower returns a follower with the empty state. Call Run to start it.
 func NewFollower(s FollowerConfig) *Follower {
 	f := &Follower{
@@ -93,6 +98,7 @@
 		sourcesChanged: make(chan struct{}, 1),
 		sourcesStale:   true,
 	}
+	f.lastContact.Store(noContact)
 	if s.StaleAfter > 0 {
 		f.machine.SetStaleAfter(s.StaleAfter)
 	}
@@ -102,7 +108,7 @@
 // ControlAge returns the time since the last contact with control; an hour if there was none.
 func (f *Follower) ControlAge() time.Duration {
 	at := f.lastContact.Load()
-	if at == 0 {
+	if at == noContact {
 		return time.Hour
 	}
 	return f.config.BootClock.Since(f.started) - time.Duration(at)
@@ -227,13 +233,15 @@
 		f.cancel = cancel
 		go f.subscribe(worker, *out.Subscribe)
 	}
-	if age := f.machine.ControlAge(f.config.BootClock.Now()); f.lastContact.Load() > 0 || age < tickInterval {
-		f.lastContact.Store(int64(max(f.config.BootClock.Since(f.started)-age, 1)))
+	if out.State != nil {
+		f.config.ApplyState(*out.State, out.Commands)
+	}
+	if at, ok := f.machine.LastContact(); ok {
+		f.lastContact.Store(int64(at.Sub(f.started)))
 	}
 	if out.State == nil {
 		return
 	}
-	f.config.ApplyState(*out.State, out.Commands)
 	f.recordActive(out.Commands)
 	f.sendReports()
 	f.sourcesStale = true
--- a/internal/relay/publisher.go
+++ b/internal/relay/publisher.go
@@ -40,16 +40,21 @@
 	pending []publication
 	// latest is the last state given to SetState.
 	latest steering.State
+	// behindSince is the last time at which the published state is known to have been
+	// current, while a later one is pending; zero if none is.
+	behindSince time.Time
 	// wake holds a token while publications are pending.
 	wake chan struct{}
 	// published is the last state that was published; only Run uses it.
 	published steering.State
 }
 
-// publication is a state to be published and the commands that led to it.
+// publication is a state to be published and the commands that led to it. The state
+// before it was last known to be current at currentAt.
 type publication struct {
-	state    steering.State
-	commands []*wire.Command
+	state     steering.State
+	commands  []*wire.Command
+	currentAt time.Time
 }
 
 // subscriber is one served stream; changed holds a token when there is something to send.
@@ -110,9 +115,13 @@
 // SetState queues the next state for Run, which publishes in the order of the
 // calls. It does not block.
 func (p *Publisher) SetState(s steering.State, commands []*wire.Command) {
+	currentAt := p.clock.Now().Add(-p.controlAge())
 	p.queueMu.Lock()
-	p.pending = append(p.pending, publication{s, commands})
+	p.pending = append(p.pending, publication{s, commands, currentAt})
 	p.latest = s
+	if p.behindSince.IsZero() {
+		p.behindSince = currentAt
+	}
 	p.queueMu.Unlock()
 	select {
 	case p.wake <- struct{}{}:
@@ -142,11 +151,14 @@
 	p.queueMu.Lock()
 	latest, isPending := p.latest, len(p.pending) > 0
 	p.queueMu.Unlock()
-	if isPending || latest.Version() <= p.published.Version() {
+	if isPending {
 		return
 	}
-	p.publish(latest, nil)
-	p.published = latest
+	if latest.Version() > p.published.Version() {
+		p.publish(latest, nil)
+		p.published = latest
+	}
+	p.endPublication()
 }
 
 func (p *Publisher) publishPending(ctx context.Context) {
@@ -155,14 +167,36 @@
 		if !ok {
 			return
 		}
-		if next.state.Version() <= p.published.Version() {
-			continue
+		if next.state.Version() > p.published.Version() {
+			p.publish(next.state, distribution.PackCommands(p.published, next.commands))
+			p.published = next.state
 		}
-		p.publish(next.state, distribution.PackCommands(p.published, next.commands))
-		p.published = next.state
+		p.endPublication()
+	}
+}
+
+// endPublication records that all states before the pending ones have been published.
+func (p *Publisher) endPublication() {
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	p.behindSince = time.Time{}
+	if len(p.pending) > 0 {
+		p.behindSince = p.pending[0].currentAt
 	}
 }
 
+// publishedAge returns the control age of the published state, which is older than that of
+// the process while other states are pending.
+func (p *Publisher) publishedAge() time.Duration {
+	age := p.controlAge()
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	if p.behindSince.IsZero() {
+		return age
+	}
+	return max(age, p.clock.Since(p.behindSince))
+}
+
 func (p *Publisher) nextPending() (publication, bool) {
 	p.queueMu.Lock()
 	defer p.queueMu.Unlock()
@@ -270,7 +304,7 @@
 }
 
 func (p *Publisher) buildUpdate(nextUpdate func(uint64, time.Duration) *wire.Update, version uint64) *wire.Update {
-	age := p.controlAge()
+	age := p.publishedAge()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := nextUpdate(version, age)
--- a/internal/relay/transfer_test.go
+++ b/internal/relay/transfer_test.go
@@ -42,6 +42,8 @@
 type replicaPair struct {
 	network    linktest.Network
 	publishers [2]*Publisher
+	// controlAge is the control age of the replicas.
+	controlAge atomic.Int64
 	nodes      [2]*link.Node
 	served     [2]atomic.Int32
 	notices    []string
@@ -81,7 +83,7 @@
 		addresses := [2]string{"a", "b"}
 		var sources []distribution.Source
 		for i, a := range addresses {
-			p.publishers[i] = NewPublisher(steering.State{}, func() time.Duration { return 0 }, clock.Stamp)
+			p.publishers[i] = NewPublisher(steering.State{}, func() time.Duration { return time.Duration(p.controlAge.Load()) }, clock.Stamp)
 			go func() { ended <- p.publishers[i].Run(ctx) }()
 			handlers := link.Handlers{Subscribe: func(ctx context.Context, _ string, m *link.Messages) {
 				p.served[i].Add(1)
--- a/pkg/distribution/advance.go
+++ b/pkg/distribution/advance.go
@@ -17,9 +17,19 @@
 	return fmt.Sprintf("an update from version %d to %d does not follow version %d", e.From, e.To, e.Have)
 }
 
+// DivergedError says that a command had no effect on the local state, unlike at its
+// publisher, so the states differ.
+type DivergedError struct{ Have, To uint64 }
+
+// Error implements error.
+func (e *DivergedError) Error() string {
+	return fmt.Sprintf("a command of an update to version %d has no effect on version %d", e.To, e.Have)
+}
+
 // Advance applies an update and returns the next state, along with the commands as they
 // were received, so that a relay forwards the same bytes. It never returns a lower
-// version. A document that can't be unpacked gives a catalog.UnpackError.
+// version. A document that can't be unpacked gives a catalog.UnpackError, a command
+// without effect a DivergedError.
 func Advance(s steering.State, u *wire.Update) (steering.State, []*wire.Command, error) {
 	if u.State != nil {
 		next, err := steering.Decode(u.State)
@@ -41,18 +51,18 @@
 			return s, nil, r.Err
 		}
 		if !r.Changed {
-			return s, nil, &GapError{s.Version(), u.FromVersion, u.Version}
+			return s, nil, &DivergedError{s.Version(), u.Version}
 		}
 	}
 	return next, commands, nil
 }
 
-// requiresFullState reports whether an update failed because a document in it could not
-// be unpacked against the local state. The same commands would fail again, so the
-// follower has to ask for the full state.
+// requiresFullState reports whether the commands of an update could not be applied to
+// the local state. They would fail again, so the follower has to ask for the full state.
 func requiresFullState(err error) bool {
 	var unpack *catalog.UnpackError
-	return errors.As(err, &unpack)
+	var diverged *DivergedError
+	return errors.As(err, &unpack) || errors.As(err, &diverged)
 }
 
 // subscribeVersion returns the version to subscribe from; 0 asks for the full state.
--- a/pkg/distribution/follower.go
+++ b/pkg/distribution/follower.go
@@ -130,8 +130,9 @@
 	// returnDelay is how long the follower stays with an upstream other than its first
 	// choice.
 	returnDelay time.Duration
-	// lastContact is the time of the last contact with control, directly or through
-	// relays.
+	// lastContact is the last time at which the state is known to have been current: the
+	// time of the last contact with control, directly or through relays, with an update
+	// that was applied. It is zero if there was none.
 	lastContact time.Time
 	// sourceIsStale reports that the current source is itself out of contact with
 	// control.
@@ -162,7 +163,6 @@
 		backOff:         minBackOff,
 		returnDelay:     minReturnDelay,
 		retryAt:         now,
-		lastContact:     now,
 		transferTimeout: minTransferTimeout,
 	}
 }
@@ -174,9 +174,23 @@
 // State returns the active state.
 func (f *Follower) State() steering.State { return f.state }
 
+// noContactAge is the control age before the first contact.
+const noContactAge = time.Hour
+
 // ControlAge returns the time since the last contact with control, directly or through
-// relays.
-func (f *Follower) ControlAge(now time.Time) time.Duration { return now.Sub(f.lastContact) }
+// relays, or an hour if there was none.
+func (f *Follower) ControlAge(now time.Time) time.Duration {
+	if f.lastContact.IsZero() {
+		return noContactAge
+	}
+	return now.Sub(f.lastContact)
+}
+
+// LastContact returns the time of the last contact with control; ok is false if there was
+// none.
+func (f *Follower) LastContact() (at time.Time, ok bool) {
+	return f.lastContact, !f.lastContact.IsZero()
+}
 
 // Upstream returns the current upstream; ok is false if there is none.
 func (f *Follower) Upstream() (s Source, ok bool) {
@@ -348,35 +362,41 @@
 		f.transferTimeout = minTransferTimeout
 		f.incoming = transfer{}
 	}
-	f.recordContact(now, sentAt, e.Update)
 	f.sourceIsStale = time.Duration(e.Update.AgeMilli)*time.Millisecond > f.staleAfter
 	if f.current == 0 && !f.sourceIsStale {
 		f.returnDelay = minReturnDelay
 	}
-	if e.Update.Version <= f.state.Version() {
-		return
-	}
-	if f.holdStaleState(now, e.Update) {
+	if e.Update.Version > f.state.Version() && !f.takeUpdate(now, e.Update) {
 		return
 	}
-	f.applyUpdate(now, e.Update)
+	f.recordContact(now, sentAt, e.Update)
 }
 
-// holdStaleState holds back a state from a source that is out of contact with control
-// if the follower has no state yet, so that a restarted box does not activate an older
-// state than other boxes of its zone still have.
-func (f *Follower) holdStaleState(now time.Time, u *wire.Update) bool {
-	if f.state.Version() > 0 || time.Duration(u.AgeMilli)*time.Millisecond <= f.staleAfter {
+// takeUpdate activates the state that an update leads to, or holds it back. It reports
+// whether the update could be applied.
+func (f *Follower) takeUpdate(now time.Time, u *wire.Update) bool {
+	next, commands, ok := f.advance(now, u)
+	if !ok {
 		return false
 	}
-	next, _, ok := f.advance(now, u)
-	if !ok {
+	if f.state.Version() == 0 && time.Duration(u.AgeMilli)*time.Millisecond > f.staleAfter {
+		f.holdState(now, next)
 		return true
 	}
-	f.heldState = next
+	if f.heldState.Version() > 0 {
+		commands = nil // they apply to a state that was never active
+	}
+	f.setState(next, commands)
+	return true
+}
+
+// holdState holds back a state from a source that is out of contact with control, so that
+// a restarted box does not activate an older state than other boxes of its zone still
+// have.
+func (f *Follower) holdState(now time.Time, s steering.State) {
+	f.heldState = s
 	f.open = false
 	f.tryNext(now)
-	return true
 }
 
 // applyHeldState activates the latest state that was held back.
@@ -388,18 +408,6 @@
 	f.setState(f.heldState, nil)
 }
 
-// applyUpdate activates the state that an update leads to.
-func (f *Follower) applyUpdate(now time.Time, u *wire.Update) {
-	next, commands, ok := f.advance(now, u)
-	if !ok {
-		return
-	}
-	if f.heldState.Version() > 0 {
-		commands = nil // they apply to a state that was never active
-	}
-	f.setState(next, commands)
-}
-
 func (f *Follower) setState(s steering.State, commands []*wire.Command) {
 	f.state = s
 	f.heldState = steering.State{}
@@ -408,7 +416,7 @@
 }
 
 // advance applies an update to the latest state. If that fails the subscription is
-// ended.
+// ended, and its later events are ignored.
 func (f *Follower) advance(now time.Time, u *wire.Update) (next steering.State, commands []*wire.Command, ok bool) {
 	latest := f.latestState()
 	if u.State == nil && u.Version <= latest.Version() {
@@ -418,6 +426,7 @@
 	f.needsFullState = requiresFullState(err)
 	if err != nil {
 		f.handleLost(now)
+		f.attempt++ // later updates of this subscription must not delay the next one
 		f.out.Notice = err.Error()
 		return latest, nil, false
 	}
