control: count a replica's age from what it has applied

A control replica that heard its leader told boxes that its state was current, also while it lacked entries that were committed. A box that followed it sent requests into an evacuated zone for as long as that lasted: in the test until its end, 10 s after the acknowledgement, at a control age of under a second. Reads with stale=true told that age too.

Cause: the age counted from the leader's last message, also one that the replica had to reject, and from an election; a leader's was zero until it stepped down, also without a majority.

The consensus state machine now notes the commit index, the term and the arrival of each message of a leader, and tells its host as of when a state with the applied entries held everything that was committed. The entry at the commit index must be of the leader's term, since a leader that has committed none of its own may know less than the one before it. A leader counts from its last round that a majority answered. Where entries arrive late the age is that of what has arrived, and not zero.

Ruled out: reads through the leader return no old document at a replica that catches up (TestReadAtReplicaThatLacksADocument held before too).

Left: time in transit, or in a frozen machine, is not counted; that needs a field in the messages.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -54,8 +54,9 @@
 	extraServices      []process.Service
 
 	started time.Time
-	// lastContact is the time of the last contact with a leader, in nanoseconds after started, or
-	// noContact. It does not depend on the time of day.
+	// lastContact is the last time at which the published state was known to hold everything that
+	// was committed, in nanoseconds after started, or noContact. It does not depend on the time of
+	// day.
 	lastContact atomic.Int64
 
 	// reportedTo is the leader that reports of boxes are sent to, and filter selects those that have
@@ -174,6 +175,7 @@
 		d.permitIssuer.setState(s)
 		d.publisher.SetState(s, commands)
 	}
+	d.replica.onCurrent = d.recordCurrent
 	d.replica.onSynced = func(took time.Duration) {
 		syncs.Inc()
 		syncTime.Add(took.Seconds())
@@ -182,9 +184,6 @@
 	d.replica.onDiskChange = d.recordDisk
 	d.replica.onNotice = func(n consensus.Notice) {
 		d.leadership.notify()
-		if n.Leader != "" {
-			d.recordContact(0) // otherwise subscribers would learn of it up to viewInterval later
-		}
 		detail := fmt.Sprintf("%s in term %d: %s", n.Role, n.Term, n.Reason)
 		d.process.RecordStateChange(&wire.TimelineEvent{Kind: "role", Box: id, Detail: detail})
 	}
@@ -318,8 +317,8 @@
 	}
 }
 
-// controlAge returns the time since the last contact with a leader that has a quorum, or an hour if
-// there was none.
+// controlAge returns the time since the published state was last known to hold everything that was
+// committed, or an hour if it never was.
 func (d *Daemon) controlAge() time.Duration {
 	at := d.lastContact.Load()
 	if at == noContact {
@@ -328,12 +327,12 @@
 	return max(d.clock.Since(d.started)-time.Duration(at), 0)
 }
 
-// recordContact records contact with a leader some time ago.
-func (d *Daemon) recordContact(ago time.Duration) {
-	d.lastContact.Store(int64(max(d.clock.Since(d.started)-ago, 0)))
+// recordCurrent records that the published state held everything that was committed at a time.
+func (d *Daemon) recordCurrent(at time.Time) {
+	d.lastContact.Store(int64(max(at.Sub(d.started), 0)))
 }
 
-// noContact is the value of lastContact before the first contact with a leader.
+// noContact is the value of lastContact before the first call of recordCurrent.
 const noContact = -1
 
 func (d *Daemon) serveConsensus(ctx context.Context, _ string, m *link.Messages) {
@@ -370,7 +369,7 @@
 
 const viewInterval = 200 * time.Millisecond
 
-// refreshView updates the control age and membership, and forwards reports of boxes to the leader.
+// refreshView updates the membership, and forwards reports of boxes to the leader.
 func (d *Daemon) refreshView(ctx context.Context) {
 	v, err := d.replica.view(ctx)
 	if err != nil {
@@ -379,14 +378,9 @@
 	d.permitIssuer.setReplicaCount(d.clock.Now(), v.membership)
 	d.targetLimits.setReplicas(d.clock.Now(), v.membership)
 	d.targetLimits.prune(d.clock.Now(), v.state)
-	if v.status.Role == consensus.Leader {
-		d.recordContact(0)
-		return
-	}
-	if v.status.Leader == "" {
+	if v.status.Role == consensus.Leader || v.status.Leader == "" {
 		return
 	}
-	d.recordContact(v.status.LeaderSilence)
 	d.addDiscovered(v.membership)
 	if v.status.Leader != d.reportedTo {
 		d.reportedTo = v.status.Leader
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -29,7 +31,10 @@
 
 type readRequest struct{ reply chan<- readOutcome }
 
-type receivedMessage struct{ message *wire.ConsensusMessage }
+type receivedMessage struct {
+	message   *wire.ConsensusMessage
+	arrivedAt time.Time // zero for now
+}
 
 type viewRequest struct{ reply chan<- view }
 
--- a/internal/control/operators_test.go
+++ b/internal/control/operators_test.go
@@ -26,6 +26,7 @@
 	verdicts     map[string]*wire.Verdict
 	acceptedIDs  map[uint64]string // change id by version
 	acked        uint64            // highest acknowledged version
+	acks         []ack
 	reads        []*openRead
 	duplicates   bool // also send every change to a random node, and again to the same one
 	pause        time.Duration
@@ -175,6 +176,7 @@
 	}
 	o.acceptedIDs[v.Version] = v.Id
 	o.acked = max(o.acked, v.Version)
+	o.recordAck(v.Version)
 }
 
 func (o *operators) beginRead() {
@@ -211,6 +213,7 @@
 func (o *operators) run(length time.Duration, until func() bool) bool {
 	return o.sim.run(length, func() bool {
 		o.step()
+		o.checkStaleness()
 		return until != nil && until()
 	}) || until == nil
 }
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -58,6 +58,9 @@
 	// onDequeued receives how long an input waited for the loop, and whether its caller had given
 	// up by then, in which case it was not handled.
 	onDequeued func(kind string, wait time.Duration, abandoned bool)
+	// onCurrent receives a time at which the published state was known to hold everything that
+	// was committed.
+	onCurrent func(at time.Time)
 	// onDiskChange is called with an error when the disk becomes full, and with nil when it has
 	// space again.
 	onDiskChange func(*FullDiskError)
@@ -83,6 +86,7 @@
 		waiting:       make(map[uint64]waitingProposal),
 		reads:         make(map[uint64]chan<- readOutcome),
 		onDequeued:    func(string, time.Duration, bool) {},
+		onCurrent:     func(time.Time) {},
 	}
 	r.config.ID = found.ID
 	return r, r.restore(now(), consensus.Stored{HardState: found.HardState, Snapshot: found.Snapshot, Entries: found.Entries})
@@ -217,7 +221,7 @@
 	now := r.now()
 	switch m := m.(type) {
 	case receivedMessage:
-		return r.machine.Handle(now, consensus.Receive{Message: m.message})
+		return r.machine.Handle(now, consensus.Receive{Message: m.message, At: m.arrivedAt})
 	case proposal:
 		r.queueProposal(m.command, func(o outcome) { m.reply <- o })
 	case updateBatch:
@@ -319,6 +323,9 @@
 	if err := r.applyNext(); err != nil {
 		return err
 	}
+	if at, ok := r.machine.CurrentAt(r.applied); ok {
+		r.onCurrent(at)
+	}
 	for _, n := range out.Notices {
 		r.onNotice(n)
 		if n.Role != consensus.Leader {
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -45,7 +45,9 @@
 
 // deliver queues a consensus message for the loop. It is dropped if the queue is full, as on a
 // lossy network.
-func (r *replica) deliver(m *wire.ConsensusMessage) { _ = r.inbox.tryPut(receivedMessage{m}) }
+func (r *replica) deliver(m *wire.ConsensusMessage) {
+	_ = r.inbox.tryPut(receivedMessage{m, r.inbox.clock.Now()})
+}
 
 func addressOf(m *wire.Membership, id string) string {
 	for _, v := range slices.Concat(m.GetVoters(), m.GetLearners()) {
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -43,6 +43,8 @@
 	nextTickAt    time.Time
 	awaitsJoin    bool // not yet in the membership
 	lastContactAt time.Time
+	// thawedAt is when the node last resumed after a freeze.
+	thawedAt time.Time
 	// isolatedSince is when the node could last reach another node or be reached by one.
 	isolatedSince time.Time
 }
@@ -152,11 +154,13 @@
 	n.publisher = distribution.NewPublisher(r.state)
 	n.nextTickAt = sim.now
 	n.isolatedSince = sim.now
+	n.lastContactAt = time.Time{}
 	r.send = func(m *wire.ConsensusMessage) { sim.send(n, m) }
 	r.publish = func(s steering.State, c []*wire.Command) { n.publisher.SetState(s, c) }
 	r.onNotice = func(notice consensus.Notice) { sim.checkNotice(n, notice) }
 	r.onApplied = func(c *wire.Command, _ steering.Result) { sim.checkApplied(n, c) }
 	r.onSynced = func(time.Duration) {}
+	r.onCurrent = func(at time.Time) { n.lastContactAt = at }
 	r.onDiskChange = func(*FullDiskError) {}
 	n.disk.beforeOperation = func(operation, name string) error {
 		if operation == "rename" && name == "snapshot" {
@@ -365,12 +369,13 @@
 			return
 		}
 		n.frozen = false
+		n.thawedAt = sim.now
 	}
 	inbox := n.inbox
 	n.inbox = nil
 	for _, m := range inbox {
 		if n.alive {
-			sim.handleOutput(n, n.replica.handle(receivedMessage{m}))
+			sim.handleOutput(n, n.replica.handle(receivedMessage{message: m}))
 		}
 	}
 	if n.alive && !sim.now.Before(n.nextTickAt) {
@@ -383,11 +388,6 @@
 	}
 	s := n.replica.machine.Status(sim.now)
 	sim.checkCutOff(n, s)
-	if s.Role == consensus.Leader {
-		n.lastContactAt = sim.now
-	} else if s.Leader != "" {
-		n.lastContactAt = sim.now.Add(-s.LeaderSilence)
-	}
 }
 
 // checkCutOff checks that a node that has been isolated for two seconds reports that it is cut
--- a/internal/control/slowlinks_test.go
+++ b/internal/control/slowlinks_test.go
@@ -45,8 +45,13 @@
 	daemons []*Daemon
 	// suspended is how long each replica's machine was suspended, in nanoseconds.
 	suspended []*atomic.Int64
-	stop      context.CancelFunc
-	ended     chan error
+	network   link.Network
+	// drop, if set, reports whether a message between replicas is lost.
+	drop atomic.Pointer[func(from *Daemon, m *wire.ConsensusMessage) bool]
+	// rewrite, if set, returns the commands that are published in place of others.
+	rewrite atomic.Pointer[func([]*wire.Command) []*wire.Command]
+	stop    context.CancelFunc
+	ended   chan error
 }
 
 // runSlowReplicas runs a function in virtual time with replicas that all hold a state.
@@ -74,7 +79,8 @@
 	t.Helper()
 	n := &linktest.Network{DownBytesPerSecond: bytesPerSecond, UpBytesPerSecond: bytesPerSecond, SocketBuffer: 1 << 16}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &slowReplicas{stop: cancel, ended: make(chan error, 6)}
+	network := link.Network{Listen: n.Listen, Dial: n.Dial}
+	s := &slowReplicas{network: network, stop: cancel, ended: make(chan error, 6)}
 	first := &wire.Membership{}
 	for i := range 3 {
 		c := config.Control{DataDir: t.TempDir(), ElectionTimeout: time.Second, SnapshotEvery: 1000, PeersAreSeeds: true}
@@ -84,10 +90,23 @@
 		c.Name = fmt.Sprintf("c%d", i)
 		c.PeerAddress = c.Name
 		c.OperatorAddress = "127.0.0.1:0"
-		d, err := openOn(link.Network{Listen: n.Listen, Dial: n.Dial}, c, io.Discard)
+		d, err := openOn(network, c, io.Discard)
 		if err != nil {
 			t.Fatal(err)
 		}
+		send := d.replica.send
+		d.replica.send = func(m *wire.ConsensusMessage) {
+			if drop := s.drop.Load(); drop == nil || !(*drop)(d, m) {
+				send(m)
+			}
+		}
+		publish := d.replica.publish
+		d.replica.publish = func(state steering.State, commands []*wire.Command) {
+			if rewrite := s.rewrite.Load(); rewrite != nil {
+				commands = (*rewrite)(commands)
+			}
+			publish(state, commands)
+		}
 		s.daemons = append(s.daemons, d)
 		first.Voters = append(first.Voters, &wire.Replica{Id: d.replica.id, Address: c.PeerAddress})
 	}
--- a/pkg/consensus/cluster_test.go
+++ b/pkg/consensus/cluster_test.go
@@ -113,7 +113,7 @@
 		inbox := m.inbox
 		m.inbox = nil
 		for _, message := range inbox {
-			c.handle(m, Receive{message})
+			c.handle(m, Receive{Message: message})
 		}
 		c.handle(m, Tick{})
 	}
--- a/pkg/consensus/delayedack_test.go
+++ b/pkg/consensus/delayedack_test.go
@@ -40,7 +40,7 @@
 	got := 0
 	for _, m := range s.takeInbox(s.other) {
 		if got += len(m.Entries); got <= known {
-			c.handle(s.other, Receive{m})
+			c.handle(s.other, Receive{Message: m})
 		}
 	}
 	s.deliver(s.leader, s.takeInbox(s.leader))
@@ -55,7 +55,7 @@
 	s.deliver(s.leader, acknowledged)
 	for _, m := range s.takeInbox(s.slow) {
 		if m.Snapshot != nil {
-			c.handle(s.slow, Receive{m})
+			c.handle(s.slow, Receive{Message: m})
 		}
 	}
 	s.takeInbox(s.leader)
@@ -71,7 +71,7 @@
 
 func (s *delayedAck) deliver(m *member, messages []*wire.ConsensusMessage) {
 	for _, x := range messages {
-		s.cluster.handle(m, Receive{x})
+		s.cluster.handle(m, Receive{Message: x})
 	}
 }
 
--- a/pkg/consensus/election.go
+++ b/pkg/consensus/election.go
@@ -129,6 +129,7 @@
 	r.transferTo = ""
 	r.progress = make(map[string]*progress)
 	r.syncProgress()
+	r.startRound()
 	r.heartbeatDue = r.now
 	r.quorumCheckDue = r.now.Add(r.config.ElectionTimeout)
 	r.addNotice("won the election")
--- a/pkg/consensus/event.go
+++ b/pkg/consensus/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -15,7 +16,20 @@
 type Tick struct{}
 
 // Receive delivers a message from another replica.
-type Receive struct{ Message *wire.ConsensusMessage }
+type Receive struct {
+	Message *wire.ConsensusMessage
+	// At is the arrival time, which may be long before the event is handled; zero
+	// means now.
+	At time.Time
+}
+
+// arrivedAt returns the arrival time, which is not after now.
+func (e Receive) arrivedAt(now time.Time) time.Time {
+	if e.At.IsZero() || e.At.After(now) {
+		return now
+	}
+	return e.At
+}
 
 // Propose appends Data to the log as a command. Token identifies the result in
 // Output.Proposals.
--- a/pkg/consensus/largeappend_test.go
+++ b/pkg/consensus/largeappend_test.go
@@ -188,7 +188,7 @@
 			c.now = c.now.Add(tick)
 			do(Tick{})
 		}
-		do(Receive{&wire.ConsensusMessage{
+		do(Receive{Message: &wire.ConsensusMessage{
 			Kind: wire.MessageKind_MESSAGE_KIND_APPEND_ANSWER, From: to, To: r.config.ID, Term: r.term, LogIndex: first + i, Round: r.round,
 		}})
 	}
--- a/pkg/consensus/replica.go
+++ b/pkg/consensus/replica.go
@@ -113,12 +113,19 @@
 	// seenLeader is true once the replica has led or received a message from a leader
 	// since its start.
 	seenLeader bool
-	votes      map[string]bool
+	// contacts are those whose entries have not been applied yet, currentAt is the
+	// time of the latest other one.
+	contacts  []contact
+	currentAt time.Time
+	// arrivedAt is when the message that is being handled arrived.
+	arrivedAt time.Time
+	votes     map[string]bool
 
 	progress         map[string]*progress
 	heartbeatDue     time.Time
 	quorumCheckDue   time.Time
 	round            uint64
+	rounds           []roundStart // not confirmed yet
 	reads            []pendingRead
 	transferTo       string
 	transferDeadline time.Time
@@ -175,6 +182,7 @@
 	switch e := e.(type) {
 	case Tick:
 	case Receive:
+		r.arrivedAt = e.arrivedAt(r.now)
 		r.receive(e.Message)
 	case Propose:
 		r.propose(e)
@@ -260,6 +268,7 @@
 	r.transferTo = ""
 	if wasLeader {
 		r.failReads()
+		r.rounds = nil
 		r.progress = nil
 	}
 	r.resetElectionTimer()
--- a/pkg/consensus/replication.go
+++ b/pkg/consensus/replication.go
@@ -55,7 +55,7 @@
 		return
 	}
 	r.heartbeatDue = r.now.Add(r.config.HeartbeatInterval)
-	r.round++
+	r.startRound()
 	for _, id := range r.others() {
 		p := r.progress[id]
 		if p.next > p.match+1 && r.now.Sub(p.lastActivity) >= r.resendTimeout(p) {
@@ -63,6 +63,7 @@
 		}
 		r.sendAppend(id)
 	}
+	r.confirmContact() // a sole voter gets no answers
 }
 
 // hasQuorumContact reports whether a majority of the voters answered within the
@@ -191,6 +192,7 @@
 		r.becomeFollower(m.Term, m.From, "follows a leader")
 	}
 	r.lastLeaderContact = r.now
+	r.addContact(contact{at: r.arrivedAt, commit: m.Commit, term: m.Term})
 	r.seenLeader = true
 	r.resetElectionTimer()
 }
@@ -298,10 +300,11 @@
 	p.ackedRound = max(p.ackedRound, m.Round)
 	r.answerConfirmedReads()
 	if m.Reject {
+		r.confirmContact()
 		// A rejection of an earlier round concerns an append sent after the same
 		// loss. Acting on each of them would resend everything each time.
 		if m.LogIndex > p.match && m.LogIndex < p.next && m.Round >= p.minRejectRound {
-			r.round++
+			r.startRound()
 			p.minRejectRound = r.round
 			p.resendFrom(max(min(m.Hint+1, m.LogIndex), p.match+1))
 			r.sendAppend(m.From)
@@ -320,6 +323,7 @@
 	if r.role != Leader {
 		return
 	}
+	r.confirmContact()
 	if p.next <= r.log.lastIndex() && !r.windowFull(p) || p.sentCommit < min(r.commit, p.match) {
 		r.sendAppend(m.From)
 	}
@@ -364,7 +368,7 @@
 		r.out.Reads = append(r.out.Reads, ReadResult{Token: e.Token, Err: &NotLeaderError{Leader: r.leader}})
 		return
 	}
-	r.round++
+	r.startRound()
 	r.reads = append(r.reads, pendingRead{token: e.Token, index: r.commit, round: r.round})
 	for _, id := range r.others() {
 		r.sendAppend(id)
--- /dev/null
+++ b/pkg/consensus/staleness.go
@@ -0,0 +1,96 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+// maxPendingContacts bounds the contacts of a replica that catches up.
+const maxPendingContacts = 64
+
+// contact is a time and an upper bound of the indexes that were committed by then.
+type contact struct {
+	at time.Time
+	// commit is the commit index of the leader of term. The bound holds only if the
+	// entry at commit is of that term: until a leader has committed an entry of its
+	// own term, its commit index may be lower than that of the leader before it.
+	commit uint64
+	term   uint64
+}
+
+// addContact adds a contact. If there are too many, the latest is replaced, so that a
+// replica that catches up learns of the earlier ones first.
+func (r *Replica) addContact(c contact) {
+	if n := len(r.contacts); n > 0 {
+		last := r.contacts[n-1]
+		if n == maxPendingContacts || last.term == c.term && last.commit == c.commit {
+			r.contacts[n-1] = c
+			return
+		}
+	}
+	r.contacts = append(r.contacts, c)
+}
+
+// CurrentAt returns the latest time at which a state with the entries up to applied is
+// known to have held everything that was committed; ok is false if there is none. The
+// host calls it after it has applied entries, with an index that never decreases.
+func (r *Replica) CurrentAt(applied uint64) (at time.Time, ok bool) {
+	r.contacts = slices.DeleteFunc(r.contacts, func(c contact) bool {
+		if c.commit > applied {
+			return false
+		}
+		if term, held := r.log.term(c.commit); held && term == c.term && c.at.After(r.currentAt) {
+			r.currentAt = c.at
+		}
+		return true
+	})
+	return r.currentAt, !r.currentAt.IsZero()
+}
+
+// roundStart is when the leader began a round of messages.
+type roundStart struct {
+	round uint64
+	at    time.Time
+}
+
+// startRound begins a round. An answer to one of its messages confirms that this
+// replica led when the round began.
+func (r *Replica) startRound() {
+	r.round++
+	r.rounds = append(r.rounds, roundStart{r.round, r.now})
+}
+
+// confirmContact adds a contact for the latest round that a majority has confirmed.
+// No later leader had committed anything when that round began.
+func (r *Replica) confirmContact() {
+	if term, held := r.log.term(r.commit); !held || term != r.term {
+		return
+	}
+	confirmed := r.confirmedRound()
+	i := 0
+	for i < len(r.rounds) && r.rounds[i].round <= confirmed {
+		i++
+	}
+	if i == 0 {
+		return
+	}
+	r.addContact(contact{at: r.rounds[i-1].at, commit: r.commit, term: r.term})
+	r.rounds = slices.Delete(r.rounds, 0, i)
+}
+
+// confirmedRound returns the latest round that a majority of the voters has confirmed.
+func (r *Replica) confirmedRound() uint64 {
+	rounds := make([]uint64, 0, len(r.voters()))
+	for _, v := range r.voters() {
+		if v.Id == r.config.ID {
+			rounds = append(rounds, r.round)
+			continue
+		}
+		rounds = append(rounds, r.progress[v.Id].ackedRound)
+	}
+	if len(rounds) == 0 {
+		return 0
+	}
+	slices.Sort(rounds)
+	return rounds[len(rounds)-r.quorum()]
+}
--- a/pkg/consensus/vote_test.go
+++ b/pkg/consensus/vote_test.go
@@ -8,7 +8,7 @@
 )
 
 func voteRequest(from, to string, term, index, logTerm uint64) Receive {
-	return Receive{&wire.ConsensusMessage{
+	return Receive{Message: &wire.ConsensusMessage{
 		Kind: wire.MessageKind_MESSAGE_KIND_VOTE, From: from, To: to, Term: term, LogIndex: index, LogTerm: logTerm,
 	}}
 }
@@ -106,7 +106,7 @@
 	m.replica.setHardState(5, "r0")
 	m.replica.becomeLeader()
 	m.replica.out = Output{}
-	out := c.handle(m, Receive{&wire.ConsensusMessage{
+	out := c.handle(m, Receive{Message: &wire.ConsensusMessage{
 		Kind: wire.MessageKind_MESSAGE_KIND_APPEND_ANSWER, From: "r1", To: "r0", Term: 5, LogIndex: 2,
 	}})
 	if len(out.Committed) > 0 {
