control: withdraw a target at the leader if the state may be old

A control replica that lacked the latest start of a target acknowledged that the target was gone, and the replicated state kept it, so that boxes could go on sending to it.

Cause: an update that would change nothing is acknowledged from the local state. To a replica that catches up, a target that left and started again under its id is still the one that left.

An update that withdraws a target, by draining or for good, is now acknowledged from the local state only if that was current 0.5 s ago or later, and otherwise goes to the leader, where it has no effect a second time. Other updates are left as they are: the target's next heartbeat repeats them, and their number would load the leader when replicas lag.

Left: within the 0.5 s it can still happen.

--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -51,7 +51,7 @@
 func (*NoDocumentError) Error() string { return "no document of routes is in force" }
 
 // Register applies a registration update of a target. A redundant update is acknowledged from the
-// local state; any other is acknowledged once a majority has stored it.
+// local state, unless it withdraws the target and that state may be old; any other is acknowledged once a majority has stored it.
 func (d *Daemon) Register(ctx context.Context, r *wire.Registration) error {
 	return d.register(ctx, &wire.RegistrationCommand{Registration: r})
 }
@@ -71,7 +71,7 @@
 		d.RecordRejectedUpdate(r.Id, err)
 		return err
 	}
-	if !state.Catalog().WouldChange(r, c.Leave) {
+	if !state.Catalog().WouldChange(r, c.Leave) && !d.mayLackTarget(c) {
 		return nil
 	}
 	began := d.clock.Now()
@@ -86,6 +86,16 @@
 	return err
 }
 
+// maxLocalAckAge is the control age up to which a target's withdrawal may be acknowledged from the
+// local state: two heartbeat intervals of the leader and a delay.
+const maxLocalAckAge = 500 * time.Millisecond
+
+// mayLackTarget reports whether an update withdraws a target and the local state is so old that it
+// may lack the target's latest incarnation. Other updates are sent again with the next heartbeat.
+func (d *Daemon) mayLackTarget(c *wire.RegistrationCommand) bool {
+	return (c.Leave || c.Registration.Draining) && d.controlAge() > maxLocalAckAge
+}
+
 // checkUpdate rejects an update with a start time in the future or an unknown service.
 func (d *Daemon) checkUpdate(s steering.State, c *wire.RegistrationCommand) error {
 	if c.Leave {
--- a/internal/control/catchup_test.go
+++ b/internal/control/catchup_test.go
@@ -254,3 +254,43 @@
 		})
 	}
 }
+
+// Guards against a replica that acknowledges that a target is gone by a state that lacks the
+// target's latest start, while boxes go on sending to it.
+func TestReplicaThatLacksATargetWithdrawsIt(t *testing.T) {
+	for _, leave := range []bool{true, false} {
+		runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
+			behind := s.follower(t)
+			leader, _ := s.leaderAndAnother(t)
+			update := func(born int64, sequence uint64, leave, draining bool) *wire.RegistrationCommand {
+				return &wire.RegistrationCommand{Leave: leave, Registration: &wire.Registration{
+					Id: "target", Service: "s", Address: "a", Zone: "z1", Slots: 10, BornUnixMilli: born, Sequence: sequence, Draining: draining,
+				}}
+			}
+			s.submit(t, leader, &wire.Command{Registration: update(1000, 1, false, false)})
+			s.submit(t, leader, &wire.Command{Registration: update(1000, 2, true, false)})
+			time.Sleep(time.Second)
+			s.loseEntries(behind)
+			s.submit(t, leader, &wire.Command{Registration: update(2000, 1, false, false)})
+			time.Sleep(time.Second)
+			ctx, cancel := context.WithTimeout(t.Context(), operatorCallTimeout)
+			defer cancel()
+			withdrawal := update(2000, 2, leave, !leave)
+			if leave {
+				withdrawal.Registration.BornUnixMilli = 0 // an operator names the id only
+			}
+			if err := behind.register(ctx, withdrawal); err != nil {
+				t.Fatal(err)
+			}
+			state, err := leader.State(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, r := range state.Catalog().Targets() {
+				if !r.Draining {
+					t.Errorf("the withdrawal (leaves: %t) was acknowledged, the leader's state has target %s", leave, r.Id)
+				}
+			}
+		})
+	}
+}
