bubble: run tests in bubbles on one thread under the race detector

Cause: a bubble of testing/synctest runs the functions of all its timers in one context of the race detector. A thread that receives from a due timer, creates or resets one that is due, or runs the bubble's heap enters that context, and no lock keeps a second one out. The detector's contexts are for one thread at a time: it ends by a failed check (tsan_rtl.cpp:282, :346, :992) or SIGSEGV. Ruled out: avoiding such timers in our tests.

Change: Test limits the process to one thread until its bubble has ended, under the race detector only. A thread runs a timer's function on its system stack, where a goroutine can't be preempted, so no other one enters meanwhile. Conclusion: a fault of the toolchain; the tests keep one thread at a time in a bubble for the detector and all threads without it.

--- /dev/null
+++ b/internal/bubble/bubble_test.go
@@ -0,0 +1,68 @@
+package bubble_test
+
+import (
+	"io/fs"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"runtime"
+	"strings"
+	"testing"
+
+	"ledgesill.dev/ledgesill/internal/bubble"
+)
+
+// raceTest runs a test of a package below testdata under the race detector.
+func raceTest(t *testing.T, pkg, name string) (output string, err error) {
+	t.Helper()
+	if runtime.GOOS != "linux" || runtime.GOARCH != "amd64" {
+		t.Skip("the race detector may be missing")
+	}
+	cmd := exec.Command("go", "test", "-race", "-count=1", "-run", "^"+name+"$", "./testdata/"+pkg)
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+// Guards against an end of the race detector by due timers of a bubble.
+func TestDueTimersUnderRaceDetector(t *testing.T) {
+	if out, err := raceTest(t, "duetimers", ".*"); err != nil {
+		t.Errorf("%v\n%s", err, out)
+	}
+}
+
+// Guards against races that are not reported because goroutines share a thread.
+func TestRacesAreReported(t *testing.T) {
+	for _, name := range []string{"TestUnlockedCounter", "TestUnlockedMap", "TestUnlockedRarePath", "TestUnlockedAfterReceive"} {
+		out, err := raceTest(t, "races", name)
+		if err == nil || !strings.Contains(out, "WARNING: DATA RACE") {
+			t.Errorf("%s: %v, no data race was reported\n%s", name, err, out)
+		}
+	}
+}
+
+func TestThreadsAreRestored(t *testing.T) {
+	before := runtime.GOMAXPROCS(0)
+	bubble.Test(t, func(t *testing.T) {})
+	if after := runtime.GOMAXPROCS(0); after != before {
+		t.Errorf("GOMAXPROCS is %d after a bubble, %d before", after, before)
+	}
+}
+
+// Guards against a test that enters a bubble without this package.
+func TestBubblesUsePackage(t *testing.T) {
+	direct := regexp.MustCompile(`\bsynctest\.(Test|Run)\(`)
+	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") || path == "bubble_test.go" {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		if err == nil && direct.Match(text) {
+			t.Errorf("%s calls synctest directly, not bubble.Test", path)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/bubble/threads.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package bubble
+
+func limitThreads() (restore func()) { return func() {} }
