--- a/internal/boottime/boottime_test.go
+++ b/internal/boottime/boottime_test.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"ledgesill.dev/ledgesill/internal/bubble"
 )
 
 // Guards against what expired during a suspension and still counts: after five seconds of
 // suspension the monotonic clock says that no time has passed.
 func TestClockIncludesSuspension(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var suspended time.Duration
 		defer Simulate(func() time.Duration { return suspended })()
 		before, monotonic := Now(), time.Now()
@@ -42,7 +43,7 @@
 // A context whose deadline passes during a suspension must end at the next reading, not
 // when the time that was left by the monotonic clock is over.
 func TestDeadlinePassesDuringSuspension(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var suspended time.Duration
 		defer Simulate(func() time.Duration { return suspended })()
 		ctx, cancel := WithDeadline(context.Background(), Now().Add(3*time.Second))
--- a/internal/control/permits_test.go
+++ b/internal/control/permits_test.go
@@ -4,12 +4,12 @@
 	"io"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/bubble"
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/pkg/catalog"
@@ -49,7 +49,7 @@
 // Permits that become available while the machine is suspended can be issued afterwards, up to the
 // capacity of the bucket.
 func TestPermitsAccrueDuringSuspension(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var suspended atomic.Int64
 		clock := boottime.NewClock(func() time.Duration { return time.Duration(suspended.Load()) })
 		p, err := process.New("a", io.Discard, zerolog.Disabled, "")
@@ -76,7 +76,7 @@
 // share and publishes the limit to its subscribers. It also publishes that the limit was
 // withdrawn, which it learns from a report.
 func TestReplicaIssuesForARateLimitedTarget(t *testing.T) {
-	synctest.Test(t, testIssueForRateLimitedTarget)
+	bubble.Test(t, testIssueForRateLimitedTarget)
 }
 
 func testIssueForRateLimitedTarget(t *testing.T) {
--- a/internal/control/registrations_test.go
+++ b/internal/control/registrations_test.go
@@ -5,9 +5,9 @@
 	"errors"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/bubble"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/journal"
@@ -19,7 +19,7 @@
 // runQueue runs a function in virtual time with a queue whose batches are passed to commit.
 func runQueue(t *testing.T, commit func(context.Context, []*pendingUpdate) []error, run func(t *testing.T, q *registrationQueue)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		q := newRegistrationQueue()
 		q.commit = commit
 		ctx, stop := context.WithCancel(t.Context())
--- a/internal/control/slowlinks_test.go
+++ b/internal/control/slowlinks_test.go
@@ -10,10 +10,10 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/bubble"
 	"ledgesill.dev/ledgesill/internal/config"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/link/linktest"
@@ -61,7 +61,7 @@
 	t.Helper()
 	runtime.GC() // yamux keeps timers in a pool, which must not enter or leave
 	runtime.GC() // a bubble; that takes two collections
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := openSlowReplicas(t, bytesPerSecond, state)
 		t.Cleanup(func() { s.close(t) })
 		run(t, s)
--- a/internal/entry/suspension_test.go
+++ b/internal/entry/suspension_test.go
@@ -3,10 +3,10 @@
 import (
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/bubble"
 	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/lease"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -15,7 +15,7 @@
 // Guards against granting slots after the lease has expired during a suspension of the
 // machine.
 func TestLeaseExpiresDuringSuspension(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var suspended atomic.Int64
 		defer boottime.Simulate(func() time.Duration { return time.Duration(suspended.Load()) })()
 		p := newPool("s", "box", "i", 1)
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -13,11 +13,11 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"ledgesill.dev/ledgesill/contrib/standin"
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/bubble"
 	"ledgesill.dev/ledgesill/internal/config"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/relay"
@@ -127,7 +127,7 @@
 	t.Helper()
 	runtime.GC()
 	runtime.GC()
-	synctest.Test(t, run)
+	bubble.Test(t, run)
 }
 
 func (s *system) addProblem(format string, args ...any) {
--- a/internal/gateway/largeresponses_test.go
+++ b/internal/gateway/largeresponses_test.go
@@ -6,8 +6,9 @@
 	"math"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"ledgesill.dev/ledgesill/internal/bubble"
 )
 
 // The load of downloads at one of 273 boxes: 1.3 requests per second with responses of 90 KB on
@@ -38,7 +39,7 @@
 
 // Guards against large responses that share a narrow link so that none of them completes.
 func TestLargeResponsesCompleteOnNarrowLink(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		r := rand.New(rand.NewPCG(1, 1))
 		q, s := newLinkQueue(busyLink), newShaper(busyLink)
 		q.recordSize("download", busyMean)
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/bubble"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 )
@@ -228,4 +229,4 @@
 	}
 }
 
-func inVirtualTime(t *testing.T, run func(t *testing.T)) { t.Helper(); synctest.Test(t, run) }
+func inVirtualTime(t *testing.T, run func(t *testing.T)) { t.Helper(); bubble.Test(t, run) }
--- a/internal/gateway/shaper_test.go
+++ b/internal/gateway/shaper_test.go
@@ -9,10 +9,12 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"ledgesill.dev/ledgesill/internal/bubble"
 )
 
 func TestLargeResponsesUseTheirShareOfTheLink(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const link = 100_000
 		s := newShaper(link)
 		began := time.Now()
@@ -36,7 +38,7 @@
 }
 
 func TestUnlimitedShaperDoesNotWait(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		began := time.Now()
 		var out bytes.Buffer
 		text := strings.Repeat("x", 1<<20)
@@ -50,7 +52,7 @@
 }
 
 func TestShaperStopsWhenCanceled(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		s := newShaper(10)
@@ -64,7 +66,7 @@
 // Responses of known length are sent one after the other, each at the full rate for large responses.
 // One whose caller disconnects releases the rest of its reservation.
 func TestLargeResponsesAreSentInOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const link, size = 100_000, 50_000
 		s := newShaper(link)
 		alone := time.Duration(float64(size) / (link * largeResponseShare) * float64(time.Second))
--- a/internal/isolation/isolation_test.go
+++ b/internal/isolation/isolation_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/bubble"
 	"ledgesill.dev/ledgesill/pkg/quarantine"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -74,7 +75,7 @@
 		{"it shuts down as planned", []error{refused, refused}, true, ProbeResult{Incarnation: "1"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				dials := c.dials
 				probes := make(chan ProbeResult, 4)
 				var ended atomic.Int32
@@ -116,7 +117,7 @@
 // that no box sees two targets crash.
 func TestBoxesShareEvidence(t *testing.T) {
 	const contact, arrivals = 3 * time.Second, 60
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var mu sync.Mutex
 		store := quarantine.NewEvidenceStore()
 		var list []quarantine.Entry
--- a/internal/link/redial_test.go
+++ b/internal/link/redial_test.go
@@ -6,8 +6,9 @@
 	"net"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"ledgesill.dev/ledgesill/internal/bubble"
 )
 
 // startingServer is a network on which a server starts to listen at some time. What is
@@ -51,7 +52,7 @@
 // Guards against a server that starts to listen and is reached only after the first
 // attempt has timed out.
 func TestStartingServerIsReachedBeforeDialTimeout(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := &startingServer{listensAt: time.Now().Add(250 * time.Millisecond)}
 		ctx, cancel := context.WithTimeout(t.Context(), dialTimeout)
 		defer cancel()
@@ -73,7 +74,7 @@
 // A server that listens or refuses must be dialled once, and one that is gone a few
 // times. All attempts have ended when dialStaggered returns.
 func TestDialStaggeredLimitsAttempts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := &startingServer{listensAt: time.Now()}
 		if _, err := dialStaggered(t.Context(), s.dial, "a"); err != nil || s.dials.Load() != 1 {
 			t.Errorf("%v after %d attempts", err, s.dials.Load())
@@ -101,7 +102,7 @@
 // If two attempts succeed at once, one connection must be returned and the other
 // closed.
 func TestDialStaggeredReturnsOneConnection(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var closed, dials atomic.Int64
 		c, err := dialStaggered(t.Context(), func(context.Context, string) (net.Conn, error) {
 			n := dials.Add(1)
--- a/internal/link/session_test.go
+++ b/internal/link/session_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/bubble"
 	"ledgesill.dev/ledgesill/pkg/timeline"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -92,7 +93,7 @@
 	t.Helper()
 	drainPools()
 	defer drainPools()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var conns []*faultyConn
 		p := &pipeNetwork{accept: make(chan net.Conn), wrap: func(c net.Conn) net.Conn {
 			f := &faultyConn{Conn: c}
--- a/internal/link/transfer_test.go
+++ b/internal/link/transfer_test.go
@@ -6,11 +6,11 @@
 	"io"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"ledgesill.dev/ledgesill/internal/bubble"
 	"ledgesill.dev/ledgesill/internal/link/linktest"
 	"ledgesill.dev/ledgesill/pkg/timeline"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -26,7 +26,7 @@
 	t.Helper()
 	drainPools()
 	defer drainPools()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		clock := timeline.NewClock(time.Now)
 		simulated := Network{Listen: network.Listen, Dial: network.Dial}
 		handlers := Handlers{Subscribe: func(_ context.Context, _ string, m *Messages) {
--- a/internal/process/logwriter_test.go
+++ b/internal/process/logwriter_test.go
@@ -6,8 +6,9 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"ledgesill.dev/ledgesill/internal/bubble"
 )
 
 // stallingWriter is a destination of log lines whose writes can be blocked.
@@ -27,7 +28,7 @@
 }
 
 func TestLogWriterWritesAllLines(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		r := &stallingWriter{}
 		w := NewLogWriter(r)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -48,7 +49,7 @@
 
 // A destination that blocks must cost lines, but not delay whoever logs.
 func TestLogWriterDropsLinesIfDestinationBlocks(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		r := &stallingWriter{stalls: make(chan struct{})}
 		w := NewLogWriter(r)
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/process/suspensions_test.go
+++ b/internal/process/suspensions_test.go
@@ -6,17 +6,17 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/bubble"
 )
 
 // A suspension of the machine is logged once, with its duration.
 func TestSuspensionIsLoggedOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var suspended atomic.Int64
 		defer boottime.Simulate(func() time.Duration { return time.Duration(suspended.Load()) })()
 		var lines bytes.Buffer
--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/bubble"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -14,7 +15,7 @@
 
 // A subscriber gets a changed limit at once, and each change once.
 func TestChangedLimitsAreSentOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		p := NewPublisher(steering.State{}, func() time.Duration { return 0 }, func() *wire.Clock { return nil })
--- a/internal/relay/publisher_test.go
+++ b/internal/relay/publisher_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/bubble"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -17,7 +18,7 @@
 // Changes in quick succession are sent in few updates: the first at once, the
 // others after the minimum interval, and none is lost.
 func TestUpdatesAreSpaced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		p := NewPublisher(steering.State{}, func() time.Duration { return 0 }, func() *wire.Clock { return nil })
@@ -73,7 +74,7 @@
 // A subscriber at version 0 gets the full state, even if all commands are still
 // kept, and then the following changes as commands.
 func TestSubscriberWithoutStateGetsFullState(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		p := NewPublisher(steering.State{}, func() time.Duration { return 0 }, func() *wire.Clock { return nil })
@@ -115,7 +116,7 @@
 // SetState does not block and keeps the order. Run ends with its context, and
 // drops pending states.
 func TestPublisherStopsWithItsContext(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p := NewPublisher(steering.State{}, func() time.Duration { return 0 }, func() *wire.Clock { return nil })
 		state := steering.State{}
 		put := func(n int) {
@@ -156,7 +157,7 @@
 // Guards against a publisher that sends an old version as the current one after
 // Run has ended, dropping the latest state, and was started again.
 func TestRestartedPublisherPublishesLatestState(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p := NewPublisher(steering.State{}, func() time.Duration { return 0 }, func() *wire.Clock { return nil })
 		c := &wire.Command{Evacuation: &wire.EvacuationCommand{Zone: "a"}}
 		state, _ := steering.State{}.Apply(c)
--- a/internal/relay/transfer_test.go
+++ b/internal/relay/transfer_test.go
@@ -6,11 +6,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"ledgesill.dev/ledgesill/internal/bubble"
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/link/linktest"
 	"ledgesill.dev/ledgesill/pkg/distribution"
@@ -72,7 +72,7 @@
 	t.Helper()
 	drainPools()
 	defer drainPools()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p := &replicaPair{network: linktest.Network{DownBytesPerSecond: boxBytesPerSecond, SocketBuffer: 1 << 16}}
 		simulated := link.Network{Listen: p.network.Listen, Dial: p.network.Dial}
 		clock := timeline.NewClock(time.Now)
--- a/pkg/caller/client_test.go
+++ b/pkg/caller/client_test.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 
+	"ledgesill.dev/ledgesill/internal/bubble"
 	"ledgesill.dev/ledgesill/pkg/caller"
 )
 
@@ -32,7 +32,7 @@
 // TestKeyIsReturnedIfNoBoxIsLeft guards against a lost request key: without it a
 // request that was sent can't be resent safely.
 func TestKeyIsReturnedIfNoBoxIsLeft(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := caller.NewClient(caller.Config{
 			Boxes: []string{"10.0.0.1:7600"}, Service: "orders", Home: "east",
 			HTTP: &http.Client{Transport: &failingBox{fakeEntryBox: newFakeEntryBox()}}, Nonce: func() string { return "order-17" },
@@ -57,7 +57,7 @@
 // TestResendThatReachesNoBoxIsUnknown guards against a resend that is reported as not
 // run because no box could be reached: the request may have run when it was first sent.
 func TestResendThatReachesNoBoxIsUnknown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := caller.NewClient(caller.Config{Boxes: []string{"10.0.0.1:7600"}, Service: "orders", Home: "east", HTTP: &http.Client{Transport: unreachableBoxes{}}})
 		for key, want := range map[string]caller.Outcome{"": caller.NotRun, "east.7~order-17": caller.Unknown} {
 			if a, _ := c.Do(t.Context(), caller.Request{Method: http.MethodPost, Path: "/new", Key: key}); a.Outcome != want {
