--- a/internal/bubble/bubble_test.go
+++ b/internal/bubble/bubble_test.go
@@ -16,9 +16,6 @@
 // raceTest runs a test of a package below testdata under the race detector.
 func raceTest(t *testing.T, pkg, name string) (output string, err error) {
 	t.Helper()
-	if runtime.GOOS != "linux" || runtime.GOARCH != "amd64" {
-		t.Skip("the race detector may be missing")
-	}
 	cmd := exec.Command("go", "test", "-race", "-count=1", "-run", "^"+name+"$", "./testdata/"+pkg)
 	out, err := cmd.CombinedOutput()
 	return string(out), err
--- a/internal/relay/staleness_test.go
+++ b/internal/relay/staleness_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/bubble"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -52,7 +53,7 @@
 // Guards against a publisher that calls the state that it sends current while later ones wait to be
 // packed.
 func TestPendingStatesCountForAge(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p := NewPublisher(steering.State{}, func() time.Duration { return 0 }, func() *wire.Clock { return nil })
 		state := steering.State{}
 		for range 2 {
