admission: keep the slots of requests that are broken off

A granted request had one end, which freed its slot at once. A host could not say that it is done with a request whose target may still run it, so the next request got the slot and the target more requests than it has slots.

BreakOff takes the result at once, so that ejections do not wait, and keeps the slot until Finish, or until MaxRequestTime has passed; then the slot is in Output.Reclaimed, and the host closes the connection. Foreign requests count against their cap until then. Such slots lengthen the expected wait.

TestGrantsRequireSlotAndLease draws both events and checks that a slot is not reclaimed early; three tests hold one order each.

--- a/pkg/admission/event.go
+++ b/pkg/admission/event.go
@@ -42,8 +42,8 @@
 	EjectAfterFailures int
 	EjectShare         int
 	EjectionTime       time.Duration
-	// MaxRequestTime is the time after which a request granted by an earlier lease holder has
-	// certainly ended.
+	// MaxRequestTime is the time after which a request that was granted by an earlier lease holder, or
+	// that was broken off, counts as ended.
 	MaxRequestTime time.Duration
 }
 
@@ -95,13 +95,22 @@
 	Canceled
 )
 
-// Finish ends a granted request and frees its slot.
+// Finish ends a granted request and frees its slot. The result of a request that was broken off is
+// ignored, since BreakOff has reported it.
 type Finish struct {
 	ID      uint64
 	Result  Result
 	Latency time.Duration
 }
 
+// BreakOff ends a granted request whose connection to the target was broken off before its response
+// was complete. Its result counts at once. The slot stays taken until Finish, which reports that the
+// target has stopped, but no longer than Config.MaxRequestTime.
+type BreakOff struct {
+	ID     uint64
+	Result Result
+}
+
 // HealthReport is the result of a target's health check.
 type HealthReport struct {
 	Target string
@@ -134,6 +143,7 @@
 func (Arrive) event()       {}
 func (Cancel) event()       {}
 func (Finish) event()       {}
+func (BreakOff) event()     {}
 func (HealthReport) event() {}
 func (TargetUpdate) event() {}
 func (BackOff) event()      {}
@@ -171,6 +181,9 @@
 type Output struct {
 	Grants   []Grant
 	Refusals []Refusal
+	// Reclaimed lists requests that were broken off and whose targets have not stopped within
+	// Config.MaxRequestTime. Their slots are free again; their connections must be closed.
+	Reclaimed []uint64
 	// NextTick is when the next Tick is due at the latest; zero for never.
 	NextTick time.Time
 }
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -18,8 +18,15 @@
 )
 
 type grantedRequest struct {
-	target  *target
-	foreign bool
+	target    *target
+	foreign   bool
+	brokenOff bool
+}
+
+// brokenOffRequest is a request that was broken off and may still run on its target.
+type brokenOffRequest struct {
+	id        uint64
+	reclaimAt time.Time
 }
 
 // Pool admits the requests of one service in one availability zone. It is not safe for concurrent
@@ -29,6 +36,7 @@
 	random         *rand.Rand
 	targets        []*target
 	running        map[uint64]grantedRequest
+	brokenOff      []brokenOffRequest
 	foreign        int
 	queue          queue
 	leaseUntil     time.Time
@@ -60,6 +68,8 @@
 		p.queue.remove(e.ID)
 	case Finish:
 		p.finish(now, e)
+	case BreakOff:
+		p.breakOff(now, e)
 	case HealthReport:
 		if t := p.find(e.Target); t != nil {
 			t.applyHealthReport(now, e, p.config)
@@ -75,6 +85,7 @@
 		}
 	case Tick:
 	}
+	p.reclaimSlots(now)
 	for _, w := range p.queue.expired(now) {
 		p.refuse(now, w.arrive.ID, QueueTimeout)
 	}
@@ -84,19 +95,28 @@
 	return p.out
 }
 
-// nextTick returns when the next waiting request expires, or minRetryAfter from now if that is
-// earlier, because a slot may become free with time alone.
+// nextTick returns when the next waiting request expires or the next slot is reclaimed, or
+// minRetryAfter from now if that is earlier and requests wait, because a slot may become free with
+// time alone.
 func (p *Pool) nextTick(now time.Time) time.Time {
 	next := p.queue.nextExpiry()
-	if next.IsZero() {
-		return next
+	if !next.IsZero() {
+		next = earlier(next, now.Add(minRetryAfter))
 	}
-	if soon := now.Add(minRetryAfter); soon.Before(next) {
-		return soon
+	for _, r := range p.brokenOff {
+		next = earlier(next, r.reclaimAt)
 	}
 	return next
 }
 
+// earlier returns the earlier of two times, of which a zero a counts as none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func (p *Pool) find(name string) *target {
 	i := slices.IndexFunc(p.targets, func(t *target) bool { return t.name == name })
 	if i < 0 {
@@ -198,7 +218,7 @@
 			ahead++
 		}
 	}
-	wait := p.meanTime * time.Duration(ahead) / time.Duration(max(p.capacity(now), 1))
+	wait := p.meanTime * time.Duration(ahead) / time.Duration(max(p.capacity(now)-p.brokenOffSlots(now), 1))
 	return max(wait, p.rateLimitWait(now, ahead), p.backOffWait(now))
 }
 
@@ -242,7 +262,7 @@
 		return false
 	}
 	t.recordGrant()
-	p.running[w.arrive.ID] = grantedRequest{t, w.arrive.Foreign}
+	p.running[w.arrive.ID] = grantedRequest{target: t, foreign: w.arrive.Foreign}
 	if w.arrive.Foreign {
 		p.foreign++
 	}
@@ -255,18 +275,57 @@
 	if !ok {
 		return
 	}
-	delete(p.running, e.ID)
+	if !r.brokenOff {
+		p.recordResult(now, r.target, e.Result, e.Latency)
+	}
+	p.freeSlot(e.ID, r)
+}
+
+// breakOff records the result of a request whose target may still run it.
+func (p *Pool) breakOff(now time.Time, e BreakOff) {
+	r, ok := p.running[e.ID]
+	if !ok || r.brokenOff {
+		return
+	}
+	r.brokenOff = true
+	p.running[e.ID] = r
+	p.brokenOff = append(p.brokenOff, brokenOffRequest{e.ID, now.Add(p.config.MaxRequestTime)})
+	p.recordResult(now, r.target, e.Result, 0)
+}
+
+// reclaimSlots frees the slots of requests that were broken off so long ago that they count as
+// ended, so that a target that is stuck does not lose its slots forever.
+func (p *Pool) reclaimSlots(now time.Time) {
+	for _, b := range slices.Clone(p.brokenOff) {
+		if now.Before(b.reclaimAt) {
+			continue
+		}
+		p.freeSlot(b.id, p.running[b.id])
+		p.out.Reclaimed = append(p.out.Reclaimed, b.id)
+	}
+}
+
+func (p *Pool) freeSlot(id uint64, r grantedRequest) {
+	delete(p.running, id)
+	if r.brokenOff {
+		p.brokenOff = slices.DeleteFunc(p.brokenOff, func(b brokenOffRequest) bool { return b.id == id })
+	}
 	if r.foreign {
 		p.foreign--
 	}
-	r.target.recordFinish(now, e, p.config)
-	if e.Result == Succeeded {
-		p.meanTime += time.Duration(meanWeight * float64(e.Latency-p.meanTime))
+	r.target.inFlight--
+	p.dropRemoved()
+}
+
+// recordResult updates what is known of a target by the result of a request.
+func (p *Pool) recordResult(now time.Time, t *target, result Result, latency time.Duration) {
+	t.recordResult(now, result, latency, p.config)
+	if result == Succeeded {
+		p.meanTime += time.Duration(meanWeight * float64(latency-p.meanTime))
 	}
-	if !p.config.RoundRobin && r.target.failures >= p.config.EjectAfterFailures {
-		p.eject(now, r.target)
+	if !p.config.RoundRobin && t.failures >= p.config.EjectAfterFailures {
+		p.eject(now, t)
 	}
-	p.dropRemoved()
 }
 
 // eject ejects a failing target unless too many others are ejected already. The target itself does
@@ -352,6 +411,17 @@
 	return n
 }
 
+// brokenOffSlots returns how many slots in service are taken by requests that were broken off.
+func (p *Pool) brokenOffSlots(now time.Time) int {
+	n := 0
+	for _, b := range p.brokenOff {
+		if p.running[b.id].target.inService(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // reservedSlots returns the number of slots reserved for the class that is refused last. At least
 // one slot stays available to the others.
 func (p *Pool) reservedSlots(now time.Time) int {
@@ -371,6 +441,8 @@
 	Capacity int
 	// Busy is the number of running requests, Waiting that of queued ones.
 	Busy, Waiting int
+	// BrokenOff is how many of the running requests were broken off.
+	BrokenOff int
 	// Foreign is the number of running requests of callers assigned to another region.
 	Foreign int
 	// Targets is the number of targets, InService the number of those that receive work.
@@ -380,11 +452,12 @@
 // Load returns the load of the pool at now.
 func (p *Pool) Load(now time.Time) Load {
 	l := Load{
-		Capacity: p.capacity(now),
-		Busy:     len(p.running),
-		Waiting:  len(p.queue.items),
-		Foreign:  p.foreign,
-		Targets:  len(p.targets),
+		Capacity:  p.capacity(now),
+		Busy:      len(p.running),
+		Waiting:   len(p.queue.items),
+		BrokenOff: len(p.brokenOff),
+		Foreign:   p.foreign,
+		Targets:   len(p.targets),
 	}
 	for _, t := range p.targets {
 		if t.inService(now) {
--- a/pkg/admission/pool_test.go
+++ b/pkg/admission/pool_test.go
@@ -48,9 +48,18 @@
 		onTarget := make(map[string]int)
 		granted := make(map[uint64]string)
 		foreign := make(map[uint64]bool)
+		brokenOff := make(map[uint64]string)
+		brokenOffAt := make(map[uint64]time.Time)
 		pending := make(map[uint64]bool)
 		var id uint64
 		check := func(out Output) {
+			for _, r := range out.Reclaimed {
+				if _, ok := brokenOff[r]; !ok || now.Sub(brokenOffAt[r]) < config(slots).MaxRequestTime {
+					t.Fatalf("the slot of request %d was reclaimed, though it was not broken off long ago", r)
+				}
+				onTarget[brokenOff[r]]--
+				delete(brokenOff, r)
+			}
 			for _, g := range out.Grants {
 				if !pending[g.ID] {
 					t.Fatalf("request %d was already granted, refused or canceled", g.ID)
@@ -94,6 +103,23 @@
 					return
 				}
 			},
+			"break off": func(t *rapid.T) {
+				for id, target := range granted {
+					delete(granted, id)
+					brokenOff[id] = target
+					brokenOffAt[id] = now
+					check(p.Handle(now, BreakOff{ID: id, Result: Result(rapid.IntRange(0, 3).Draw(t, "result"))}))
+					return
+				}
+			},
+			"finish broken off": func(t *rapid.T) {
+				for id, target := range brokenOff {
+					delete(brokenOff, id)
+					onTarget[target]--
+					check(p.Handle(now, Finish{ID: id, Result: Result(rapid.IntRange(0, 3).Draw(t, "result"))}))
+					return
+				}
+			},
 			"cancel": func(*rapid.T) {
 				for waits := range pending {
 					delete(pending, waits)
@@ -130,8 +156,8 @@
 			},
 			"": func(t *rapid.T) {
 				load := p.Load(now)
-				if load.Busy != len(granted) || load.Waiting != len(pending) {
-					t.Fatalf("busy %d and waiting %d, want %d and %d", load.Busy, load.Waiting, len(granted), len(pending))
+				if load.Busy != len(granted)+len(brokenOff) || load.BrokenOff != len(brokenOff) || load.Waiting != len(pending) {
+					t.Fatalf("got %+v, want %d busy, %d broken off and %d waiting", load, len(granted)+len(brokenOff), len(brokenOff), len(pending))
 				}
 			},
 		})
@@ -246,6 +272,55 @@
 	}
 }
 
+// Guards against a target that gets more requests than it has slots because it has not stopped one
+// that was broken off.
+func TestSlotOfBrokenOffRequestStaysTaken(t *testing.T) {
+	p := newLeasedPool(1, 1)
+	arrive(p, start, 1, Unrepeatable)
+	p.Handle(start, BreakOff{ID: 1, Result: Canceled})
+	if out := arrive(p, start, 2, Unrepeatable); len(out.Grants) != 0 {
+		t.Errorf("got %+v while the target may still run the first request", out)
+	}
+	if out := p.Handle(start, Finish{ID: 1}); len(out.Grants) != 1 || out.Grants[0].ID != 2 {
+		t.Errorf("got %+v, want request 2 granted once the target has stopped", out)
+	}
+}
+
+// Guards against slots that are lost forever at a target that never stops.
+func TestSlotOfBrokenOffRequestIsReclaimed(t *testing.T) {
+	p := newLeasedPool(1, 1)
+	arrive(p, start, 1, Unrepeatable)
+	out := p.Handle(start, BreakOff{ID: 1, Result: Failed})
+	reclaimAt := start.Add(config(1).MaxRequestTime)
+	if !out.NextTick.Equal(reclaimAt) {
+		t.Errorf("next tick at %v, want %v", out.NextTick, reclaimAt)
+	}
+	if out := p.Handle(reclaimAt.Add(-1), Tick{}); len(out.Reclaimed) != 0 {
+		t.Errorf("got %+v before the time", out)
+	}
+	if out := p.Handle(reclaimAt, Tick{}); len(out.Reclaimed) != 1 || p.InFlight("t0") != 0 {
+		t.Errorf("got %+v, want the slot of request 1 reclaimed", out)
+	}
+	p.Handle(reclaimAt, Finish{ID: 1})
+	if n := p.InFlight("t0"); n != 0 {
+		t.Errorf("%d requests in flight after the late end, want 0", n)
+	}
+}
+
+// Guards against a failing target that is not ejected because its requests have not ended.
+func TestBrokenOffRequestCountsAtOnce(t *testing.T) {
+	p := newLeasedPool(2, 2)
+	for id := uint64(1); id <= 2; id++ {
+		p.Handle(start, Arrive{ID: id, Deadline: start.Add(time.Second), Exclude: []string{"t1"}})
+	}
+	for id := uint64(1); id <= 2; id++ {
+		p.Handle(start, BreakOff{ID: id, Result: Failed})
+	}
+	if load := p.Load(start); load.InService != 1 {
+		t.Errorf("%d targets in service, want 1 after two failures", load.InService)
+	}
+}
+
 func TestRoundRobinHasNoQueue(t *testing.T) {
 	p := NewPool(1)
 	c := config(1)
--- a/pkg/admission/target.go
+++ b/pkg/admission/target.go
@@ -127,12 +127,11 @@
 	t.peakInFlight = max(t.peakInFlight, t.inFlight)
 }
 
-// recordFinish updates the target's state when a request has ended.
-func (t *target) recordFinish(now time.Time, e Finish, c Config) {
-	t.inFlight--
-	switch e.Result {
+// recordResult updates the target's state by the result of a request.
+func (t *target) recordResult(now time.Time, result Result, latency time.Duration, c Config) {
+	switch result {
 	case Succeeded:
-		t.observeLatency(e.Latency)
+		t.observeLatency(latency)
 		t.failures = 0
 		t.backOff = t.backOff.WithRun(now, c.Slots)
 		if t.probing {
