entry: free the slot of a broken-off request once its target has stopped

Callers saw requests rejected by a target that had more requests at once than slots, while callers of downloads left (TestCallerFaultMatrix, rows "caller leaves" and "both of two leave" at queue).

Cause: the slot was free when the box closed its connection, a network delay before the target could know. In a trace of the cell with the end of target connections 2 ms later than data (unchanged product), a download is released at 4.2611 s, a waiting toggle gets its slot at that instant and begins at the target at 4.2621 s as the third of two, and the download ends there at 4.2630 s.

Ruled out by the trace: two holders (grants and releases are all of one box), runs of keys (the toggles keep their slots until their end), counting by the target (the download is still being sent).

Now the box closes only its direction of a connection that a slot holds and discards what comes until the target closes it; then the slot is free. The pool closes the connection after requestTimeoutMillis. Callers that leave, deadlines and attempts that lose take the same way.

TestSlotIsFreeOnceTargetHasStopped covers it over TCP.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -129,7 +128,7 @@
 }
 
 // finish cancels the attempts that are no longer needed and returns the answer. Attempts that
-// are still running release their slots when they end.
+// are still running release their slots when their targets have stopped.
 func (e *execution) finish(ctx context.Context, out retry.Output) *answer {
 	for _, n := range out.Cancel {
 		e.cancels[n]()
@@ -197,7 +196,7 @@
 		cancel()
 		return attemptResult{number: number, result: retry.Refused, answer: refusal(string(admitted.refusal.Reason), admitted.refusal.RetryAfter)}
 	}
-	slot := &slot{pool: e.pool, id: id, target: admitted.target, startedAt: e.box.clock.Now(), cancel: cancel}
+	slot := &slot{pool: e.pool, id: id, request: e.request.id, target: admitted.target, startedAt: e.box.clock.Now(), cancel: cancel}
 	a, result, admissionResult := e.box.sendToTarget(ctx, e.request, admitted.address, slot)
 	switch {
 	case result == retry.Failed && a != nil && a.outcome == caller.Unknown:
@@ -214,50 +213,6 @@
 	return attemptResult{number: number, result: result, answer: a, target: admitted.target}
 }
 
-// slot is a granted slot. Only the first call of release has an effect.
-type slot struct {
-	pool      *pool
-	id        uint64
-	target    string
-	startedAt time.Time
-	cancel    context.CancelFunc
-	once      sync.Once
-}
-
-func (s *slot) release(r admission.Result) {
-	s.once.Do(func() {
-		s.cancel()
-		s.pool.finish(admission.Finish{ID: s.id, Result: r, Latency: s.pool.clock.Since(s.startedAt)})
-	})
-}
-
-// slotStream is the unread rest of a response body. Closing it releases the slot.
-type slotStream struct {
-	io.ReadCloser
-	slot   *slot
-	failed bool
-}
-
-// Read implements io.Reader.
-func (s *slotStream) Read(b []byte) (int, error) {
-	n, err := s.ReadCloser.Read(b)
-	if err != nil && !errors.Is(err, io.EOF) {
-		s.failed = true
-	}
-	return n, err
-}
-
-// Close implements io.Closer.
-func (s *slotStream) Close() error {
-	err := s.ReadCloser.Close()
-	result := admission.Succeeded
-	if s.failed {
-		result = admission.Failed
-	}
-	s.slot.release(result)
-	return err
-}
-
 // sendToTarget sends the request to a target. It returns the answer, the result of the
 // attempt for the retry plan, and the result for admission.
 func (d *Daemon) sendToTarget(ctx context.Context, r *request, address string, s *slot) (*answer, retry.AttemptResult, admission.Result) {
@@ -266,7 +221,10 @@
 		return invalid(err), retry.Refused, admission.Canceled
 	}
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		connected.Store(true)
+		s.useConn(i.Conn)
+	}}
 	ctx = context.WithValue(ctx, slotKey{}, s)
 	response, err := d.targetTransport.RoundTrip(h.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
@@ -274,10 +232,11 @@
 	}
 	status := s.pool.recordStatus(s.target, response, s.startedAt)
 	if isRejection(response) {
+		s.setComplete() // nothing runs, whatever the rest of the response
 		_ = response.Body.Close()
 		return refusal("the target refused it", callerRetryAfter(response, status)), retry.NotRun, admission.Shed
 	}
-	return readAnswer(response, s, r.repeatable)
+	return readAnswer(ctx, response, s, r.repeatable)
 }
 
 // classifyFailure classifies an attempt that got no response. Only an attempt that never had
@@ -304,12 +263,13 @@
 }
 
 // readAnswer reads a small response completely, and the beginning of a large one.
-func readAnswer(response *http.Response, s *slot, repeatable bool) (*answer, retry.AttemptResult, admission.Result) {
+func readAnswer(ctx context.Context, response *http.Response, s *slot, repeatable bool) (*answer, retry.AttemptResult, admission.Result) {
 	a := &answer{outcome: caller.Ran, status: response.StatusCode, header: response.Header}
 	var buffer bytes.Buffer
 	_, err := io.CopyN(&buffer, response.Body, maxBufferedAnswer+1)
 	switch {
 	case errors.Is(err, io.EOF):
+		s.setComplete()
 		_ = response.Body.Close()
 		a.body = buffer.Bytes()
 		if a.status >= http.StatusInternalServerError {
@@ -321,7 +281,7 @@
 		return unknown(fmt.Sprintf("the answer broke off: %v", err)), retry.Failed, admission.Failed
 	}
 	rest := io.MultiReader(&buffer, response.Body)
-	a.stream = &slotStream{ReadCloser: readCloser{rest, response.Body}, slot: s}
+	a.stream = &slotStream{ReadCloser: readCloser{rest, response.Body}, slot: s, ctx: ctx}
 	return a, retry.Answered, admission.Succeeded
 }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -83,11 +83,12 @@
 		addresses map[string]bool
 	}
 
-	requests *prometheus.CounterVec
-	refusals *prometheus.CounterVec
-	backOffs *prometheus.CounterVec
-	retries  *prometheus.CounterVec
-	latency  *prometheus.HistogramVec
+	requests  *prometheus.CounterVec
+	refusals  *prometheus.CounterVec
+	backOffs  *prometheus.CounterVec
+	brokenOff *prometheus.CounterVec
+	retries   *prometheus.CounterVec
+	latency   *prometheus.HistogramVec
 }
 
 type runningPool struct {
@@ -183,6 +184,7 @@
 	d.refusals = d.process.Counter("refusals_total", "Requests that got no slot, by service and reason.", "service", "reason")
 	d.backOffs = d.process.Counter("back_offs_total", "Back-offs that targets asked this box for, by service.", "service")
 	d.process.Gauge("backed_off_targets", "Targets that this box sends nothing at their request.", d.backedOffTargets)
+	d.brokenOff = d.process.Counter("broken_off_requests_total", "Requests broken off while their targets ran them, by service and by whether the target stopped or its slot was reclaimed.", "service", "end")
 	d.retries = d.process.Counter("retries_total", "Attempts after the first, by service.", "service")
 	d.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name:    "ledgesill_request_seconds",
--- a/internal/entry/network_test.go
+++ b/internal/entry/network_test.go
@@ -27,6 +27,8 @@
 	// framed holds the addresses whose connections deliver complete frames only.
 	framed map[string]bool
 	delay  time.Duration
+	// endLag is by how much later than data the ends of connections reach a host.
+	endLag map[string]time.Duration
 	// onDial and onWrite are called for every dial and write before it takes effect.
 	onDial  func(from, to string)
 	onWrite func(from, to string, data []byte)
@@ -40,6 +42,7 @@
 		stalled:     make(map[string]bool),
 		dead:        make(map[string]bool),
 		framed:      make(map[string]bool),
+		endLag:      make(map[string]time.Duration),
 		delay:       time.Millisecond,
 		onDial:      func(string, string) {},
 		onWrite:     func(string, string, []byte) {},
@@ -144,6 +147,20 @@
 	n.delay = d
 }
 
+// setEndLag delays the ends of connections to a host by more than data.
+func (n *fakeNetwork) setEndLag(host string, lag time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.endLag[host] = lag
+}
+
+// endDelay returns the time after which a host learns of the end of a connection.
+func (n *fakeNetwork) endDelay(host string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay + n.endLag[host]
+}
+
 func (n *fakeNetwork) currentDelay() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -257,6 +274,8 @@
 	err      error
 	closed   bool
 	deadline time.Time
+	// writeClosed is set once the other end has been sent the end of the connection.
+	writeClosed bool
 	// frames is nil if data is delivered as it is written. partlyRead is set while a part of the
 	// first incoming frame has been read.
 	frames     *frameSplitter
@@ -339,7 +358,7 @@
 	_, onWrite := c.network.hooks()
 	onWrite(c.host, c.peer.host, b)
 	c.mu.Lock()
-	err, closed := c.err, c.closed
+	err, closed := c.err, c.closed || c.writeClosed
 	chunks := [][]byte{b}
 	if c.frames != nil {
 		chunks = c.frames.add(b)
@@ -367,12 +386,20 @@
 
 func (c *fakeConn) Close() error {
 	c.mu.Lock()
-	wasClosed := c.closed
 	c.closed = true
 	c.mu.Unlock()
 	c.signal()
+	return c.CloseWrite()
+}
+
+// CloseWrite sends the end of the connection to the other end, which may go on writing.
+func (c *fakeConn) CloseWrite() error {
+	c.mu.Lock()
+	wasClosed := c.writeClosed
+	c.writeClosed = true
+	c.mu.Unlock()
 	if !wasClosed {
-		c.peer.push(chunk{arrival: time.Now().Add(c.network.currentDelay()), eof: true})
+		c.peer.push(chunk{arrival: time.Now().Add(c.network.endDelay(c.peer.host)), eof: true})
 	}
 	return nil
 }
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -23,6 +23,14 @@
 	reply  chan<- admitResult
 }
 
+// poolBreakOff is a request that was broken off. closeConns closes the connections on which its
+// target may still be at work.
+type poolBreakOff struct {
+	event      admission.BreakOff
+	slot       *slot
+	closeConns context.CancelFunc
+}
+
 type poolSettings struct {
 	service settings.Service
 	zone    settings.Zone
@@ -40,6 +48,7 @@
 
 func (poolEvent) pool()         {}
 func (poolArrival) pool()       {}
+func (poolBreakOff) pool()      {}
 func (poolSettings) pool()      {}
 func (poolLeaseAnswer) pool()   {}
 func (poolViewRequest) pool()   {}
@@ -73,8 +82,13 @@
 	seed      uint64
 	clock     *boottime.Clock
 
-	inbox     chan poolMessage
-	waiting   map[uint64]chan<- admitResult
+	inbox   chan poolMessage
+	waiting map[uint64]chan<- admitResult
+	// brokenOff holds the requests that were broken off and have a slot.
+	brokenOff map[uint64]poolBreakOff
+	// lifetime ends with the pool.
+	lifetime  context.Context
+	end       context.CancelFunc
 	targets   map[string]string
 	draining  int
 	values    settings.Values
@@ -95,12 +109,20 @@
 	// that could not be parsed.
 	onBackOff  func(target string, wait time.Duration)
 	onUnparsed func(target string, headers []string)
+	// onReclaim is called when a target has not stopped a request that was broken off in time.
+	onReclaim func(s *slot)
+	// onTargetStopped is called when a target has stopped a request that was broken off.
+	onTargetStopped func(s *slot, after time.Duration)
 }
 
 const poolInboxSize = 4096
 
 func newPool(service, box, incarnation string, seed uint64) *pool {
+	lifetime, end := context.WithCancel(context.Background())
 	return &pool{
+		lifetime:  lifetime,
+		end:       end,
+		brokenOff: make(map[uint64]poolBreakOff),
 		service:   service,
 		box:       box,
 		holderID:  incarnation,
@@ -119,6 +141,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			p.end()
 			return ctx.Err()
 		case <-timer.C:
 			nextTick = p.handle(poolEvent{admission.Tick{}})
@@ -137,6 +160,9 @@
 		if c, ok := m.event.(admission.Cancel); ok {
 			delete(p.waiting, c.ID)
 		}
+		if f, ok := m.event.(admission.Finish); ok {
+			delete(p.brokenOff, f.ID)
+		}
 		out := p.admission.Handle(now, m.event)
 		if _, ok := m.event.(admission.TargetUpdate); ok {
 			p.hasLimitedTarget.Store(p.admission.HasLimitedTarget())
@@ -145,6 +171,9 @@
 	case poolArrival:
 		p.waiting[m.arrive.ID] = m.reply
 		return p.execute(now, p.admission.Handle(now, m.arrive))
+	case poolBreakOff:
+		p.brokenOff[m.event.ID] = m
+		return p.execute(now, p.admission.Handle(now, m.event))
 	case poolSettings:
 		return p.execute(now, p.configure(now, m))
 	case poolLeaseAnswer:
@@ -201,6 +230,11 @@
 		p.onRefusal(r.Reason)
 		p.reply(r.ID, admitResult{refusal: &r})
 	}
+	for _, id := range out.Reclaimed {
+		p.brokenOff[id].closeConns()
+		p.onReclaim(p.brokenOff[id].slot)
+		delete(p.brokenOff, id)
+	}
 	nextTick := now.Add(time.Second)
 	if p.lease != nil && !p.releasing {
 		if requests := p.lease.Tick(now); len(requests) > 0 {
@@ -299,6 +333,32 @@
 
 func (p *pool) finish(f admission.Finish) { p.inbox <- poolEvent{f} }
 
+// breakOff reports a request that was broken off. Its slot is freed when the target has closed the
+// connections.
+func (p *pool) breakOff(s *slot, r admission.Result, conns []*targetConn) {
+	ctx, cancel := context.WithCancel(p.lifetime)
+	p.inbox <- poolBreakOff{admission.BreakOff{ID: s.id, Result: r}, s, cancel}
+	go p.finishBrokenOff(ctx, cancel, s, conns)
+}
+
+// finishBrokenOff waits until the target has closed the connections of a request that was broken
+// off, and frees its slot. The event loop gets the end.
+func (p *pool) finishBrokenOff(ctx context.Context, cancel context.CancelFunc, s *slot, conns []*targetConn) {
+	defer cancel()
+	start := p.clock.Now()
+	for _, c := range conns {
+		c.waitForEnd(ctx)
+	}
+	if ctx.Err() != nil {
+		return // the slot was reclaimed, or the pool has ended
+	}
+	p.onTargetStopped(s, p.clock.Since(start))
+	select {
+	case p.inbox <- poolEvent{admission.Finish{ID: s.id}}:
+	case <-p.lifetime.Done():
+	}
+}
+
 // dueChecks returns the targets whose health checks are due.
 func (p *pool) dueChecks(ctx context.Context) (map[string]string, error) {
 	reply := make(chan map[string]string, 1)
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -122,6 +122,20 @@
 				Msg("invalid headers in a response of a target")
 		}
 	}
+	p.onReclaim = func(s *slot) {
+		d.brokenOff.WithLabelValues(service, "reclaimed").Inc()
+		if logLimit.Allow(d.clock.Now()) {
+			d.process.Log.Warn().Str("kind", "brokenOff").Str("service", service).Str("target", s.target).Str("request", s.request).
+				Msg("target did not stop a request that was broken off; its slot was reclaimed")
+		}
+	}
+	p.onTargetStopped = func(s *slot, after time.Duration) {
+		d.brokenOff.WithLabelValues(service, "stopped").Inc()
+		if d.process.Log.Debug().Enabled() && logLimit.Allow(d.clock.Now()) {
+			d.process.Log.Debug().Str("kind", "brokenOff").Str("service", service).Str("target", s.target).Str("request", s.request).Dur("after", after).
+				Msg("target stopped a request that was broken off")
+		}
+	}
 	p.onLeaseChange = func(held bool) {
 		detail := "gave up or lost the lease on " + service
 		if held {
