distribution: leave a stale first choice at its first update

A box that had left a replica that catches up for a better one returned to it every 5 s, doubling, and stayed until its own state was as old: no change reached it meanwhile. In the test that was 52 updates, 5.2 s of a minute.

Cause: a stale source was left only once the follower's own control age was over the limit, which the better source had just renewed; and it was left for the first choice, which is the source itself.

A source that tells an age over the limit is now left at once, for the next candidate. A follower that has no other source had the same age already, so nothing changes for it.

--- a/pkg/distribution/follower.go
+++ b/pkg/distribution/follower.go
@@ -303,7 +303,7 @@
 		f.open = false
 		f.out.Notice = f.describeUpstream(now, "leaves")
 		f.abortTransfer(now)
-		if f.ControlAge(now) <= f.staleAfter {
+		if f.ControlAge(now) <= f.staleAfter && !f.sourceIsStale {
 			f.current = 0
 			f.retryAt = now
 			f.returnDelay = min(2*f.returnDelay, maxReturnDelay)
@@ -340,7 +340,7 @@
 	if f.transferTimedOut(now) {
 		return true
 	}
-	if f.ControlAge(now) > f.staleAfter && (f.sourceIsStale || now.Sub(f.lastActivity) > f.staleAfter) {
+	if f.sourceIsStale || f.ControlAge(now) > f.staleAfter && now.Sub(f.lastActivity) > f.staleAfter {
 		return true
 	}
 	return f.current > 0 && now.Sub(f.openedAt) > f.returnDelay
--- a/pkg/distribution/stale_test.go
+++ b/pkg/distribution/stale_test.go
@@ -89,3 +89,33 @@
 		t.Errorf("the control age is %s with a state that is at least a minute old", age)
 	}
 }
+
+// Guards against a follower that returns to a first choice that is out of contact with
+// control and gets no updates there until its own state is as old.
+func TestStaleFirstChoiceIsLeftAtOnce(t *testing.T) {
+	f := newTestFollower()
+	list, _ := testStates(1)
+	f.state = list[1]
+	age := map[string]time.Duration{"a": time.Minute, "b": 0}
+	updates := 0 // of the first choice
+	for range 600 {
+		f.now = f.now.Add(testStep)
+		if f.pending {
+			f.handle(Opened{f.attempt})
+		}
+		up, follows := f.Upstream()
+		if !follows {
+			f.handle(Tick{})
+			continue
+		}
+		if up.Name == "a" {
+			updates++
+		}
+		u := f.emptyUpdate()
+		u.AgeMilli = age[up.Name].Milliseconds()
+		f.handle(Received{Attempt: f.attempt, Update: u})
+	}
+	if most := 10; updates < 2 || updates > most {
+		t.Errorf("the follower took %d updates of a source that is out of contact in a minute, want 2 to %d", updates, most)
+	}
+}
