control: lock the balancer of the test box that follows replicas

Seen: the race detector, run over the whole package for the first time, named races in TestBoxLeavesReplicaThatLacksAnEvacuation and its neighbour: the follower's goroutine applied a state while the test chose a target.

Cause: the test's own box had no lock, as internal/gateway has round its balancer. The product is not concerned.

Measured: go test -race of the package without its fault matrix failed by it in two of two runs before, passes once with the lock.

--- a/internal/control/catchup_test.go
+++ b/internal/control/catchup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -101,6 +102,7 @@
 // followingBox is a box that follows the replicas and chooses targets by their state.
 type followingBox struct {
 	follower *relay.Follower
+	mu       sync.Mutex
 	balancer *balance.Balancer
 }
 
@@ -144,6 +146,8 @@
 	for _, r := range s.Catalog().Targets() {
 		targets = append(targets, balance.Target{ID: catalog.IncarnationOf(r).String(), Service: r.Service, Address: r.Address, Zone: r.Zone, Region: "r", Slots: int(r.Slots)})
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.balancer.SetTargets(time.Now(), targets)
 	b.balancer.SetEvacuated(time.Now(), s.Catalog().Evacuated())
 }
@@ -151,6 +155,8 @@
 // sendsTo returns the zone of the target that the box chooses.
 func (b *followingBox) sendsTo(t *testing.T) string {
 	t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	choice, err := b.balancer.Choose(time.Now(), balance.Request{Service: "s", Route: "r", PreferLocal: true, Objective: time.Second, Remaining: time.Second})
 	if err != nil {
 		t.Fatal(err)
