--- a/internal/bubble/bubble_test.go
+++ b/internal/bubble/bubble_test.go
@@ -17,20 +17,23 @@
 func raceTest(t *testing.T, pkg, name string) (output string, err error) {
 	t.Helper()
 	cmd := exec.Command("go", "test", "-race", "-count=1", "-run", "^"+name+"$", "./testdata/"+pkg)
+	cmd.Env = append(os.Environ(), "GORACE=") // its exit code and report are checked
 	out, err := cmd.CombinedOutput()
 	return string(out), err
 }
 
-// Guards against an end of the race detector by due timers of a bubble.
+// Guards against crashes of the race detector when several goroutines run due timers.
 func TestDueTimersUnderRaceDetector(t *testing.T) {
-	if out, err := raceTest(t, "duetimers", ".*"); err != nil {
-		t.Errorf("%v\n%s", err, out)
+	for _, name := range []string{"TestReceive", "TestAfterFunc", "TestSleepAndReceive"} {
+		if out, err := raceTest(t, "duetimers", name); err != nil || !strings.HasPrefix(out, "ok") {
+			t.Errorf("%s: %v\n%s", name, err, out)
+		}
 	}
 }
 
-// Guards against races that are not reported because goroutines share a thread.
+// Guards against races that go unreported because goroutines share a thread.
 func TestRacesAreReported(t *testing.T) {
-	for _, name := range []string{"TestUnlockedCounter", "TestUnlockedMap", "TestUnlockedRarePath", "TestUnlockedAfterReceive"} {
+	for _, name := range []string{"TestUnlockedCounter", "TestUnlockedMap", "TestUnlockedRarePath", "TestUnlockedAfterReceive", "TestUnlockedCallback"} {
 		out, err := raceTest(t, "races", name)
 		if err == nil || !strings.Contains(out, "WARNING: DATA RACE") {
 			t.Errorf("%s: %v, no data race was reported\n%s", name, err, out)
@@ -46,11 +49,11 @@
 	}
 }
 
-// Guards against a test that enters a bubble without this package.
+// Guards against a test that enters a bubble without this package, by whatever name.
 func TestBubblesUsePackage(t *testing.T) {
-	direct := regexp.MustCompile(`\bsynctest\.(Test|Run)\(`)
+	direct := regexp.MustCompile(`\bsynctest\.(Test|Run)\b|[\w.]+[ \t]+"testing/synctest"`)
 	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") || path == "bubble_test.go" {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || filepath.Dir(path) == "../../internal/bubble" {
 			return err
 		}
 		text, err := os.ReadFile(path)
--- a/internal/bubble/testdata/races/races_test.go
+++ b/internal/bubble/testdata/races/races_test.go
@@ -52,6 +52,21 @@
 	})
 }
 
+// TestUnlockedCallback has a timer's function and a goroutine that run at the same instant.
+func TestUnlockedCallback(t *testing.T) {
+	bubble.Test(t, func(*testing.T) {
+		counter := 0
+		done := make(chan struct{})
+		time.AfterFunc(time.Millisecond, func() {
+			counter++
+			close(done)
+		})
+		time.Sleep(time.Millisecond)
+		counter++
+		<-done
+	})
+}
+
 const rounds = 100
 
 func parallel(f func(goroutine, round int)) {
--- a/internal/bubble/threads_race.go
+++ b/internal/bubble/threads_race.go
@@ -11,15 +11,15 @@
 var limit struct {
 	mu      sync.Mutex
 	bubbles int
-	threads int // the setting to restore after the last bubble
+	procs   int // GOMAXPROCS to restore after the last bubble
 }
 
-// limitThreads runs goroutines on one thread at a time until all callers have called restore.
+// limitThreads sets GOMAXPROCS to 1 until every caller has called restore.
 func limitThreads() (restore func()) {
 	limit.mu.Lock()
 	defer limit.mu.Unlock()
 	if limit.bubbles == 0 {
-		limit.threads = runtime.GOMAXPROCS(1)
+		limit.procs = runtime.GOMAXPROCS(1)
 	}
 	limit.bubbles++
 	return func() {
@@ -27,7 +27,7 @@
 		defer limit.mu.Unlock()
 		limit.bubbles--
 		if limit.bubbles == 0 {
-			runtime.GOMAXPROCS(limit.threads)
+			runtime.GOMAXPROCS(limit.procs)
 		}
 	}
 }
