--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOBIN := $(CURDIR)/bin
 export GOFLAGS := -buildvcs=false
 
-.PHONY: fresh build demo demo-portal drill soak test faults fault-pairs measure regress generate
+.PHONY: fresh build demo demo-portal drill soak test faults race-faults fault-pairs measure regress generate
 
 build:
 	go build -o $(GOBIN)/ledgesill .
@@ -37,6 +37,11 @@
 	go test ./internal/control -run TestFaultMatrix -count=1 -v -timeout 60m -fault-seeds 3
 	go test ./internal/entry -run TestFaultMatrix -count=1 -v -timeout 60m
 
+# Runs the fault matrices under the race detector.
+race-faults:
+	go test -race ./internal/control -run TestFaultMatrix -count=1 -timeout 60m
+	go test -race ./internal/entry -run 'Test(Caller)?FaultMatrix' -count=1 -timeout 120m
+
 # Also runs every pair of faults, which takes long.
 fault-pairs:
 	go test ./internal/control -run TestFaultMatrix -count=1 -v -timeout 120m -fault-pairs
