--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -51,7 +51,8 @@
 func (*NoDocumentError) Error() string { return "no document of routes is in force" }
 
 // Register applies a registration update of a target. A redundant update is acknowledged from the
-// local state, unless it withdraws the target and that state may be old; any other is acknowledged once a majority has stored it.
+// local state, unless it withdraws the target and that state may be old. Any other is acknowledged
+// once a majority has stored it.
 func (d *Daemon) Register(ctx context.Context, r *wire.Registration) error {
 	return d.register(ctx, &wire.RegistrationCommand{Registration: r})
 }
