entry: let reads of a broken-off connection give up waiting for its target

Cause: waitForEnd holds the read lock until the target ends the connection. A read of the transport that came after it waited for the lock, a mutex, where virtual time stands still; outside of tests its goroutine would have waited for the target.

Evidence: the dump has one goroutine in sync.Mutex.Lock, in targetConn.Read under persistConn.readLoop. TestReadReturnsWhileTargetHasNotStopped forces the order and hung before, with the same stack.

Why it works: the lock is a channel, and a read gives up waiting for it once the connection is closed towards its user.

--- a/internal/entry/targetconn.go
+++ b/internal/entry/targetconn.go
@@ -14,8 +14,11 @@
 // direction to the target, since the target's end of the connection shows when it has stopped.
 type targetConn struct {
 	net.Conn
-	// reading is held during a read.
-	reading sync.Mutex
+	// reading holds a token during a read. Unlike with a mutex, a read can give up waiting for it
+	// once done is closed, while waitForEnd holds it until the target ends the connection.
+	reading chan struct{}
+	// done is closed when closed is set.
+	done chan struct{}
 
 	mu     sync.Mutex
 	holder *slot
@@ -24,6 +27,10 @@
 	targetEnded bool
 }
 
+func newTargetConn(c net.Conn) *targetConn {
+	return &targetConn{Conn: c, reading: make(chan struct{}, 1), done: make(chan struct{})}
+}
+
 // hold makes a slot the holder of the connection.
 func (c *targetConn) hold(s *slot) {
 	c.mu.Lock()
@@ -66,7 +73,7 @@
 	if c.closed {
 		return
 	}
-	c.closed = true
+	c.setClosed()
 	_ = c.Conn.SetDeadline(aLongTimeAgo) // a connection that has ended needs no deadline
 	if h, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = h.CloseWrite() // if it fails, the connection has ended, which waitForEnd sees
@@ -81,8 +88,8 @@
 func (c *targetConn) waitForEnd(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Conn.Close() }) // makes the read below return
 	defer stop()
-	c.reading.Lock()
-	defer c.reading.Unlock()
+	c.reading <- struct{}{} // a read in progress has returned at the deadline of closeWrite
+	defer func() { <-c.reading }()
 	_ = c.Conn.SetReadDeadline(time.Time{}) // if it fails, so does the read
 	_, _ = io.Copy(io.Discard, c.Conn)      // any error means that the connection has ended
 	_ = c.Conn.Close()                      // it has ended
@@ -90,8 +97,12 @@
 
 // Read implements net.Conn.
 func (c *targetConn) Read(b []byte) (int, error) {
-	c.reading.Lock()
-	defer c.reading.Unlock()
+	select {
+	case c.reading <- struct{}{}:
+	case <-c.done:
+		return 0, net.ErrClosed
+	}
+	defer func() { <-c.reading }()
 	if c.isClosed() {
 		return 0, net.ErrClosed
 	}
@@ -117,10 +128,18 @@
 		c.closeWrite()
 		return nil
 	}
-	c.closed = true
+	c.setClosed()
 	return c.Conn.Close()
 }
 
+// setClosed records that the connection is closed towards its user. The caller must hold c.mu.
+func (c *targetConn) setClosed() {
+	if !c.closed {
+		c.closed = true
+		close(c.done)
+	}
+}
+
 func (c *targetConn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/entry/targetconn_test.go
+++ b/internal/entry/targetconn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,9 +13,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"ledgesill.dev/ledgesill/pkg/admission"
+
+	"ledgesill.dev/ledgesill/internal/bubble"
 )
 
 // slowTarget is a target that goes on with a request after it has learned of its end.
@@ -136,7 +140,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &targetConn{Conn: c}, nil
+		return newTargetConn(c), nil
 	}}
 }
 
@@ -161,3 +165,27 @@
 		}
 	}
 }
+
+// Guards against a read that waits for the target's end of a connection that was broken off. Virtual
+// time would not advance then, and tests would hang.
+func TestReadReturnsWhileTargetHasNotStopped(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		c, s := newTargetConn(near), &slot{}
+		c.hold(s)
+		if !c.breakOff(s) {
+			t.Fatal("the target counts as stopped")
+		}
+		waited := make(chan struct{})
+		go func() {
+			c.waitForEnd(t.Context())
+			close(waited)
+		}()
+		synctest.Wait()
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
+			t.Errorf("got error %v, want net.ErrClosed", err)
+		}
+		_ = far.Close() // always nil
+		<-waited
+	})
+}
--- a/internal/entry/targetstatus.go
+++ b/internal/entry/targetstatus.go
@@ -74,7 +74,7 @@
 		_ = conn.Close() // nothing was sent on it
 		return nil, &BackedOffError{s.target}
 	}
-	return &targetConn{Conn: conn}, nil
+	return newTargetConn(conn), nil
 }
 
 // backOffs holds, by target name, when the back-offs end that targets asked this box for.
