--- a/pkg/catalog/document.go
+++ b/pkg/catalog/document.go
@@ -1,6 +1,6 @@
 // Package catalog holds the replicated state that requests are routed by: the
-// routes document, the evacuated availability zones, the registered targets and
-// the quarantined requests. State is an immutable value without I/O; control
+// routes document, the evacuated availability zones, the registered targets, the
+// quarantined requests and the roll-outs of versions. State is an immutable value without I/O; control
 // replicas and entry boxes advance it by applying the same commands.
 package catalog
 
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -29,6 +29,8 @@
 	departed  []*wire.Departure
 	// quarantined lists the requests that are on probation or held, oldest first.
 	quarantined []*wire.Quarantined
+	// rollouts holds the latest roll-out of each service, oldest first.
+	rollouts []*wire.Rollout
 }
 
 // ConflictError says that a document was derived from another document than the active
@@ -154,12 +156,13 @@
 		Registrations: s.targets,
 		Departures:    s.departed,
 		Quarantined:   s.quarantined,
+		Rollouts:      s.rollouts,
 	}
 }
 
 func (s State) isEmpty() bool {
 	return s.document == nil && len(s.evacuated) == 0 && len(s.targets) == 0 && len(s.departed) == 0 && len(s.accepted) == 0 &&
-		len(s.quarantined) == 0
+		len(s.quarantined) == 0 && len(s.rollouts) == 0
 }
 
 // Decode builds a state from a message, which may be nil, and unpacks a packed
@@ -184,6 +187,7 @@
 		departed:  append(departuresOf(m.Departed), m.Departures...),
 
 		quarantined: m.Quarantined,
+		rollouts:    m.Rollouts,
 	}, nil
 }
 
--- a/pkg/steering/state.go
+++ b/pkg/steering/state.go
@@ -94,7 +94,7 @@
 		return s.applyChange(c.Change)
 	case c.Shift != nil:
 		return s.applyShift(c.Shift)
-	case c.Routes != nil, c.Evacuation != nil, c.Registration != nil, c.Quarantine != nil:
+	case c.Routes != nil, c.Evacuation != nil, c.Registration != nil, c.Quarantine != nil, c.Rollout != nil:
 		return s.applyCatalog(c)
 	}
 	return s, Result{Err: fmt.Errorf("a command without content")}
@@ -140,7 +140,7 @@
 
 // isRegistrationUpdate reports whether a command contains a registration update and nothing else.
 func isRegistrationUpdate(c *wire.Command) bool {
-	return c.Registration != nil && c.Change == nil && c.Shift == nil && c.Routes == nil && c.Evacuation == nil && c.Quarantine == nil
+	return c.Registration != nil && c.Change == nil && c.Shift == nil && c.Routes == nil && c.Evacuation == nil && c.Quarantine == nil && c.Rollout == nil
 }
 
 func (s State) applyCatalog(c *wire.Command) (State, Result) {
@@ -154,6 +154,8 @@
 		s.catalog, result.Changed = s.catalog.ApplyRegistration(c.Registration)
 	case c.Quarantine != nil:
 		s.catalog, result.Changed = s.catalog.ApplyQuarantine(c.Quarantine)
+	case c.Rollout != nil:
+		s.catalog, result.Changed, result.Err = s.catalog.ApplyRollout(c.Rollout)
 	}
 	if result.Changed {
 		s.version++
