balance: choose among the versions that a roll-out allows

Targets carry their software version. A service with a roll-out chooses within the version group that its splitter names; if no target there can take the request, the other group's slots count as capacity as far as the share allows. Results are counted as evidence; lost connections, rejections and canceled requests are not. A choice of a version that was ruled out since is withdrawn before it is sent.

--- a/pkg/balance/backoff.go
+++ b/pkg/balance/backoff.go
@@ -43,10 +43,10 @@
 
 // CanSend reports whether a request may still be sent to the target that was chosen for it. Since
 // the choice the target may have asked for a back-off, started draining, left, been deregistered or
-// been evacuated.
+// been evacuated, or its version may have been ruled out.
 func (b *Balancer) CanSend(now time.Time, id string) bool {
 	t := b.byID[id]
-	return t != nil && b.isInService(t) && !t.isBackedOff(now) && !t.hasLeft(now)
+	return t != nil && b.isInService(t) && !t.isBackedOff(now) && !t.hasLeft(now) && b.allowsVersion(t)
 }
 
 // EndedBackOff describes a back-off that has ended.
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"ledgesill.dev/ledgesill/pkg/rollout"
 )
 
 // Config identifies the box that a Balancer runs on.
@@ -35,6 +37,8 @@
 	// spreads the Retry-After given to callers.
 	keylessRequests uint64
 	retryPhase      float64
+	// splitter divides the requests between versions; nil if the service has had no roll-out.
+	splitter *rollout.Splitter
 }
 
 // Balancer chooses targets. It is not safe for concurrent use.
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -30,8 +30,15 @@
 // Done, Release or ThrottleUntil. The error is a *NoTargetError.
 func (b *Balancer) Choose(now time.Time, r Request) (Choice, error) {
 	s := b.service(r.Service)
+	if s.splitter != nil {
+		return b.chooseVersion(now, s, r)
+	}
+	return b.chooseAmong(now, s, r, s.keyHash(r))
+}
+
+// chooseAmong is Choose for a request with a key hash, among the versions that it may be sent to.
+func (b *Balancer) chooseAmong(now time.Time, s *service, r Request, key uint64) (Choice, error) {
 	times := b.timesOfRoute(r)
-	key := s.keyHash(r)
 	chosen, skipped := b.homeTarget(now, s, r, key)
 	hasHome := chosen != nil
 	if !hasHome {
@@ -186,6 +193,7 @@
 func (b *Balancer) assign(now time.Time, t *targetState, wait time.Duration, times *serviceTimes) Choice {
 	load := t.load(now)
 	t.inFlight++
+	b.recordVersionSent(t)
 	if t.isCold(now) {
 		t.tokens--
 	}
--- a/pkg/balance/ratelimit.go
+++ b/pkg/balance/ratelimit.go
@@ -37,6 +37,7 @@
 		return
 	}
 	t.recordEnd(false)
+	b.recordVersionNotSent(t)
 	if t.isCold(now) {
 		t.tokens++
 	}
@@ -104,5 +105,6 @@
 func (b *Balancer) Release(id string) {
 	if t := b.byID[id]; t != nil {
 		t.recordEnd(false)
+		b.recordVersionNotSent(t)
 	}
 }
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -46,6 +46,10 @@
 	HasLoad bool
 	// Connect is how long it took to open a new connection; zero if an existing one was used.
 	Connect time.Duration
+	// AffinityKey is that of the request, and Failed is set if the target responded with a failure of
+	// its own. They are evidence during a roll-out.
+	AffinityKey string
+	Failed      bool
 	// MarkedOverdue is set if MarkOverdue was called for the request before.
 	MarkedOverdue bool
 }
@@ -94,6 +98,7 @@
 	if r.Outcome == Answered || r.Outcome == TurnedAway {
 		b.service(t.Service).load.observe(b.loadPerSlot(t, r))
 	}
+	b.recordVersionResult(now, t, r)
 	wasEjected := t.failures > 0
 	switch r.Outcome {
 	case Answered:
--- a/pkg/balance/request.go
+++ b/pkg/balance/request.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"ledgesill.dev/ledgesill/pkg/rollout"
 )
 
 // Request describes a request that a target is to be chosen for.
@@ -30,6 +32,8 @@
 	// all incarnations: a box learns of a restart only after the new incarnation has begun to
 	// receive what is sent to the previous one.
 	Reached []string
+	// versions restricts the request to targets of some versions during a roll-out.
+	versions rollout.Versions
 }
 
 // Choice is the target to send a request to. It must be followed by Done, Release or ThrottleUntil.
@@ -93,7 +97,7 @@
 
 // allows reports whether the request may be sent to a target at all.
 func (r Request) allows(t *targetState) bool {
-	if r.ExcludeLimited && t.limited {
+	if r.ExcludeLimited && t.limited || !r.versions.Contains(t.Software) {
 		return false
 	}
 	if len(r.Regions) > 0 && !slices.Contains(r.Regions, t.Region) {
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -26,9 +26,11 @@
 	ID      string
 	Name    string
 	Service string
-	Address string
-	Zone    string
-	Region  string
+	// Software is the version of the target's software.
+	Software string
+	Address  string
+	Zone     string
+	Region   string
 	// Slots is how many requests the target runs at once.
 	Slots    int
 	Draining bool
