gateway: apply roll-outs and report their evidence

A box applies roll-outs before targets, so that it never sends to a new version before it knows of the order.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -71,8 +71,11 @@
 	routing atomic.Pointer[routing]
 	// lastState is the last state that was applied; only applyState uses it.
 	lastState *catalog.State
-	stopping  atomic.Bool
-	inFlight  atomic.Int64
+	// stoppedRollouts are the numbers of the roll-outs for which logVersionStopped has logged; only
+	// sendReports uses it.
+	stoppedRollouts map[uint64]bool
+	stopping        atomic.Bool
+	inFlight        atomic.Int64
 
 	// balancing guards the state by which targets are chosen.
 	balancing struct {
@@ -106,6 +109,7 @@
 		servedLineLimit: process.NewLineLimiter(servedLinesPerSecond),
 		otherLineLimit:  process.NewLineLimiter(otherLinesPerSecond),
 		reportDue:       make(chan struct{}, 1),
+		stoppedRollouts: make(map[uint64]bool),
 	}
 	p.BootClock = c.Clock
 	d.balancing.balancer = balance.New(balance.Config{Box: c.Name, Zone: c.Zone, Region: c.Region})
--- a/internal/gateway/hedging.go
+++ b/internal/gateway/hedging.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -154,6 +155,7 @@
 	c.lastAttempt = attemptRecord{target: e.choice.Target, choice: e.choice.Choice, newConnection: e.attempt.connectTime > 0, took: e.took, sent: e.failure == nil || e.failure.sent}
 	report := balance.Report{
 		TargetID: e.choice.Target.ID, Route: c.route.Name, Took: e.took, Connect: e.attempt.connectTime, MarkedOverdue: e.overdue,
+		AffinityKey: c.affinityKey(),
 	}
 	if e.failure != nil {
 		e.cancel(nil)
@@ -164,6 +166,7 @@
 		}
 	} else {
 		report.Outcome = c.classifyResponse(e.out)
+		report.Failed = report.Outcome == balance.Answered && e.out.status >= http.StatusInternalServerError
 		report.Load, report.HasLoad = e.out.targetStatus.Load, e.out.targetStatus.HasLoad
 		c.releaseAfterBody(e.out, func() { e.cancel(nil) })
 	}
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -24,7 +24,7 @@
 	defer running.Wait()
 	for {
 		now := d.clock.Now()
-		schedule.SetInterval(lookup.ReportInterval(d.boxCount()))
+		schedule.SetInterval(d.reportInterval(lookup.ReportInterval(d.boxCount())))
 		schedule.SetReplicas(now, d.controlReplicas.all())
 		due, next := schedule.Due(now)
 		for _, address := range due {
@@ -99,6 +99,7 @@
 		Region:      d.config.Region,
 		Address:     d.config.PeerAddress,
 		Stopping:    d.stopping.Load(),
+		Rollouts:    d.rolloutReports(),
 	}
 	if routing := d.routing.Load(); routing != nil {
 		report.Version = routing.version
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -17,6 +17,7 @@
 		d.applyQuarantine(c.Quarantined(), s.Version())
 	}
 	d.applyRoutes(c, s.Version())
+	d.applyRollouts(c, s.Version())
 	d.applyTargets(c, s.Version())
 }
 
@@ -111,6 +112,7 @@
 		ID:            catalog.IncarnationOf(r).String(),
 		Name:          r.Id,
 		Service:       r.Service,
+		Software:      r.Software,
 		Address:       r.Address,
 		Zone:          r.Zone,
 		Region:        d.config.RegionOf[r.Zone],
