control: start, advance and end roll-outs

Every replica sums the counts that boxes report; the leader submits the command that rollout.Next decides on. Orders are refused while a replica of an earlier version answers, whose state would differ. The time of a roll-out goes by the replica's own clock from when it saw the start, and by the time of day only if it was not running or cut off then.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -128,6 +128,9 @@
 	// LimitBound is by how much a workspace may exceed its limit, over all entry
 	// boxes together.
 	LimitBound quota.Bound
+	// RolloutShare is the share of a service's requests that a version may get
+	// during a roll-out while it is not known to be good; zero for the default.
+	RolloutShare float64
 	// DecodeRoutes decodes the text of a routes document; nil for the native
 	// format.
 	DecodeRoutes func(text []byte) (catalog.Document, error)
@@ -160,10 +163,12 @@
 	fs.DurationVar(&c.LimitBound.Window, "limit-window", defaultLimitWindow, "window over which a workspace's requests are counted, 1s or more")
 	excess := fs.Float64("limit-excess", defaultLimitExcess, "percentage by which a workspace may exceed its limit in a window, 0 to 100")
 	fs.Float64Var(&c.LimitBound.Slack, "limit-extra", defaultLimitExtra, "requests that a workspace may send beyond that in each window")
+	rolloutPercent := fs.Float64("rollout-percent", defaultRolloutPercent, "percentage of a service's requests that a version may get during a roll-out while it is not known to be good, above 0 to 100")
 	help, err := parse(fs, args)
 	if help || err != nil {
 		return c, ParseResult{help}, err
 	}
+	c.RolloutShare = *rolloutPercent / maxPercent
 	c.Peers = SplitList(*peers)
 	c.LimitBound.Excess = *excess / maxPercent
 	return c, ParseResult{}, c.check()
@@ -183,6 +188,8 @@
 	defaultLimitExcess = 10
 	defaultLimitExtra  = 20
 	minLimitWindow     = time.Second
+
+	defaultRolloutPercent = 10
 )
 
 func (c *Control) check() error {
@@ -190,6 +197,9 @@
 	if c.DataDir == "" {
 		err = errors.Join(err, &ValueError{"folder", "", "the path of a directory"})
 	}
+	if c.RolloutShare <= 0 || c.RolloutShare > 1 {
+		err = errors.Join(err, &ValueError{"rollout-percent", fmt.Sprint(c.RolloutShare * maxPercent), "a percentage above 0 to 100"})
+	}
 	if len(c.Peers) > maxPeers {
 		err = errors.Join(err, &ValueError{"peers", strings.Join(c.Peers, ","), fmt.Sprintf("at most %d addresses", maxPeers)})
 	}
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -48,6 +48,7 @@
 		Leader:      v.status.Leader,
 
 		TakesQuarantine: true,
+		TakesRollouts:   true,
 	}}
 }
 
--- a/internal/control/catalogapi.go
+++ b/internal/control/catalogapi.go
@@ -16,12 +16,13 @@
 	"ledgesill.dev/ledgesill/internal/operator"
 	"ledgesill.dev/ledgesill/pkg/batch"
 	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/rollout"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// addCatalogHandlers adds the handlers for routes, evacuations, targets, lookups, workspaces and the
+// addCatalogHandlers adds the handlers for routes, evacuations, roll-outs, targets, lookups, workspaces and the
 // quarantine list. Any replica serves them and has the leader commit changes.
 func (d *Daemon) addCatalogHandlers(app *iris.Application) {
 	app.Get("/v1/routes", d.getRoutes)
@@ -29,6 +30,9 @@
 	app.Get("/v1/evacuations", d.getEvacuations)
 	app.Put("/v1/evacuations/{zone}", d.authorized, func(c iris.Context) { d.setEvacuation(c, false) })
 	app.Delete("/v1/evacuations/{zone}", d.authorized, func(c iris.Context) { d.setEvacuation(c, true) })
+	app.Get("/v1/rollouts", d.getRollouts)
+	app.Post("/v1/rollouts", d.authorized, d.postRollout)
+	app.Post("/v1/rollouts/{service}/abort", d.authorized, d.abortRollout)
 	app.Get("/v1/targets", d.getTargets)
 	app.Put("/v1/targets/{id}", d.authorized, d.putTarget)
 	app.Delete("/v1/targets/{id}", d.authorized, d.deleteTarget)
@@ -214,10 +218,19 @@
 	var service *UnknownServiceError
 	var futureStart *FutureStartError
 	var noDocument *NoDocumentError
+	var invalidRollout *rollout.InvalidError
+	var rolloutConflict *RolloutConflictError
+	var noRollout *NoRolloutError
 	var busy *batch.BusyError
 	switch {
 	case errors.As(err, &invalid):
 		fail(c, http.StatusBadRequest, operator.CodeInvalid, err.Error())
+	case errors.As(err, &invalidRollout):
+		fail(c, http.StatusBadRequest, operator.CodeInvalid, err.Error())
+	case errors.As(err, &rolloutConflict):
+		fail(c, http.StatusConflict, operator.CodeConflict, err.Error())
+	case errors.As(err, &noRollout):
+		fail(c, http.StatusNotFound, operator.CodeNotFound, err.Error())
 	case errors.As(err, &refused) && refused.Conflict:
 		fail(c, http.StatusConflict, operator.CodeConflict, err.Error())
 	case errors.As(err, &refused):
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -45,6 +45,7 @@
 	registrations *registrationQueue
 	evidence      *evidence
 	leadership    *leaderWatch
+	rollouts      *rollouts
 	serving       servingBoxes
 	// rejectedUpdates counts registration updates that were rejected, and rejectedLogLimiter
 	// bounds the log lines about them.
@@ -135,6 +136,7 @@
 	d.targetLimits.clock = d.clock
 	d.routes = &routesDecoder{decode: d.decodeRoutes, onError: d.logInvalidRoutes}
 	d.leadership = newLeaderWatch()
+	d.rollouts = newRollouts(d.clock)
 	d.registrations = newRegistrationQueue()
 	d.registrations.clock = d.clock
 	d.evidence = newEvidence()
@@ -247,6 +249,7 @@
 	root.Add(process.Service{Name: "forming", Run: d.maintainMembership})
 	root.Add(process.Service{Name: "repair", Run: d.every(repairInterval, d.repair)})
 	root.Add(process.Service{Name: "shifts", Run: d.planShifts})
+	root.Add(process.Service{Name: "rollouts", Run: d.every(rolloutInterval, d.advanceRollouts)})
 	root.Add(process.Service{Name: "view", Run: d.every(viewInterval, d.refreshView)})
 	root.Add(process.Service{Name: "operators", Run: d.serveOperators})
 	for _, s := range d.extraServices {
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -149,10 +149,25 @@
 	if now.Sub(s.unsupportedAt) < supportCheckValidity {
 		return false
 	}
-	v, err := d.replica.view(ctx)
+	unsupported, err := d.replicasWithout(ctx, (*wire.HelloAnswer).GetTakesQuarantine)
 	if err != nil {
 		return false
 	}
+	if len(unsupported) == 0 {
+		s.supportedAt = now
+		return true
+	}
+	s.unsupportedAt = now
+	d.process.Log.Warn().Str("kind", "quarantine").Strs("replicas", unsupported).Msg("requests are not quarantined at all boxes: replicas of an earlier version don't support it")
+	return false
+}
+
+// replicasWithout returns the addresses of the replicas that answer and lack a feature.
+func (d *Daemon) replicasWithout(ctx context.Context, feature func(*wire.HelloAnswer) bool) (unsupported []string, err error) {
+	v, err := d.replica.view(ctx)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, supportCheckTimeout)
 	defer cancel()
 	results := make(chan string)
@@ -163,27 +178,20 @@
 		}
 		asked++
 		go func() {
-			answer, err := s.hello(ctx, r.Address)
-			if err != nil || answer.GetTakesQuarantine() {
+			answer, err := d.evidence.hello(ctx, r.Address)
+			if err != nil || feature(answer) {
 				results <- ""
 				return
 			}
 			results <- r.Address
 		}()
 	}
-	var unsupported []string
 	for range asked {
 		if address := <-results; address != "" {
 			unsupported = append(unsupported, address)
 		}
 	}
-	if len(unsupported) == 0 {
-		s.supportedAt = now
-		return true
-	}
-	s.unsupportedAt = now
-	d.process.Log.Warn().Str("kind", "quarantine").Strs("replicas", unsupported).Msg("requests are not quarantined at all boxes: replicas of an earlier version don't support it")
-	return false
+	return unsupported, nil
 }
 
 // askHello asks another replica for its identity and features.
--- a/internal/control/routesdecoder.go
+++ b/internal/control/routesdecoder.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -50,6 +51,24 @@
 	return &UnknownServiceError{Service: name, DocumentNumber: d.Number}
 }
 
+// longestObjective returns the longest latency objective of the routes to a service, and whether the
+// document lacks the service.
+func (r *routesDecoder) longestObjective(document *wire.RoutesDocument, service string) (longest time.Duration, removed bool) {
+	d, err := r.decodeOnce(document)
+	if document == nil || err != nil {
+		return 0, false // logged by decodeOnce
+	}
+	for _, h := range d.Hosts {
+		for _, route := range h.Routes {
+			if slices.ContainsFunc(route.Destinations, func(to catalog.Destination) bool { return to.Service == service }) {
+				longest = max(longest, route.Objective)
+			}
+		}
+	}
+	_, known := d.Service(service)
+	return longest, !known
+}
+
 func (d *Daemon) logInvalidRoutes(number uint64, err error) {
 	d.process.Log.Error().Str("kind", "routes").Uint64("number", number).Err(err).
 		Msg("cannot decode the routes document; the previous limits and services stay in effect")
--- a/internal/control/submit.go
+++ b/internal/control/submit.go
@@ -172,7 +172,7 @@
 	return &wire.CallAnswer{Submit: &wire.SubmitAnswer{}}
 }
 
-// serveRead reads the routes document on behalf of another replica.
+// serveRead reads the routes document or a roll-out on behalf of another replica.
 func (d *Daemon) serveRead(ctx context.Context, request *wire.CallRequest) *wire.CallAnswer {
 	ctx, cancel := withCallerTimeout(ctx, request.LeftMilli)
 	defer cancel()
@@ -180,6 +180,9 @@
 	if err != nil {
 		return &wire.CallAnswer{Error: err.Error()}
 	}
+	if service := request.Read.RolloutOf; service != "" {
+		return &wire.CallAnswer{Read: &wire.ReadAnswer{Rollout: rolloutOf(state, service)}}
+	}
 	document := state.Catalog().Document()
 	if document == nil || !request.Read.TakesPacked {
 		return &wire.CallAnswer{Read: &wire.ReadAnswer{Document: document}}
