--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -174,12 +174,16 @@
 		Zones:               zones,
 		LookupTTL:           s.LookupTTL,
 		LimitBound:          s.LimitBound,
+		RolloutShare:        s.RolloutShare,
 		DecodeRoutes:        platform.DecodeRoutes,
 	}, log)
 	if err != nil {
 		return nil, err
 	}
-	api := platform.ControlAPI{Register: d.Register, Deregister: d.Deregister, PutRoutes: d.PutRoutes, Routes: d.Routes, Evacuate: d.Evacuate, OnInvalidHeartbeat: d.RecordRejectedUpdate}
+	api := platform.ControlAPI{
+		Register: d.Register, Deregister: d.Deregister, PutRoutes: d.PutRoutes, Routes: d.Routes, Evacuate: d.Evacuate,
+		StartRollout: d.StartRollout, Rollout: d.Rollout, OnInvalidHeartbeat: d.RecordRejectedUpdate,
+	}
 	if s.ControlAddress != "" {
 		if err := d.AddHandler("calls", s.ControlAddress, api.Handler()); err != nil {
 			return nil, err
