--- a/contrib/measure/main.go
+++ b/contrib/measure/main.go
@@ -23,6 +23,7 @@
 	only := flag.String("scenario", "", "run only scenarios whose names contain this")
 	objects := flag.Bool("objects", false, "measure the choice among targets that cache objects")
 	limits := flag.Bool("limits", false, "compare methods of enforcing workspace limits")
+	rollouts := flag.Int("rollouts", 0, "roll out this many drawn versions of each kind, good and bad")
 	csv := flag.String("csv", "", "also write the figures to this file")
 	flag.Parse()
 	list, err := parseSeeds(*seeds)
@@ -40,6 +41,10 @@
 		printLimits(os.Stdout, list)
 		return
 	}
+	if *rollouts > 0 {
+		printRollouts(os.Stdout, *rollouts, list)
+		return
+	}
 	cells := plan(list, *only)
 	runAll(cells)
 	printTable(cells)
