relay: let subscribers share the list of entry boxes

With 984 entry boxes the list of serving boxes was built for each of a replica's 109 subscribers once a second, with a key made by joining names: boxes squared bytes for each, boxes to the power of three for a replica.

Ruled out: the sort of the reports, 0.2 ms of it. Change: one list for all, rebuilt every 0.25 s and replaced only if a box has changed.

Seen failing before: TestSubscribersShareTheListOfBoxes, 2,034 allocations for 1,000 boxes.

--- a/internal/relay/publisher.go
+++ b/internal/relay/publisher.go
@@ -27,9 +27,12 @@
 	publisher   *distribution.Publisher
 	subscribers map[*subscriber]bool
 	reports     map[string]boxReport
-	controlAge  func() time.Duration
-	stamp       func() *wire.Clock
-	clock       *boottime.Clock
+	// boxList is the list of serving boxes as of boxListAt, which all subscribers share.
+	boxList    *wire.EntryBoxes
+	boxListAt  time.Time
+	controlAge func() time.Duration
+	stamp      func() *wire.Clock
+	clock      *boottime.Clock
 	// limits returns the rate limits of targets that changed after a number, and
 	// the number of the last change; nil if this process knows of none.
 	limits func(after uint64) (changed []*wire.TargetLimit, last uint64)
@@ -78,6 +81,9 @@
 	// entryBoxValidity is how long an entry box counts as serving after its last
 	// report: three reports may be lost.
 	entryBoxValidity = 3 * time.Second
+	// boxListTTL is how long the list of serving boxes is reused. It is sent with heartbeats, so a
+	// fraction of their interval hardly delays it.
+	boxListTTL = heartbeatInterval / 4
 	// reportRetention is how long the last report of a silent box is kept.
 	reportRetention = 10 * time.Minute
 )
@@ -251,7 +257,7 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	version := request.Version
-	sentBoxes := ""
+	var sentBoxes *wire.EntryBoxes
 	var sentLimits uint64
 	boxesDue := true                      // entry boxes are sent with heartbeats, not with each change
 	nextUpdate := p.publisher.FirstUpdate // for the first update only
@@ -259,7 +265,9 @@
 		u := p.buildUpdate(nextUpdate, version)
 		nextUpdate = p.publisher.Update
 		if boxesDue {
-			u.EntryBoxes, sentBoxes = p.entryBoxes(sentBoxes)
+			if boxes := p.entryBoxes(); boxes != sentBoxes {
+				u.EntryBoxes, sentBoxes = boxes, boxes
+			}
 		}
 		if p.limits != nil {
 			u.Limits, sentLimits = p.limits(sentLimits)
@@ -312,26 +320,41 @@
 	return u
 }
 
-// entryBoxes returns the boxes that serve callers and a key of the list. It
-// returns nil if the key is the last one sent.
-func (p *Publisher) entryBoxes(sentBoxes string) (*wire.EntryBoxes, string) {
-	recent := p.RecentReports(max(entryBoxValidity, lookup.ReportValidity(len(p.RecentReports(2*entryBoxValidity)))))
+// entryBoxes returns the boxes that serve callers, or nil before any box has reported. The list is the
+// same one as long as the boxes are.
+func (p *Publisher) entryBoxes() *wire.EntryBoxes {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.boxList != nil && now.Sub(p.boxListAt) < boxListTTL {
+		return p.boxList
+	}
+	next := p.listEntryBoxes(now)
+	if next == nil {
+		return p.boxList
+	}
+	p.boxListAt = now
+	if p.boxList == nil || !proto.Equal(next, p.boxList) {
+		p.boxList = next
+	}
+	return p.boxList
+}
+
+// listEntryBoxes builds the list of the boxes that serve callers, or nil before any box has reported.
+// The lock is held.
+func (p *Publisher) listEntryBoxes(now time.Time) *wire.EntryBoxes {
+	validity := max(entryBoxValidity, lookup.ReportValidity(len(p.recentReports(now, 2*entryBoxValidity))))
+	recent := p.recentReports(now, validity)
 	if len(recent) == 0 {
-		return nil, sentBoxes
+		return nil
 	}
 	out := &wire.EntryBoxes{}
-	key := ""
 	for _, b := range recent {
-		if b.CallerAddress == "" || b.Stopping {
-			continue
+		if b.CallerAddress != "" && !b.Stopping {
+			out.Boxes = append(out.Boxes, &wire.EntryBox{Name: b.Box, Zone: b.Zone, Region: b.Region})
 		}
-		out.Boxes = append(out.Boxes, &wire.EntryBox{Name: b.Box, Zone: b.Zone, Region: b.Region})
-		key += b.Box + " "
-	}
-	if key == sentBoxes {
-		return nil, sentBoxes
 	}
-	return out, key
+	return out
 }
 
 // RecentReports returns the reports whose age is at most within, sorted by box.
@@ -339,6 +362,11 @@
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.recentReports(now, within)
+}
+
+// recentReports is RecentReports with the lock held.
+func (p *Publisher) recentReports(now time.Time, within time.Duration) []*wire.BoxReport {
 	var out []*wire.BoxReport
 	for _, r := range p.reports {
 		if now.Sub(r.at) <= within {
