--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -175,6 +175,7 @@
 		LookupTTL:           s.LookupTTL,
 		LimitBound:          s.LimitBound,
 		RolloutShare:        s.RolloutShare,
+		MemoryBytes:         s.MemoryBytes,
 		DecodeRoutes:        platform.DecodeRoutes,
 	}, log)
 	if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -131,6 +131,9 @@
 	// RolloutShare is the share of a service's requests that a version may get
 	// during a roll-out while it is not known to be good; zero for the default.
 	RolloutShare float64
+	// MemoryBytes is the memory limit of the process; zero if there is none. It
+	// bounds the connections of handlers that the platform adds.
+	MemoryBytes int64
 	// DecodeRoutes decodes the text of a routes document; nil for the native
 	// format.
 	DecodeRoutes func(text []byte) (catalog.Document, error)
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -222,6 +222,15 @@
 // OperatorAddress returns the address at which the replica listens for operators.
 func (d *Daemon) OperatorAddress() string { return d.operatorListener.Addr().String() }
 
+const (
+	// connectionBytes is the memory that an open HTTP connection takes: buffers, the stack of its
+	// goroutine and the share of garbage that is collected late.
+	connectionBytes = 48 << 10
+	// connectionMemoryShare is the share of the memory limit that the connections of one handler may
+	// take.
+	connectionMemoryShare = 0.2
+)
+
 // AddHandler serves an additional HTTP handler on an address once Run is called.
 func (d *Daemon) AddHandler(name, address string, h http.Handler) error {
 	l, err := net.Listen("tcp4", address)
@@ -229,6 +238,10 @@
 		return errors.Join(fmt.Errorf("listening for %s: %w", name, err), d.close())
 	}
 	run := func(ctx context.Context) error { return process.ServeHTTP(ctx, l, h) }
+	if d.config.MemoryBytes > 0 {
+		connections := int(connectionMemoryShare * float64(d.config.MemoryBytes) / connectionBytes)
+		run = func(ctx context.Context) error { return process.ServeLimitedHTTP(ctx, l, h, connections) }
+	}
 	d.extraServices = append(d.extraServices, process.Service{Name: name, Run: run})
 	return nil
 }
--- a/internal/process/http.go
+++ b/internal/process/http.go
@@ -21,10 +21,21 @@
 // ServeHTTP serves HTTP until the context ends, and then waits for the requests in
 // flight, at most for shutdownTimeout.
 func ServeHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
+	return serveHTTP(ctx, l, h, nil)
+}
+
+// ServeLimitedHTTP is ServeHTTP with a limit on the open connections. Beyond it, those
+// that have been idle for longest are closed, and new ones if none is idle.
+func ServeLimitedHTTP(ctx context.Context, l net.Listener, h http.Handler, maxConnections int) error {
+	return serveHTTP(ctx, l, h, newConnectionLimit(maxConnections).stateChanged)
+}
+
+func serveHTTP(ctx context.Context, l net.Listener, h http.Handler, connState func(net.Conn, http.ConnState)) error {
 	server := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnState:         connState,
 		ErrorLog:          log.New(io.Discard, "", 0), // the caller sees a broken connection itself
 	}
 	ended := make(chan error, 1)
