control: bound the log lines on registration updates

Cause: calls times lines. Change: 10 lines a second on updates that fail, 100 on others; a line tells how many were left out.

--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -77,11 +77,7 @@
 	}
 	began := d.clock.Now()
 	err := d.registrations.submit(ctx, c, false)
-	entry := d.process.Log.Info()
-	if err != nil {
-		entry = d.process.Log.Warn().Err(err)
-	}
-	entry.Str("kind", "registration").Str("target", r.Id).Str("service", r.Service).Str("address", r.Address).
+	d.updateLog.line(d.clock.Now(), err).Str("kind", "registration").Str("target", r.Id).Str("service", r.Service).Str("address", r.Address).
 		Bool("draining", r.Draining).Bool("leaves", c.Leave).Int64("coldMillis", r.ColdMilli).Uint64("sequence", r.Sequence).Int64("born", r.BornUnixMilli).
 		Uint64("stateVersion", state.Version()).Dur("took", d.clock.Since(began)).Msg("registration update submitted")
 	return err
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -42,6 +42,7 @@
 	targetLimits  *targetLimits
 	routes        *routesDecoder
 	targetIndex   targetIndex
+	updateLog     *updateLog
 	registrations *registrationQueue
 	evidence      *evidence
 	leadership    *leaderWatch
@@ -136,6 +137,7 @@
 	d.targetLimits.clock = d.clock
 	d.routes = &routesDecoder{decode: d.decodeRoutes, onError: d.logInvalidRoutes}
 	d.leadership = newLeaderWatch()
+	d.updateLog = newUpdateLog(d.process.Log)
 	d.rollouts = newRollouts(d.clock)
 	d.registrations = newRegistrationQueue()
 	d.registrations.clock = d.clock
