control: don't forward reports that boxes send to every replica

Cause: entry boxes of the users' platform report to each replica, and each follower forwarded what it got to the leader, at each change of a box's version, so at each batch of registrations: boxes times replicas twice, with a copy of all reports every 0.2 s at each replica. Only boxes of the settings tree need it, which report along the tree of followers.

Seen failing before: TestReportsToAllReplicasAreNotForwarded.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -400,6 +400,9 @@
 		return
 	}
 	d.addDiscovered(v.membership)
+	if len(v.state.Tree().Zones()) == 0 {
+		return // boxes that are not in the settings report to every replica themselves
+	}
 	if v.status.Leader != d.reportedTo {
 		d.reportedTo = v.status.Leader
 		d.filter = relay.NewReportFilter()
