--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -44,6 +44,7 @@
 	published := r.applyCommands(withCommands, commands)
 	for _, e := range entries {
 		r.applied = max(r.applied, e.Index)
+		r.loggedBytes += len(e.Data)
 		r.answerProposal(e, outcome{version: r.state.Version()}) // entries without a command
 	}
 	if len(published) > 0 {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -35,6 +35,10 @@
 	applied       uint64
 	snapshot      uint64
 	snapshotEvery uint64
+	// snapshotBytes is the size of the last snapshot, and loggedBytes that of the entries applied
+	// since then.
+	snapshotBytes int
+	loggedBytes   int
 	// committed holds committed entries that have not been applied yet, and readsDue the reads
 	// that wait for some of them.
 	committed []*wire.Entry
@@ -113,6 +117,7 @@
 	r.state = state
 	r.applied = s.Index
 	r.snapshot = s.Index
+	r.snapshotBytes, r.loggedBytes = len(s.Data), 0
 	return nil
 }
 
@@ -359,9 +364,11 @@
 	r.waiting[p.Index] = waitingProposal{p.Term, reply}
 }
 
-// compact takes a snapshot once enough entries have been applied since the last one.
+// compact takes a snapshot once enough entries have been applied since the last one: a number of
+// them, and as many bytes as that one has. A snapshot holds all targets, so with a fixed number of
+// entries the bytes written for each change would grow with the number of targets.
 func (r *replica) compact() error {
-	if r.applied < r.snapshot+r.snapshotEvery {
+	if r.applied < r.snapshot+r.snapshotEvery || r.loggedBytes < r.snapshotBytes {
 		return nil
 	}
 	data, err := r.state.Marshal()
@@ -383,6 +390,7 @@
 		return &DiskError{err}
 	}
 	r.snapshot = s.Index
+	r.snapshotBytes, r.loggedBytes = len(s.Data), 0
 	r.machine.Handle(r.now(), consensus.Compact{Snapshot: s})
 	return nil
 }
