distribution: keep commands up to the size of the targets

Cause: a publisher kept 1,024 commands or 250 KB, which holds while a burst of changes is small. 10,002 registrations within seconds are ten times that, so a box that is behind by 0.3 s got the full state, and again while it loaded that. Change: commands are kept as long as they are smaller than the targets of a full state; the count has no bound of its own.

--- a/pkg/distribution/packing_test.go
+++ b/pkg/distribution/packing_test.go
@@ -337,10 +337,10 @@
 }
 
 // With documents that do not compress, a publisher keeps no texts and at most
-// maxCommandBytes, or a single command.
+// minCommandBytes, or a single command.
 func TestKeptCommandsAreBounded(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
-	for _, size := range []int{1000, 60_000, 2 * maxCommandBytes} {
+	for _, size := range []int{1000, 60_000, 2 * minCommandBytes} {
 		s := steering.State{}
 		p := NewPublisher(s)
 		for range 12 {
@@ -359,7 +359,7 @@
 				t.Fatal("a kept command has a document text")
 			}
 		}
-		if held != p.commandBytes || held > maxCommandBytes && len(p.commands) > 1 {
+		if held != p.commandBytes || held > minCommandBytes && len(p.commands) > 1 {
 			t.Errorf("texts of %d bytes: %d commands of %d bytes, counted %d", size, len(p.commands), held, p.commandBytes)
 		}
 		if u := p.Update(s.Version()-1, 0); len(u.Commands) != 1 {
--- a/pkg/distribution/publisher.go
+++ b/pkg/distribution/publisher.go
@@ -15,12 +15,11 @@
 )
 
 const (
-	// maxCommands is how many recent commands a publisher keeps to send as deltas.
-	maxCommands = 1024
-	// maxCommandBytes bounds their encoded size, not counting the newest command: what
-	// a box's link of 4 Mbit/s carries in 0.5 s. A subscriber that lacks more is served
-	// as well by the full state, whose document is packed once.
-	maxCommandBytes = 250_000
+	// minCommandBytes is the size up to which recent commands are kept in any case: what
+	// a box's link of 4 Mbit/s carries in 0.5 s.
+	minCommandBytes = 250_000
+	// stateSizeInterval is after how many versions the size of the state is computed anew.
+	stateSizeInterval = 256
 )
 
 // Publisher makes the updates for subscribers from the state of its process.
@@ -31,6 +30,9 @@
 	// commands hold documents packed as deltas, never their texts.
 	commands     []*wire.Command
 	commandBytes int
+	// stateBytes is the size of the registered targets as of stateSizedAt.
+	stateBytes   int
+	stateSizedAt uint64
 	// packedDocument caches the active document packed without a base. It is made for
 	// the first subscriber that needs it, and replaced after the document has changed.
 	packedDocument *wire.PackedDocument
@@ -88,10 +90,16 @@
 	}}
 }
 
-// trim drops the oldest commands beyond the limits.
+// trim drops the oldest commands while all of them together, the newest not counted, are larger than
+// the targets in a full state: a subscriber that lacks more is served as well by that. With a fixed
+// bound, subscribers in a burst of changes that is longer would get the full state again and again.
 func (p *Publisher) trim() {
+	limit := minCommandBytes
+	if p.commandBytes > limit {
+		limit = max(limit, p.targetBytes())
+	}
 	extra := 0
-	for len(p.commands)-extra > maxCommands || p.commandBytes > maxCommandBytes && len(p.commands)-extra > 1 {
+	for p.commandBytes > limit && len(p.commands)-extra > 1 {
 		p.commandBytes -= proto.Size(p.commands[extra])
 		extra++
 	}
@@ -101,6 +109,18 @@
 	}
 }
 
+// targetBytes returns the encoded size of the registered targets, which may be that of a recent state.
+func (p *Publisher) targetBytes() int {
+	if p.stateBytes > 0 && p.state.Version() < p.stateSizedAt+stateSizeInterval {
+		return p.stateBytes
+	}
+	p.stateBytes, p.stateSizedAt = 0, p.state.Version()
+	for _, r := range p.state.Catalog().Targets() {
+		p.stateBytes += proto.Size(r)
+	}
+	return p.stateBytes
+}
+
 // Version returns the version of the published state.
 func (p *Publisher) Version() uint64 { return p.state.Version() }
 
