batch: let batches grow while their items take little time

Cause: a batch had 64 items at most, and as its duration grew (no leader yet, a busy replica), the number in flight fell to one: 64 for each 0.5 to 0.9 s, at the leader for the whole system. The size held while the fleet was small. Ruled out: the time of an update itself, some microseconds. Change: the batcher estimates by regression what an item adds to the duration of a batch and grows, by at most two each time, up to 1,024 items as long as the items take under a third of the nominal 150 ms. Updates that take 2 ms each are still batched by 64, so a document waits no longer.

--- a/internal/control/registrations.go
+++ b/internal/control/registrations.go
@@ -15,11 +15,13 @@
 // updateBatches bounds the resources that registration updates use at a replica. An update in a
 // batch of its own costs the leader a message to each of eight replicas, their answers and a call;
 // a larger batch pays that once. An operator's document waits at most behind the batches in
-// flight. NominalDuration and MinTimeLeft allow for a round trip between regions to the leader,
+// flight, so batches of more than MinItems are formed only while updates themselves take little time:
+// each update is about 130 bytes, MaxItems of them less than may be in flight to a replica. NominalDuration and MinTimeLeft allow for a round trip between regions to the leader,
 // one to a quorum and a sync. MinInterval equals the interval of updates to subscribers (package
 // relay): committing an update sooner would not publish it sooner.
 var updateBatches = batch.Config{
-	MaxItems:        64,
+	MaxItems:        1024,
+	MinItems:        64,
 	MaxInFlight:     4,
 	NominalDuration: 150 * time.Millisecond,
 	MinInterval:     40 * time.Millisecond,
@@ -135,7 +137,7 @@
 
 // run starts batches until the context ends, and then waits for those in flight.
 func (q *registrationQueue) run(ctx context.Context) error {
-	ended := make(chan time.Duration)
+	ended := make(chan endedBatch)
 	inFlight := 0
 	for {
 		for {
@@ -144,7 +146,7 @@
 				break
 			}
 			inFlight++
-			go func() { ended <- q.runBatch(ctx, batch) }()
+			go func() { ended <- endedBatch{len(batch), q.runBatch(ctx, batch)} }()
 		}
 		timer := time.NewTimer(q.untilNext(q.clock.Now()))
 		select {
@@ -156,9 +158,9 @@
 			return ctx.Err()
 		case <-q.wakeup:
 		case <-timer.C:
-		case took := <-ended:
+		case e := <-ended:
 			inFlight--
-			q.recordDone(took)
+			q.recordDone(e)
 		}
 		timer.Stop()
 	}
@@ -191,10 +193,16 @@
 	return at.Sub(now)
 }
 
-func (q *registrationQueue) recordDone(took time.Duration) {
+// endedBatch is the size of a batch that has ended and how long it took.
+type endedBatch struct {
+	items int
+	took  time.Duration
+}
+
+func (q *registrationQueue) recordDone(e endedBatch) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.batcher.Done(took)
+	q.batcher.Done(e.items, e.took)
 }
 
 // answer sends the outcome of an update to its callers. The lock is held.
--- a/pkg/batch/batcher.go
+++ b/pkg/batch/batcher.go
@@ -18,8 +18,11 @@
 
 // Config sets the limits of a Batcher.
 type Config struct {
-	// MaxItems is the maximum number of items in a batch.
+	// MaxItems is the maximum number of items in a batch, and MinItems the number up to
+	// which a batch always takes what is queued; zero for MaxItems. In between, batches
+	// grow as long as their items take little of NominalDuration.
 	MaxItems int
+	MinItems int
 	// MaxInFlight is the maximum number of batches in flight while they take no longer
 	// than NominalDuration. If they take longer the maximum is reduced in proportion,
 	// down to one, so that the backlog in flight stays at MaxInFlight times
@@ -62,20 +65,28 @@
 	lastStart time.Time
 	// averageDuration is the moving average of the durations of completed batches.
 	averageDuration time.Duration
+	sizer           sizer
 }
 
 // New returns a batcher without items.
-func New[T any](c Config) *Batcher[T] { return &Batcher[T]{config: c} }
+func New[T any](c Config) *Batcher[T] { return &Batcher[T]{config: c, sizer: newSizer(c)} }
+
+func (c Config) minItems() int {
+	if c.MinItems <= 0 {
+		return c.MaxItems
+	}
+	return min(c.MinItems, c.MaxItems)
+}
 
 // averageWeight is the weight of the latest batch in the moving average. The last five
 // batches together have a weight of 0.83.
 const averageWeight = 0.3
 
 // Add queues an item that has to complete by the deadline, or returns a BusyError.
-// While less than a full batch is queued every item is accepted, so that the average
+// While less than MinItems are queued every item is accepted, so that the average
 // duration keeps being updated.
 func (b *Batcher[T]) Add(now time.Time, value T, deadline time.Time) error {
-	if n := len(b.queue); n >= b.config.MaxItems {
+	if n := len(b.queue); n >= b.config.minItems() {
 		if wait := b.expectedWait(n); now.Add(wait).After(deadline) {
 			return &BusyError{Queued: n, RetryAfter: wait - b.averageDuration}
 		}
@@ -87,7 +98,7 @@
 // expectedWait returns the expected time until an item with the given number of items
 // ahead of it completes.
 func (b *Batcher[T]) expectedWait(ahead int) time.Duration {
-	rounds := 1 + float64(ahead)/float64(b.config.MaxItems*b.maxInFlight())
+	rounds := 1 + float64(ahead)/float64(b.sizer.limit*b.maxInFlight())
 	return time.Duration(rounds * float64(b.averageDuration))
 }
 
@@ -109,7 +120,7 @@
 	if len(b.queue) == 0 || b.inFlight >= b.maxInFlight() || now.Before(b.earliestStart()) {
 		return nil, expired
 	}
-	n := min(len(b.queue), b.config.MaxItems)
+	n := min(len(b.queue), b.sizer.next())
 	for _, i := range b.queue[:n] {
 		batch = append(batch, i.value)
 	}
@@ -141,15 +152,16 @@
 }
 
 func (b *Batcher[T]) earliestStart() time.Time {
-	if len(b.queue) >= b.config.MaxItems {
+	if len(b.queue) >= b.config.minItems() {
 		return b.lastStart
 	}
 	return b.lastStart.Add(b.config.MinInterval)
 }
 
-// Done records that a batch has completed, and how long it took.
-func (b *Batcher[T]) Done(took time.Duration) {
+// Done records that a batch of a number of items has completed, and how long it took.
+func (b *Batcher[T]) Done(items int, took time.Duration) {
 	b.inFlight--
+	b.sizer.record(items, took)
 	if b.averageDuration == 0 {
 		b.averageDuration = took
 		return
--- a/pkg/batch/batcher_test.go
+++ b/pkg/batch/batcher_test.go
@@ -29,7 +29,7 @@
 	fmt.Println(batch, b.Queued())
 	batch, _ = b.Next(now) // one batch is in flight
 	fmt.Println(batch, b.Queued())
-	b.Done(10 * time.Millisecond)
+	b.Done(4, 10*time.Millisecond)
 	batch, _ = b.Next(now.Add(40 * time.Millisecond))
 	fmt.Println(batch, b.Queued())
 	// Output:
@@ -64,7 +64,7 @@
 func TestExpiringItemsAreRemoved(t *testing.T) {
 	b := New[int](testConfig())
 	b.inFlight = 1
-	b.Done(200 * time.Millisecond)
+	b.Done(4, 200*time.Millisecond)
 	for i, deadline := range []int{49, 50, 51} {
 		if err := b.Add(at(0), i, at(deadline)); err != nil {
 			t.Fatal(err)
@@ -81,7 +81,7 @@
 func TestBusyBatcherRefusesAtOnce(t *testing.T) {
 	b := New[int](testConfig())
 	b.inFlight = 1
-	b.Done(400 * time.Millisecond) // one batch may be in flight
+	b.Done(4, 400*time.Millisecond) // one batch may be in flight
 	var busy *BusyError
 	for i := range 100 {
 		err := b.Add(at(0), i, at(900))
@@ -154,7 +154,7 @@
 		}
 		end := func() {
 			if len(durations) > 0 {
-				b.Done(durations[0])
+				b.Done(c.MaxItems, durations[0])
 				durations = durations[1:]
 			}
 		}
