gateway: report rarely before the first document

Cause: the interval of reports grows with the number of serving boxes, which a box learns once boxes serve. Before the first document it took the shortest, 0.5 s: 984 boxes sent each replica 2,000 reports a second beside the first registrations. A box without routes has nothing to tell that is urgent; its report when it starts to serve is sent at once as before.

Seen failing before: TestBoxWithoutRoutesReportsRarely.

--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -24,7 +24,7 @@
 	defer running.Wait()
 	for {
 		now := d.clock.Now()
-		schedule.SetInterval(d.reportInterval(lookup.ReportInterval(d.boxCount())))
+		schedule.SetInterval(d.reportInterval())
 		schedule.SetReplicas(now, d.controlReplicas.all())
 		due, next := schedule.Due(now)
 		for _, address := range due {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -43,7 +44,11 @@
 const rolloutReportInterval = 500 * time.Millisecond
 
 // reportInterval returns the interval of reports to each control replica.
-func (d *Daemon) reportInterval(usual time.Duration) time.Duration {
+func (d *Daemon) reportInterval() time.Duration {
+	if d.routing.Load() == nil {
+		return lookup.IdleReportInterval
+	}
+	usual := lookup.ReportInterval(d.boxCount())
 	reports := d.rolloutReports()
 	if len(reports) == 0 {
 		return usual
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -94,3 +95,18 @@
 		}
 	})
 }
+
+// Guards against boxes that report every 0.5 s before they know how many they are: before the first
+// document 984 boxes sent each replica 2,000 reports a second, beside the first registrations.
+func TestBoxWithoutRoutesReportsRarely(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newRig(t, testConfig(), 1)
+		if got := s.daemon.reportInterval(); got != lookup.ReportInterval(1) {
+			t.Errorf("a serving box reports every %s", got)
+		}
+		s.daemon.routing.Store(nil)
+		if got := s.daemon.reportInterval(); got != lookup.IdleReportInterval {
+			t.Errorf("a box without routes reports every %s", got)
+		}
+	})
+}
