control: forward to the leader before being a member

What callers saw: a call of a target at one of six replicas that join one by one was held for 0.9 s and turned away, in the seconds in which all targets register.

Cause: a replica learned the leader from its own log only. Change: until it is a member it forwards to the leader that others report when it asks them, each 0.2 s. A replica that was removed and does not know it keeps to its own log, as before. Seen failing before (no such way): TestReplicaForwardsBeforeItIsAMember.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -66,14 +66,16 @@
 	reportedTo string
 	filter     *relay.ReportFilter
 
-	mu           sync.Mutex
-	addresses    map[string]string
-	joining      map[string]*wire.Replica
-	discovered   []string // addresses of replicas learned from other replicas
-	repairs      map[string]consensus.RepairStep
-	laggingSince map[string]time.Time
-	shiftReasons map[string]string // why a shift is waiting, by shift id
-	startupGate  *lookup.StartupGate
+	mu         sync.Mutex
+	addresses  map[string]string
+	joining    map[string]*wire.Replica
+	discovered []string // addresses of replicas learned from other replicas
+	// reportedLeader is the address of the leader that another replica reported last.
+	reportedLeader string
+	repairs        map[string]consensus.RepairStep
+	laggingSince   map[string]time.Time
+	shiftReasons   map[string]string // why a shift is waiting, by shift id
+	startupGate    *lookup.StartupGate
 }
 
 // Open recovers the replica and starts to listen. Run must be called afterwards.
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -52,6 +52,7 @@
 		if !h.Formed {
 			continue
 		}
+		d.recordReportedLeader(h)
 		if len(v.membership.Voters) == 0 && d.isInitialMembership(h) {
 			_ = d.replica.inbox.put(ctx, bootstrap{h.Membership}) // fails only if the context ends; then looked for again
 			return
@@ -73,6 +74,18 @@
 	_ = d.replica.inbox.put(ctx, bootstrap{first}) // fails only if the context ends; then tried again
 }
 
+// recordReportedLeader remembers the leader that another replica reports. Until this replica is a member
+// it forwards to that one; rejecting would keep callers waiting for each replica that joins.
+func (d *Daemon) recordReportedLeader(h *wire.HelloAnswer) {
+	address := addressOf(h.Membership, h.Leader)
+	if address == "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reportedLeader = address
+}
+
 // mayBootstrap reports whether this replica may take part in forming the first membership.
 func (d *Daemon) mayBootstrap() bool {
 	return !d.config.PeersAreSeeds || d.config.MayBootstrap && slices.Contains(d.config.Peers, d.config.PeerAddress)
--- a/internal/control/registrationcalls.go
+++ b/internal/control/registrationcalls.go
@@ -22,7 +22,7 @@
 	if v.status.Role == consensus.Leader {
 		return d.replica.submitUpdates(ctx, batch)
 	}
-	address := addressOf(v.membership, v.status.Leader)
+	address := d.leaderAddress(v)
 	if address == "" {
 		return repeatError(len(batch), &consensus.NotLeaderError{})
 	}
--- a/internal/control/reports_test.go
+++ b/internal/control/reports_test.go
@@ -20,3 +20,24 @@
 		}
 	})
 }
+
+// Guards against a replica that holds calls of targets until they time out because it is not a member
+// yet: six of nine replicas join one by one while all targets register.
+func TestReplicaForwardsBeforeItIsAMember(t *testing.T) {
+	runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
+		leader, _ := s.leaderAndAnother(t)
+		v, err := leader.replica.view(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		joining := &Daemon{replica: &replica{id: "new"}}
+		joining.recordReportedLeader(&wire.HelloAnswer{Formed: true, Leader: v.status.Leader, Membership: v.membership})
+		if got := joining.leaderAddress(view{}); got != leader.config.PeerAddress {
+			t.Errorf("the joining replica forwards to %q, want %q", got, leader.config.PeerAddress)
+		}
+		joining.recordReportedLeader(&wire.HelloAnswer{Formed: true})
+		if got := joining.leaderAddress(view{}); got != leader.config.PeerAddress {
+			t.Errorf("a replica without a leader made it forget the leader: %q", got)
+		}
+	})
+}
--- a/internal/control/submit.go
+++ b/internal/control/submit.go
@@ -119,13 +119,24 @@
 	if v.status.Role == consensus.Leader {
 		return try(ctx, "")
 	}
-	address := addressOf(v.membership, v.status.Leader)
+	address := d.leaderAddress(v)
 	if address == "" {
 		return &consensus.NotLeaderError{}
 	}
 	return try(ctx, address)
 }
 
+// leaderAddress returns the address of the leader, or an empty string if it is not known. A replica
+// that is not a member yet knows it from the answers of others.
+func (d *Daemon) leaderAddress(v view) string {
+	if address := addressOf(v.membership, v.status.Leader); address != "" || addressOf(v.membership, d.replica.id) != "" {
+		return address
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.reportedLeader
+}
+
 // remainingMilli returns the milliseconds until the deadline of a context, to be sent with a call,
 // or zero if it has none.
 func (d *Daemon) remainingMilli(ctx context.Context) int64 {
