control: count a roll-out's time from its start where that was seen

Cause: a replica that had run for less than a minute took the time of a roll-out from the time of day in the order, which may be stepped by seconds; the end came early by as much, and with it the last step or a roll back. Change: the time of day counts only for a roll-out that began while the replica had no current state for a second.

Seen failing before: TestTimeOfRolloutIgnoresSteppedClocks.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -46,7 +46,7 @@
 	registrations *registrationQueue
 	evidence      *evidence
 	leadership    *leaderWatch
-	rollouts      *rollouts
+	rollouts      *rolloutTracker
 	serving       servingBoxes
 	// rejectedUpdates counts registration updates that were rejected, and rejectedLogLimiter
 	// bounds the log lines about them.
@@ -140,7 +140,7 @@
 	d.routes = &routesDecoder{decode: d.decodeRoutes, onError: d.logInvalidRoutes}
 	d.leadership = newLeaderWatch()
 	d.updateLog = newUpdateLog(d.process.Log)
-	d.rollouts = newRollouts(d.clock)
+	d.rollouts = newRolloutTracker(d.clock.Now())
 	d.registrations = newRegistrationQueue()
 	d.registrations.clock = d.clock
 	d.evidence = newEvidence()
--- a/internal/control/rollouts_test.go
+++ b/internal/control/rollouts_test.go
@@ -241,10 +241,23 @@
 func TestTimeOfRolloutContinuesAfterRestart(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
 	running := []*wire.Rollout{{Service: "s", Number: 1, Step: 1, StartedUnixMilli: start.UnixMilli()}}
-	x := newRollouts(nil)
-	x.started = start.Add(4 * time.Second)
+	x := newRolloutTracker(start.Add(4 * time.Second))
 	x.update(start.Add(5*time.Second), start.Add(5*time.Second), running, true)
 	if elapsed := start.Add(5 * time.Second).Sub(x.tracked[1].startedAt); elapsed != 5*time.Second {
 		t.Errorf("the roll-out counts as running for %s, want 5s", elapsed)
 	}
 }
+
+// Guards against a clock that steps between the order and its arrival at a replica, which must not
+// move the end of the roll-out.
+func TestTimeOfRolloutIgnoresSteppedClocks(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	x := newRolloutTracker(now)
+	x.update(now, now, nil, true)
+	now = now.Add(rolloutInterval)
+	running := []*wire.Rollout{{Service: "s", Number: 1, StartedUnixMilli: now.Add(-8 * time.Second).UnixMilli()}}
+	x.update(now, now, running, true)
+	if elapsed := now.Sub(x.tracked[1].startedAt); elapsed != 0 {
+		t.Errorf("a roll-out that has just begun counts as running for %s", elapsed)
+	}
+}
