--- a/pkg/balance/rollouts.go
+++ b/pkg/balance/rollouts.go
@@ -110,34 +110,33 @@
 	}
 }
 
-// recordVersionResult counts the result of a request for the roll-out of its service, and reports
-// whether this box stops sending to the version that is rolled out. A lost connection or response
-// and a request that its caller canceled say nothing about a version.
-func (b *Balancer) recordVersionResult(now time.Time, t *targetState, r Report) (stopped bool) {
+// recordVersionResult counts the result of a request for the roll-out of its service. A lost
+// connection or response and a request that its caller canceled say nothing about a version.
+func (b *Balancer) recordVersionResult(now time.Time, t *targetState, r Report) {
 	s := b.service(t.Service)
 	if s.splitter == nil {
-		return false
+		return
 	}
 	overdue := false
 	switch r.Outcome {
 	case Unreachable, Withdrawn:
 		s.splitter.RecordNotSent(t.Software)
-		return false
+		return
 	case TurnedAway:
 		s.splitter.RecordReached()
-		return false
+		return
 	case Answered:
 		s.splitter.RecordReached()
 	case Stuck:
 		overdue = true
 	case Dropped:
 		if overdue = r.MarkedOverdue; !overdue {
-			return false
+			return
 		}
 	default:
-		return false
+		return
 	}
-	return s.splitter.RecordResponse(now, rollout.Response{
+	s.splitter.RecordResponse(now, rollout.Response{
 		Route:       r.Route,
 		Version:     t.Software,
 		Target:      t.Name,
--- a/pkg/batch/size.go
+++ b/pkg/batch/size.go
@@ -44,12 +44,7 @@
 // record records the duration of a batch and adapts the limit. It grows by at most a factor of two, and
 // only if the batch was about as large as it allows.
 func (s *sizer) record(items int, took time.Duration) {
-	n, d := float64(items), took.Seconds()
-	for sum, x := range map[*float64]float64{
-		&s.weight: 1, &s.sizes: n, &s.times: d, &s.sizesSquared: n * n, &s.timesSquared: d * d, &s.products: n * d,
-	} {
-		*sum = *sum*sampleDecay + x
-	}
+	s.addSample(float64(items), took.Seconds())
 	itemTime, ok := s.itemTime()
 	s.probe = !ok && items >= s.config.minItems()
 	if !ok {
@@ -66,6 +61,16 @@
 	s.limit = max(int(min(wanted, most)), s.config.minItems())
 }
 
+// addSample adds the size and duration of a batch to the sums.
+func (s *sizer) addSample(size, seconds float64) {
+	s.weight = s.weight*sampleDecay + 1
+	s.sizes = s.sizes*sampleDecay + size
+	s.times = s.times*sampleDecay + seconds
+	s.sizesSquared = s.sizesSquared*sampleDecay + size*size
+	s.timesSquared = s.timesSquared*sampleDecay + seconds*seconds
+	s.products = s.products*sampleDecay + size*seconds
+}
+
 // itemTime returns a lower estimate, by one standard error, of what an item adds to the duration of a
 // batch, in seconds. ok is false if recent batches do not tell.
 func (s *sizer) itemTime() (seconds float64, ok bool) {
--- a/pkg/rollout/splitter.go
+++ b/pkg/rollout/splitter.go
@@ -149,20 +149,16 @@
 func (s *Splitter) RecordReached() { s.reached++ }
 
 // RecordResponse counts a response as evidence, and stops the target version at this box if the
-// evidence suffices. It reports whether it did so now. targets is the number of targets of the
-// target version.
-func (s *Splitter) RecordResponse(now time.Time, r Response, targets int) (stopped bool) {
+// evidence suffices. targets is the number of targets of the target version.
+func (s *Splitter) RecordResponse(now time.Time, r Response, targets int) {
 	if !s.IsRunning() {
-		return false
+		return
 	}
 	s.evidence.record(now, r, r.Version == s.rollout.TargetVersion)
 	if s.stopped || r.Version != s.rollout.TargetVersion {
-		return false
-	}
-	if _, bad := s.evidence.judge.Finding(now, targets, boxThreshold); bad {
-		s.stopped = true
+		return
 	}
-	return s.stopped
+	_, s.stopped = s.evidence.judge.Finding(now, targets, boxThreshold)
 }
 
 // Report returns what this box reports about the running roll-out.
