batch: grow by the estimate itself, not by one below it

Cause: batches grew as long as the time of an item, less one standard error, was small. With slow updates the error is large while few sizes have been seen, so they grew on noise; updates were committed after their callers had gone and were sent again.

Change: the estimate without the allowance.

--- a/pkg/batch/size.go
+++ b/pkg/batch/size.go
@@ -27,7 +27,7 @@
 	// probe is set if batches of another size are needed for an estimate.
 	probe bool
 	// weight and the sums are those of recent batches; times are in seconds.
-	weight, sizes, times, sizesSquared, timesSquared, products float64
+	weight, sizes, times, sizesSquared, products float64
 }
 
 func newSizer(c Config) sizer { return sizer{config: c, limit: c.minItems()} }
@@ -67,19 +67,16 @@
 	s.sizes = s.sizes*sampleDecay + size
 	s.times = s.times*sampleDecay + seconds
 	s.sizesSquared = s.sizesSquared*sampleDecay + size*size
-	s.timesSquared = s.timesSquared*sampleDecay + seconds*seconds
 	s.products = s.products*sampleDecay + size*seconds
 }
 
-// itemTime returns a lower estimate, by one standard error, of what an item adds to the duration of a
-// batch, in seconds. ok is false if recent batches do not tell.
+// itemTime estimates what an item adds to the duration of a batch, in seconds. ok is false if recent
+// batches do not tell.
 func (s *sizer) itemTime() (seconds float64, ok bool) {
 	meanSize, meanTime := s.sizes/s.weight, s.times/s.weight
 	variance := s.sizesSquared/s.weight - meanSize*meanSize
 	if s.weight < minSamples || variance < math.Pow(minSpread*meanSize, 2) {
 		return 0, false
 	}
-	slope := (s.products/s.weight - meanSize*meanTime) / variance
-	residual := max(s.timesSquared/s.weight-meanTime*meanTime-slope*slope*variance, 0)
-	return slope - math.Sqrt(residual/(s.weight*variance)), true
+	return (s.products/s.weight - meanSize*meanTime) / variance, true
 }
