--- a/internal/control/firstregistrations_test.go
+++ b/internal/control/firstregistrations_test.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// delayMessages delays what each replica sends to the others, in the same order, until stop is called.
+// delayMessages delays what the replicas send to each other, in the same order, until stop is called.
 func (s *slowReplicas) delayMessages() (stop func()) {
 	type delayed struct {
 		message *wire.ConsensusMessage
@@ -66,15 +66,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
+	queues := make(map[*Daemon]chan delayed)
 	for _, d := range s.daemons {
-		send := d.replica.send
 		queue := make(chan delayed, consensusQueueSize)
-		d.replica.send = func(m *wire.ConsensusMessage) {
-			select {
-			case queue <- delayed{m, time.Now().Add(fleetCommitTime)}:
-			case <-ctx.Done():
-			}
-		}
+		queues[d] = queue
 		running.Go(func() {
 			for {
 				select {
@@ -82,12 +77,22 @@
 					return
 				case m := <-queue:
 					time.Sleep(time.Until(m.due))
-					send(m.message)
+					m.message.FromAddress = d.config.PeerAddress
+					d.transport.send(d.addressOf(m.message.To), m.message)
 				}
 			}
 		})
 	}
+	intercept := func(from *Daemon, m *wire.ConsensusMessage) bool {
+		select {
+		case queues[from] <- delayed{m, time.Now().Add(fleetCommitTime)}:
+		case <-ctx.Done():
+		}
+		return true
+	}
+	s.drop.Store(&intercept)
 	return func() {
+		s.drop.Store(nil)
 		cancel()
 		running.Wait()
 	}
