--- a/pkg/distribution/burst_test.go
+++ b/pkg/distribution/burst_test.go
@@ -38,6 +38,9 @@
 			sent += proto.Size(u)
 			version = u.Version
 		}
+		if limit := max(minCommandBytes, p.targetBytes()); p.commandBytes > limit {
+			t.Errorf("%d targets: commands of %d bytes are kept, want at most %d", targets, p.commandBytes, limit)
+		}
 		if full := proto.Size(p.fullState()); sent > 2*full {
 			t.Errorf("%d targets: %d bytes were sent, the full state has %d", targets, sent, full)
 		}
