gateway: tell in logs and metrics how long ago any target was reached

Cause: when a dial fails, log and metrics name the target. Whether the target or the box has lost its link can't be told from them: the incident's boxes wrote 294 lines of ejected targets and none about themselves.

Change: targetContactAge in request lines and a gauge of it, and a counter of dials by the targets' availability zone and the result.

No logic is changed: the dial's result is counted where it was counted before.

--- a/internal/gateway/connectionpool.go
+++ b/internal/gateway/connectionpool.go
@@ -10,9 +10,10 @@
 	"syscall"
 	"time"
 
-	"ledgesill.dev/ledgesill/internal/boottime"
-
 	"github.com/cockroachdb/errors"
+
+	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/pkg/balance"
 )
 
 const (
@@ -49,18 +50,19 @@
 	mu     sync.Mutex
 	idle   map[string][]*connection
 	closed bool
-	onOpen func()
+	// onDial is called with the result of each connection attempt.
+	onDial func(target balance.Target, err error)
 }
 
-func newConnectionPool(onOpen func()) *connectionPool {
+func newConnectionPool(onDial func(balance.Target, error)) *connectionPool {
 	dialer := &net.Dialer{KeepAlive: -1}
-	return &connectionPool{idle: make(map[string][]*connection), onOpen: onOpen, dial: dialer.DialContext}
+	return &connectionPool{idle: make(map[string][]*connection), onDial: onDial, dial: dialer.DialContext}
 }
 
 // get returns an idle connection that is still reusable, or a new one.
-func (p *connectionPool) get(ctx context.Context, target, address string) (*connection, error) {
+func (p *connectionPool) get(ctx context.Context, target balance.Target) (*connection, error) {
 	for {
-		c := p.pop(target)
+		c := p.pop(target.ID)
 		if c == nil {
 			break
 		}
@@ -71,11 +73,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := p.dial(ctx, "tcp4", address)
+	conn, err := p.dial(ctx, "tcp4", target.Address)
+	p.onDial(target, err)
 	if err != nil {
 		return nil, errors.Wrap(err, "connecting to the target")
 	}
-	p.onOpen()
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
 }
 
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -47,6 +47,7 @@
 	controlAge      func() time.Duration
 	controlReplicas *replicas
 	connections     *connectionPool
+	targetContact   *targetContact
 	shaper          *shaper
 	linkQueue       *linkQueue
 	permits         *permits
@@ -115,10 +116,12 @@
 	d.balancing.balancer = balance.New(balance.Config{Box: c.Name, Zone: c.Zone, Region: c.Region})
 	d.balancing.retryBudgets = make(map[string]*retry.WindowBudget)
 	d.balancing.splits = make(map[string]*balance.Split)
-	d.connections = newConnectionPool(d.metrics.connections.Inc)
+	d.targetContact = newTargetContact(d.clock)
+	d.connections = newConnectionPool(d.recordDial)
 	d.connections.clock = d.clock
 	p.Gauge("log_lines_dropped", "Log lines that the reader did not take in time.", func() float64 { return float64(lines.Dropped()) })
 	p.Gauge("control_age_seconds", "Age of the word of control.", func() float64 { return d.follower.ControlAge().Seconds() })
+	p.Gauge("target_contact_age_seconds", "Time since a target last answered this box or accepted a connection.", func() float64 { return d.targetContact.age().Seconds() })
 	d.shaper = newShaper(c.LinkBytes)
 	d.shaper.clock = d.clock
 	d.linkQueue = newLinkQueue(c.LinkBytes)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -113,7 +113,7 @@
 // deadline passes or another target has responded.
 func (a *attempt) run(ctx context.Context) (*targetResponse, *attemptError) {
 	began := a.gateway.clock.Now()
-	c, err := a.gateway.connections.get(ctx, a.target.ID, a.target.Address)
+	c, err := a.gateway.connections.get(ctx, a.target)
 	if err != nil {
 		return nil, &attemptError{outcome: a.failureOutcome(ctx, balance.Unreachable), err: err}
 	}
@@ -189,6 +189,7 @@
 			}
 			return nil, errors.Wrap(err, "reading the response")
 		}
+		a.gateway.targetContact.record()
 		got := response.Header.Get(a.gateway.config.Protocol.RequestID)
 		if got == a.requestID {
 			return a.readResponse(c, response, a.recordTargetStatus(response), sent)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,8 @@
 	attempts    *prometheus.CounterVec
 	hedges      prometheus.Counter
 	connections prometheus.Counter
+	// dials counts connection attempts by the availability zone of the target and the result.
+	dials       *prometheus.CounterVec
 	permitCalls *prometheus.CounterVec
 	// targetProbes, crashedRuns and quarantined are about requests that crash their targets.
 	targetProbes *prometheus.CounterVec
@@ -50,6 +52,9 @@
 			Name: "ledgesill_target_connections_total", Help: "Connections opened to targets.",
 		}),
 	}
+	m.dials = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ledgesill_target_dials_total", Help: "Connection attempts to targets by their availability zone and the result.",
+	}, []string{"zone", "result"})
 	m.permitCalls = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ledgesill_permit_asks_total", Help: "Calls for permits of workspaces with limits, by whether they were answered.",
 	}, []string{"answered"})
@@ -81,7 +86,7 @@
 		Name: "ledgesill_targets_leaving_total", Help: "Targets that said in an answer, to this box or another, that they leave.",
 	})
 	r.MustRegister(m.backOffs, m.backOffSkips, m.targetsLeaving,
-		m.requests, m.latency, m.attempts, m.hedges, m.connections, m.permitCalls, m.targetProbes, m.crashedRuns, m.quarantined,
+		m.requests, m.latency, m.attempts, m.hedges, m.connections, m.dials, m.permitCalls, m.targetProbes, m.crashedRuns, m.quarantined,
 		m.targetLimits, m.targetPermits, m.skippedLimited)
 	return m
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -23,7 +23,7 @@
 	if c.workspace != nil {
 		line = line.Str("workspace", c.workspace.Name).Int("permits", len(c.permits)).Dur("permitAfter", c.permitWait)
 	}
-	line = line.Dur("controlAge", d.controlAge())
+	line = line.Dur("controlAge", d.controlAge()).Dur("targetContactAge", d.targetContact.age())
 	if reason != "" {
 		line = line.Str("reason", reason)
 	}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -230,3 +230,8 @@
 }
 
 func inVirtualTime(t *testing.T, run func(t *testing.T)) { t.Helper(); bubble.Test(t, run) }
+
+// testTarget returns the n-th target of a box of newDaemon.
+func testTarget(n int) balance.Target {
+	return balance.Target{ID: fmt.Sprint("t", n), Service: "s", Address: fmt.Sprint(n), Zone: "z", Region: "r"}
+}
