gateway: failing tests of boxes that are cut off from all targets

Seen: the incident's boxes serve none of their callers' first tries while they are partitioned from all targets, and the requests that the cut broke off are put on probation as if targets had crashed under them.

The tests put three boxes and their targets into virtual time, with a link between each box and each target that can hang, reset, refuse or go silent, and count first tries by box. Bound: nine tenths of what another box serves, from 1 s on.

--- /dev/null
+++ b/internal/gateway/partition_test.go
@@ -0,0 +1,386 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// partition is how the links between a box and targets fail.
+type partition int
+
+const (
+	connected partition = iota
+	// hangAndClose: new connections hang, open ones are reset.
+	hangAndClose
+	// resetAndClose: new connections are reset, and so are open ones.
+	resetAndClose
+	// refuseAndClose: new connections are refused, open ones are reset.
+	refuseAndClose
+	// refuseNew: new connections are refused, open ones stay usable.
+	refuseNew
+	// hangAndSilence: new connections hang, open ones go silent.
+	hangAndSilence
+)
+
+var partitions = []partition{hangAndClose, resetAndClose, refuseAndClose, refuseNew, hangAndSilence}
+
+func (p partition) String() string {
+	return [...]string{"connected", "hang and close", "reset and close", "refuse and close", "refuse new", "hang and silence"}[p]
+}
+
+// linkDelay is the one-way delay between a box and a target.
+const linkDelay = time.Millisecond
+
+// targetLinks are the links between one box and all targets.
+type targetLinks struct {
+	mu    sync.Mutex
+	state map[string]partition
+	// changed is closed at the next change of the state.
+	changed chan struct{}
+	open    map[*linkedConn]bool
+}
+
+func newTargetLinks() *targetLinks {
+	return &targetLinks{state: make(map[string]partition), changed: make(chan struct{}), open: make(map[*linkedConn]bool)}
+}
+
+// set sets the state of the links to the targets at some addresses.
+func (l *targetLinks) set(p partition, addresses ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range addresses {
+		l.state[a] = p
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+	for c := range l.open {
+		if now := l.state[c.address]; now == hangAndClose || now == resetAndClose || now == refuseAndClose {
+			c.reset()
+			delete(l.open, c)
+		}
+	}
+}
+
+func (l *targetLinks) get(address string) (partition, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state[address], l.changed
+}
+
+// dial connects to the target at an address, which serves the other end.
+func (l *targetLinks) dial(ctx context.Context, address string, serve func(net.Conn)) (net.Conn, error) {
+	time.Sleep(2 * linkDelay)
+	switch p, _ := l.get(address); p {
+	case hangAndClose, hangAndSilence:
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: ctx.Err()}
+	case resetAndClose:
+		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: syscall.ECONNRESET}
+	case refuseNew, refuseAndClose:
+		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: syscall.ECONNREFUSED}
+	}
+	near, nearLink := net.Pipe()
+	farLink, far := net.Pipe()
+	c := &linkedConn{Conn: near, address: address, ends: []net.Conn{near, nearLink, farLink, far}, closed: make(chan struct{})}
+	l.mu.Lock()
+	l.open[c] = true
+	l.mu.Unlock()
+	go serve(far)
+	go l.pump(c, nearLink, farLink)
+	go l.pump(c, farLink, nearLink)
+	return c, nil
+}
+
+// pump carries the data of one direction of a connection; a silent link holds it back.
+func (l *targetLinks) pump(c *linkedConn, from, to net.Conn) {
+	chunks := make(chan []byte, 1<<12)
+	go func() {
+		defer close(chunks)
+		for {
+			chunk := make([]byte, 32<<10)
+			n, err := from.Read(chunk)
+			if n > 0 {
+				chunks <- chunk[:n]
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for chunk := range chunks {
+		time.Sleep(linkDelay)
+		if !l.awaitSound(c) {
+			break
+		}
+		_, _ = to.Write(chunk) // fails once the other end is closed, which ends the loop
+	}
+	l.awaitSound(c)
+	_ = to.Close()
+}
+
+// awaitSound waits while the link of a connection is silent and reports whether it carries data.
+func (l *targetLinks) awaitSound(c *linkedConn) bool {
+	for {
+		p, changed := l.get(c.address)
+		if p != hangAndSilence {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-c.closed:
+			return false
+		}
+	}
+}
+
+// linkedConn is the box's end of a connection to a target.
+type linkedConn struct {
+	net.Conn
+	address string
+	ends    []net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+// Close implements net.Conn.
+func (c *linkedConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+func (c *linkedConn) reset() {
+	for _, end := range c.ends {
+		_ = end.Close()
+	}
+}
+
+// boxCount counts the first tries at one box in one phase.
+type boxCount struct{ sent, served int }
+
+func (c boxCount) share() float64 { return float64(c.served) / float64(max(c.sent, 1)) }
+
+// partitionCluster is a set of boxes and targets in virtual time whose links fail by box.
+type partitionCluster struct {
+	boxes   []*Daemon
+	links   []*targetLinks
+	targets []string
+	// serviceTime is how long a target works on a request.
+	serviceTime time.Duration
+
+	mu sync.Mutex
+	// runs counts by id how often a request was run.
+	runs map[string]int
+	// counts are by the phase and the box.
+	counts   map[string]map[int]boxCount
+	phase    string
+	problems []string
+}
+
+// newPartitionCluster opens boxes and targets in the given availability zones; the zones of a
+// region share their first letter.
+func newPartitionCluster(t *testing.T, boxZones, targetZones []string) *partitionCluster {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	s := &partitionCluster{runs: make(map[string]int), counts: make(map[string]map[int]boxCount), serviceTime: 20 * time.Millisecond}
+	state, _ := steering.State{}.Apply(&wire.Command{Routes: &wire.RoutesCommand{Document: &wire.RoutesDocument{Number: 1, Text: []byte("x")}}})
+	regions := make(map[string]string)
+	for i, zone := range targetZones {
+		address := fmt.Sprint("10.0.0.", i+1, ":80")
+		s.targets = append(s.targets, address)
+		regions[zone] = zone[:1]
+		state, _ = state.Apply(&wire.Command{Registration: &wire.RegistrationCommand{Registration: &wire.Registration{
+			Id: fmt.Sprint("t", i), Service: "s", Address: address, Zone: zone, Slots: 9, Sequence: 1,
+		}}})
+	}
+	var list []*wire.EntryBox
+	for i, zone := range boxZones {
+		regions[zone] = zone[:1]
+		list = append(list, &wire.EntryBox{Name: fmt.Sprint("box", i), Zone: zone, Region: zone[:1]})
+	}
+	for _, b := range list {
+		config := testConfig()
+		config.Name, config.Zone, config.Region, config.RegionOf = b.Name, b.Zone, b.Region, regions
+		d, err := Open(config, io.Discard)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.controlAge = func() time.Duration { return 0 }
+		links := newTargetLinks()
+		d.connections.dial = func(ctx context.Context, _, address string) (net.Conn, error) {
+			return links.dial(ctx, address, func(c net.Conn) { s.serve(c) })
+		}
+		d.applyState(state, nil)
+		d.setEntryBoxes(list)
+		running.Go(func() { _ = d.isolation.Run(ctx) }) // ends with the test
+		s.boxes, s.links = append(s.boxes, d), append(s.links, links)
+		t.Cleanup(func() {
+			d.connections.close()
+			_ = d.callerServer.listener.Close()
+			_ = d.readyListener.Close()
+		})
+	}
+	return s
+}
+
+// serve serves one connection to a target.
+func (s *partitionCluster) serve(c net.Conn) {
+	at := &target{script: func(_ int, r *http.Request, c net.Conn) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get("Test-Id")
+		s.mu.Lock()
+		s.runs[id]++
+		s.mu.Unlock()
+		time.Sleep(s.serviceTime)
+		writeResponse(c, id, "hello")
+		return true
+	}}
+	at.serve(c)
+}
+
+// cut sets the state of the links between some boxes and all targets.
+func (s *partitionCluster) cut(p partition, boxes ...int) {
+	for _, i := range boxes {
+		s.links[i].set(p, s.targets...)
+	}
+}
+
+// sendLoad sends requests to every box for some time, every second of them repeatable.
+func (s *partitionCluster) sendLoad(phase string, perSecond int, length time.Duration) {
+	s.mu.Lock()
+	s.phase = phase
+	s.counts[phase] = make(map[int]boxCount)
+	s.mu.Unlock()
+	interval := time.Second / time.Duration(perSecond)
+	for n := range int(length / interval) {
+		for i := range s.boxes {
+			go s.send(phase, i, n)
+		}
+		time.Sleep(interval)
+	}
+}
+
+func (s *partitionCluster) send(phase string, box, n int) {
+	route := "safe"
+	if n%2 == 0 {
+		route = "unsafe"
+	}
+	id := fmt.Sprint(phase, "-", box, "-", n)
+	r := httptest.NewRequest(http.MethodPost, "/"+route+"/", strings.NewReader("body"))
+	r.Host = "a.example"
+	r.Header.Set("Test-Id", id)
+	r.Header.Set("Test-Key", fmt.Sprint("key", n%50))
+	r.Header.Set("Test-Deadline", "2000")
+	w := httptest.NewRecorder()
+	s.boxes[box].ServeHTTP(w, r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := s.counts[phase][box]
+	count.sent++
+	if w.Code == http.StatusOK {
+		count.served++
+	}
+	s.counts[phase][box] = count
+	if w.Code == http.StatusServiceUnavailable && s.runs[id] > 0 && route == "unsafe" {
+		s.problems = append(s.problems, fmt.Sprintf("request %s has run and got 503", id))
+	}
+	if s.runs[id] > 1 && route == "unsafe" {
+		s.problems = append(s.problems, fmt.Sprintf("request %s ran %d times", id, s.runs[id]))
+	}
+}
+
+// check waits until all requests have ended and checks that none broke a promise.
+func (s *partitionCluster) check(t *testing.T) {
+	t.Helper()
+	time.Sleep(5 * time.Second)
+	synctest.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.problems {
+		t.Error(p)
+	}
+	for i, d := range s.boxes {
+		if n := d.inFlight.Load(); n != 0 {
+			t.Errorf("box %d still has %d requests in flight", i, n)
+		}
+	}
+}
+
+// minServedShare is the least share of first tries that a box serves that is cut off from its
+// targets, of the share that the other boxes serve.
+const minServedShare = 0.9
+
+// wantServed checks the share of first tries that a cut off box served in a phase, by that of a box
+// that was not cut off.
+func (s *partitionCluster) wantServed(t *testing.T, phase string, cut, other int) {
+	t.Helper()
+	got, want := s.counts[phase][cut], s.counts[phase][other]
+	t.Logf("%s: the cut off box served %d of %d, another %d of %d", phase, got.served, got.sent, want.served, want.sent)
+	if got.share() < minServedShare*want.share() {
+		t.Errorf("%s: the cut off box served %d of %d first tries, another %d of %d", phase, got.served, got.sent, want.served, want.sent)
+	}
+}
+
+// TestBoxCutOffFromTargetsServesItsCallers guards against a box that refuses all its callers while it has lost
+// its links to all targets, although the other boxes have theirs.
+func TestBoxCutOffFromTargetsServesItsCallers(t *testing.T) {
+	for _, p := range partitions {
+		t.Run(p.String(), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				s := newPartitionCluster(t, []string{"a1", "a1", "a2"}, []string{"a1", "a1", "a1", "a1", "a2", "a2", "a2", "a2"})
+				s.sendLoad("before", 40, 4*time.Second)
+				s.cut(p, 0)
+				s.sendLoad("first second", 40, time.Second)
+				s.sendLoad("from 1 s on", 40, 12*time.Second)
+				s.cut(connected, 0)
+				s.sendLoad("first 2 s after the end", 40, 2*time.Second)
+				s.sendLoad("after", 40, 2*time.Second)
+				s.check(t)
+				first := s.counts["first second"][0]
+				t.Logf("first second: the cut off box served %d of %d", first.served, first.sent)
+				for _, phase := range []string{"before", "from 1 s on", "first 2 s after the end", "after"} {
+					s.wantServed(t, phase, 0, 1)
+				}
+			})
+		})
+	}
+}
+
+// TestPartitionIsNotTakenForCrashes guards against putting requests on probation that a partition broke off: their
+// connections are reset and new ones refused, as if their targets had crashed under them.
+func TestPartitionIsNotTakenForCrashes(t *testing.T) {
+	for _, p := range partitions {
+		t.Run(p.String(), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				s := newPartitionCluster(t, []string{"a1", "a1", "a2"}, []string{"a1", "a1", "a2", "a2"})
+				s.serviceTime = 300 * time.Millisecond
+				s.sendLoad("before", 40, 2*time.Second)
+				s.cut(p, 0)
+				s.sendLoad("cut off", 40, 3*time.Second)
+				s.check(t)
+				for i, d := range s.boxes {
+					if n := d.isolation.SuspectCount(); n > 0 {
+						t.Errorf("box %d has evidence against %d requests, but no target crashed", i, n)
+					}
+				}
+			})
+		})
+	}
+}
