gateway: connect to targets through other boxes when cut off from them

Callers saw: entry boxes that were partitioned from all targets served 0 of 721 first tries where the other boxes served all but one of 2,809.

Cause: a box has its own connections only. When they fail, each target counts as unreachable and is ejected, until none is left and the box refuses everything, although the other boxes reach the targets and this box reaches them.

Change: a connection that doesn't come up within some round trips, or fails, is also asked of a peer: one of the zone, of the region and of another region in turn. Peers come from control, with the membership that a box asks for each second, and only when they have changed. Once three attempts in a row have failed and peers reached two of these targets, the box connects through peers at once, probes four times a second and readmits the zone's targets; two probes in a row end it. A connection without a path counts as noPath, which ejects no target and is no evidence on a version. Back-offs that a target asks for are told across a tunnel, as targets count by the box that connects. A box that shuts down refuses further tunnels and lets those in use end.

Why it works: what has not been sent can go another way, and the other way doesn't depend on a belief, which only saves the wait.

The tests hung once before this was committed: close waited for probes that went on to be started; a closed pool starts none.

--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -44,6 +44,9 @@
 	// peerListenEnv is the environment variable with the address on which a
 	// control replica listens for the others if they reach it through a proxy.
 	peerListenEnv = config.EnvPrefix + "_PEER_LISTEN"
+	// targetSourceEnv is the environment variable with the local IP address from which an entry box
+	// connects to targets.
+	targetSourceEnv = config.EnvPrefix + "_TARGET_SOURCE"
 	// entryMetricsPort is the port on which an entry box exposes its metrics.
 	entryMetricsPort = ":9464"
 	// electionTimeout of control replicas allows for several round trips of 70 ms
@@ -105,7 +108,12 @@
 	if err != nil {
 		return err
 	}
+	source, err := parseSource(os.Getenv(targetSourceEnv))
+	if err != nil {
+		return err
+	}
 	d, err := gateway.Open(gateway.Config{
+		TargetSource:   source,
 		Name:           s.Name,
 		Zone:           s.Zone,
 		Region:         s.Region,
@@ -134,6 +142,18 @@
 	return ignoreCanceled(d.Run(ctx))
 }
 
+// parseSource parses the local IP address for connections to targets; empty for the system's choice.
+func parseSource(text string) (net.Addr, error) {
+	if text == "" {
+		return nil, nil
+	}
+	ip := net.ParseIP(text)
+	if ip == nil {
+		return nil, usageError("environment variable %s is %q; it must be an IP address", targetSourceEnv, text)
+	}
+	return &net.TCPAddr{IP: ip}, nil
+}
+
 func runPlatformControl(ctx context.Context, in Invocation) error {
 	path, s, err := readPlatformSettings()
 	if err != nil {
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -11,7 +11,7 @@
 func (d *Daemon) serveCall(ctx context.Context, _ string, request *wire.CallRequest) *wire.CallAnswer {
 	switch {
 	case request.Hello != nil:
-		return d.serveHello(ctx)
+		return d.serveHello(ctx, request.Hello)
 	case request.Timeline != nil:
 		return &wire.CallAnswer{Timeline: d.process.Ring.Events(request.Timeline)}
 	case request.Join != nil:
@@ -34,7 +34,7 @@
 	return &wire.CallAnswer{Error: "a control replica does not answer this"}
 }
 
-func (d *Daemon) serveHello(ctx context.Context) *wire.CallAnswer {
+func (d *Daemon) serveHello(ctx context.Context, request *wire.HelloRequest) *wire.CallAnswer {
 	v, err := d.replica.view(ctx)
 	if err != nil {
 		return &wire.CallAnswer{Error: err.Error()}
@@ -49,6 +49,7 @@
 
 		TakesQuarantine: true,
 		TakesRollouts:   true,
+		Peers:           d.peersFor(request),
 	}}
 }
 
--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -199,12 +199,27 @@
 	validity := lookup.ReportValidity(len(d.Boxes(boxCountWindow)))
 	for _, b := range d.Boxes(validity) {
 		if b.CallerAddress != "" && !b.Stopping {
-			out = append(out, lookup.BoxLocation{Address: b.CallerAddress, Zone: b.Zone, Region: b.Region})
+			out = append(out, lookup.BoxLocation{
+				Address: b.CallerAddress, Zone: b.Zone, Region: b.Region, Name: b.Box, PeerAddress: b.Address, CutOff: b.CutOff,
+			})
 		}
 	}
 	return out
 }
 
+// peersFor returns the peers of an entry box, or nil if it has them, or if this process has not heard
+// from enough boxes yet.
+func (d *Daemon) peersFor(r *wire.HelloRequest) *wire.PeerBoxes {
+	if r.Box == "" || !d.lookupsReady() {
+		return nil
+	}
+	peers := lookup.Peers(d.serving.get(d.clock.Now(), d.listServingBoxes), r.Box, r.Region, r.Zone)
+	if peers.Digest == r.PeersDigest {
+		return nil
+	}
+	return peers
+}
+
 // lookupsReady reports whether enough boxes have reported since this process started for lookups
 // to be answered.
 func (d *Daemon) lookupsReady() bool {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -214,7 +214,7 @@
 // stopped responding would never be noticed.
 func (c *callerRequest) classifyFailure(e attemptEnd) balance.Outcome {
 	if !e.failure.sent {
-		if e.failure.outcome != balance.Withdrawn {
+		if !errors.Is(e.failure, errWithdrawn) {
 			c.dials++
 		}
 		return e.failure.outcome
@@ -225,6 +225,9 @@
 	expired := errors.Is(context.Cause(e.ctx), context.DeadlineExceeded)
 	late := e.overdue || (expired && e.took > e.choice.HedgeDelay)
 	if e.failure.outcome == balance.Dropped && late {
+		if c.gateway.connections.paths.wasLostSince(e.choice.Target.Zone, e.startedAt) {
+			return balance.NoPath
+		}
 		return balance.Stuck
 	}
 	return e.failure.outcome
--- a/internal/gateway/callerserver.go
+++ b/internal/gateway/callerserver.go
@@ -146,6 +146,7 @@
 	began := d.clock.Now()
 	d.stopping.Store(true)
 	d.log.Info().Str("kind", "stopping").Int64("inFlight", d.inFlight.Load()).Msg("shutting down; withdrawing from lookups")
+	d.tunnelServer.Drain()
 	d.reportToAll(context.Background())
 	total := d.config.StopTime - shutdownReserve
 	time.Sleep(min(shutdownAcceptTime, total/2))
@@ -154,4 +155,7 @@
 	if err := d.callerServer.shutdown(ctx); err != nil {
 		d.log.Warn().Str("kind", "stopping").Err(err).Int64("inFlight", d.inFlight.Load()).Msg("stop time exceeded; cutting off requests in flight")
 	}
+	if err := d.tunnelServer.Wait(ctx); err != nil {
+		d.log.Warn().Str("kind", "stopping").Err(err).Int("tunnels", d.tunnelServer.Open()).Msg("stop time exceeded; closing connections that other boxes use")
+	}
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -27,6 +28,8 @@
 	ReadyAddress   string
 	MetricsAddress string
 	PeerAddress    string
+	// TargetSource is the local address for connections to targets; nil for the system's choice.
+	TargetSource net.Addr
 	// Seeds are the peer addresses of some control replicas.
 	Seeds    []string
 	Protocol Protocol
--- a/internal/gateway/connectionpool.go
+++ b/internal/gateway/connectionpool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,13 +14,12 @@
 	"github.com/cockroachdb/errors"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/tunnel"
 	"ledgesill.dev/ledgesill/pkg/balance"
+	"ledgesill.dev/ledgesill/pkg/targetpath"
 )
 
 const (
-	// dialTimeout bounds a connection attempt: two of the longest round trips between regions,
-	// 70 ms each, and the target's handshake, with room for one lost packet on the shorter paths.
-	dialTimeout = 300 * time.Millisecond
 	// defaultKeepAlive is how long a connection is kept if its target declares no keep-alive
 	// timeout.
 	defaultKeepAlive = 3 * time.Second
@@ -36,74 +36,103 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
+	// peer is the box that it leads through; its name is empty for a connection of this box itself.
+	peer targetpath.Peer
 	// used tells that a request was sent on it before.
 	used bool
 	// outOfSync tells that a response to another request was read from it.
 	outOfSync bool
 	idleUntil time.Time
+	// onClose is called when the connection is closed, at most once; nil for none.
+	onClose func()
+	closing sync.Once
 }
 
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	c.closing.Do(func() {
+		if c.onClose != nil {
+			c.onClose()
+		}
+	})
+	return c.Conn.Close()
+}
+
+func newConnection(conn net.Conn, peer targetpath.Peer) *connection {
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), peer: peer}
+}
+
+// isDirect reports whether the connection does not lead through a peer.
+func (c *connection) isDirect() bool { return c.peer.Name == "" }
+
 // connectionPool keeps idle connections by target.
 type connectionPool struct {
-	dial   func(ctx context.Context, network, address string) (net.Conn, error)
-	clock  *boottime.Clock
-	mu     sync.Mutex
-	idle   map[string][]*connection
-	closed bool
-	// onDial is called with the result of each connection attempt.
-	onDial func(target balance.Target, err error)
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// reusable reports whether an idle connection is open and has no unread data.
+	reusable func(net.Conn) bool
+	clock    *boottime.Clock
+	paths    *paths
+	// tunnels opens connections through peers.
+	tunnels *tunnel.Dialer
+	mu      sync.Mutex
+	idle    map[string][]*connection
+	// closed is set by close; running are the connection attempts that no request waits for.
+	closed  bool
+	running sync.WaitGroup
+	// onDial is called with the result of each connection attempt of this box itself, and onTunnel
+	// with that of each attempt through a peer.
+	onDial   func(target balance.Target, err error)
+	onTunnel func(err error)
 }
 
-func newConnectionPool(onDial func(balance.Target, error)) *connectionPool {
-	dialer := &net.Dialer{KeepAlive: -1}
-	return &connectionPool{idle: make(map[string][]*connection), onDial: onDial, dial: dialer.DialContext}
+func newConnectionPool(source net.Addr) *connectionPool {
+	dialer := &net.Dialer{KeepAlive: -1, LocalAddr: source}
+	return &connectionPool{idle: make(map[string][]*connection), dial: dialer.DialContext, reusable: isReusable}
 }
 
-// get returns an idle connection that is still reusable, or a new one.
-func (p *connectionPool) get(ctx context.Context, target balance.Target) (*connection, error) {
+// get returns an idle connection that is still reusable, or a new one. A request with regions must
+// not leave them.
+func (p *connectionPool) get(ctx context.Context, target balance.Target, regions []string) (*connection, error) {
 	for {
-		c := p.pop(target.ID)
+		c := p.pop(target, regions)
 		if c == nil {
-			break
+			return p.connect(ctx, target, regions)
 		}
-		if p.clock.Now().Before(c.idleUntil) && isReusable(c.Conn) {
+		if p.clock.Now().Before(c.idleUntil) && p.reusable(c.Conn) {
 			return c, nil
 		}
 		_ = c.Close() // no request is in flight on it
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := p.dial(ctx, "tcp4", target.Address)
-	p.onDial(target, err)
-	if err != nil {
-		return nil, errors.Wrap(err, "connecting to the target")
-	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
 }
 
-func (p *connectionPool) pop(target string) *connection {
+// pop takes the connection from the pool that was used last, of those that the request may use.
+func (p *connectionPool) pop(target balance.Target, regions []string) *connection {
+	cutOff, canUseOpen := p.paths.stateOf(target.Zone)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[target]
-	if len(list) == 0 {
-		return nil
+	list := p.idle[target.ID]
+	for i, c := range slices.Backward(list) {
+		if c.isDirect() && canUseOpen || !c.isDirect() && cutOff && (len(regions) == 0 || slices.Contains(regions, c.peer.Region)) {
+			p.idle[target.ID] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[target] = list[:len(list)-1]
-	return c
+	return nil
 }
 
-// put returns a connection without a request in flight to the pool.
-func (p *connectionPool) put(target string, c *connection, idle time.Duration) {
+// put returns a connection without a request in flight to the pool. One that leads through a peer is
+// kept only while this box is cut off.
+func (p *connectionPool) put(target balance.Target, c *connection, idle time.Duration) {
 	c.used = true
 	c.idleUntil = p.clock.Now().Add(time.Duration(float64(idle) * idleFraction))
+	cutOff, _ := p.paths.stateOf(target.Zone)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[target]) >= maxIdlePerTarget {
+	if p.closed || len(p.idle[target.ID]) >= maxIdlePerTarget || !c.isDirect() && !cutOff {
 		_ = c.Close()
 		return
 	}
-	p.idle[target] = append(p.idle[target], c)
+	p.idle[target.ID] = append(p.idle[target.ID], c)
 }
 
 // closeExpired closes connections that have been idle for too long and those of targets that are no
@@ -128,16 +157,34 @@
 	}
 }
 
-func (p *connectionPool) close() {
-	p.closeExpired(p.clock.Now(), func(string) bool { return false })
+// startBackground runs a function that close waits for, unless the pool is closed.
+func (p *connectionPool) startBackground(run func()) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.closed {
+		p.running.Go(run)
+	}
+	return !p.closed
+}
+
+// close closes the idle connections and waits for the connection attempts that no request waits for.
+func (p *connectionPool) close() {
+	p.mu.Lock()
 	p.closed = true
+	p.mu.Unlock()
+	p.closeExpired(p.clock.Now(), func(string) bool { return false })
+	p.running.Wait()
 }
 
 // isReusable reports whether a connection is open and has no unread data: a target that has closed
 // it, or sent data without a request, must not get another request on it.
 func isReusable(c net.Conn) bool {
+	if t, ok := c.(*tunnel.Conn); ok {
+		if !t.IsReusable() {
+			return false
+		}
+		c = t.NetConn()
+	}
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/gateway/controlreplicas.go
+++ b/internal/gateway/controlreplicas.go
@@ -141,11 +141,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, controlCallTimeout)
 	defer cancel()
-	answer, err := d.node.Call(ctx, address, &wire.CallRequest{Hello: &wire.HelloRequest{}})
+	answer, err := d.node.Call(ctx, address, &wire.CallRequest{Hello: &wire.HelloRequest{
+		Box: d.config.Name, Zone: d.config.Zone, Region: d.config.Region, PeersDigest: d.peersDigest,
+	}})
 	if err != nil {
 		d.recordControlCall(address, err)
 		return
 	}
+	if peers := answer.GetHello().GetPeers(); peers != nil {
+		d.setPeers(peers)
+	}
 	if answer.GetHello().GetLeader() == "" || !d.controlReplicas.setMembers(answer.Hello.Membership) {
 		return
 	}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -18,9 +18,11 @@
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/internal/relay"
+	"ledgesill.dev/ledgesill/internal/tunnel"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/retry"
+	"ledgesill.dev/ledgesill/pkg/targetpath"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -48,10 +50,13 @@
 	controlReplicas *replicas
 	connections     *connectionPool
 	targetContact   *targetContact
-	shaper          *shaper
-	linkQueue       *linkQueue
-	permits         *permits
-	permitStreams   *permitStreams
+	// tunnelServer connects to targets for other boxes, which reach it at peerListener.
+	tunnelServer  *tunnel.Server
+	peerListener  net.Listener
+	shaper        *shaper
+	linkQueue     *linkQueue
+	permits       *permits
+	permitStreams *permitStreams
 	// targetLimits tracks rate-limited targets.
 	targetLimits *targetLimits
 	isolation    *isolation.Isolation
@@ -66,6 +71,9 @@
 	readyListener       net.Listener
 	metricsListener     net.Listener
 
+	// peersDigest is the digest of the peers that a replica named last; only fetchMembership uses it.
+	peersDigest uint64
+
 	// reportDue holds a token when the replicas must get a report at once.
 	reportDue chan struct{}
 
@@ -117,13 +125,19 @@
 	d.balancing.retryBudgets = make(map[string]*retry.WindowBudget)
 	d.balancing.splits = make(map[string]*balance.Split)
 	d.targetContact = newTargetContact(d.clock)
-	d.connections = newConnectionPool(d.recordDial)
+	d.connections = newConnectionPool(c.TargetSource)
 	d.connections.clock = d.clock
+	d.connections.onDial = d.recordDial
+	d.connections.onTunnel = d.recordTunnel
+	d.connections.paths = newPaths(targetpath.Config{Zone: c.Zone, Region: c.Region}, d.recordPathChange)
+	p.Gauge("cut_off_zones", "Availability zones with targets that this box reaches through other boxes only.", func() float64 { return float64(len(d.connections.paths.cutOffZones())) })
 	p.Gauge("log_lines_dropped", "Log lines that the reader did not take in time.", func() float64 { return float64(lines.Dropped()) })
 	p.Gauge("control_age_seconds", "Age of the word of control.", func() float64 { return d.follower.ControlAge().Seconds() })
 	p.Gauge("target_contact_age_seconds", "Time since a target last answered this box or accepted a connection.", func() float64 { return d.targetContact.age().Seconds() })
 	d.shaper = newShaper(c.LinkBytes)
 	d.shaper.clock = d.clock
+	d.connections.tunnels, d.tunnelServer = d.newTunnels()
+	p.Gauge("tunnels_open", "Connections to targets that this box carries for other boxes.", func() float64 { return float64(d.tunnelServer.Open()) })
 	d.linkQueue = newLinkQueue(c.LinkBytes)
 	d.controlReplicas = newReplicas(c.Seeds)
 	d.permits = newPermits(d.clock)
@@ -182,6 +196,9 @@
 	if d.readyListener, err = net.Listen("tcp4", d.config.ReadyAddress); err != nil {
 		return errors.Wrap(err, "listening for readiness checks")
 	}
+	if err := d.listenForPeers(); err != nil {
+		return err
+	}
 	if d.config.MetricsAddress == "" {
 		return nil
 	}
@@ -238,12 +255,16 @@
 		process.Service{Name: "permits", Run: d.permits.run},
 		process.Service{Name: "targetPermits", Run: d.targetLimits.permits.run},
 		process.Service{Name: "isolation", Run: d.isolation.Run},
+		process.Service{Name: "paths", Run: d.probePaths},
 		process.Service{Name: "ready", Run: func(ctx context.Context) error {
 			return process.ServeHTTP(ctx, d.readyListener, d.config.ReadyHandler(d.isReady))
 		}},
 		process.Service{Name: "sweep", Run: d.sweep},
 		process.Service{Name: "suspensions", Run: d.process.LogSuspensions},
 	}
+	if d.peerListener != nil {
+		out = append(out, process.Service{Name: "tunnels", Run: func(ctx context.Context) error { return d.tunnelServer.Serve(ctx, d.peerListener) }})
+	}
 	if d.metricsListener != nil {
 		out = append(out, process.Service{Name: "metrics", Run: d.serveMetrics})
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"ledgesill.dev/ledgesill/internal/process"
+	"ledgesill.dev/ledgesill/internal/tunnel"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
@@ -80,6 +82,10 @@
 	chosenAt time.Time
 	// workspace is the name of the request's workspace; empty for none.
 	workspace string
+	// regions are the regions that the request must not leave; empty for none.
+	regions []string
+	// peer is the name of the box that the connection leads through, nil before there is one.
+	peer atomic.Pointer[string]
 	// deadline is that of the request. permitExpiry is when the permit of this attempt expires;
 	// zero if it needs none.
 	deadline     time.Time
@@ -113,9 +119,9 @@
 // deadline passes or another target has responded.
 func (a *attempt) run(ctx context.Context) (*targetResponse, *attemptError) {
 	began := a.gateway.clock.Now()
-	c, err := a.gateway.connections.get(ctx, a.target)
+	c, err := a.gateway.connections.get(ctx, a.target, a.regions)
 	if err != nil {
-		return nil, &attemptError{outcome: a.failureOutcome(ctx, balance.Unreachable), err: err}
+		return nil, &attemptError{outcome: a.failureOutcome(ctx, connectOutcome(err)), err: err}
 	}
 	if err := a.checkDeadlines(a.gateway.clock.Now()); err != nil {
 		_ = c.Close() // nothing was sent on it
@@ -126,6 +132,7 @@
 		return nil, &attemptError{outcome: balance.Withdrawn, err: errWithdrawn}
 	}
 	a.connection = c
+	a.peer.Store(&c.peer.Name)
 	if !c.used {
 		a.connectTime = a.gateway.clock.Since(began)
 	}
@@ -134,7 +141,7 @@
 	if err != nil {
 		stop()
 		_ = c.Close() // the state of the exchange on it is unknown
-		return nil, &attemptError{outcome: a.failureOutcome(ctx, balance.Broken), sent: true, err: err}
+		return nil, &attemptError{outcome: a.failureOutcome(ctx, a.exchangeOutcome(err)), sent: true, err: err}
 	}
 	finish := out.finish
 	out.finish = func(whole bool) {
@@ -169,6 +176,37 @@
 	return nil
 }
 
+// connectOutcome returns the outcome of a failed connection.
+func connectOutcome(err error) balance.Outcome {
+	var noPath *noPathError
+	var withdrawn *withdrawnError
+	switch {
+	case errors.As(err, &noPath):
+		return balance.NoPath
+	case errors.As(err, &withdrawn):
+		return balance.Withdrawn
+	}
+	return balance.Unreachable
+}
+
+// exchangeOutcome returns the outcome of an exchange that broke. It says nothing about the target if
+// this box has lost its path to it or the box that the connection leads through.
+func (a *attempt) exchangeOutcome(err error) balance.Outcome {
+	var lost *tunnel.PeerLostError
+	if errors.As(err, &lost) || a.connection.isDirect() && a.gateway.connections.paths.wasLostSince(a.target.Zone, a.chosenAt) {
+		return balance.NoPath
+	}
+	return balance.Broken
+}
+
+// peerName returns the name of the box that the connection leads through; empty for none.
+func (a *attempt) peerName() string {
+	if name := a.peer.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
+
 // failureOutcome returns the outcome of a failure, which is Dropped if the context has ended.
 func (a *attempt) failureOutcome(ctx context.Context, o balance.Outcome) balance.Outcome {
 	if ctx.Err() != nil {
@@ -189,7 +227,7 @@
 			}
 			return nil, errors.Wrap(err, "reading the response")
 		}
-		a.gateway.targetContact.record()
+		a.recordContact(c)
 		got := response.Header.Get(a.gateway.config.Protocol.RequestID)
 		if got == a.requestID {
 			return a.readResponse(c, response, a.recordTargetStatus(response), sent)
@@ -207,6 +245,14 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
+// recordContact records that a response has arrived on a connection.
+func (a *attempt) recordContact(c *connection) {
+	if c.isDirect() {
+		a.gateway.targetContact.record()
+	}
+	a.gateway.connections.paths.recordResponse(a.gateway.clock.Now(), a.target.Zone, c.peer.Name)
+}
+
 // readFinalResponse reads a response, skipping interim ones.
 func readFinalResponse(c *connection, r *http.Request) (*http.Response, error) {
 	for {
@@ -230,7 +276,7 @@
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	out.finish = func(whole bool) {
 		if whole && framed && !response.Close && !c.outOfSync && sent.succeeded() && c.reader.Buffered() == 0 {
-			a.gateway.connections.put(a.target.ID, c, idle)
+			a.gateway.connections.put(a.target, c, idle)
 			return
 		}
 		_ = c.Close()
--- a/internal/gateway/hedging.go
+++ b/internal/gateway/hedging.go
@@ -50,7 +50,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := &attempt{
 		gateway: c.gateway, chosenAt: c.gateway.clock.Now(), request: c.request, requestID: c.requestID, body: c.body, target: choice.Target,
-		workspace: c.workspaceName(), deadline: c.deadline, permitExpiry: earliest(c.nextPermitExpiry(), choice.permitExpiry),
+		workspace: c.workspaceName(), regions: c.regions, deadline: c.deadline, permitExpiry: earliest(c.nextPermitExpiry(), choice.permitExpiry),
 	}
 	p := &pendingAttempt{attempt: a, choice: choice, startedAt: a.chosenAt, ctx: ctx, cancel: cancel}
 	c.tried = append(c.tried, choice.Target.ID)
@@ -137,9 +137,23 @@
 		return
 	}
 	p.overdue = true
+	c.gateway.checkPath(p)
 	c.gateway.reportOverdue(balance.Report{TargetID: p.choice.Target.ID, Route: c.route.Name, Outcome: balance.Stuck, Took: c.gateway.clock.Since(p.startedAt)})
 }
 
+// checkPath checks whether a response is overdue because of its path: a box that its connection leads
+// through is skipped for a while if it has passed on no response since, and if this box has heard
+// nothing from the target's zone itself, it tries to connect.
+func (d *Daemon) checkPath(p *pendingAttempt) {
+	if peer := p.attempt.peerName(); peer != "" {
+		d.connections.paths.recordPeerOverdue(d.clock.Now(), peer, p.startedAt)
+		return
+	}
+	if !d.connections.paths.heardSince(p.choice.Target.Zone, p.startedAt) && d.connections.paths.peerCount() > 0 {
+		d.connections.probe(context.WithoutCancel(p.ctx), p.choice.Target)
+	}
+}
+
 // nextSearchDelay returns the time until the next search for a target.
 func nextSearchDelay(err error) time.Duration {
 	var none *balance.NoTargetError
@@ -152,7 +166,7 @@
 // recordAttempt records the result of an attempt and reports its outcome to the balancer.
 func (c *callerRequest) recordAttempt(e attemptEnd) {
 	c.pending = slices.DeleteFunc(c.pending, func(p *pendingAttempt) bool { return p == e.pendingAttempt })
-	c.lastAttempt = attemptRecord{target: e.choice.Target, choice: e.choice.Choice, newConnection: e.attempt.connectTime > 0, took: e.took, sent: e.failure == nil || e.failure.sent}
+	c.lastAttempt = attemptRecord{peer: e.attempt.peerName(), target: e.choice.Target, choice: e.choice.Choice, newConnection: e.attempt.connectTime > 0, took: e.took, sent: e.failure == nil || e.failure.sent}
 	report := balance.Report{
 		TargetID: e.choice.Target.ID, Route: c.route.Name, Took: e.took, Connect: e.attempt.connectTime, MarkedOverdue: e.overdue,
 		AffinityKey: c.affinityKey(),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,8 +14,12 @@
 	hedges      prometheus.Counter
 	connections prometheus.Counter
 	// dials counts connection attempts by the availability zone of the target and the result.
-	dials       *prometheus.CounterVec
-	permitCalls *prometheus.CounterVec
+	dials *prometheus.CounterVec
+	// tunnels counts attempts to connect through other boxes, tunnelRequests the requests of other
+	// boxes, both by result.
+	tunnels        *prometheus.CounterVec
+	tunnelRequests *prometheus.CounterVec
+	permitCalls    *prometheus.CounterVec
 	// targetProbes, crashedRuns and quarantined are about requests that crash their targets.
 	targetProbes *prometheus.CounterVec
 	crashedRuns  prometheus.Counter
@@ -55,6 +59,12 @@
 	m.dials = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ledgesill_target_dials_total", Help: "Connection attempts to targets by their availability zone and the result.",
 	}, []string{"zone", "result"})
+	m.tunnels = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ledgesill_tunnels_total", Help: "Attempts to connect to a target through another box, by result.",
+	}, []string{"result"})
+	m.tunnelRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ledgesill_tunnel_requests_total", Help: "Connections to targets that other boxes asked this box for, by result.",
+	}, []string{"result"})
 	m.permitCalls = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ledgesill_permit_asks_total", Help: "Calls for permits of workspaces with limits, by whether they were answered.",
 	}, []string{"answered"})
@@ -86,7 +96,7 @@
 		Name: "ledgesill_targets_leaving_total", Help: "Targets that said in an answer, to this box or another, that they leave.",
 	})
 	r.MustRegister(m.backOffs, m.backOffSkips, m.targetsLeaving,
-		m.requests, m.latency, m.attempts, m.hedges, m.connections, m.dials, m.permitCalls, m.targetProbes, m.crashedRuns, m.quarantined,
+		m.requests, m.latency, m.attempts, m.hedges, m.connections, m.dials, m.tunnels, m.tunnelRequests, m.permitCalls, m.targetProbes, m.crashedRuns, m.quarantined,
 		m.targetLimits, m.targetPermits, m.skippedLimited)
 	return m
 }
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -2,22 +2,29 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
+// largePartitions adds 60 and 300 boxes to the sizes of TestPartitionsOfManyBoxesAreBridged.
+var largePartitions = flag.Bool("large-partitions", false, "cut off boxes of 60 and 300 too")
+
 // partition is how the links between a box and targets fail.
 type partition int
 
@@ -153,6 +160,8 @@
 	ends    []net.Conn
 	once    sync.Once
 	closed  chan struct{}
+	// wasReset is set once the connection was reset, as the system tells of an idle connection.
+	wasReset atomic.Bool
 }
 
 // Close implements net.Conn.
@@ -162,6 +171,7 @@
 }
 
 func (c *linkedConn) reset() {
+	c.wasReset.Store(true)
 	for _, end := range c.ends {
 		_ = end.Close()
 	}
@@ -174,6 +184,8 @@
 
 // partitionCluster is a set of boxes and targets in virtual time whose links fail by box.
 type partitionCluster struct {
+	// ctx ends with the test.
+	ctx     context.Context
 	boxes   []*Daemon
 	links   []*targetLinks
 	targets []string
@@ -187,6 +199,10 @@
 	counts   map[string]map[int]boxCount
 	phase    string
 	problems []string
+	// names are the indices of the boxes by name.
+	names map[string]int
+	// down are the boxes that answer nobody.
+	down map[int]bool
 }
 
 // newPartitionCluster opens boxes and targets in the given availability zones; the zones of a
@@ -195,11 +211,17 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
+	var s *partitionCluster
 	t.Cleanup(func() {
 		cancel()
 		running.Wait()
+		for _, d := range s.boxes {
+			d.connections.close()
+			_ = d.callerServer.listener.Close()
+			_ = d.readyListener.Close()
+		}
 	})
-	s := &partitionCluster{runs: make(map[string]int), counts: make(map[string]map[int]boxCount), serviceTime: 20 * time.Millisecond}
+	s = &partitionCluster{ctx: ctx, down: make(map[int]bool), names: make(map[string]int), runs: make(map[string]int), counts: make(map[string]map[int]boxCount), serviceTime: 20 * time.Millisecond}
 	state, _ := steering.State{}.Apply(&wire.Command{Routes: &wire.RoutesCommand{Document: &wire.RoutesDocument{Number: 1, Text: []byte("x")}}})
 	regions := make(map[string]string)
 	for i, zone := range targetZones {
@@ -229,17 +251,51 @@
 		}
 		d.applyState(state, nil)
 		d.setEntryBoxes(list)
-		running.Go(func() { _ = d.isolation.Run(ctx) }) // ends with the test
+		s.names[b.Name] = len(s.boxes)
+		d.connections.tunnels.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return s.dialPeer(ctx, address)
+		}
+		d.setPeers(lookup.Peers(locations(list), b.Name, b.Region, b.Zone))
+		d.connections.reusable = func(c net.Conn) bool {
+			link, ok := c.(*linkedConn)
+			return isReusable(c) && !(ok && link.wasReset.Load())
+		}
+		for _, run := range []func(context.Context) error{d.isolation.Run, d.probePaths, d.sweep} {
+			running.Go(func() { _ = run(ctx) }) // ends with the test
+		}
 		s.boxes, s.links = append(s.boxes, d), append(s.links, links)
-		t.Cleanup(func() {
-			d.connections.close()
-			_ = d.callerServer.listener.Close()
-			_ = d.readyListener.Close()
-		})
 	}
 	return s
 }
 
+// locations returns the boxes as control knows them; their peer addresses are their names.
+func locations(list []*wire.EntryBox) (out []lookup.BoxLocation) {
+	for _, b := range list {
+		out = append(out, lookup.BoxLocation{Name: b.Name, Zone: b.Zone, Region: b.Region, PeerAddress: b.Name})
+	}
+	return out
+}
+
+// dialPeer connects to the box at an address.
+func (s *partitionCluster) dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	time.Sleep(2 * linkDelay)
+	i := s.names[address]
+	if s.isDown(i) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, far := net.Pipe()
+	go s.boxes[i].tunnelServer.ServeConn(s.ctx, far)
+	return near, nil
+}
+
+// isDown reports whether a box answers nobody.
+func (s *partitionCluster) isDown(box int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down[box]
+}
+
 // serve serves one connection to a target.
 func (s *partitionCluster) serve(c net.Conn) {
 	at := &target{script: func(_ int, r *http.Request, c net.Conn) bool {
@@ -255,6 +311,33 @@
 	at.serve(c)
 }
 
+// spread returns the indices of every nth box.
+func spread(boxes, nth int) (out []int) {
+	for i := 0; i < boxes; i += nth {
+		out = append(out, i)
+	}
+	return out
+}
+
+// inZone returns the indices of the boxes whose zone begins with a prefix.
+func (s *partitionCluster) inZone(prefix string) (out []int) {
+	for i, d := range s.boxes {
+		if strings.HasPrefix(d.config.Zone, prefix) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// total sums the first tries of some boxes in a phase.
+func (s *partitionCluster) total(phase string, boxes []int) (sum boxCount) {
+	for _, i := range boxes {
+		sum.sent += s.counts[phase][i].sent
+		sum.served += s.counts[phase][i].served
+	}
+	return sum
+}
+
 // cut sets the state of the links between some boxes and all targets.
 func (s *partitionCluster) cut(p partition, boxes ...int) {
 	for _, i := range boxes {
@@ -384,3 +467,74 @@
 		})
 	}
 }
+
+// sixZones are the zones of n boxes in three regions of two zones.
+func sixZones(n int) (out []string) {
+	for i := range n {
+		out = append(out, []string{"a1", "b1", "c1", "a2", "b2", "c2"}[i%6])
+	}
+	return out
+}
+
+// TestPartitionsOfManyBoxesAreBridged cuts off one box, a third of the boxes, a zone and a region, and checks that
+// callers of these are served like those of the others, also in the first second after the end, that nothing ran
+// twice, that what was refused as not run has not run, and that nobody is cut off in the end.
+func TestPartitionsOfManyBoxesAreBridged(t *testing.T) {
+	sizes := []int{9}
+	if *largePartitions {
+		sizes = append(sizes, 60, 300)
+	}
+	for _, n := range sizes {
+		for name, choose := range map[string]func(s *partitionCluster) []int{
+			"one box":  func(*partitionCluster) []int { return []int{0} },
+			"a third":  func(*partitionCluster) []int { return spread(n, 3) },
+			"a zone":   func(s *partitionCluster) []int { return s.inZone("a1") },
+			"a region": func(s *partitionCluster) []int { return s.inZone("a") },
+		} {
+			for _, p := range partitions {
+				t.Run(fmt.Sprint(n, " boxes, ", name, ", ", p), func(t *testing.T) {
+					inVirtualTime(t, func(t *testing.T) {
+						s := newPartitionCluster(t, sixZones(n), sixZones(24))
+						cut := choose(s)
+						others := s.except(cut)
+						const perSecond = 20
+						s.sendLoad("before", perSecond, 2*time.Second)
+						s.cut(p, cut...)
+						s.sendLoad("first second", perSecond, time.Second)
+						s.sendLoad("from 1 s on", perSecond, 4*time.Second)
+						s.cut(connected, cut...)
+						s.sendLoad("after", perSecond, 2*time.Second)
+						s.check(t)
+						first := s.total("first second", cut)
+						t.Logf("first second: cut off boxes served %d of %d", first.served, first.sent)
+						for _, phase := range []string{"from 1 s on", "after"} {
+							got, want := s.total(phase, cut), s.total(phase, others)
+							t.Logf("%s: cut off boxes served %d of %d, others %d of %d", phase, got.served, got.sent, want.served, want.sent)
+							if got.share() < minServedShare*want.share() {
+								t.Errorf("%s: cut off boxes served %d of %d first tries, others %d of %d", phase, got.served, got.sent, want.served, want.sent)
+							}
+						}
+						for i, d := range s.boxes {
+							if zones := d.connections.paths.cutOffZones(); len(zones) > 0 {
+								t.Errorf("box %d still counts as cut off from %v", i, zones)
+							}
+							if d.tunnelServer.Open() > 0 {
+								t.Errorf("box %d still carries %d connections", i, d.tunnelServer.Open())
+							}
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// except returns the indices of all boxes but some.
+func (s *partitionCluster) except(some []int) (out []int) {
+	for i := range s.boxes {
+		if !slices.Contains(some, i) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -85,6 +85,8 @@
 	choice        balance.Choice
 	outcome       balance.Outcome
 	newConnection bool
+	// peer is the box that the connection led through; empty for none.
+	peer string
 	// sent tells that the target may have received the request.
 	sent bool
 	took time.Duration
--- a/internal/gateway/shaper.go
+++ b/internal/gateway/shaper.go
@@ -111,6 +111,20 @@
 	}
 }
 
+// pace waits until a number of bytes of a large response may be sent that another box forwards.
+func (s *shaper) pace(ctx context.Context, bytes int) error {
+	wait := s.reserve(s.clock.Now(), bytes)
+	if wait <= 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(wait):
+		return nil
+	}
+}
+
 func (p *shapedTransfer) write(ctx context.Context, to io.Writer, chunk []byte) error {
 	if wait := p.wait(p.shaper.clock.Now(), len(chunk)); wait > 0 {
 		select {
--- a/internal/gateway/targetcontact_test.go
+++ b/internal/gateway/targetcontact_test.go
@@ -35,7 +35,7 @@
 				for range 30 {
 					time.Sleep(100 * time.Millisecond)
 					for n := range 3 {
-						if conn, err := s.daemon.connections.get(t.Context(), testTarget(n)); err == nil {
+						if conn, err := s.daemon.connections.get(t.Context(), testTarget(n), nil); err == nil {
 							_ = conn.Close() // nothing is sent on it
 						}
 					}
--- a/internal/gateway/targetstatus.go
+++ b/internal/gateway/targetstatus.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"ledgesill.dev/ledgesill/internal/tunnel"
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
@@ -50,6 +51,7 @@
 	d.balancing.Lock()
 	began := d.balancing.balancer.BackOff(now, a.target.ID, status)
 	d.balancing.Unlock()
+	d.shareBackOff(a, status.BackOff)
 	if !began {
 		return
 	}
@@ -60,6 +62,15 @@
 	}
 }
 
+// shareBackOff tells the box that the attempt's connection leads through, and those that this box
+// connects to the target, that it asked for a back-off: it counts by the box that connects to it.
+func (d *Daemon) shareBackOff(a *attempt, wait time.Duration) {
+	d.tunnelServer.BackOff(a.target.ID, wait)
+	if t, ok := a.connection.Conn.(*tunnel.Conn); ok {
+		_ = t.SendBackOff(wait) // if the connection is lost, the exchange fails too
+	}
+}
+
 // canSend reports whether a request may still be sent to the target that was chosen.
 func (d *Daemon) canSend(target string) bool {
 	d.balancing.Lock()
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -233,6 +233,7 @@
 			if _, err := p.dialer.Open(t.Context(), testPeer, "t0"); !errors.As(err, &refused) || *refused != *want {
 				t.Errorf("got %v, want %v", err, want)
 			}
+			synctest.Wait() // until the peer has closed its end too
 		}
 	})
 }
--- a/pkg/balance/backoff.go
+++ b/pkg/balance/backoff.go
@@ -27,6 +27,27 @@
 	return began
 }
 
+// ShareBackOff records that a target asked another box, which shares connections with this one, to
+// send it nothing for a while. It reports whether this starts a new back-off.
+func (b *Balancer) ShareBackOff(now time.Time, id string, wait time.Duration) (began bool) {
+	t := b.byID[id]
+	if t == nil || wait <= 0 {
+		return false
+	}
+	began = !t.isBackedOff(now)
+	t.backOff = t.backOff.With(now.Add(wait))
+	t.backOffUnreported = true
+	return began
+}
+
+// BackOffRemaining returns how much longer a target must get no requests.
+func (b *Balancer) BackOffRemaining(now time.Time, id string) time.Duration {
+	if t := b.byID[id]; t != nil {
+		return t.backOff.Remaining(now)
+	}
+	return 0
+}
+
 // capacityOf returns the target's capacity estimate: its own, or else one derived from the last
 // rejection by another target of its service.
 func (b *Balancer) capacityOf(t *targetState) capacityEstimate {
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -204,6 +204,46 @@
 	maps.DeleteFunc(b.routeTimes, func(name string, _ *serviceTimes) bool { return !names[name] })
 }
 
+// Target returns a registered target.
+func (b *Balancer) Target(id string) (t Target, ok bool) {
+	if found := b.byID[id]; found != nil {
+		return found.Target, true
+	}
+	return Target{}, false
+}
+
+// ProbeTarget returns any target of a zone that is in service.
+func (b *Balancer) ProbeTarget(zone string) (t Target, ok bool) {
+	for _, candidate := range b.byID {
+		if candidate.Zone == zone && b.isInService(candidate) && !candidate.isLeaving() {
+			return candidate.Target, true
+		}
+	}
+	return Target{}, false
+}
+
+// TargetZones returns the availability zones of a region that have targets.
+func (b *Balancer) TargetZones(region string) (zones []string) {
+	for _, t := range b.byID {
+		if t.Region == region && !slices.Contains(zones, t.Zone) {
+			zones = append(zones, t.Zone)
+		}
+	}
+	return zones
+}
+
+// ReadmitZone ends the ejections of the targets of a zone and forgets the failures that led to
+// them.
+func (b *Balancer) ReadmitZone(zone string) {
+	for _, t := range b.byID {
+		if t.Zone == zone {
+			t.failures = 0
+			t.brokenAnswers = 0
+			t.ejectedUntil = time.Time{}
+		}
+	}
+}
+
 // HasTarget reports whether a target is registered.
 func (b *Balancer) HasTarget(id string) bool { return b.byID[id] != nil }
 
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -27,11 +27,14 @@
 	// Withdrawn: the request was not sent, because the target stopped being usable after the
 	// choice.
 	Withdrawn
+	// NoPath: this box had no path to the target, by its own connections or through another box, or
+	// lost it. That says nothing about the target.
+	NoPath
 )
 
 // String returns the name used in logs.
 func (o Outcome) String() string {
-	return [...]string{"answered", "turnedAway", "unreachable", "stuck", "broken", "dropped", "withdrawn"}[o]
+	return [...]string{"answered", "turnedAway", "unreachable", "stuck", "broken", "dropped", "withdrawn", "noPath"}[o]
 }
 
 // Report is the result of a request at a target.
@@ -118,7 +121,7 @@
 			return Ejected
 		}
 		return Unchanged
-	case Dropped, Withdrawn:
+	case Dropped, Withdrawn, NoPath:
 		return Unchanged
 	}
 	t.lastAnswerAt = now
--- a/pkg/lookup/nearest.go
+++ b/pkg/lookup/nearest.go
@@ -5,6 +5,11 @@
 	Address string
 	Zone    string
 	Region  string
+	Name    string
+	// PeerAddress is where other boxes reach it.
+	PeerAddress string
+	// CutOff tells that the box reaches the targets of its region through other boxes only.
+	CutOff bool
 }
 
 // minZoneBoxes is the number of boxes in the caller's own zone that suffices for an
--- /dev/null
+++ b/pkg/lookup/peers_test.go
@@ -0,0 +1,81 @@
+package lookup
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// boxesIn returns a number of boxes in each zone; the zones of a region share their first letter.
+func boxesIn(perZone int, zones ...string) (out []BoxLocation) {
+	for _, z := range zones {
+		for i := range perZone {
+			name := fmt.Sprint(z, "-", i)
+			out = append(out, BoxLocation{Address: name + ":80", Zone: z, Region: z[:1], Name: name, PeerAddress: name + ":7660"})
+		}
+	}
+	return out
+}
+
+// A box gets peers of its zone, of its region and of others, a bounded number however many there are, and
+// neither itself nor a box that is cut off.
+func TestPeersAreBoundedAndConnected(t *testing.T) {
+	boxes := boxesIn(100, "a1", "a2", "a3", "b1", "c1")
+	for i := range boxes {
+		boxes[i].CutOff = i%3 == 0
+	}
+	got := Peers(boxes, "a1-0", "a", "a1")
+	var zone, region, remote int
+	for _, b := range got.Boxes {
+		i := slices.IndexFunc(boxes, func(l BoxLocation) bool { return l.Name == b.Name })
+		if b.Name == "a1-0" || boxes[i].CutOff || b.Address != boxes[i].PeerAddress {
+			t.Errorf("peer %v", b)
+		}
+		switch {
+		case b.Zone == "a1":
+			zone++
+		case b.Region == "a":
+			region++
+		default:
+			remote++
+		}
+	}
+	if zone != maxZonePeers || region != maxRegionPeers || remote != maxRemotePeers {
+		t.Errorf("%d, %d and %d peers", zone, region, remote)
+	}
+}
+
+// Boxes that are cut off together spread over the others.
+func TestPeersSpreadOverBoxes(t *testing.T) {
+	boxes := boxesIn(100, "a1")
+	chosen := make(map[string]int)
+	for _, b := range boxes {
+		for _, p := range Peers(boxes, b.Name, "a", "a1").Boxes {
+			chosen[p.Name]++
+		}
+	}
+	for name, n := range chosen {
+		if n > 5*maxZonePeers {
+			t.Errorf("%s is a peer of %d of 100 boxes", name, n)
+		}
+	}
+}
+
+// The digest stays the same until a peer of the box itself changes.
+func TestPeersDigestChangesWithOwnPeersOnly(t *testing.T) {
+	boxes := boxesIn(50, "a1", "a2", "b1")
+	before := Peers(boxes, "a1-0", "a", "a1")
+	changed := 0
+	for i := range boxes {
+		next := slices.Delete(slices.Clone(boxes), i, i+1)
+		if Peers(next, "a1-0", "a", "a1").Digest != before.Digest {
+			changed++
+		}
+	}
+	if changed != len(before.Boxes) {
+		t.Errorf("the digest changed with %d boxes, want the %d peers", changed, len(before.Boxes))
+	}
+	if empty := Peers(nil, "a1-0", "a", "a1"); empty.Digest == 0 {
+		t.Error("the digest of no peers is that of a box that knows none yet")
+	}
+}
--- a/pkg/lookup/reportinterval_test.go
+++ b/pkg/lookup/reportinterval_test.go
@@ -20,7 +20,12 @@
 }
 
 func TestNearest(t *testing.T) {
-	boxes := []BoxLocation{{"a1", "a", "r"}, {"a2", "a", "r"}, {"b1", "b", "r"}, {"c1", "c", "s"}}
+	boxes := []BoxLocation{
+		{Address: "a1", Zone: "a", Region: "r"},
+		{Address: "a2", Zone: "a", Region: "r"},
+		{Address: "b1", Zone: "b", Region: "r"},
+		{Address: "c1", Zone: "c", Region: "s"},
+	}
 	for _, c := range []struct {
 		region, zone string
 		want         int
--- a/pkg/targetpath/plan.go
+++ b/pkg/targetpath/plan.go
@@ -149,8 +149,8 @@
 	return min(max(connectTimes*z.connectTime, minAttemptDelay), maxAttemptDelay)
 }
 
-// choosePeers returns the peers to ask, nearest first and those with few connections before others.
-// Each further one is of another availability zone if there is one: peers of one zone may have lost
+// choosePeers returns the peers to ask, nearest first and those with few connections before others. It
+// takes one of each class before a second one of a class: boxes of a zone or a region may have lost
 // their links together.
 func (p *Paths) choosePeers(now time.Time, regions []string) []Peer {
 	p.turn++
@@ -164,12 +164,16 @@
 	slices.SortStableFunc(usable, func(a, b *peer) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.open, b.open))
 	})
-	var out []Peer
-	for len(out) < maxPlannedPeers && len(usable) > 0 {
-		i := max(slices.IndexFunc(usable, func(c *peer) bool { return !hasZone(out, c.Zone) }), 0)
-		out = append(out, usable[i].Peer)
+	var chosen []*peer
+	for len(chosen) < maxPlannedPeers && len(usable) > 0 {
+		i := max(slices.IndexFunc(usable, func(c *peer) bool { return !hasClass(chosen, c.class) }), 0)
+		chosen = append(chosen, usable[i])
 		usable = slices.Delete(usable, i, i+1)
 	}
+	out := make([]Peer, 0, len(chosen))
+	for _, c := range chosen {
+		out = append(out, c.Peer)
+	}
 	return out
 }
 
@@ -177,8 +181,8 @@
 	return len(regions) == 0 || slices.Contains(regions, known.Region)
 }
 
-func hasZone(list []Peer, zone string) bool {
-	return slices.ContainsFunc(list, func(c Peer) bool { return c.Zone == zone })
+func hasClass(list []*peer, class int) bool {
+	return slices.ContainsFunc(list, func(c *peer) bool { return c.class == class })
 }
 
 // nextPeer returns when the next peer may be asked again.
