isolation: ask other boxes before a target counts as crashed

Cause: a connection that breaks and two refused ones count as a crash. A box that is cut off sees the same from targets that are well.

Change: what refuses this box is asked of peers. Only if one that reaches the zone is refused too does it count; if one connects or none can tell, nothing is counted. A box without peers decides by itself as before.

Why it works: a crash is seen by all boxes, a cut by one side only.

--- a/internal/gateway/connecting.go
+++ b/internal/gateway/connecting.go
@@ -281,3 +281,28 @@
 		p.keep(target, connectResult{conn: conn, err: err})
 	})
 }
+
+// errReachedByPeer says that a target refuses this box's connections but not those of a peer.
+var errReachedByPeer = errors.New("another box connects to the target")
+
+// confirmRefused asks peers whether a target that refuses this box's connections refuses theirs too.
+// It returns nil if one says so, or if this box knows no peer.
+func (p *connectionPool) confirmRefused(ctx context.Context, target balance.Target) error {
+	if p.paths.peerCount() == 0 {
+		return nil
+	}
+	var last error = &noPathError{Zone: target.Zone}
+	for _, peer := range p.paths.peers(p.clock.Now()) {
+		r := p.openTunnel(ctx, peer, target)
+		if r.err == nil {
+			_ = r.conn.Close() // nothing was sent on it
+			return errReachedByPeer
+		}
+		var refused *tunnel.RefusedError
+		if errors.As(r.err, &refused) && refused.Result == targetpath.TargetDown {
+			return nil
+		}
+		last = r.err
+	}
+	return last
+}
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -43,6 +43,13 @@
 	p.state.SetPeers(list)
 }
 
+// peers returns the peers to ask about a target that refuses this box's connections.
+func (p *paths) peers(now time.Time) []targetpath.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Peers(now)
+}
+
 func (p *paths) peerCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -19,15 +19,28 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return d.connections.dial(ctx, "tcp4", address)
 		},
-		DialTimeout:  dialTimeout,
-		Leaving:      d.isLeaving,
-		Replicas:     d.controlReplicas.all,
-		SendEvidence: d.sendEvidence,
-		OnProbe:      func(l isolation.ProbeResult) { d.metrics.targetProbes.WithLabelValues(l.String()).Inc() },
-		OnCrash:      d.recordCrashedRun,
+		ConfirmRefused: d.confirmRefused,
+		DialTimeout:    dialTimeout,
+		Leaving:        d.isLeaving,
+		Replicas:       d.controlReplicas.all,
+		SendEvidence:   d.sendEvidence,
+		OnProbe:        func(l isolation.ProbeResult) { d.metrics.targetProbes.WithLabelValues(l.String()).Inc() },
+		OnCrash:        d.recordCrashedRun,
 	})
 }
 
+// confirmRefused asks peers whether a target that refuses this box's connections refuses theirs too.
+// It returns nil if so, or if this box knows no peer.
+func (d *Daemon) confirmRefused(ctx context.Context, incarnation string) error {
+	d.balancing.Lock()
+	target, ok := d.balancing.balancer.Target(incarnation)
+	d.balancing.Unlock()
+	if !ok {
+		return nil
+	}
+	return d.connections.confirmRefused(ctx, target)
+}
+
 // sendEvidence sends evidence to one control replica.
 func (d *Daemon) sendEvidence(ctx context.Context, address string, e *wire.Evidence) error {
 	ctx, cancel := context.WithTimeout(ctx, controlCallTimeout)
--- a/internal/isolation/isolation.go
+++ b/internal/isolation/isolation.go
@@ -63,6 +63,10 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// DialTimeout bounds each call of Dial.
 	DialTimeout time.Duration
+	// ConfirmRefused asks other boxes about a target that refuses this box's connections, which it
+	// also does if this box is cut off from it. It returns nil if the target refuses theirs too. The
+	// field is nil if there is no other box to ask.
+	ConfirmRefused func(ctx context.Context, incarnation string) error
 	// Leaving reports whether a target is shutting down as planned.
 	Leaving func(incarnation string) bool
 	// Replicas returns the control replicas, and SendEvidence sends evidence to one.
@@ -227,6 +231,11 @@
 			return ProbeResult{Incarnation: incarnation, Err: err}
 		}
 	}
+	if i.config.ConfirmRefused != nil {
+		if err := i.config.ConfirmRefused(ctx, incarnation); err != nil {
+			return ProbeResult{Incarnation: incarnation, Err: err}
+		}
+	}
 	return ProbeResult{Incarnation: incarnation, Crashed: !i.config.Leaving(incarnation)}
 }
 
--- a/internal/isolation/isolation_test.go
+++ b/internal/isolation/isolation_test.go
@@ -195,3 +195,42 @@
 		}
 	})
 }
+
+// Guards against taking a target for crashed because this box is cut off from it: what refuses this box's
+// connections and not those of others has not crashed, and where nobody can tell nothing is counted.
+func TestRefusedTargetIsConfirmedByOtherBoxes(t *testing.T) {
+	errUnknown := errors.New("no box can tell")
+	for _, c := range []struct {
+		name      string
+		confirm   func(context.Context, string) error
+		suspected int
+	}{
+		{"no other box", nil, 1},
+		{"others are refused too", func(context.Context, string) error { return nil }, 1},
+		{"others connect, or can't tell", func(context.Context, string) error { return errUnknown }, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				i := New(Config{
+					Dial:           func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED },
+					DialTimeout:    time.Second,
+					ConfirmRefused: c.confirm,
+					Leaving:        func(string) bool { return false },
+					Replicas:       func() []string { return nil },
+					OnCrash:        func(BrokenRun) {},
+					OnProbe:        func(ProbeResult) {},
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan error, 1)
+				go func() { ended <- i.Run(ctx) }()
+				i.ConnectionBroke(BrokenRun{Crash: quarantine.Crash{Incarnation: "t0", Began: time.Now(), Ended: time.Now()}})
+				time.Sleep(time.Second)
+				if got := i.SuspectCount(); got != c.suspected {
+					t.Errorf("%d requests are suspected, want %d", got, c.suspected)
+				}
+				cancel()
+				<-ended
+			})
+		})
+	}
+}
