lookup, control: name boxes that are cut off from targets last

Seen: lookups went on naming boxes first that reached no target.

Change: a box reports whether it reaches no availability zone of its region itself, at once when that changes. A box that gets no callers probes without them, so that it comes back.

Measured: TestNearestNamesCutOffBoxesLast and TestCutOffBoxReportsItself; the report is gone within 2 s of the end without a request.

--- a/internal/control/servingboxes.go
+++ b/internal/control/servingboxes.go
@@ -15,9 +15,10 @@
 
 // servingBoxes caches the list of boxes that serve callers.
 type servingBoxes struct {
-	mu        sync.Mutex
-	listedAt  time.Time
-	list      []lookup.BoxLocation
+	mu       sync.Mutex
+	listedAt time.Time
+	list     []lookup.BoxLocation
+	// addresses are those of the list, each with whether its box is cut off from the targets.
 	addresses map[string]bool
 }
 
@@ -32,18 +33,18 @@
 	s.listedAt = now
 	s.addresses = make(map[string]bool, len(s.list))
 	for _, b := range s.list {
-		s.addresses[b.Address] = true
+		s.addresses[b.Address] = b.CutOff
 	}
 	return s.list
 }
 
-// invalidateIfChanged drops the cached list if a box reports that it is stopping or reports for
-// the first time.
+// invalidateIfChanged drops the cached list if a box reports that it is stopping, reports for the first
+// time or reports another state of its links to targets.
 func (s *servingBoxes) invalidateIfChanged(b *wire.BoxReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	isNew := b.CallerAddress != "" && !s.addresses[b.CallerAddress]
-	if b.Stopping || isNew {
+	cutOff, known := s.addresses[b.CallerAddress]
+	if b.Stopping || b.CallerAddress != "" && (!known || cutOff != b.CutOff) {
 		s.addresses = nil
 	}
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -14,6 +14,7 @@
 	"ledgesill.dev/ledgesill/internal/operator"
 	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/pkg/consensus"
+	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/settings"
 	"ledgesill.dev/ledgesill/pkg/timeline"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -55,6 +56,7 @@
 		Replicas:        replicas(v),
 		Repairs:         d.repairList(),
 		Boxes:           d.boxes(v),
+		CutOffBoxes:     d.cutOffBoxes(),
 	}
 	s.NeedsAttention = append(s.NeedsAttention, attention(s)...)
 	return s
@@ -110,6 +112,16 @@
 	return out
 }
 
+// cutOffBoxes returns the entry boxes that reach the targets of their region through other boxes only.
+func (d *Daemon) cutOffBoxes() (names []string) {
+	for _, b := range d.Boxes(lookup.ReportValidity(len(d.Boxes(boxCountWindow)))) {
+		if b.CutOff {
+			names = append(names, b.Box)
+		}
+	}
+	return names
+}
+
 func (d *Daemon) box(b settings.Box, r *wire.BoxReport, version uint64) operator.Box {
 	out := operator.Box{Name: b.Name, Zone: b.Zone, Reported: r != nil}
 	if r != nil {
@@ -152,6 +164,9 @@
 			out = append(out, fmt.Sprintf("repair of control replica %s is not finished: %s", r.ID, r.Step))
 		}
 	}
+	for _, name := range s.CutOffBoxes {
+		out = append(out, fmt.Sprintf("entry box %s reaches the targets of its region through other boxes only", name))
+	}
 	for _, b := range s.Boxes {
 		switch {
 		case !b.Reported:
--- a/internal/control/targetindex_test.go
+++ b/internal/control/targetindex_test.go
@@ -101,4 +101,6 @@
 	check(3, servingListTTL+1, "a box stops")
 	s.invalidateIfChanged(&wire.BoxReport{CallerAddress: "b"})
 	check(4, servingListTTL+1, "a new box")
+	s.invalidateIfChanged(&wire.BoxReport{CallerAddress: "a", CutOff: true})
+	check(5, servingListTTL+1, "a box is cut off from the targets")
 }
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -366,7 +366,7 @@
 		route = "unsafe"
 	}
 	id := fmt.Sprint(phase, "-", box, "-", n)
-	r := httptest.NewRequest(http.MethodPost, "/"+route+"/", strings.NewReader("body"))
+	r := httptest.NewRequest(http.MethodPost, "/"+route+"/", strings.NewReader(id))
 	r.Host = "a.example"
 	r.Header.Set("Test-Id", id)
 	r.Header.Set("Test-Key", fmt.Sprint("key", n%50))
@@ -538,3 +538,42 @@
 	}
 	return out
 }
+
+// TestCutOffBoxReportsItself guards against lookups that go on naming a box first that reaches no target of its region
+// itself, and against a box that is never named again: it probes without any requests.
+func TestCutOffBoxReportsItself(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newPartitionCluster(t, []string{"a1", "a1", "a2"}, []string{"a1", "a1", "a2", "a2"})
+		s.sendLoad("before", 40, time.Second)
+		s.cut(hangAndClose, 0)
+		s.sendLoad("cut off", 40, 2*time.Second)
+		for i, d := range s.boxes {
+			if got := d.boxReport().CutOff; got != (i == 0) {
+				t.Errorf("box %d reports that it is cut off: %v", i, got)
+			}
+		}
+		s.cut(connected, 0)
+		time.Sleep(2 * time.Second)
+		if s.boxes[0].boxReport().CutOff {
+			t.Error("the box still reports that it is cut off 2 s after the end")
+		}
+	})
+}
+
+// TestBoxCutOffFromOneZoneIsNotCutOff: a box that reaches other zones of its region serves from there and is named as
+// before.
+func TestBoxCutOffFromOneZoneIsNotCutOff(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newPartitionCluster(t, []string{"a1", "a1", "a2"}, []string{"a1", "a1", "a2", "a2"})
+		s.sendLoad("before", 40, time.Second)
+		s.links[0].set(hangAndClose, s.targets[0], s.targets[1])
+		s.sendLoad("cut off", 40, 2*time.Second)
+		if zones := s.boxes[0].connections.paths.cutOffZones(); !slices.Equal(zones, []string{"a1"}) {
+			t.Errorf("cut off from %v, want a1", zones)
+		}
+		if s.boxes[0].boxReport().CutOff {
+			t.Error("the box reports that it is cut off")
+		}
+		s.check(t)
+	})
+}
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -100,6 +100,7 @@
 		Address:     d.config.PeerAddress,
 		Stopping:    d.stopping.Load(),
 		Rollouts:    d.rolloutReports(),
+		CutOff:      d.isCutOff(),
 	}
 	if routing := d.routing.Load(); routing != nil {
 		report.Version = routing.version
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -129,6 +129,7 @@
 	d.balancing.Lock()
 	d.balancing.balancer.ReadmitZone(zone)
 	d.balancing.Unlock()
+	d.triggerReport()
 	line := d.log.Warn().Str("kind", "path").Str("zone", zone).Int("peers", e.Peers).Dur("lasted", e.Lasted).
 		Dur("controlAge", d.controlAge()).Strs("cutOffZones", d.connections.paths.cutOffZones())
 	if change == targetpath.Restored {
@@ -139,6 +140,23 @@
 		Msg("cut off from the targets of the zone; connecting through other boxes")
 }
 
+// isCutOff reports whether the box reaches none of the availability zones of its region that have
+// targets.
+func (d *Daemon) isCutOff() bool {
+	if len(d.connections.paths.cutOffZones()) == 0 {
+		return false
+	}
+	d.balancing.Lock()
+	zones := d.balancing.balancer.TargetZones(d.config.Region)
+	d.balancing.Unlock()
+	for _, zone := range zones {
+		if cutOff, _ := d.connections.paths.stateOf(zone); !cutOff {
+			return false
+		}
+	}
+	return len(zones) > 0
+}
+
 // probePaths tries to connect to the zones that the box is cut off from. Requests do so too, but a box
 // that lookups no longer name gets none.
 func (d *Daemon) probePaths(ctx context.Context) error {
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -125,6 +125,8 @@
 	Replicas        []Replica `json:"replicas,omitempty"`
 	Repairs         []Repair  `json:"repairs,omitempty"`
 	Boxes           []Box     `json:"boxes"`
+	// CutOffBoxes are the entry boxes that reach the targets of their region through other boxes only.
+	CutOffBoxes []string `json:"cutOffBoxes,omitempty"`
 }
 
 // Shift is a shift of traffic between regions.
--- a/pkg/lookup/peers_test.go
+++ b/pkg/lookup/peers_test.go
@@ -79,3 +79,27 @@
 		t.Error("the digest of no peers is that of a box that knows none yet")
 	}
 }
+
+// Boxes that are cut off from the targets are named last, not never: only where all of the region are.
+func TestNearestNamesCutOffBoxesLast(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		cutOff []string
+		want   []string
+	}{
+		{"one of a zone", []string{"a1-0"}, []string{"a1-1:80", "a1-2:80"}},
+		{"all but one of a zone", []string{"a1-0", "a1-1"}, []string{"a1-2:80", "a2-0:80", "a2-1:80", "a2-2:80"}},
+		{"a zone", []string{"a1-0", "a1-1", "a1-2"}, []string{"a2-0:80", "a2-1:80", "a2-2:80"}},
+		{"a region", []string{"a1-0", "a1-1", "a1-2", "a2-0", "a2-1", "a2-2"}, []string{"a1-0:80", "a1-1:80", "a1-2:80"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			boxes := boxesIn(3, "a1", "a2", "b1")
+			for i, b := range boxes {
+				boxes[i].CutOff = slices.Contains(c.cutOff, b.Name)
+			}
+			if got := Nearest(boxes, "a", "a1"); !slices.Equal(got, c.want) {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
