soak: cut entry boxes off from all targets

Nothing of ours cut single boxes off from targets: the proxies stand before targets and can't tell boxes apart, and no kind of trouble of the deployments does it.

Change: LEDGESILL_TARGET_NETWORK translates the addresses at which an entry box reaches targets; each box of the soak gets links of its own, which refuse, hang, reset or go silent.

--- a/contrib/soak/backoff.go
+++ b/contrib/soak/backoff.go
@@ -137,15 +137,16 @@
 	return out
 }
 
-// faultBetween reports whether a fault of the box, or of the link to the target, may have
+// faultBetween reports whether a fault of the box, or of a link between it and the target, may have
 // overlapped a time span. The box may then not have received what the target reported, or
 // have lost it in a restart.
 func (h *harness) faultBetween(t *standin.PlatformTarget, box *process, from, to time.Time) bool {
+	cutFrom := from.Add(-maxCut)
 	from = from.Add(-maxFaultTime)
 	h.mu.Lock()
 	px := h.proxies[t.ID]
 	h.mu.Unlock()
-	return px == nil || px.faults.anyBetween(from, to) || box.faults.anyBetween(from, to)
+	return px == nil || px.faults.anyBetween(from, to) || box.faults.anyBetween(from, to) || h.linkFaultBetween(px, box, cutFrom, to)
 }
 
 // checkBackOffs checks that boxes send next to nothing to a target during a back-off that
--- a/contrib/soak/clients.go
+++ b/contrib/soak/clients.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -64,11 +65,28 @@
 	status, text := doRequest(http.MethodGet, fmt.Sprintf("%s:%d", p.ip, lookupPort), path, nil)
 	var response struct{ Addresses []string }
 	if status == http.StatusOK && json.Unmarshal(text, &response) == nil && len(response.Addresses) > 0 {
-		c.boxes = response.Addresses
+		c.setBoxes(response.Addresses)
 		c.lookedUpAt = time.Now()
 	}
 }
 
+// keepEvery is the share of the clients, one in so many, that go on using boxes which lookups no longer
+// name.
+const keepEvery = 3
+
+// setBoxes sets the boxes that the client uses.
+func (c *client) setBoxes(named []string) {
+	if c.number%keepEvery > 0 {
+		c.boxes = named
+		return
+	}
+	for _, address := range named {
+		if !slices.Contains(c.boxes, address) {
+			c.boxes = append(c.boxes, address)
+		}
+	}
+}
+
 func (c *client) send(n int) {
 	id := fmt.Sprintf("r%d-%d-%d", c.harness.network, c.number, n)
 	once := n%2 == 1
@@ -98,6 +116,7 @@
 		kind = fmt.Sprint(record.status)
 	} else if ctx.Err() != nil {
 		kind = "left"
+		c.records[len(c.records)-1].left = true
 	}
 	c.harness.counts.countRequest(kind)
 }
--- a/contrib/soak/faults.go
+++ b/contrib/soak/faults.go
@@ -43,6 +43,7 @@
 		{"crash target", func(h *harness, r *rand.Rand) { h.crashTarget(r) }},
 		{"rate-limited target", func(h *harness, r *rand.Rand) { h.rateLimitTarget(r) }},
 		{"change routes", func(h *harness, r *rand.Rand) { h.changeRoutes(r) }},
+		{"partition entries", func(h *harness, r *rand.Rand) { h.partitionEntries(r) }},
 		{"evacuate", func(h *harness, r *rand.Rand) { h.evacuate(r) }},
 	}
 }
--- a/contrib/soak/harness.go
+++ b/contrib/soak/harness.go
@@ -50,9 +50,10 @@
 	closed         bool
 	limitPeriods   []limitPeriod
 	claimedTargets map[string]bool
-	lastTarget     int
-	network        int
-	routes         documentState
+	cutState
+	lastTarget int
+	network    int
+	routes     documentState
 }
 
 // counts are the counters that a run prints.
@@ -93,6 +94,7 @@
 		history:        newHistory(),
 		claimedTargets: make(map[string]bool),
 	}
+	h.cuts = make(map[*process]cutKind)
 	h.routes.unconfirmed = make(map[int][]byte)
 	h.counts.requests, h.counts.faults, h.counts.checks = make(map[string]int), make(map[string]int), make(map[string]int)
 	for i := range n.controls {
@@ -136,6 +138,9 @@
 		ip: fmt.Sprintf("127.77.%d.%d", h.network, host), advertised: fmt.Sprintf("127.78.%d.%d", h.network, host),
 		dir: filepath.Join(h.dir, name),
 	}
+	if !control {
+		p.targetNetwork = linkNetwork(i)
+	}
 	p.settings = func(first bool) string { return settingsText(p, h, first) }
 	return p
 }
@@ -156,6 +161,9 @@
 	if err != nil {
 		return err
 	}
+	if err := h.addLinks(px); err != nil {
+		return err
+	}
 	s.Advertised = px.address()
 	s.ControlAddresses = h.controlAddresses
 	s.CrashPath = fatalPath
--- a/contrib/soak/main.go
+++ b/contrib/soak/main.go
@@ -188,6 +188,7 @@
 	h.checkFatal(result.fatal, faultsEnd)
 	h.checkRuns(records)
 	h.checkServed(records, recovered)
+	h.checkCuts(records)
 	if !h.readBack() {
 		h.violations.add("the document can't be read back")
 	}
--- a/contrib/soak/process.go
+++ b/contrib/soak/process.go
@@ -29,9 +29,11 @@
 	// ip is the address that it listens on. Other processes reach it under advertised, where
 	// the proxies of control replicas listen.
 	ip, advertised string
-	dir            string
-	binary         string
-	settings       func(first bool) string
+	// targetNetwork is the network in which an entry box reaches targets.
+	targetNetwork string
+	dir           string
+	binary        string
+	settings      func(first bool) string
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -64,6 +66,9 @@
 	if p.control {
 		c.Env = append(c.Env, fmt.Sprintf("LEDGESILL_PEER_LISTEN=%s:%d", p.ip, peerPort))
 	}
+	if p.targetNetwork != "" {
+		c.Env = append(c.Env, "LEDGESILL_TARGET_NETWORK="+p.targetNetwork)
+	}
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("starting %s: %w", p.name, err)
--- a/contrib/soak/proxy.go
+++ b/contrib/soak/proxy.go
@@ -49,6 +49,12 @@
 	mode     mode
 	conns    map[net.Conn]connState
 	running  sync.WaitGroup
+	// links are the proxies through which the entry boxes reach this one, by box.
+	links []*proxy
+	// paused is set while no connections are accepted; fillers are those that wait meanwhile.
+	paused  bool
+	fillers []net.Conn
+	closed  bool
 	// faults are the times at which the mode changed or connections were blackholed.
 	faults timestamps
 }
@@ -60,11 +66,15 @@
 	}
 	p := &proxy{listener: l, target: to, conns: make(map[net.Conn]connState)}
 	p.running.Add(1)
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
 
 // setMode changes the mode. reset also resets the connections that are open.
 func (p *proxy) setMode(m mode) {
@@ -89,10 +99,11 @@
 	return p.mode
 }
 
-func (p *proxy) accept() {
+// accept serves the connections of a listener until that is closed or accepts no more for a while.
+func (p *proxy) accept(l net.Listener) {
 	defer p.running.Done()
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -185,7 +196,16 @@
 }
 
 func (p *proxy) close() {
+	for _, link := range p.links {
+		link.close()
+	}
+	p.mu.Lock()
+	p.closed = true
+	for _, c := range p.fillers {
+		_ = c.Close()
+	}
 	_ = p.listener.Close()
+	p.mu.Unlock()
 	p.setMode(reset)
 	p.running.Wait()
 }
--- a/contrib/soak/violations.go
+++ b/contrib/soak/violations.go
@@ -41,6 +41,8 @@
 	workspace string
 	// box is the address of the entry box that the request was sent to.
 	box string
+	// left tells that the client canceled the request.
+	left bool
 }
 
 // checkRuns compares the responses that callers got with what ran on the targets.
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -5,6 +5,7 @@
 	"flag"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -44,9 +45,9 @@
 	// peerListenEnv is the environment variable with the address on which a
 	// control replica listens for the others if they reach it through a proxy.
 	peerListenEnv = config.EnvPrefix + "_PEER_LISTEN"
-	// targetSourceEnv is the environment variable with the local IP address from which an entry box
-	// connects to targets.
-	targetSourceEnv = config.EnvPrefix + "_TARGET_SOURCE"
+	// targetNetworkEnv is the environment variable with the network in which an entry box reaches
+	// targets whose addresses are translated.
+	targetNetworkEnv = config.EnvPrefix + "_TARGET_NETWORK"
 	// entryMetricsPort is the port on which an entry box exposes its metrics.
 	entryMetricsPort = ":9464"
 	// electionTimeout of control replicas allows for several round trips of 70 ms
@@ -108,12 +109,12 @@
 	if err != nil {
 		return err
 	}
-	source, err := parseSource(os.Getenv(targetSourceEnv))
+	translate, err := parseTargetNetwork(os.Getenv(targetNetworkEnv))
 	if err != nil {
 		return err
 	}
 	d, err := gateway.Open(gateway.Config{
-		TargetSource:   source,
+		TargetAddress:  translate,
 		Name:           s.Name,
 		Zone:           s.Zone,
 		Region:         s.Region,
@@ -142,16 +143,31 @@
 	return ignoreCanceled(d.Run(ctx))
 }
 
-// parseSource parses the local IP address for connections to targets; empty for the system's choice.
-func parseSource(text string) (net.Addr, error) {
+// parseTargetNetwork parses the network in which an entry box reaches targets. The result replaces the
+// leading bits of a target's address by those of the network; it is nil if the text is empty.
+func parseTargetNetwork(text string) (func(registered string) string, error) {
 	if text == "" {
 		return nil, nil
 	}
-	ip := net.ParseIP(text)
-	if ip == nil {
-		return nil, usageError("environment variable %s is %q; it must be an IP address", targetSourceEnv, text)
+	network, err := netip.ParsePrefix(text)
+	if err != nil || !network.Addr().Is4() {
+		return nil, usageError("environment variable %s is %q; it must be an IPv4 network such as 10.1.0.0/16", targetNetworkEnv, text)
 	}
-	return &net.TCPAddr{IP: ip}, nil
+	return func(registered string) string { return translate(network, registered) }, nil
+}
+
+// translate replaces the leading bits of an IPv4 address by those of a network.
+func translate(network netip.Prefix, registered string) string {
+	address, err := netip.ParseAddrPort(registered)
+	if err != nil || !address.Addr().Is4() {
+		return registered
+	}
+	host, prefix := address.Addr().As4(), network.Masked().Addr().As4()
+	for i := range host {
+		mask := byte(0xff << (8 - min(max(network.Bits()-8*i, 0), 8)))
+		host[i] = host[i]&^mask | prefix[i]
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4(host), address.Port()).String()
 }
 
 func runPlatformControl(ctx context.Context, in Invocation) error {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"net/http"
 	"time"
 
@@ -28,8 +27,9 @@
 	ReadyAddress   string
 	MetricsAddress string
 	PeerAddress    string
-	// TargetSource is the local address for connections to targets; nil for the system's choice.
-	TargetSource net.Addr
+	// TargetAddress returns the address at which this box reaches the target that registered an
+	// address; nil if that is the same.
+	TargetAddress func(registered string) string
 	// Seeds are the peer addresses of some control replicas.
 	Seeds    []string
 	Protocol Protocol
--- a/internal/gateway/connectionpool.go
+++ b/internal/gateway/connectionpool.go
@@ -85,8 +85,8 @@
 	onTunnel func(err error)
 }
 
-func newConnectionPool(source net.Addr) *connectionPool {
-	dialer := &net.Dialer{KeepAlive: -1, LocalAddr: source}
+func newConnectionPool() *connectionPool {
+	dialer := &net.Dialer{KeepAlive: -1}
 	return &connectionPool{idle: make(map[string][]*connection), dial: dialer.DialContext, reusable: isReusable}
 }
 
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -125,8 +125,14 @@
 	d.balancing.retryBudgets = make(map[string]*retry.WindowBudget)
 	d.balancing.splits = make(map[string]*balance.Split)
 	d.targetContact = newTargetContact(d.clock)
-	d.connections = newConnectionPool(c.TargetSource)
+	d.connections = newConnectionPool()
 	d.connections.clock = d.clock
+	if c.TargetAddress != nil {
+		dial := d.connections.dial
+		d.connections.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			return dial(ctx, network, c.TargetAddress(address))
+		}
+	}
 	d.connections.onDial = d.recordDial
 	d.connections.onTunnel = d.recordTunnel
 	d.connections.paths = newPaths(targetpath.Config{Zone: c.Zone, Region: c.Region}, d.recordPathChange)
