gateway, targetpath: take refusals of boxes that can't connect for no verdict

Cause: a box that is asked for a connection and fails told that the target is down if it had heard from the zone within a second. Responses on open connections count as that, so boxes that are cut off together told each other that all targets are down, and the belief came after 4 s and 41 failures.

Change: only a connection of its own within the last second makes a box's failure the target's. Besides: what failed without a path counts as sent to a version (its share is a bound and may be counted too high, not too low).

--- a/internal/gateway/connecting.go
+++ b/internal/gateway/connecting.go
@@ -70,7 +70,7 @@
 	// started and pending count the attempts that were started and those that have not ended.
 	started, pending int
 	// directErr and peerErr are the errors of the box's own attempt and of the last through a peer.
-	// targetDown is set once a peer that has had contact with the zone lately did not reach the target.
+	// targetDown is set once a peer that connects to others of the zone did not reach the target.
 	directErr, peerErr error
 	targetDown         bool
 }
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -82,10 +82,10 @@
 	return p.state.WasLostSince(zone, since)
 }
 
-func (p *paths) hasContact(now time.Time, zone string) bool {
+func (p *paths) canConnect(now time.Time, zone string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.state.HasContact(now, zone)
+	return p.state.CanConnect(now, zone)
 }
 
 func (p *paths) heardSince(zone string, since time.Time) bool {
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -67,7 +67,7 @@
 	if err == nil {
 		return conn, nil
 	}
-	if d.connections.paths.hasContact(d.clock.Now(), target.Zone) {
+	if d.connections.paths.canConnect(d.clock.Now(), target.Zone) {
 		return nil, &tunnel.RefusedError{Peer: d.config.Name, Result: targetpath.TargetDown}
 	}
 	return nil, &tunnel.RefusedError{Peer: d.config.Name, Result: targetpath.TargetUnreached}
--- a/pkg/balance/balancer_test.go
+++ b/pkg/balance/balancer_test.go
@@ -415,3 +415,33 @@
 		t.Error("an ejected target was tried by two requests at once")
 	}
 }
+
+// Guards against targets that stay ejected for failures of this box: what fails without a path ejects no
+// target, and a zone whose path was lost or is back is readmitted whole.
+func TestLostPathEjectsNoTarget(t *testing.T) {
+	b, _ := versionedBalancer(0.1)
+	now := time.Unix(0, 0)
+	for range 20 {
+		c, err := b.Choose(now, rolloutRequest(""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if change := b.Done(now, Report{TargetID: c.Target.ID, Route: "r", Outcome: NoPath}); change != Unchanged {
+			t.Fatal("a target was ejected")
+		}
+	}
+	for range 8 {
+		c, err := b.Choose(now, rolloutRequest(""))
+		if err != nil {
+			break
+		}
+		b.Done(now, Report{TargetID: c.Target.ID, Route: "r", Outcome: Unreachable})
+	}
+	if _, err := b.Choose(now, rolloutRequest("")); err == nil {
+		t.Fatal("targets that can't be reached are used")
+	}
+	b.ReadmitZone("z")
+	if _, err := b.Choose(now, rolloutRequest("")); err != nil {
+		t.Errorf("after the path is back: %v", err)
+	}
+}
--- a/pkg/balance/rollouts.go
+++ b/pkg/balance/rollouts.go
@@ -119,7 +119,7 @@
 	}
 	overdue := false
 	switch r.Outcome {
-	case Unreachable, Withdrawn, NoPath:
+	case Unreachable, Withdrawn:
 		s.splitter.RecordNotSent(t.Software)
 		return
 	case TurnedAway:
--- a/pkg/balance/rollouts_test.go
+++ b/pkg/balance/rollouts_test.go
@@ -111,7 +111,7 @@
 		}
 		return out
 	}
-	for _, o := range []Outcome{TurnedAway, Unreachable, Broken, Dropped, Withdrawn} {
+	for _, o := range []Outcome{TurnedAway, Unreachable, Broken, Dropped, Withdrawn, NoPath} {
 		c, err := b.Choose(now, rolloutRequest(""))
 		if err != nil {
 			t.Fatal(err)
--- a/pkg/targetpath/paths.go
+++ b/pkg/targetpath/paths.go
@@ -31,9 +31,9 @@
 	// are asked for that zone only once in each futileInterval: its targets are down.
 	maxFutilePeerFailures = 3
 	futileInterval        = 500 * time.Millisecond
-	// contactWindow is how recent this box's own contact with a zone must be for its failure to
-	// connect to count as the target's.
-	contactWindow = time.Second
+	// connectWindow is how recent this box's own last connection to a zone must be for its failure to
+	// connect to a target to count as the target's.
+	connectWindow = time.Second
 )
 
 // Peer is another entry box.
@@ -235,11 +235,12 @@
 	return z != nil && (z.cutOff || z.changedAt.After(since))
 }
 
-// HasContact reports whether the box itself has connected to the zone or had a response from it
-// lately, so that its failure to connect to a target is the target's.
-func (p *Paths) HasContact(now time.Time, zoneName string) bool {
+// CanConnect reports whether the box itself has connected to the zone lately, so that its failure to
+// connect to a target is the target's. Responses on open connections don't tell that: these may live
+// on while new ones fail.
+func (p *Paths) CanConnect(now time.Time, zoneName string) bool {
 	z := p.zones[zoneName]
-	return z != nil && !z.cutOff && (now.Sub(z.lastConnect) < contactWindow || now.Sub(z.lastResponse) < contactWindow)
+	return z != nil && !z.cutOff && now.Sub(z.lastConnect) < connectWindow
 }
 
 // HeardSince reports whether the box itself has connected to the zone or had a response from it
--- a/pkg/targetpath/paths_test.go
+++ b/pkg/targetpath/paths_test.go
@@ -293,3 +293,17 @@
 	fmt.Println(p.CutOffZones(), plan.Direct, plan.Peers[0].Name)
 	// Output: [a1] false box2
 }
+
+// Guards against a box that tells others that a target is down while new connections of its own fail and open ones
+// live on.
+func TestResponsesDontTellThatTheBoxCanConnect(t *testing.T) {
+	p := newPaths("a1")
+	p.RecordConnect(start, "a1", time.Millisecond)
+	if !p.CanConnect(start.Add(time.Millisecond), "a1") {
+		t.Error("the box has connected a millisecond ago")
+	}
+	p.RecordResponse(start.Add(connectWindow), "a1")
+	if p.CanConnect(start.Add(connectWindow), "a1") {
+		t.Error("the box has not connected lately")
+	}
+}
