gateway: hedge requests on silent connections once the path is lost

Seen: in the first second of a partition in which open connections go silent a box serves a quarter of its callers: their requests wait on the silent ones for their hedge delay, 0.7 s at least, or their deadline.

Change: when a box finds out that it is cut off from a zone, repeatable requests that wait on its own connections there start an attempt at once, within the same limits as a hedged one (attempts, retry budget, permits). Others stay unknown: they may run.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -66,8 +66,12 @@
 // awaitAttempts handles the results of pending attempts and reports whether the caller has been
 // answered. If not, another target may be tried.
 func (c *callerRequest) awaitAttempts(ctx context.Context) bool {
+	lost := c.gateway.connections.paths.nextLoss()
 	for len(c.pending) > 0 {
 		select {
+		case <-lost:
+			lost = c.gateway.connections.paths.nextLoss()
+			c.hedgeLost(ctx)
 		case e := <-c.ended:
 			if c.handleAttemptEnd(ctx, e) {
 				return true
--- a/internal/gateway/hedging.go
+++ b/internal/gateway/hedging.go
@@ -110,6 +110,22 @@
 	for _, p := range c.pending {
 		c.recordOverdue(p)
 	}
+	c.startHedge(ctx)
+}
+
+// hedgeLost starts an attempt at another target beside those whose connections may have gone silent,
+// as this box has lost its path to their zones.
+func (c *callerRequest) hedgeLost(ctx context.Context) {
+	for _, p := range c.pending {
+		if cutOff, _ := c.gateway.connections.paths.stateOf(p.choice.Target.Zone); cutOff && p.attempt.peerName() == "" {
+			c.startHedge(ctx)
+			return
+		}
+	}
+}
+
+// startHedge starts an attempt at another target beside the pending ones if that is possible now.
+func (c *callerRequest) startHedge(ctx context.Context) {
 	if ctx.Err() != nil || !c.canHedge() {
 		return
 	}
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -18,19 +18,35 @@
 	state *targetpath.Paths
 	// onChange is called, without the lock, when the box loses or regains its path to a zone.
 	onChange func(zone string, change targetpath.Change, evidence targetpath.Evidence)
+	// loss is closed when the box next loses its path to a zone.
+	loss chan struct{}
 }
 
 func newPaths(c targetpath.Config, onChange func(string, targetpath.Change, targetpath.Evidence)) *paths {
-	return &paths{state: targetpath.New(c), onChange: onChange}
+	return &paths{state: targetpath.New(c), onChange: onChange, loss: make(chan struct{})}
 }
 
 // report calls onChange for a change.
 func (p *paths) report(zone string, change targetpath.Change, evidence targetpath.Evidence) {
-	if change != targetpath.Unchanged {
-		p.onChange(zone, change, evidence)
+	if change == targetpath.Unchanged {
+		return
+	}
+	p.onChange(zone, change, evidence)
+	if change == targetpath.Lost {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		close(p.loss)
+		p.loss = make(chan struct{})
 	}
 }
 
+// nextLoss returns a channel that is closed when the box next loses its path to a zone.
+func (p *paths) nextLoss() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.loss
+}
+
 func (p *paths) plan(now time.Time, zone string, regions []string) targetpath.Plan {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/tunnels_test.go
+++ b/internal/gateway/tunnels_test.go
@@ -217,6 +217,39 @@
 	})
 }
 
+// Guards against repeatable requests that wait for a response on connections that went silent until their hedge delay
+// or deadline, although the box has found out that it lost its path.
+func TestSilentRequestsGoOnOnceThePathIsLost(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newPartitionCluster(t, []string{"a1", "a1", "a2"}, []string{"a1", "a1", "a2", "a2"})
+		s.serviceTime = 200 * time.Millisecond // many connections are open
+		s.sendLoad("before", 40, 2*time.Second)
+		s.cut(hangAndSilence, 0)
+		const requests = 40
+		served := make(chan time.Duration, requests)
+		for n := range requests {
+			go func() {
+				began := time.Now()
+				if s.sendOne(t.Context(), 0, fmt.Sprint("silent-", n), http.MethodPost, "/safe/").Code == http.StatusOK {
+					served <- time.Since(began)
+				}
+			}()
+			time.Sleep(time.Second / requests)
+		}
+		s.check(t)
+		close(served)
+		inTime := 0
+		for took := range served {
+			if took < 700*time.Millisecond { // the shortest hedge delay
+				inTime++
+			}
+		}
+		if float64(inTime) < minServedShare*requests {
+			t.Errorf("%d of %d repeatable requests of the first second were served before their hedge delay", inTime, requests)
+		}
+	})
+}
+
 // Guards against targets that stay ejected for what the box's own links did: the box finds out that it was cut off
 // after the targets have been ejected.
 func TestTargetsAreReadmittedOnceThePathIsLost(t *testing.T) {
