--- a/pkg/lookup/peers.go
+++ b/pkg/lookup/peers.go
@@ -18,36 +18,48 @@
 
 // rankedPeer is a candidate with its rank for one box.
 type rankedPeer struct {
-	BoxLocation
+	box  *BoxLocation
 	rank uint64
 }
 
+// peerClass holds the highest-ranked candidates of one class, best first.
+type peerClass struct {
+	limit int
+	best  []rankedPeer
+}
+
+// add adds a candidate if it is among the best.
+func (c *peerClass) add(candidate rankedPeer) {
+	if len(c.best) == c.limit && candidate.rank <= c.best[c.limit-1].rank {
+		return
+	}
+	i, _ := slices.BinarySearchFunc(c.best, candidate, func(a, b rankedPeer) int { return cmp.Compare(b.rank, a.rank) })
+	c.best = slices.Insert(c.best, i, candidate)
+	c.best = c.best[:min(len(c.best), c.limit)]
+}
+
 // Peers returns the boxes that may connect to targets for the box of a name, with the digest of the
 // list. Boxes that are cut off from the targets themselves are left out. Which ones a box gets is
 // ranked by a hash of both names, so that boxes that are cut off together spread over the others.
 func Peers(boxes []BoxLocation, name, region, zone string) *wire.PeerBoxes {
-	candidates := make([]rankedPeer, 0, len(boxes))
-	for _, b := range boxes {
-		if b.Name != name && b.PeerAddress != "" && !b.CutOff {
-			candidates = append(candidates, rankedPeer{b, hash(name, b.Name)})
+	inZone, inRegion, remote := peerClass{limit: maxZonePeers}, peerClass{limit: maxRegionPeers}, peerClass{limit: maxRemotePeers}
+	for i := range boxes {
+		b := &boxes[i]
+		if b.Name == name || b.PeerAddress == "" || b.CutOff {
+			continue
 		}
-	}
-	slices.SortFunc(candidates, func(a, b rankedPeer) int { return cmp.Compare(b.rank, a.rank) })
-	var inZone, inRegion, remote int
-	out := &wire.PeerBoxes{}
-	for _, c := range candidates {
-		count, limit := &remote, maxRemotePeers
+		class := &remote
 		switch {
-		case c.Zone == zone:
-			count, limit = &inZone, maxZonePeers
-		case c.Region == region:
-			count, limit = &inRegion, maxRegionPeers
-		}
-		if *count == limit {
-			continue
+		case b.Zone == zone:
+			class = &inZone
+		case b.Region == region:
+			class = &inRegion
 		}
-		*count++
-		out.Boxes = append(out.Boxes, &wire.PeerBox{Name: c.Name, Zone: c.Zone, Region: c.Region, Address: c.PeerAddress})
+		class.add(rankedPeer{b, hash(name, b.Name)})
+	}
+	out := &wire.PeerBoxes{}
+	for _, c := range slices.Concat(inZone.best, inRegion.best, remote.best) {
+		out.Boxes = append(out.Boxes, &wire.PeerBox{Name: c.box.Name, Zone: c.box.Zone, Region: c.box.Region, Address: c.box.PeerAddress})
 	}
 	out.Digest = digestOf(out.Boxes)
 	return out
--- a/pkg/lookup/peers_test.go
+++ b/pkg/lookup/peers_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"testing"
+
+	"google.golang.org/protobuf/proto"
 )
 
 // boxesIn returns a number of boxes in each zone; the zones of a region share their first letter.
@@ -103,3 +105,12 @@
 		})
 	}
 }
+
+// BenchmarkPeers names the peers of one of 984 boxes, and reports the size of the answer.
+func BenchmarkPeers(b *testing.B) {
+	boxes := boxesIn(109, "use-a", "use-b", "use-c", "euw-a", "euw-b", "euw-c", "aps-a", "aps-b", "aps-c")[:984]
+	for b.Loop() {
+		Peers(boxes, "use-a-0", "u", "use-a")
+	}
+	b.ReportMetric(float64(proto.Size(Peers(boxes, "use-a-0", "u", "use-a"))), "bytes")
+}
