gateway: refuse with the time until another box may be asked, and drop connections of boxes that stop

A request without a path got the Retry-After of its last target, 20 ms mostly. It is refused with the time until a peer may be asked again, as reason noPath.

--- a/internal/gateway/callerresponse.go
+++ b/internal/gateway/callerresponse.go
@@ -18,6 +18,7 @@
 // giveUp sends the response to a request for which no target gave one.
 func (c *callerRequest) giveUp(cause error) {
 	var none *balance.NoTargetError
+	var noPath *noPathError
 	switch {
 	case c.request.Context().Err() != nil && !c.mayHaveRun:
 		c.refuse(reasonCallerLeft, c.retryAfter())
@@ -26,6 +27,8 @@
 	case !c.mayHaveRun && errors.As(cause, &none):
 		c.noTarget = none
 		c.refuse(none.Reason, none.RetryAfter)
+	case !c.mayHaveRun && errors.As(cause, &noPath):
+		c.refuse("noPath", max(noPath.RetryAfter, minRetryAfter))
 	case !c.mayHaveRun:
 		c.refuse("notRun", c.retryAfter())
 	case !c.gateway.clock.Now().Before(c.deadline):
--- a/internal/gateway/connecting.go
+++ b/internal/gateway/connecting.go
@@ -65,6 +65,7 @@
 type connecting struct {
 	pool    *connectionPool
 	target  balance.Target
+	regions []string
 	plan    targetpath.Plan
 	results chan connectResult
 	// started and pending count the attempts that were started and those that have not ended.
@@ -81,7 +82,7 @@
 	if len(plan.Peers) == 0 && plan.Direct {
 		return p.connectDirectly(ctx, target)
 	}
-	c := &connecting{pool: p, target: target, plan: plan, results: make(chan connectResult, len(plan.Peers)+2)}
+	c := &connecting{pool: p, target: target, regions: regions, plan: plan, results: make(chan connectResult, len(plan.Peers)+2)}
 	return c.run(ctx)
 }
 
@@ -185,7 +186,7 @@
 	case errors.As(c.peerErr, &refused) && refused.Result == targetpath.TargetUnknown:
 		return &withdrawnError{c.peerErr}
 	case !c.plan.Direct && !c.targetDown:
-		return &noPathError{Zone: c.target.Zone, RetryAfter: c.plan.RetryAfter, Err: c.peerErr}
+		return &noPathError{Zone: c.target.Zone, RetryAfter: c.pool.paths.nextPeer(c.pool.clock.Now(), c.regions), Err: c.peerErr}
 	case c.directErr != nil:
 		return errors.Wrap(c.directErr, "connecting to the target")
 	}
--- a/internal/gateway/connectionpool.go
+++ b/internal/gateway/connectionpool.go
@@ -135,15 +135,15 @@
 	p.idle[target.ID] = append(p.idle[target.ID], c)
 }
 
-// closeExpired closes connections that have been idle for too long and those of targets that are no
-// longer registered.
+// closeExpired closes connections that have been idle for too long, those of targets that are no longer
+// registered, and those whose peer shuts down.
 func (p *connectionPool) closeExpired(now time.Time, registered func(target string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for target, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if registered(target) && now.Before(c.idleUntil) {
+			if registered(target) && now.Before(c.idleUntil) && (c.isDirect() || p.reusable(c.Conn)) {
 				kept = append(kept, c)
 				continue
 			}
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -66,6 +66,13 @@
 	return p.state.Peers(now)
 }
 
+// nextPeer returns how long it takes until a peer may be asked again.
+func (p *paths) nextPeer(now time.Time, regions []string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.NextPeer(now, regions)
+}
+
 func (p *paths) peerCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/tunnels_test.go
+++ b/internal/gateway/tunnels_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -296,3 +297,25 @@
 		}
 	})
 }
+
+// Guards against requests that wait, or come back too soon, while all boxes are cut off: they are refused at once as not
+// run, with the time until another box may be asked again.
+func TestRequestsAreRefusedAtOnceWhileAllBoxesAreCutOff(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newPartitionCluster(t, []string{"a1", "a1", "b1"}, []string{"a1", "a1", "a1"})
+		s.sendLoad("before", 40, time.Second)
+		s.cut(hangAndClose, 0)
+		s.sendLoad("one box", 40, 2*time.Second)
+		s.cut(hangAndClose, 1, 2)
+		s.kill(1)
+		s.kill(2)
+		s.sendLoad("all boxes", 40, 3*time.Second)
+		began := time.Now()
+		w := s.sendOne(t.Context(), 0, "refused-1", http.MethodPost, "/unsafe/")
+		after, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+		if took := time.Since(began); w.Code != http.StatusServiceUnavailable || took > 10*time.Millisecond || err != nil || after <= 0 || after > 1 {
+			t.Errorf("status %d after %s, Retry-After %v", w.Code, took, after)
+		}
+		s.check(t)
+	})
+}
--- a/pkg/targetpath/plan.go
+++ b/pkg/targetpath/plan.go
@@ -111,8 +111,6 @@
 	// Peers are asked in this order, each when the attempt before it has failed or Delay has passed.
 	Peers []Peer
 	Delay time.Duration
-	// RetryAfter is when a peer may be available again if nothing can be tried now.
-	RetryAfter time.Duration
 }
 
 // Plan returns the attempts for a connection to a target of a zone. If regions is not empty, the
@@ -128,9 +126,6 @@
 	}
 	out.Peers = p.choosePeers(now, regions)
 	out.Probe = p.TakeProbe(now, zoneName)
-	if len(out.Peers) == 0 && !out.Probe {
-		out.RetryAfter = p.nextPeer(now, regions)
-	}
 	return out
 }
 
@@ -185,8 +180,8 @@
 	return slices.ContainsFunc(list, func(c *peer) bool { return c.class == class })
 }
 
-// nextPeer returns when the next peer may be asked again.
-func (p *Paths) nextPeer(now time.Time, regions []string) time.Duration {
+// NextPeer returns how long it takes until a peer may be asked again.
+func (p *Paths) NextPeer(now time.Time, regions []string) time.Duration {
 	wait := unreachablePeerPause
 	for _, known := range p.peers {
 		if isAllowed(known, regions) {
