gateway: let no request wait for a probe, and keep verdicts apart

Found while reading the change: a request waited up to 300 ms for a probe when no peer could be asked (TestRequestsAreRefusedAtOnceWhileAllBoxesAreCutOff failed once the probe was due: refused after 300 ms); an unreachable target of which the peers don't know yet counted as withdrawn and was never ejected; a connection through a peer told the round trip to a region; requests that were still connecting were hedged when a path was lost.

Change: probes run beside requests; the box's own failure comes first unless a peer tells of a back-off; only own connections tell round trips; only requests sent on own connections are hedged.

--- a/internal/gateway/connecting.go
+++ b/internal/gateway/connecting.go
@@ -82,7 +82,7 @@
 	if len(plan.Peers) == 0 && plan.Direct {
 		return p.connectDirectly(ctx, target)
 	}
-	c := &connecting{pool: p, target: target, regions: regions, plan: plan, results: make(chan connectResult, len(plan.Peers)+2)}
+	c := &connecting{pool: p, target: target, regions: regions, plan: plan, results: make(chan connectResult, len(plan.Peers)+1)}
 	return c.run(ctx)
 }
 
@@ -108,10 +108,12 @@
 
 // run makes the planned attempts and returns the first connection.
 func (c *connecting) run(ctx context.Context) (*connection, error) {
-	if c.plan.Direct || c.plan.Probe {
-		c.start(ctx, c.dial)
+	if c.plan.Probe {
+		c.pool.probeDirectly(context.WithoutCancel(ctx), c.target)
 	}
-	if !c.plan.Direct {
+	if c.plan.Direct {
+		c.start(ctx, c.dial)
+	} else {
 		c.startNext(ctx)
 	}
 	delay := time.NewTimer(c.plan.Delay)
@@ -182,13 +184,14 @@
 // failure returns the error after all attempts.
 func (c *connecting) failure() error {
 	var refused *tunnel.RefusedError
+	isWithheld := errors.As(c.peerErr, &refused) && refused.Result == targetpath.TargetUnknown
 	switch {
-	case errors.As(c.peerErr, &refused) && refused.Result == targetpath.TargetUnknown:
+	case isWithheld && (refused.BackOff > 0 || !c.plan.Direct):
 		return &withdrawnError{c.peerErr}
-	case !c.plan.Direct && !c.targetDown:
-		return &noPathError{Zone: c.target.Zone, RetryAfter: c.pool.paths.nextPeer(c.pool.clock.Now(), c.regions), Err: c.peerErr}
-	case c.directErr != nil:
+	case c.plan.Direct && c.directErr != nil:
 		return errors.Wrap(c.directErr, "connecting to the target")
+	case !c.targetDown:
+		return &noPathError{Zone: c.target.Zone, RetryAfter: c.pool.paths.nextPeer(c.pool.clock.Now(), c.regions), Err: c.peerErr}
 	}
 	return errors.Wrap(c.peerErr, "connecting to the target")
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -90,7 +90,7 @@
 	// zero if it needs none.
 	deadline     time.Time
 	permitExpiry time.Time
-	// connectTime is how long a new connection took; zero for a reused one.
+	// connectTime is how long a new connection of this box itself took; zero for others.
 	connectTime time.Duration
 	// connection is the one on which the request was sent; nil before.
 	connection *connection
@@ -133,7 +133,7 @@
 	}
 	a.connection = c
 	a.peer.Store(&c.peer.Name)
-	if !c.used {
+	if !c.used && c.isDirect() {
 		a.connectTime = a.gateway.clock.Since(began)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
@@ -207,6 +207,12 @@
 	return ""
 }
 
+// usesOwnConnection reports whether the request was sent on a connection of this box itself.
+func (a *attempt) usesOwnConnection() bool {
+	name := a.peer.Load()
+	return name != nil && *name == ""
+}
+
 // failureOutcome returns the outcome of a failure, which is Dropped if the context has ended.
 func (a *attempt) failureOutcome(ctx context.Context, o balance.Outcome) balance.Outcome {
 	if ctx.Err() != nil {
--- a/internal/gateway/hedging.go
+++ b/internal/gateway/hedging.go
@@ -117,7 +117,7 @@
 // as this box has lost its path to their zones.
 func (c *callerRequest) hedgeLost(ctx context.Context) {
 	for _, p := range c.pending {
-		if cutOff, _ := c.gateway.connections.paths.stateOf(p.choice.Target.Zone); cutOff && p.attempt.peerName() == "" {
+		if cutOff, _ := c.gateway.connections.paths.stateOf(p.choice.Target.Zone); cutOff && p.attempt.usesOwnConnection() {
 			c.startHedge(ctx)
 			return
 		}
--- a/pkg/targetpath/plan.go
+++ b/pkg/targetpath/plan.go
@@ -105,8 +105,8 @@
 type Plan struct {
 	// Direct is set if the box tries to connect itself, before it asks peers.
 	Direct bool
-	// Probe is set if the box, which is cut off, also tries to connect itself, to find out whether it
-	// still is. The connection does not wait for that.
+	// Probe is set if the box, which is cut off, tries to connect itself beside that, to find out whether
+	// it still is. The request does not wait for the result.
 	Probe bool
 	// Peers are asked in this order, each when the attempt before it has failed or Delay has passed.
 	Peers []Peer
