--- a/contrib/soak/partition.go
+++ b/contrib/soak/partition.go
@@ -77,6 +77,9 @@
 
 // partitionEntries cuts some of the entry boxes off from all targets for a while.
 func (h *harness) partitionEntries(r *rand.Rand) {
+	if len(h.entries) < 2 {
+		return
+	}
 	kind := cutKind(r.IntN(int(cutKinds)))
 	boxes := slices.Clone(h.entries)
 	r.Shuffle(len(boxes), func(i, j int) { boxes[i], boxes[j] = boxes[j], boxes[i] })
@@ -170,7 +173,6 @@
 	if err != nil {
 		return
 	}
-	p.paused = true
 	_ = p.listener.(*net.TCPListener).SetDeadline(time.Unix(1, 0))
 	for range 2 {
 		if c, err := net.DialTimeout("tcp4", p.listener.Addr().String(), fillTimeout); err == nil {
@@ -193,7 +195,7 @@
 	for _, c := range p.fillers {
 		_ = c.Close()
 	}
-	p.fillers, p.paused = nil, false
+	p.fillers = nil
 	address := p.listener.Addr().String()
 	_ = p.listener.Close()
 	l, err := net.Listen("tcp4", address)
--- a/contrib/soak/proxy.go
+++ b/contrib/soak/proxy.go
@@ -51,8 +51,7 @@
 	running  sync.WaitGroup
 	// links are the proxies through which the entry boxes reach this one, by box.
 	links []*proxy
-	// paused is set while no connections are accepted; fillers are those that wait meanwhile.
-	paused  bool
+	// fillers are the connections that fill the listener's queue while none is accepted.
 	fillers []net.Conn
 	closed  bool
 	// faults are the times at which the mode changed or connections were blackholed.
