--- a/internal/entry/network_test.go
+++ b/internal/entry/network_test.go
@@ -22,8 +22,10 @@
 	conns       []*fakeConn
 	zones       map[string]string
 	partitioned map[[2]string]bool
-	stalled     map[string]bool
-	dead        map[string]bool
+	// cutLinks holds the pairs of hosts that do not reach each other.
+	cutLinks map[[2]string]bool
+	stalled  map[string]bool
+	dead     map[string]bool
 	// framed holds the addresses whose connections deliver complete frames only.
 	framed map[string]bool
 	delay  time.Duration
@@ -39,6 +41,7 @@
 		listeners:   make(map[string]*fakeListener),
 		zones:       make(map[string]string),
 		partitioned: make(map[[2]string]bool),
+		cutLinks:    make(map[[2]string]bool),
 		stalled:     make(map[string]bool),
 		dead:        make(map[string]bool),
 		framed:      make(map[string]bool),
@@ -64,6 +67,9 @@
 	if n.stalled[from] || n.stalled[to] {
 		return false
 	}
+	if n.cutLinks[[2]string{from, to}] || n.cutLinks[[2]string{to, from}] {
+		return false
+	}
 	a, b := n.zones[from], n.zones[to]
 	return a == b || !n.partitioned[[2]string{a, b}]
 }
@@ -77,6 +83,14 @@
 	n.signalAll()
 }
 
+// setLinkCut holds back all messages between two hosts, or delivers them again.
+func (n *fakeNetwork) setLinkCut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cutLinks[[2]string{a, b}] = cut
+	n.signalAll()
+}
+
 // setStalled holds back all messages from and to a host, as if it were frozen, or delivers
 // them again.
 func (n *fakeNetwork) setStalled(host string, stalled bool) {
