tunnel: say by which clock a deadline goes

TestDaemonsUseBootClock failed on it (make test in a fresh clone): the deadline of a context goes by the steady clock, which its marker did not say.

--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -88,7 +88,7 @@
 // request sends the request for the tunnel and reads the answer.
 func (c *Conn) request(ctx context.Context, box string) (*wire.TunnelAnswer, error) {
 	request := &wire.TunnelRequest{From: box, Target: c.target}
-	if at, ok := ctx.Deadline(); ok {
+	if at, ok := ctx.Deadline(); ok { // steady clock: deadlines of contexts go by it
 		request.TimeoutMilli = time.Until(at).Milliseconds() // steady clock: deadlines of contexts go by it
 	}
 	if _, err := protodelim.MarshalTo(c.raw, request); err != nil {
