--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -322,14 +322,15 @@
 	at := &target{script: func(_ int, r *http.Request, c net.Conn) bool {
 		_, _ = io.Copy(io.Discard, r.Body)
 		id := r.Header.Get("Test-Id")
-		if s.reject != nil && s.reject(box, address) {
+		if s.rejects(box, address) {
 			fmt.Fprintf(c, "HTTP/1.1 503 X\r\nTest-Id: %s\r\nTest-Not-Executed: 1\r\nRetry-After: %d\r\nContent-Length: 0\r\n\r\n", id, int(rejectedFor.Seconds()))
 			return true
 		}
 		s.mu.Lock()
 		s.runs[id]++
+		serviceTime := s.serviceTime
 		s.mu.Unlock()
-		time.Sleep(s.serviceTime)
+		time.Sleep(serviceTime)
 		writeResponse(c, id, "hello")
 		return true
 	}}
@@ -356,6 +357,8 @@
 
 // total sums the first tries of some boxes in a phase.
 func (s *partitionCluster) total(phase string, boxes []int) (sum boxCount) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, i := range boxes {
 		sum.sent += s.counts[phase][i].sent
 		sum.served += s.counts[phase][i].served
@@ -363,6 +366,28 @@
 	return sum
 }
 
+// rejects reports whether the target at an address rejects a request from a box.
+func (s *partitionCluster) rejects(box, address string) bool {
+	s.mu.Lock()
+	reject := s.reject
+	s.mu.Unlock()
+	return reject != nil && reject(box, address)
+}
+
+// setReject sets how targets reject requests.
+func (s *partitionCluster) setReject(reject func(box, address string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reject = reject
+}
+
+// setServiceTime sets how long a target works on a request.
+func (s *partitionCluster) setServiceTime(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serviceTime = d
+}
+
 // cut sets the state of the links between some boxes and all targets.
 func (s *partitionCluster) cut(p partition, boxes ...int) {
 	for _, i := range boxes {
@@ -445,6 +470,8 @@
 // that was not cut off.
 func (s *partitionCluster) wantServed(t *testing.T, phase string, cut, other int) {
 	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	got, want := s.counts[phase][cut], s.counts[phase][other]
 	t.Logf("%s: the cut off box served %d of %d, another %d of %d", phase, got.served, got.sent, want.served, want.sent)
 	if got.share() < minServedShare*want.share() {
@@ -484,7 +511,7 @@
 		t.Run(p.String(), func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T) {
 				s := newPartitionCluster(t, []string{"a1", "a1", "a2"}, []string{"a1", "a1", "a2", "a2"})
-				s.serviceTime = 300 * time.Millisecond
+				s.setServiceTime(300 * time.Millisecond)
 				s.sendLoad("before", 40, 2*time.Second)
 				s.cut(p, 0)
 				s.sendLoad("cut off", 40, 3*time.Second)
--- a/internal/gateway/tunnels_test.go
+++ b/internal/gateway/tunnels_test.go
@@ -68,7 +68,7 @@
 		var mu sync.Mutex
 		firstAt := make(map[string]time.Time)
 		late := make(map[string]int)
-		s.reject = func(box, address string) bool {
+		s.setReject(func(box, address string) bool {
 			mu.Lock()
 			defer mu.Unlock()
 			if address != s.targets[0] {
@@ -81,13 +81,19 @@
 				late[box]++
 			}
 			return true
-		}
+		})
 		// Only one box hears of the back-off at first.
-		for n := 0; len(firstAt) == 0 && n < 100; n++ {
+		heard := func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return len(firstAt) > 0
+		}
+		for n := 0; !heard() && n < 100; n++ {
 			s.sendOne(t.Context(), 0, fmt.Sprint("first-", n), http.MethodPost, "/safe/")
 		}
 		time.Sleep(600 * time.Millisecond)
 		s.sendLoad("rejected", 40, rejectedFor-700*time.Millisecond)
+		s.check(t)
 		for box, n := range late {
 			if n > 2 {
 				t.Errorf("%s sent %d requests during the back-off", box, n)
@@ -104,7 +110,7 @@
 func TestLostPeerIsNoFailureOfTargets(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		s := newPartitionCluster(t, []string{"a1", "a1", "a1", "a2"}, []string{"a1", "a1", "a1", "a1"})
-		s.serviceTime = 200 * time.Millisecond
+		s.setServiceTime(200 * time.Millisecond)
 		s.sendLoad("before", 40, time.Second)
 		s.cut(hangAndClose, 0)
 		s.sendLoad("cut off", 40, 2*time.Second)
@@ -145,7 +151,7 @@
 func TestStoppingPeerCutsNoRequest(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		s := newPartitionCluster(t, []string{"a1", "a1", "a2"}, []string{"a1", "a1", "a2", "a2"})
-		s.serviceTime = 300 * time.Millisecond
+		s.setServiceTime(300 * time.Millisecond)
 		s.sendLoad("before", 40, time.Second)
 		s.cut(hangAndClose, 0)
 		s.sendLoad("cut off", 40, 2*time.Second)
@@ -198,7 +204,7 @@
 		s.cut(hangAndClose, 0)
 		s.sendLoad("cut off", 40, 2*time.Second)
 		time.Sleep(3 * time.Second)
-		s.serviceTime = 2 * time.Second
+		s.setServiceTime(2 * time.Second)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
@@ -223,7 +229,7 @@
 func TestSilentRequestsGoOnOnceThePathIsLost(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		s := newPartitionCluster(t, []string{"a1", "a1", "a2"}, []string{"a1", "a1", "a2", "a2"})
-		s.serviceTime = 200 * time.Millisecond // many connections are open
+		s.setServiceTime(200 * time.Millisecond) // many connections are open
 		s.sendLoad("before", 40, 2*time.Second)
 		s.cut(hangAndSilence, 0)
 		const requests = 40
