--- a/internal/control/slowlinks_test.go
+++ b/internal/control/slowlinks_test.go
@@ -40,7 +40,7 @@
 	quiescenceWait = 10 * time.Second
 )
 
-// slowReplicas are three replicas on links with limited bandwidth.
+// slowReplicas are replicas on links with limited bandwidth.
 type slowReplicas struct {
 	daemons []*Daemon
 	// suspended is how long each replica's machine was suspended, in nanoseconds.
@@ -63,11 +63,17 @@
 // runReplicasWithBandwidth is runSlowReplicas with the given bandwidth of all links together, in bytes per
 // second and direction.
 func runReplicasWithBandwidth(t *testing.T, bytesPerSecond int, state steering.State, run func(t *testing.T, s *slowReplicas)) {
+	t.Helper()
+	runReplicas(t, 3, bytesPerSecond, state, run)
+}
+
+// runReplicas is runReplicasWithBandwidth with the given number of replicas.
+func runReplicas(t *testing.T, count, bytesPerSecond int, state steering.State, run func(t *testing.T, s *slowReplicas)) {
 	t.Helper()
 	runtime.GC() // yamux keeps timers in a pool, which must not enter or leave
 	runtime.GC() // a bubble; that takes two collections
 	bubble.Test(t, func(t *testing.T) {
-		s := openSlowReplicas(t, bytesPerSecond, state)
+		s := openSlowReplicas(t, count, bytesPerSecond, state)
 		t.Cleanup(func() { s.close(t) })
 		run(t, s)
 	})
@@ -75,14 +81,14 @@
 	runtime.GC()
 }
 
-func openSlowReplicas(t *testing.T, bytesPerSecond int, state steering.State) *slowReplicas {
+func openSlowReplicas(t *testing.T, count, bytesPerSecond int, state steering.State) *slowReplicas {
 	t.Helper()
 	n := &linktest.Network{DownBytesPerSecond: bytesPerSecond, UpBytesPerSecond: bytesPerSecond, SocketBuffer: 1 << 16}
 	ctx, cancel := context.WithCancel(context.Background())
 	network := link.Network{Listen: n.Listen, Dial: n.Dial}
-	s := &slowReplicas{network: network, stop: cancel, ended: make(chan error, 6)}
+	s := &slowReplicas{network: network, stop: cancel, ended: make(chan error, 2*count)}
 	first := &wire.Membership{}
-	for i := range 3 {
+	for i := range count {
 		c := config.Control{DataDir: t.TempDir(), ElectionTimeout: time.Second, SnapshotEvery: 1000, PeersAreSeeds: true}
 		suspended := &atomic.Int64{}
 		s.suspended = append(s.suspended, suspended)
