consensus: count a follower's state as current from when its leader was known to lead

Cause: a follower took the arrival of a leader's message for the time at which the leader's commit index covered everything. That holds only while nobody else has committed. The leader knows better, as it counts its own age from the start of its last round that a majority answered, but told nobody.

Change: an answer carries the follower's clock. The leader relates it to its own clock by the time at which the answer arrived, and returns the start of its last confirmed round by the follower's clock. The time at which the answer was sent is before its arrival, so the returned time is never too late, however long messages take, and no clocks are compared but for 0.2 % of drift. Each start of a replica has another clock, so that a time of an earlier start is told from one of this.

Both versions together: followers of a leader of the version before go by the arrival, as it tells nothing better. To take them for stale would make all boxes follow the last replicas of that version while the others are renewed, its leader alone at last. So the fix takes effect once the leader is renewed (TestRenewalKeepsReplicasCurrent, TestFollowerOfReplacedLeaderIsStaleInARenewal).

--- a/pkg/consensus/replica.go
+++ b/pkg/consensus/replica.go
@@ -43,7 +43,8 @@
 	// TrailingEntries is the number of entries before a snapshot's index that are
 	// kept. Default 256.
 	TrailingEntries uint64
-	// Seed seeds the random election timeouts.
+	// Seed seeds the random election timeouts and, with the time of the start, the
+	// identity of the replica's clock.
 	Seed uint64
 }
 
@@ -98,6 +99,7 @@
 	config Config
 	random *rand.Rand
 	now    time.Time
+	clock  clock
 
 	term   uint64
 	vote   string
@@ -126,6 +128,7 @@
 	quorumCheckDue   time.Time
 	round            uint64
 	rounds           []roundStart // not confirmed yet
+	confirmedAt      time.Time    // start of the last confirmed round, zero if there is none
 	reads            []pendingRead
 	transferTo       string
 	transferDeadline time.Time
@@ -140,6 +143,7 @@
 		config: config.withDefaults(),
 		random: rand.New(rand.NewPCG(config.Seed, 1)),
 		now:    now,
+		clock:  newClock(now, config.Seed),
 	}
 	if config.ID == "" {
 		return nil, fmt.Errorf("replica: the id is empty")
@@ -269,6 +273,7 @@
 	if wasLeader {
 		r.failReads()
 		r.rounds = nil
+		r.confirmedAt = time.Time{}
 		r.progress = nil
 	}
 	r.resetElectionTimer()
--- a/pkg/consensus/replication.go
+++ b/pkg/consensus/replication.go
@@ -13,6 +13,8 @@
 	match      uint64
 	next       uint64
 	lastAnswer time.Time
+	// clock is the replica's clock as of its last answer.
+	clock peerClock
 	// windowStart is the first index sent since next was last reset. Rejections of
 	// rounds before minRejectRound concern appends from before that reset and are
 	// ignored.
@@ -152,12 +154,13 @@
 		return
 	}
 	m := &wire.ConsensusMessage{
-		Kind:     wire.MessageKind_MESSAGE_KIND_APPEND,
-		To:       id,
-		LogIndex: p.next - 1,
-		LogTerm:  before,
-		Commit:   r.commit,
-		Round:    r.round,
+		Kind:      wire.MessageKind_MESSAGE_KIND_APPEND,
+		To:        id,
+		LogIndex:  p.next - 1,
+		LogTerm:   before,
+		Commit:    r.commit,
+		Round:     r.round,
+		CurrentAt: r.confirmedTime(p),
 	}
 	if p.pendingSnapshot == 0 {
 		m.Entries = r.nextEntries(p)
@@ -179,11 +182,12 @@
 	p.pendingSnapshot = s.Index
 	p.lastActivity = r.now
 	r.send(&wire.ConsensusMessage{
-		Kind:     wire.MessageKind_MESSAGE_KIND_SNAPSHOT,
-		To:       id,
-		Commit:   r.commit,
-		Snapshot: s,
-		Round:    r.round,
+		Kind:      wire.MessageKind_MESSAGE_KIND_SNAPSHOT,
+		To:        id,
+		Commit:    r.commit,
+		Snapshot:  s,
+		Round:     r.round,
+		CurrentAt: r.confirmedTime(p),
 	})
 }
 
@@ -192,17 +196,29 @@
 		r.becomeFollower(m.Term, m.From, "follows a leader")
 	}
 	r.lastLeaderContact = r.now
-	r.addContact(contact{at: r.arrivedAt, commit: m.Commit, term: m.Term})
+	if at, ok := r.contactTime(m); ok {
+		r.addContact(contact{at: at, commit: m.Commit, term: m.Term})
+	}
 	r.seenLeader = true
 	r.resetElectionTimer()
 }
 
+// answerTo returns an answer to a leader's message, without its result.
+func (r *Replica) answerTo(m *wire.ConsensusMessage) *wire.ConsensusMessage {
+	return &wire.ConsensusMessage{
+		Kind:   wire.MessageKind_MESSAGE_KIND_APPEND_ANSWER,
+		To:     m.From,
+		Round:  m.Round,
+		SentAt: r.clock.encode(r.now),
+	}
+}
+
 func (r *Replica) receiveAppend(m *wire.ConsensusMessage) {
 	if r.role == Leader {
 		return
 	}
 	r.followLeader(m)
-	answer := &wire.ConsensusMessage{Kind: wire.MessageKind_MESSAGE_KIND_APPEND_ANSWER, To: m.From, Round: m.Round}
+	answer := r.answerTo(m)
 	if m.LogIndex < r.commit {
 		// Committed entries match by definition; only later ones need a check.
 		answer.LogIndex = r.commit
@@ -272,7 +288,7 @@
 		return
 	}
 	r.followLeader(m)
-	answer := &wire.ConsensusMessage{Kind: wire.MessageKind_MESSAGE_KIND_APPEND_ANSWER, To: m.From, Round: m.Round}
+	answer := r.answerTo(m)
 	switch term, held := r.log.term(m.Snapshot.Index); {
 	case held && term == m.Snapshot.Term:
 		// The log already contains the snapshot. Later entries must stay: this
@@ -297,6 +313,9 @@
 		return
 	}
 	p.lastAnswer = r.now
+	if m.SentAt != nil {
+		p.clock = peerClock{m.SentAt, r.arrivedAt}
+	}
 	p.ackedRound = max(p.ackedRound, m.Round)
 	r.answerConfirmedReads()
 	if m.Reject {
@@ -352,6 +371,7 @@
 	}
 	r.commitTo(index)
 	r.answerConfirmedReads()
+	r.confirmContact() // the messages below tell of it
 	if !r.isVoter(r.config.ID) && r.memberships[len(r.memberships)-1].index <= r.commit {
 		r.becomeFollower(r.term, "", "removed from the membership")
 		return
--- a/pkg/consensus/staleness.go
+++ b/pkg/consensus/staleness.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
 // maxPendingContacts bounds the contacts of a replica that catches up.
@@ -74,10 +76,35 @@
 	if i == 0 {
 		return
 	}
-	r.addContact(contact{at: r.rounds[i-1].at, commit: r.commit, term: r.term})
+	r.confirmedAt = r.rounds[i-1].at
+	r.addContact(contact{at: r.confirmedAt, commit: r.commit, term: r.term})
 	r.rounds = slices.Delete(r.rounds, 0, i)
 }
 
+// confirmedTime returns the start of the last confirmed round by the clock of another
+// replica, or a time without a clock if no round is confirmed or the clock is not known.
+func (r *Replica) confirmedTime(p *progress) *wire.ReplicaTime {
+	if r.confirmedAt.IsZero() {
+		return &wire.ReplicaTime{}
+	}
+	return p.clock.timeAt(r.confirmedAt)
+}
+
+// contactTime returns the time, by the local clock, at which the sender of a leader's
+// message was known to lead; ok is false if the message names none. The arrival of the
+// message is no such time: a majority may have elected another leader long before, and the
+// message may have been long in transit.
+func (r *Replica) contactTime(m *wire.ConsensusMessage) (at time.Time, ok bool) {
+	if m.CurrentAt == nil {
+		return r.arrivedAt, true // a leader of an older version knows nothing better
+	}
+	at, ok = r.clock.decode(m.CurrentAt)
+	if at.After(r.arrivedAt) {
+		at = r.arrivedAt
+	}
+	return at, ok
+}
+
 // confirmedRound returns the latest round that a majority of the voters has confirmed.
 func (r *Replica) confirmedRound() uint64 {
 	rounds := make([]uint64, 0, len(r.voters()))
