--- a/pkg/consensus/replication.go
+++ b/pkg/consensus/replication.go
@@ -368,7 +368,7 @@
 	}
 	r.commitTo(index)
 	r.answerConfirmedReads()
-	r.confirmContact() // the messages below tell of it
+	r.confirmContact() // before the messages below, which carry the confirmed time
 	if !r.isVoter(r.config.ID) && r.memberships[len(r.memberships)-1].index <= r.commit {
 		r.becomeFollower(r.term, "", "removed from the membership")
 		return
--- a/pkg/consensus/staleness.go
+++ b/pkg/consensus/staleness.go
@@ -53,7 +53,8 @@
 type roundStart struct {
 	round uint64
 	at    time.Time
-	// isHeartbeat is set for a round that sends to all replicas on the leader's timer.
+	// isHeartbeat is set for a round of heartbeats. Only these are confirmed to followers,
+	// so that reads add no messages.
 	isHeartbeat bool
 }
 
@@ -64,7 +65,8 @@
 	r.rounds = append(r.rounds, roundStart{round: r.round, at: r.now})
 }
 
-// confirmContact adds a contact for the latest round that a majority has confirmed.
+// confirmContact adds a contact for the latest round that a majority has confirmed, and
+// tells the others of it if it is a round of heartbeats.
 // No later leader had committed anything when that round began.
 func (r *Replica) confirmContact() {
 	if term, held := r.log.term(r.commit); !held || term != r.term {
@@ -87,8 +89,8 @@
 	}
 }
 
-// readClock records the clock that an answer tells. A replica that has just started is told
-// of the last confirmed round, as what it was told before is of no use to it.
+// readClock records the reading of the follower's clock in an answer. A follower whose clock
+// is new is told of the last confirmed round at once: it could not use what was sent before.
 func (r *Replica) readClock(answer *wire.ConsensusMessage, p *progress) {
 	if answer.SentAt == nil {
 		return
@@ -100,8 +102,8 @@
 	}
 }
 
-// sendConfirmations tells the other replicas of the last confirmed round. With the next
-// heartbeat they would learn of it up to a heartbeat interval later.
+// sendConfirmations tells the other replicas of the last confirmed round, so that they do not
+// learn of it only with the next heartbeat.
 func (r *Replica) sendConfirmations() {
 	for _, id := range r.others() {
 		if p := r.progress[id]; p.clock.reading != nil {
@@ -119,8 +121,8 @@
 	})
 }
 
-// receiveConfirmation records the contact. It does not delay an election, as the heartbeat
-// that is confirmed has done so.
+// receiveConfirmation records the contact. It does not reset the election timer, which the
+// confirmed heartbeat has done.
 func (r *Replica) receiveConfirmation(m *wire.ConsensusMessage) {
 	if r.role == Follower && r.leader == m.From {
 		r.recordContact(m)
@@ -149,7 +151,7 @@
 // message may have been long in transit.
 func (r *Replica) contactTime(m *wire.ConsensusMessage) (at time.Time, ok bool) {
 	if m.CurrentAt == nil {
-		return r.arrivedAt, true // a leader of an older version knows nothing better
+		return r.arrivedAt, true // the leader's version sends no times
 	}
 	at, ok = r.clock.decode(m.CurrentAt)
 	if at.After(r.arrivedAt) {
