--- a/pkg/consensus/doc.go
+++ b/pkg/consensus/doc.go
@@ -12,6 +12,11 @@
 // single-voter membership changes, leadership transfer and linearizable reads
 // confirmed by a round of heartbeats.
 //
+// CurrentAt tells since when the state of any replica, also of one that follows, holds
+// everything that was committed. A follower sends its clock with its answers, and the leader
+// returns the time by that clock at which it was last known to lead, so neither the time that
+// messages take nor synchronized clocks matter.
+//
 // A host must follow one rule: everything in an Output that must be durable
 // (HardState, Snapshot, Entries) is synced to disk before any of its Messages is sent,
 // its Committed entries are applied or its Reads are answered. If the sync
