control: check ages of replicas with no allowance for transit and freezes

The check of the fault matrix left out what arrived while a replica was frozen and allowed for the time of a message, as an age counted from the arrival. Followers count from a time of their own clock now, so both allowances go for replicas; for boxes the one for transit stays.

--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -43,8 +43,6 @@
 	nextTickAt    time.Time
 	awaitsJoin    bool // not yet in the membership
 	lastContactAt time.Time
-	// thawedAt is when the node last resumed after a freeze.
-	thawedAt time.Time
 	// isolatedSince is when the node could last reach another node or be reached by one.
 	isolatedSince time.Time
 }
@@ -369,7 +367,6 @@
 			return
 		}
 		n.frozen = false
-		n.thawedAt = sim.now
 	}
 	inbox := n.inbox
 	n.inbox = nil
--- a/internal/control/staleness_test.go
+++ b/internal/control/staleness_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// transitTime bounds the time that a message spends between replicas. The control age does not
-// include it.
+// transitTime bounds the time that an update spends between a replica and a box. The control age
+// of a box does not include it.
 const transitTime = linkDelay + 2*simulationStep
 
 // ack is the time at which a settings version was acknowledged to an operator.
@@ -38,28 +38,26 @@
 }
 
 // checkStaleness checks that every replica and box that lacks an acknowledged change reports a
-// control age that reaches back to the acknowledgement or further. Messages that arrived while a
-// node was frozen count as in transit.
+// control age that reaches back to the acknowledgement or further.
 func (o *operators) checkStaleness() {
 	for _, n := range o.sim.nodes {
-		isInTransit := !n.lastContactAt.Before(n.thawedAt) && n.lastContactAt.Sub(n.thawedAt) <= transitTime
-		if n.alive && !n.frozen && n.replica.diskFull == nil && !isInTransit {
-			o.checkControlAge(n.name, n.replica.state.SettingsVersion(), o.sim.now.Sub(n.lastContactAt))
+		if n.alive && !n.frozen && n.replica.diskFull == nil {
+			o.checkControlAge(n.name, n.replica.state.SettingsVersion(), o.sim.now.Sub(n.lastContactAt), 0)
 		}
 	}
 	for _, b := range o.sim.boxes {
 		if b.alive {
-			o.checkControlAge(b.name, b.follower.State().SettingsVersion(), b.follower.ControlAge(o.sim.now))
+			o.checkControlAge(b.name, b.follower.State().SettingsVersion(), b.follower.ControlAge(o.sim.now), transitTime)
 		}
 	}
 }
 
-func (o *operators) checkControlAge(name string, version uint64, age time.Duration) {
+func (o *operators) checkControlAge(name string, version uint64, age, transit time.Duration) {
 	missing, ok := o.firstMissing(version)
 	if !ok {
 		return
 	}
-	if lacking := o.sim.now.Sub(missing.at); age < lacking-transitTime {
+	if lacking := o.sim.now.Sub(missing.at); age < lacking-transit {
 		o.sim.addProblem("%s has version %d and reports a control age of %s; version %d was acknowledged %s ago", name, version, age, missing.version, lacking)
 	}
 }
