control, gateway: log what tells requests at departed targets apart

Cause: from a request's id the logs led to its target, but not to whether the target had been registered again, whether the box knew that it had left, or how long the request waited after the choice. An update that was acknowledged from a replica's own state left no line at all. Measured: tests of gateway, control, catalog and platform pass; no change of behaviour. Conclusion: the three hypotheses can be told apart from a request's id.

--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/steering"
@@ -72,17 +74,34 @@
 		d.RecordRejectedUpdate(r.Id, err)
 		return err
 	}
+	departure := d.targetIndex.departure(state.Catalog(), r.Id)
 	if !d.targetIndex.wouldChange(state.Catalog(), r, c.Leave) && !d.mayLackTarget(c) {
+		d.addUpdate(d.updateLog.line(d.clock.Now(), nil), c, departure).Uint64("stateVersion", state.Version()).
+			Dur("controlAge", d.controlAge()).Msg("registration update changes nothing")
 		return nil
 	}
+	if departure != nil && !c.Leave && catalog.IsOfDeparted(r, departure) {
+		d.readmissions.Inc()
+	}
 	began := d.clock.Now()
 	err := d.registrations.submit(ctx, c, false)
-	d.updateLog.line(d.clock.Now(), err).Str("kind", "registration").Str("target", r.Id).Str("service", r.Service).Str("address", r.Address).
-		Bool("draining", r.Draining).Bool("leaves", c.Leave).Int64("coldMillis", r.ColdMilli).Uint64("sequence", r.Sequence).Int64("born", r.BornUnixMilli).
-		Uint64("stateVersion", state.Version()).Dur("took", d.clock.Since(began)).Msg("registration update submitted")
+	d.addUpdate(d.updateLog.line(d.clock.Now(), err), c, departure).Uint64("stateVersion", state.Version()).
+		Dur("took", d.clock.Since(began)).Msg("registration update submitted")
 	return err
 }
 
+// addUpdate adds a registration update to a log line, and the departure that is recorded for its
+// target, if any.
+func (d *Daemon) addUpdate(line *zerolog.Event, c *wire.RegistrationCommand, departure *wire.Departure) *zerolog.Event {
+	r := c.Registration
+	line = line.Str("kind", "registration").Str("target", r.Id).Str("service", r.Service).Str("address", r.Address).
+		Bool("draining", r.Draining).Bool("leaves", c.Leave).Int64("coldMillis", r.ColdMilli).Uint64("sequence", r.Sequence).Int64("born", r.BornUnixMilli)
+	if departure == nil {
+		return line
+	}
+	return line.Uint64("departedSequence", departure.Sequence).Int64("departedBorn", departure.BornUnixMilli)
+}
+
 // maxLocalAckAge is the control age up to which a target's withdrawal may be acknowledged from the
 // local state: a heartbeat interval of the leader and two round trips to it, with a margin.
 const maxLocalAckAge = 500 * time.Millisecond
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -52,6 +52,8 @@
 	// bounds the log lines about them.
 	rejectedUpdates    prometheus.Counter
 	rejectedLogLimiter *process.LineLimiter
+	// readmissions counts updates that register a departed target again.
+	readmissions       prometheus.Counter
 	operatorListener   net.Listener
 	extraServices      []process.Service
 
@@ -172,6 +174,7 @@
 	syncTime := d.process.Counter("journal_sync_seconds_total", "Time spent in syncs of the journal.").WithLabelValues()
 	d.rejectedUpdates = d.process.Counter("target_words_unread_total", "Words of targets that can't be used.").WithLabelValues()
 	d.rejectedLogLimiter = process.NewLineLimiter(maxRejectedLogsPerSecond)
+	d.readmissions = d.process.Counter("target_readmissions_total", "Registration updates that register a departed target again.").WithLabelValues()
 	verdicts := d.process.Counter("changes_settled_total", "Changes that got a verdict, by verdict.", "verdict")
 	d.replica.send = func(m *wire.ConsensusMessage) {
 		m.FromAddress = d.config.PeerAddress
--- a/internal/control/targetindex.go
+++ b/internal/control/targetindex.go
@@ -30,3 +30,11 @@
 	x.index.Advance(s)
 	return x.index.WouldChange(r, leave)
 }
+
+// departure returns the departure that a state holds for a target's id, or nil.
+func (x *targetIndex) departure(s catalog.State, id string) *wire.Departure {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.index.Advance(s)
+	return x.index.Departure(id)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -92,6 +92,8 @@
 	permitExpiry time.Time
 	// connectTime is how long a new connection of this box itself took; zero for others.
 	connectTime time.Duration
+	// sentAfter is the time from the choice of the target until the request was sent.
+	sentAfter time.Duration
 	// connection is the one on which the request was sent; nil before.
 	connection *connection
 }
@@ -137,6 +139,7 @@
 		a.connectTime = a.gateway.clock.Since(began)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	a.sentAfter = a.gateway.clock.Since(a.chosenAt)
 	out, err := a.exchange(c)
 	if err != nil {
 		stop()
--- a/internal/gateway/hedging.go
+++ b/internal/gateway/hedging.go
@@ -182,7 +182,7 @@
 // recordAttempt records the result of an attempt and reports its outcome to the balancer.
 func (c *callerRequest) recordAttempt(e attemptEnd) {
 	c.pending = slices.DeleteFunc(c.pending, func(p *pendingAttempt) bool { return p == e.pendingAttempt })
-	c.lastAttempt = attemptRecord{peer: e.attempt.peerName(), target: e.choice.Target, choice: e.choice.Choice, newConnection: e.attempt.connectTime > 0, took: e.took, sent: e.failure == nil || e.failure.sent}
+	c.lastAttempt = attemptRecord{peer: e.attempt.peerName(), target: e.choice.Target, choice: e.choice.Choice, newConnection: e.attempt.connectTime > 0, took: e.took, sent: e.failure == nil || e.failure.sent, sentAfter: e.attempt.sentAfter}
 	report := balance.Report{
 		TargetID: e.choice.Target.ID, Route: c.route.Name, Took: e.took, Connect: e.attempt.connectTime, MarkedOverdue: e.overdue,
 		AffinityKey: c.affinityKey(),
@@ -198,6 +198,7 @@
 		report.Outcome = c.classifyResponse(e.out)
 		report.Failed = report.Outcome == balance.Answered && e.out.status >= http.StatusInternalServerError
 		report.Load, report.HasLoad = e.out.targetStatus.Load, e.out.targetStatus.HasLoad
+		c.lastAttempt.leaving = e.out.targetStatus.Leaving
 		c.releaseAfterBody(e.out, func() { e.cancel(nil) })
 	}
 	c.lastAttempt.outcome = report.Outcome
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -31,6 +31,12 @@
 		line = line.Str("target", c.lastAttempt.target.ID).Str("targetZone", c.lastAttempt.target.Zone).Str("outcome", c.lastAttempt.outcome.String()).
 			Uint64("targetsVersion", c.lastAttempt.choice.Version).Dur("targetTook", c.lastAttempt.took).Dur("wait", c.lastAttempt.choice.ExpectedWait).Float64("load", c.lastAttempt.choice.Load).
 			Bool("newConnection", c.lastAttempt.newConnection).Int("sent", c.sent).Int("dials", c.dials).Bool("mayHaveRun", c.mayHaveRun)
+		if c.lastAttempt.sent {
+			line = line.Dur("sentAfter", c.lastAttempt.sentAfter)
+		}
+		if c.lastAttempt.leaving {
+			line = line.Bool("targetLeaving", true)
+		}
 		if c.lastAttempt.peer != "" {
 			line = line.Str("through", c.lastAttempt.peer)
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -87,10 +87,13 @@
 	newConnection bool
 	// peer is the box that the connection led through; empty for none.
 	peer string
-	// sent tells that the target may have received the request.
-	sent bool
-	took time.Duration
-	err  error
+	// sent tells that the target may have received the request, sentAfter after it was chosen.
+	sent      bool
+	sentAfter time.Duration
+	// leaving tells that the response reported that the target is shutting down.
+	leaving bool
+	took    time.Duration
+	err     error
 }
 
 // hedgeRecord is what the log reports of hedged attempts.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -103,7 +103,8 @@
 	}
 	d.balancing.Unlock()
 	d.log.Info().Str("kind", "targets").Int("targets", len(c.Targets())).Int("draining", countDraining(c.Targets())).
-		Int("changed", len(changed)).Int("ended", len(ended)).Strs("evacuated", c.Evacuated()).
+		Int("changed", len(changed)).Int("ended", len(ended)).Strs("endedTargets", firstNames(incarnationNames(ended))).
+		Strs("drainingTargets", firstNames(drainingNames(changed))).Strs("evacuated", c.Evacuated()).
 		Uint64("stateVersion", version).Dur("controlAge", d.follower.ControlAge()).Msg("targets applied")
 }
 
@@ -131,6 +132,20 @@
 	return out
 }
 
+// maxListedTargets bounds the targets of one kind that a log line names.
+const maxListedTargets = 16
+
+func firstNames(names []string) []string { return names[:min(len(names), maxListedTargets)] }
+
+func drainingNames(targets []balance.Target) (names []string) {
+	for _, t := range targets {
+		if t.Draining {
+			names = append(names, t.ID)
+		}
+	}
+	return names
+}
+
 func countDraining(list []*wire.Registration) (n int) {
 	for _, r := range list {
 		if r.Draining {
--- a/pkg/catalog/index.go
+++ b/pkg/catalog/index.go
@@ -113,6 +113,9 @@
 	return known != nil && IsRedundant(known, r)
 }
 
+// Departure returns the departure that is recorded for a target's id, or nil.
+func (x *Index) Departure(id string) *wire.Departure { return x.departures[id] }
+
 // WouldChange reports whether a registration update would change the state.
 func (x *Index) WouldChange(r *wire.Registration, leave bool) bool {
 	check := updateCheck{
--- a/pkg/catalog/registration.go
+++ b/pkg/catalog/registration.go
@@ -90,6 +90,12 @@
 		r.Slots == known.Slots && r.Draining == known.Draining && coldSame
 }
 
+// IsOfDeparted reports whether an update belongs to the incarnation that departed, or to an earlier
+// one.
+func IsOfDeparted(r *wire.Registration, d *wire.Departure) bool {
+	return compareStarts(r.BornUnixMilli, d.BornUnixMilli) <= 0
+}
+
 // departuresOf converts ids of departed targets to departures.
 func departuresOf(ids []string) []*wire.Departure {
 	var out []*wire.Departure
