control: failing tests of a late heartbeat of a departed target

What callers would see: requests reach a target up to the end of its process, after its end was acknowledged. Evidence: virtual time, three replicas.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -53,9 +53,9 @@
 	rejectedUpdates    prometheus.Counter
 	rejectedLogLimiter *process.LineLimiter
 	// readmissions counts updates that register a departed target again.
-	readmissions       prometheus.Counter
-	operatorListener   net.Listener
-	extraServices      []process.Service
+	readmissions     prometheus.Counter
+	operatorListener net.Listener
+	extraServices    []process.Service
 
 	started time.Time
 	// lastContact is the last time at which the published state was known to hold everything that
--- /dev/null
+++ b/internal/control/departed_test.go
@@ -0,0 +1,238 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"ledgesill.dev/ledgesill/pkg/steering"
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// targetHeartbeat is the interval at which targets send heartbeats.
+const targetHeartbeat = 1500 * time.Millisecond
+
+// heartbeat returns a heartbeat of one incarnation of a target.
+func heartbeat(born int64, sequence uint64, draining bool, coldMilli int64) *wire.RegistrationCommand {
+	return &wire.RegistrationCommand{Registration: &wire.Registration{
+		Id: "target", Service: "s", Address: "a", Zone: "z1", Slots: 10, BornUnixMilli: born, Sequence: sequence, Draining: draining, ColdMilli: coldMilli,
+	}}
+}
+
+// leave is what a DELETE of the target amounts to, which names no incarnation.
+func leave() *wire.RegistrationCommand {
+	return &wire.RegistrationCommand{Leave: true, Registration: &wire.Registration{Id: "target"}}
+}
+
+func mustRegister(t *testing.T, at *Daemon, c *wire.RegistrationCommand) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), operatorCallTimeout)
+	defer cancel()
+	if err := at.register(ctx, c); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// isServing reports whether a replica's state lists the target and does not call it draining.
+func isServing(t *testing.T, at *Daemon) bool {
+	t.Helper()
+	state, err := at.State(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range state.Catalog().Targets() {
+		if !r.Draining {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against requests to a target that has left: a heartbeat that it sent before its end, and
+// that arrives after it, registered the target again.
+func TestLateHeartbeatDoesNotReadmitDepartedTarget(t *testing.T) {
+	for _, born := range []int64{0, 1000} {
+		for _, last := range []uint64{4, 9, 20, 40} {
+			for _, drains := range []bool{false, true} {
+				t.Run(fmt.Sprintf("born %d, %d heartbeats, drains %t", born, last, drains), func(t *testing.T) {
+					runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
+						leader, other := s.leaderAndAnother(t)
+						replicas := []*Daemon{leader, other}
+						for n := uint64(1); n < last; n++ {
+							mustRegister(t, replicas[n%2], heartbeat(born, n, false, 0))
+							time.Sleep(targetHeartbeat)
+						}
+						if drains {
+							mustRegister(t, leader, heartbeat(born, last+1, true, 0))
+							time.Sleep(2500 * time.Millisecond)
+						}
+						mustRegister(t, leader, leave())
+						time.Sleep(time.Second)
+						mustRegister(t, other, heartbeat(born, last, false, 0))
+						time.Sleep(time.Second)
+						if isServing(t, leader) {
+							t.Errorf("heartbeat %d, a second late, registered the target again", last)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// departedOrders is how many orders of messages a test draws.
+const departedOrders = 60
+
+// Guards against requests to a target that has left, whatever order its messages arrive in: each is
+// up to three seconds late, some are sent twice, to any of three replicas. Later than half a second
+// after the first acknowledgement that it drains or is gone, no replica lists it as serving.
+func TestDepartedTargetIsNotServingInAnyOrder(t *testing.T) {
+	for _, born := range []int64{0, 1000} {
+		for seed := range uint64(departedOrders) {
+			t.Run(fmt.Sprintf("born %d, seed %d", born, seed), func(t *testing.T) {
+				runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
+					leader, other := s.leaderAndAnother(t)
+					o := &departedOrder{replicas: []*Daemon{leader, other, s.follower(t)}, random: rand.New(rand.NewPCG(seed, 1))}
+					defer o.sending.Wait()
+					o.sendAll(born)
+					o.check(t)
+				})
+			})
+		}
+	}
+}
+
+// departedOrder sends the messages of a target that ends, out of order.
+type departedOrder struct {
+	replicas []*Daemon
+	random   *rand.Rand
+	sending  sync.WaitGroup
+
+	mu      sync.Mutex
+	ackedAt time.Time
+}
+
+// sendAll sends heartbeats, a drain in half of the cases, and a leave.
+func (o *departedOrder) sendAll(born int64) {
+	n := uint64(1)
+	for range 11 + o.random.IntN(4) {
+		o.send(heartbeat(born, n, false, max(0, 3000-1500*int64(n))), false)
+		n++
+		time.Sleep(targetHeartbeat)
+	}
+	if o.random.IntN(2) == 0 {
+		o.send(heartbeat(born, n, true, 0), true)
+		time.Sleep(time.Duration(o.random.Int64N(int64(2500 * time.Millisecond))))
+	}
+	o.send(leave(), true)
+}
+
+// send sends a message once or twice, to any replica; withdraws tells that it says the target drains
+// or is gone.
+func (o *departedOrder) send(c *wire.RegistrationCommand, withdraws bool) {
+	for range 1 + o.random.IntN(5)/4 {
+		delay := time.Duration(0)
+		if o.random.IntN(3) == 0 || !withdraws && c.Registration.Sequence > 10 {
+			delay = time.Duration(o.random.Int64N(int64(3 * time.Second)))
+		}
+		at := o.replicas[o.random.IntN(len(o.replicas))]
+		o.sending.Go(func() {
+			time.Sleep(delay)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			if at.register(ctx, c) == nil && withdraws {
+				o.recordAck()
+			}
+		})
+	}
+}
+
+func (o *departedOrder) recordAck() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ackedAt.IsZero() {
+		o.ackedAt = time.Now()
+	}
+}
+
+// isDue reports whether the target must not be listed as serving any more.
+func (o *departedOrder) isDue() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.ackedAt.IsZero() && time.Since(o.ackedAt) > 500*time.Millisecond
+}
+
+// check watches all replicas for eight seconds.
+func (o *departedOrder) check(t *testing.T) {
+	t.Helper()
+	for range 80 {
+		time.Sleep(100 * time.Millisecond)
+		if !o.isDue() {
+			continue
+		}
+		for i, r := range o.replicas {
+			if isServing(t, r) {
+				t.Fatalf("replica %d lists the target as serving %s after the acknowledgement", i, time.Since(o.ackedAt))
+			}
+		}
+	}
+}
+
+// formerBorn and currentBorn are the starts of two incarnations of a target.
+const (
+	formerBorn  = 1000
+	currentBorn = 2000
+)
+
+// Guards against a target that stays without requests because a late leave of its former incarnation
+// removed it. The bounds are the times that it took when departed targets were registered again by
+// the distance of sequence numbers.
+func TestTargetReturnsAfterLateLeaveOfFormerIncarnation(t *testing.T) {
+	for _, c := range []struct {
+		heartbeats int // of the current incarnation, before the leave arrives
+		within     time.Duration
+	}{
+		{1, 8 * targetHeartbeat},
+		{2, 7 * targetHeartbeat},
+		{4, 5 * targetHeartbeat},
+		{8, targetHeartbeat},
+		{20, targetHeartbeat},
+		{40, targetHeartbeat},
+	} {
+		for _, crashed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d heartbeats, former crashed %t", c.heartbeats, crashed), func(t *testing.T) {
+				runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
+					leader, other := s.leaderAndAnother(t)
+					replicas := []*Daemon{leader, other}
+					mustRegister(t, leader, heartbeat(formerBorn, 1, false, 0))
+					time.Sleep(targetHeartbeat)
+					if !crashed {
+						mustRegister(t, leader, leave())
+						time.Sleep(targetHeartbeat)
+					}
+					n := uint64(0)
+					beat := func() {
+						n++
+						mustRegister(t, replicas[n%2], heartbeat(currentBorn, n, false, 0))
+						time.Sleep(targetHeartbeat)
+					}
+					for range c.heartbeats {
+						beat()
+					}
+					mustRegister(t, other, leave())
+					removedAt := time.Now()
+					for !isServing(t, leader) {
+						if time.Since(removedAt) > c.within {
+							t.Fatalf("the target does not serve again %s after the late leave", time.Since(removedAt))
+						}
+						beat()
+					}
+					t.Logf("serves again after %s", time.Since(removedAt))
+				})
+			})
+		}
+	}
+}
