catalog, control: make the departure of a target's only incarnation final

Callers: requests reach a target whose end was acknowledged, up to the end of its process. Cause: a departure keeps the sequence of the registration that was stored, and heartbeats that change nothing are not stored: after 40 heartbeats it is 1. So the distance of 8 by which a departed incarnation is registered again, meant for updates sent long after the departure, is reached by one heartbeat that was on its way. Class: the last stored number taken for the last one sent. Ruled out: never to register again (a leave names no incarnation, so a late one of a former incarnation would remove the current one for good); to count from the first late heartbeat (12 s instead of 3 for a target that is removed wrongly); another meaning of leave or of departures in the log (replicas of both versions would apply it to different states). Change: where a leave surely concerns the registered incarnation, the leader proposes an update before it that drains the target with a final sequence, so that the departure keeps that sequence. Before an update of a new incarnation it proposes the leave of the former one, so that the state tells whether there was one: then a leave stays correctable as before. Both are commands that former versions apply alike. Conclusion: fixed once the leader is renewed, but for targets that had another incarnation before: their plain leave is still ambiguous.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -20,6 +20,7 @@
 	"ledgesill.dev/ledgesill/internal/link"
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/internal/relay"
+	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/journal"
 	"ledgesill.dev/ledgesill/pkg/lookup"
@@ -39,9 +40,11 @@
 	publisher    *relay.Publisher
 	permitIssuer *permitIssuer
 	// targetLimits issues permits for targets that report a rate limit.
-	targetLimits  *targetLimits
-	routes        *routesDecoder
-	targetIndex   targetIndex
+	targetLimits *targetLimits
+	routes       *routesDecoder
+	targetIndex  targetIndex
+	// prelude returns the commands that must precede a registration update in the log.
+	prelude       func(s catalog.State, c *wire.RegistrationCommand) []*wire.RegistrationCommand
 	updateLog     *updateLog
 	registrations *registrationQueue
 	evidence      *evidence
@@ -148,6 +151,7 @@
 	d.evidence = newEvidence()
 	d.evidence.hello = d.askHello
 	d.registrations.commit = d.commitUpdates
+	d.prelude = d.targetIndex.prelude
 	d.permitIssuer = &permitIssuer{bound: d.config.LimitBound, routes: d.routes}
 	d.permitIssuer.setState(r.state)
 	tlsConfig, err := d.config.TLS()
--- a/internal/control/departed_test.go
+++ b/internal/control/departed_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -236,3 +239,48 @@
 		}
 	}
 }
+
+// Guards against replicas that hold different targets or departures while they are renewed one by
+// one, with a leader of either version, and against a fault that outlives the renewal of the leader.
+func TestDepartedTargetWhileReplicasAreRenewed(t *testing.T) {
+	for renewed := range 4 {
+		for seed := range uint64(10) {
+			t.Run(fmt.Sprintf("%d renewed, seed %d", renewed, seed), func(t *testing.T) {
+				runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
+					leader, other := s.leaderAndAnother(t)
+					replicas := []*Daemon{other, s.follower(t), leader}
+					for _, d := range replicas[renewed:] {
+						d.prelude = func(catalog.State, *wire.RegistrationCommand) []*wire.RegistrationCommand { return nil }
+					}
+					o := &departedOrder{replicas: replicas, random: rand.New(rand.NewPCG(seed, 1))}
+					o.sendAll(formerBorn)
+					o.sending.Wait()
+					time.Sleep(time.Second)
+					if renewed == 3 && isServing(t, leader) {
+						t.Error("a departed target is listed as serving although the leader is renewed")
+					}
+					s.wantSameCatalogs(t)
+				})
+			})
+		}
+	}
+}
+
+// wantSameCatalogs checks that all replicas hold the same targets and departures.
+func (s *slowReplicas) wantSameCatalogs(t *testing.T) {
+	t.Helper()
+	var first *wire.Catalog
+	for i, d := range s.daemons {
+		state, err := d.State(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		held := state.Catalog().Encode()
+		if i == 0 {
+			first = held
+		}
+		if !proto.Equal(held, first) {
+			t.Errorf("replica %d holds %v, replica 0 %v", i, held, first)
+		}
+	}
+}
--- a/internal/control/registrationcalls.go
+++ b/internal/control/registrationcalls.go
@@ -20,7 +20,7 @@
 		return repeatError(len(batch), err)
 	}
 	if v.status.Role == consensus.Leader {
-		return d.replica.submitUpdates(ctx, batch)
+		return d.replica.submitUpdates(ctx, d.proposals(batch))
 	}
 	address := d.leaderAddress(v)
 	if address == "" {
@@ -135,21 +135,47 @@
 	return &wire.CallAnswer{Words: out}
 }
 
-// submitUpdates proposes updates together and waits for their outcomes until the context ends.
-func (r *replica) submitUpdates(ctx context.Context, batch []*pendingUpdate) []error {
-	out := repeatError(len(batch), &UnavailableError{Cause: errNotCommitted})
-	commands := make([]*wire.Command, len(batch))
+// updateProposal is a registration update that a leader proposes, after the commands that must
+// precede it in the log.
+type updateProposal struct {
+	prelude []*wire.RegistrationCommand
+	update  *wire.RegistrationCommand
+}
+
+// proposals returns the proposals for a batch by the state that was applied last. Updates that are
+// in flight may be missing in that state; a target that sends that many heartbeats within the time
+// to commit an update does not exist.
+func (d *Daemon) proposals(batch []*pendingUpdate) []updateProposal {
+	out := make([]updateProposal, len(batch))
+	state := d.latest().Catalog()
 	for i, update := range batch {
-		commands[i] = &wire.Command{Registration: update.command}
+		out[i] = updateProposal{d.prelude(state, update.command), update.command}
 	}
-	reply := make(chan updateOutcome, len(batch))
+	return out
+}
+
+// submitUpdates proposes updates together and waits for their outcomes until the context ends.
+func (r *replica) submitUpdates(ctx context.Context, updates []updateProposal) []error {
+	out := repeatError(len(updates), &UnavailableError{Cause: errNotCommitted})
+	var commands []*wire.Command
+	updateOf := make(map[int]int, len(updates)) // by the index of its command
+	for i, u := range updates {
+		for _, c := range u.prelude {
+			commands = append(commands, &wire.Command{Registration: c})
+		}
+		updateOf[len(commands)] = i
+		commands = append(commands, &wire.Command{Registration: u.update})
+	}
+	reply := make(chan updateOutcome, len(commands))
 	if err := r.inbox.put(ctx, updateBatch{commands, reply}); err != nil {
-		return repeatError(len(batch), err)
+		return repeatError(len(updates), err)
 	}
-	for range batch {
+	for range commands {
 		select {
 		case o := <-reply:
-			out[o.index] = o.err
+			if i, ok := updateOf[o.index]; ok { // a prelude is committed if its update is
+				out[i] = o.err
+			}
 		case <-ctx.Done():
 			return out
 		}
--- a/internal/control/targetindex.go
+++ b/internal/control/targetindex.go
@@ -38,3 +38,20 @@
 	x.index.Advance(s)
 	return x.index.Departure(id)
 }
+
+// prelude returns the commands that must precede an update in the log.
+func (x *targetIndex) prelude(s catalog.State, c *wire.RegistrationCommand) []*wire.RegistrationCommand {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.index.Advance(s)
+	return x.index.Prelude(c)
+}
+
+// ambiguousLeave returns the registered incarnation of a target if a leave message without an
+// incarnation may be a late one of an earlier incarnation.
+func (x *targetIndex) ambiguousLeave(s catalog.State, id string) (catalog.Incarnation, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.index.Advance(s)
+	return x.index.AmbiguousLeave(id)
+}
--- /dev/null
+++ b/pkg/catalog/departure.go
@@ -0,0 +1,65 @@
+package catalog
+
+import (
+	"math"
+
+	"google.golang.org/protobuf/proto"
+
+	"ledgesill.dev/ledgesill/pkg/wire"
+)
+
+// finalSequence is the sequence of an incarnation whose departure is final: no update of it has a
+// sequence that is higher by readmitAfterUpdates.
+const finalSequence = math.MaxUint64 - readmitAfterUpdates
+
+// Prelude returns the commands that a leader must propose right before a registration update, so that
+// the departure of an incarnation is recorded as what it is. It needs no new kind of command:
+// replicas and boxes of earlier versions apply the result alike.
+//
+// Before an update of a new incarnation it is the leave of the one that it replaces, by which a late
+// leave message of that one is recognized as ambiguous. Before a leave that surely concerns the
+// registered incarnation it is an update that makes its departure final: the sequence of a
+// registration is that of the last change, which heartbeats on their way may exceed by any number.
+func (x *Index) Prelude(c *wire.RegistrationCommand) []*wire.RegistrationCommand {
+	r := c.Registration
+	known := x.byID[r.GetId()]
+	if known == nil || known.BornUnixMilli == 0 || !x.WouldChange(r, c.Leave) {
+		return nil
+	}
+	if !c.Leave {
+		if r.BornUnixMilli == known.BornUnixMilli {
+			return nil
+		}
+		former := &wire.Registration{Id: known.Id, BornUnixMilli: known.BornUnixMilli}
+		return []*wire.RegistrationCommand{{Registration: former, Leave: true}}
+	}
+	if known.Draining || r.BornUnixMilli == 0 && x.mayHaveFormer(known) {
+		return nil
+	}
+	return []*wire.RegistrationCommand{{Registration: finalUpdate(known)}}
+}
+
+// finalUpdate returns the last update of an incarnation.
+func finalUpdate(known *wire.Registration) *wire.Registration {
+	r := proto.CloneOf(known)
+	r.Draining = true
+	r.Sequence = finalSequence
+	return r
+}
+
+// AmbiguousLeave returns the incarnation that is registered under an id if a leave message without an
+// incarnation may be a late one of an earlier incarnation.
+func (x *Index) AmbiguousLeave(id string) (current Incarnation, ambiguous bool) {
+	known := x.byID[id]
+	if known == nil || known.BornUnixMilli == 0 || known.Draining || !x.mayHaveFormer(known) {
+		return Incarnation{}, false
+	}
+	return IncarnationOf(known), true
+}
+
+// mayHaveFormer reports whether another incarnation may have departed under the id of a registered
+// one. Once departures are evicted, any may.
+func (x *Index) mayHaveFormer(known *wire.Registration) bool {
+	d := x.departures[known.Id]
+	return d != nil && compareStarts(d.BornUnixMilli, known.BornUnixMilli) <= 0 || len(x.departures) >= maxDepartures
+}
