control, platform: have a leave name the incarnation where it is ambiguous

Callers: requests reach a target that has started before under its id and whose end was acknowledged; and a target that has started again gets no requests for up to 12 s. Cause: a leave names no incarnation. Where the target has had another one, control could not tell a late leave of that one from one of the current incarnation, so it removed the current one and registered it again by later heartbeats, of which one that was only late looks the same. Ruled out: to tell them apart by time or by counting (a cut delays several and they arrive at once); a token in heartbeatUrl (proves that a heartbeat was sent later, but takes two heartbeats, and all heartbeats would go to one address); to ignore the first such leave (its sender ends unacknowledged). Change: such a leave is answered 307 with a location that names the current start. Only a process that runs follows it, so a late one of a process that has ended changes nothing. A target that never restarted is removed at once as before, as are all that don't state their start. Left: a replica that does not know of the restart yet (under 0.5 s as a rule) or is of the former version removes the target as before, correctable as before.

--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -218,7 +218,7 @@
 		return nil, err
 	}
 	api := platform.ControlAPI{
-		Register: d.Register, Deregister: d.Deregister, PutRoutes: d.PutRoutes, Routes: d.Routes, Evacuate: d.Evacuate,
+		Register: d.Register, Deregister: d.Deregister, DeregisterIncarnation: d.DeregisterIncarnation, PutRoutes: d.PutRoutes, Routes: d.Routes, Evacuate: d.Evacuate,
 		StartRollout: d.StartRollout, Rollout: d.Rollout, OnInvalidHeartbeat: d.RecordRejectedUpdate,
 	}
 	if s.ControlAddress != "" {
--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -59,11 +59,33 @@
 	return d.register(ctx, &wire.RegistrationCommand{Registration: r})
 }
 
-// Deregister removes a target for good.
+// AmbiguousTargetError reports that a target's withdrawal was not applied, because it names no
+// incarnation and may be a late one of an earlier incarnation. The target sends it again, naming the
+// current incarnation; an earlier one that has ended does not.
+type AmbiguousTargetError struct{ Current catalog.Incarnation }
+
+// Error implements error.
+func (e *AmbiguousTargetError) Error() string {
+	return fmt.Sprintf("target %s has had several incarnations; the withdrawal must name the start of the current one, %d", e.Current.ID, e.Current.StartedUnixMilli)
+}
+
+// Deregister removes a target. The error is an AmbiguousTargetError if the target has had another
+// incarnation.
 func (d *Daemon) Deregister(ctx context.Context, id string) error {
+	if current, ambiguous := d.targetIndex.ambiguousLeave(d.latest().Catalog(), id); ambiguous {
+		err := &AmbiguousTargetError{current}
+		d.RecordRejectedUpdate(id, err)
+		return err
+	}
 	return d.register(ctx, &wire.RegistrationCommand{Registration: &wire.Registration{Id: id}, Leave: true})
 }
 
+// DeregisterIncarnation removes one incarnation of a target for good.
+func (d *Daemon) DeregisterIncarnation(ctx context.Context, i catalog.Incarnation) error {
+	r := &wire.Registration{Id: i.ID, BornUnixMilli: i.StartedUnixMilli}
+	return d.register(ctx, &wire.RegistrationCommand{Registration: r, Leave: true})
+}
+
 func (d *Daemon) register(ctx context.Context, c *wire.RegistrationCommand) error {
 	state := d.latest()
 	if !c.Leave && d.targetIndex.isRedundant(state.Catalog(), c.Registration) {
--- a/internal/control/catalogapi.go
+++ b/internal/control/catalogapi.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"time"
@@ -172,10 +173,25 @@
 
 func (d *Daemon) deleteTarget(c iris.Context) {
 	id := c.Params().Get("id")
-	err := d.withSubmitTimeout(c, func(ctx context.Context) error { return d.Deregister(ctx, id) })
+	started := c.URLParamInt64Default(startedParam, 0)
+	err := d.withSubmitTimeout(c, func(ctx context.Context) error {
+		if started > 0 {
+			return d.DeregisterIncarnation(ctx, catalog.Incarnation{ID: id, StartedUnixMilli: started})
+		}
+		return d.Deregister(ctx, id)
+	})
+	var ambiguous *AmbiguousTargetError
+	if errors.As(err, &ambiguous) {
+		c.Redirect(fmt.Sprintf("/v1/targets/%s?%s=%d", url.PathEscape(id), startedParam, ambiguous.Current.StartedUnixMilli), http.StatusTemporaryRedirect)
+		return
+	}
 	d.answerCatalogCall(c, err, operator.Target{ID: id})
 }
 
+// startedParam is the query parameter that names the incarnation of a target by its start, in Unix
+// milliseconds.
+const startedParam = "bornMillis"
+
 func (d *Daemon) getGateways(c iris.Context) {
 	addresses, ttl := d.BoxesFor(c.URLParam("region"), c.URLParam("zone"))
 	if len(addresses) == 0 {
--- a/internal/control/departed_test.go
+++ b/internal/control/departed_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/kataras/iris/v12"
 	"google.golang.org/protobuf/proto"
 
 	"ledgesill.dev/ledgesill/pkg/catalog"
@@ -284,3 +287,96 @@
 		}
 	}
 }
+
+// maxRedirects is how many redirects in a row a target follows.
+const maxRedirects = 2
+
+// deleteTarget sends a DELETE of the target to a replica and returns the status of the last response.
+// A target that has ended follows no redirect.
+func deleteTarget(t *testing.T, at *Daemon, hasEnded bool) (status int) {
+	t.Helper()
+	app := iris.New()
+	at.addCatalogHandlers(app)
+	if err := app.Build(); err != nil {
+		t.Fatal(err)
+	}
+	path := "/v1/targets/target"
+	for range 1 + maxRedirects {
+		r := httptest.NewRequest(http.MethodDelete, path, nil)
+		w := httptest.NewRecorder()
+		app.ServeHTTP(w, r)
+		status = w.Code
+		if status != http.StatusTemporaryRedirect || hasEnded {
+			return status
+		}
+		path = w.Header().Get("Location")
+	}
+	return status
+}
+
+// restartTarget has the target start twice under its id; the second incarnation has sent some
+// heartbeats.
+func (s *slowReplicas) restartTarget(t *testing.T, formerLeft bool, heartbeats uint64) (leader, other *Daemon) {
+	t.Helper()
+	leader, other = s.leaderAndAnother(t)
+	mustRegister(t, leader, heartbeat(formerBorn, 1, false, 0))
+	time.Sleep(targetHeartbeat)
+	if formerLeft {
+		mustRegister(t, leader, leave())
+		time.Sleep(targetHeartbeat)
+	}
+	for n := range heartbeats {
+		mustRegister(t, []*Daemon{leader, other}[n%2], heartbeat(currentBorn, n+1, false, 0))
+		time.Sleep(targetHeartbeat)
+	}
+	return leader, other
+}
+
+// Guards against requests to a target that has left and had started before under its id: one of its
+// heartbeats that arrived late registered it again.
+func TestLateHeartbeatDoesNotReadmitRestartedTarget(t *testing.T) {
+	for _, heartbeats := range []uint64{4, 9, 20, 40} {
+		for _, formerLeft := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d heartbeats, former left %t", heartbeats, formerLeft), func(t *testing.T) {
+				runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
+					leader, other := s.restartTarget(t, formerLeft, heartbeats)
+					if status := deleteTarget(t, other, false); status != http.StatusOK {
+						t.Fatalf("status %d", status)
+					}
+					if isServing(t, leader) {
+						t.Fatal("the target is still listed")
+					}
+					time.Sleep(time.Second)
+					mustRegister(t, other, heartbeat(currentBorn, heartbeats+1, false, 0))
+					time.Sleep(time.Second)
+					if isServing(t, leader) {
+						t.Error("a heartbeat that was a second late registered the target again")
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a target that gets no requests for a while because a DELETE of its former
+// incarnation arrives late.
+func TestLateDeleteOfFormerIncarnationChangesNothing(t *testing.T) {
+	for _, heartbeats := range []uint64{1, 4, 20} {
+		for _, formerLeft := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d heartbeats, former left %t", heartbeats, formerLeft), func(t *testing.T) {
+				runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
+					leader, other := s.restartTarget(t, formerLeft, heartbeats)
+					if status := deleteTarget(t, other, true); status == http.StatusOK {
+						t.Error("a DELETE that names no incarnation was acknowledged")
+					}
+					for range 20 {
+						if !isServing(t, leader) || !isServing(t, other) {
+							t.Fatal("the target is not listed as serving")
+						}
+						time.Sleep(100 * time.Millisecond)
+					}
+				})
+			})
+		}
+	}
+}
