gateway, targetstatus: remember since when a removed target is leaving

Callers: requests reach a target long after it reported in a response to this box that it is leaving. Cause: the balancer forgets a target that is removed. When it was registered again, the box took the time of the registration for that of the report, so the grace of a second in which a leaving target is used if no other can be began anew; and the registry forgot the report 10 s after the removal, so that afterwards the target was used as any other. Class: a fact of an incarnation kept with its registration. Ruled out: that a report is lost while the target stays registered (TestLeavingTargetIsNotUsedAgain). Change: the registry keeps the time of the first report, the balancer takes it from there, and the report is kept for a minute after the removal.

--- a/internal/gateway/leavingtargets_test.go
+++ b/internal/gateway/leavingtargets_test.go
@@ -211,3 +211,36 @@
 		}
 	})
 }
+
+// Guards against requests to a target that a late heartbeat registers again after it had reported that
+// it is shutting down and was removed.
+func TestLeavingTargetThatIsRegisteredAgainGetsNoRequests(t *testing.T) {
+	for _, absence := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 15 * time.Second, 40 * time.Second} {
+		t.Run(absence.String(), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				s := newTestCluster(t, 1, 1)
+				d := s.boxes[0]
+				s.send(d, 1)
+				s.waitForResponses()
+				s.targets[0].setLeaving(true)
+				s.send(d, 1)
+				s.waitForResponses()
+				reported := time.Now()
+				time.Sleep(1500 * time.Millisecond)
+				registered := *d.lastState
+				removed, _ := registered.ApplyRegistration(&wire.RegistrationCommand{Leave: true, Registration: &wire.Registration{Id: "t0"}})
+				d.applyTargets(removed, 2)
+				time.Sleep(absence)
+				d.applyTargets(registered, 3)
+				for range 10 {
+					s.send(d, 1)
+					time.Sleep(200 * time.Millisecond)
+				}
+				s.waitForResponses()
+				if got := s.targets[0].countBetween(reported.Add(leavingGrace), time.Now()); got > 0 {
+					t.Errorf("%d requests arrived later than %s after the target had reported that it is shutting down", got, leavingGrace)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -97,8 +97,8 @@
 	d.balancing.balancer.SetVersion(version)
 	for _, t := range changed {
 		d.balancing.balancer.SetLimited(t.ID, d.targetLimits.hasLimit(t.ID))
-		if d.targetLimits.isLeaving(t.ID) {
-			d.balancing.balancer.SetLeaving(now, t.ID)
+		if since, leaving := d.targetLimits.leavingSince(t.ID); leaving {
+			d.balancing.balancer.SetLeaving(since, t.ID)
 		}
 	}
 	d.balancing.Unlock()
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -143,6 +143,13 @@
 	return l.registry.IsLeaving(target)
 }
 
+// leavingSince returns when a target reported that it is shutting down, and false if it did not.
+func (l *targetLimits) leavingSince(target string) (since time.Time, leaving bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.registry.LeavingSince(target)
+}
+
 func (l *targetLimits) hasLimit(target string) bool { return l.limit(target) < targetstatus.NoLimit }
 
 // pendingReports returns the updates of the next report.
--- a/pkg/balance/leaving.go
+++ b/pkg/balance/leaving.go
@@ -6,16 +6,17 @@
 // usable. Targets go on serving for longer than that.
 const leavingGrace = time.Second
 
-// SetLeaving records that a target reported that it is leaving. From then on it receives requests
-// only if no other target is usable, and none after leavingGrace. Neither a registration nor
+// SetLeaving records that a target reported at a time that it is leaving. From then on it receives
+// requests only if no other target is usable, and none after leavingGrace. Neither a registration nor
 // another response reverts this.
-func (b *Balancer) SetLeaving(now time.Time, id string) {
-	if t := b.byID[id]; t != nil && t.leavingSince.IsZero() {
-		t.leavingSince = now
+func (b *Balancer) SetLeaving(since time.Time, id string) {
+	if t := b.byID[id]; t != nil && !t.leaving {
+		t.leaving = true
+		t.leavingSince = since
 	}
 }
 
-func (t *targetState) isLeaving() bool { return !t.leavingSince.IsZero() }
+func (t *targetState) isLeaving() bool { return t.leaving }
 
 // hasLeft reports whether the target is leaving and its grace period is over.
 func (t *targetState) hasLeft(now time.Time) bool {
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -94,7 +94,8 @@
 	// the requests kept from the target since it began.
 	backOffUnreported bool
 	skipped           int
-	// leavingSince is when the target reported that it is leaving; zero if it has not.
+	// leaving tells that the target reported that it is leaving, and leavingSince when.
+	leaving      bool
 	leavingSince time.Time
 	// The target is cold until coldUntil. Until then this box may send it as many requests as it
 	// has tokens.
--- a/pkg/targetstatus/registry.go
+++ b/pkg/targetstatus/registry.go
@@ -20,6 +20,8 @@
 	// which the last update was received.
 	lastChange uint64
 	receivedAt time.Time
+	// leavingSince is when the first update was received that says the target is leaving.
+	leavingSince time.Time
 }
 
 // minRaise is the fraction by which a limit must rise to count as changed. Otherwise a
@@ -57,6 +59,9 @@
 	if u.Received.After(next.receivedAt) {
 		next.receivedAt = u.Received
 	}
+	if next.Leaving && !before.Leaving {
+		next.leavingSince = u.Received
+	}
 	c = Change{u.Incarnation, before.active, next.active, next.Leaving && !before.Leaving}
 	changed = c.LimitChanged() || c.Leaving
 	if changed {
@@ -99,6 +104,12 @@
 // IsLeaving reports whether a target reported that it is leaving.
 func (r *Registry) IsLeaving(incarnation string) bool { return r.known[incarnation].Leaving }
 
+// LeavingSince returns when it became known that a target is leaving, and false if it is not.
+func (r *Registry) LeavingSince(incarnation string) (since time.Time, leaving bool) {
+	e := r.known[incarnation]
+	return e.leavingSince, e.Leaving
+}
+
 // ReceivedAt returns when the last update about a target was received; zero for none.
 func (r *Registry) ReceivedAt(incarnation string) time.Time { return r.known[incarnation].receivedAt }
 
@@ -152,6 +163,9 @@
 	// withdrawnRetention is how long a withdrawn limit is remembered. It is longer than any
 	// request is in flight.
 	withdrawnRetention = 10 * time.Minute
+	// leavingRetention is how long a target that is leaving is remembered once it is not registered
+	// any more: a heartbeat that it sent before its end may register it again.
+	leavingRetention = time.Minute
 )
 
 // Prune removes targets that are no longer registered, and limits that were withdrawn so
@@ -159,7 +173,11 @@
 func (r *Registry) Prune(now time.Time, isRegistered func(incarnation string) bool) {
 	for incarnation, e := range r.known {
 		age := now.Sub(e.receivedAt)
-		gone := !isRegistered(incarnation) && age > registrationDelay
+		retention := registrationDelay
+		if e.Leaving {
+			retention = leavingRetention
+		}
+		gone := !isRegistered(incarnation) && age > retention
 		withdrawn := e.active == NoLimit && !e.Leaving && age > withdrawnRetention
 		if gone || withdrawn {
 			delete(r.known, incarnation)
