gateway: bound what is read of a target's response that is not forwarded

Callers: all callers of a box fail when a target writes bytes without end in place of a response: the box holds them in memory (184 MB on the users' boxes) until the request's time is over. Cause: http.ReadResponse reads a status line and a header of any length; interim responses and the bodies of responses to other requests were skipped without a bound. Ruled out: the trailer (closed after some bytes), the lines between chunks, and a body that is forwarded, which ends with the request and does not look complete: these passed before. Change: a reader below the buffer fails once 64 KB of a head have been read, interim ones included; a body that is skipped may have 256 KB, as one that is buffered. The request ends as one whose connection broke: it may have run, so only a repeatable one goes to another target.

--- a/internal/gateway/connectionpool.go
+++ b/internal/gateway/connectionpool.go
@@ -35,7 +35,9 @@
 // connection is a connection to a target. One request at a time uses it.
 type connection struct {
 	net.Conn
+	// reader reads from the connection through head, which bounds response heads.
 	reader *bufio.Reader
+	head   *headLimiter
 	// peer is the box that it leads through; its name is empty for a connection of this box itself.
 	peer targetpath.Peer
 	// used tells that a request was sent on it before.
@@ -59,7 +61,8 @@
 }
 
 func newConnection(conn net.Conn, peer targetpath.Peer) *connection {
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), peer: peer}
+	head := &headLimiter{source: conn}
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(head, readBuffer), head: head, peer: peer}
 }
 
 // isDirect reports whether the connection does not lead through a peer.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -23,8 +23,10 @@
 	// maxBufferTime bounds how long a response is buffered. One that takes longer, on a narrow
 	// link, is streamed.
 	maxBufferTime = 40 * time.Millisecond
-	// maxStaleResponses bounds how many responses to earlier requests are skipped.
+	// maxStaleResponses bounds how many responses to earlier requests are skipped, and
+	// maxStaleBody the length of the body of each.
 	maxStaleResponses = 4
+	maxStaleBody      = maxBufferedResponse
 )
 
 // targetResponse is the response of a target.
@@ -247,13 +249,29 @@
 		// A response to an earlier request: the one to this request may follow.
 		a.gateway.log.Debug().Str("kind", "skippedAnswer").Str("request", a.requestID).Str("target", a.target.ID).Str("of", got).Msg("skipped a response to another request")
 		c.outOfSync = true
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := skipBody(response.Body); err != nil {
 			return nil, errors.Wrap(err, "skipping a response to another request")
 		}
 	}
 	return nil, errors.New("too many responses to other requests")
 }
 
+// errStaleBodyTooLong says that a response to another request has a body that is too long to be
+// skipped.
+var errStaleBodyTooLong = errors.Newf("its body is longer than %d bytes", maxStaleBody)
+
+// skipBody reads a body to its end, unless it is longer than maxStaleBody.
+func skipBody(body io.Reader) error {
+	_, err := io.CopyN(io.Discard, body, maxStaleBody+1)
+	switch {
+	case err == nil:
+		return errStaleBodyTooLong
+	case errors.Is(err, io.EOF):
+		return nil
+	}
+	return err
+}
+
 // recordContact records that a response has arrived on a connection.
 func (a *attempt) recordContact(c *connection) {
 	if c.isDirect() {
@@ -262,8 +280,11 @@
 	a.gateway.connections.paths.recordResponse(a.gateway.clock.Now(), a.target.Zone, c.peer.Name)
 }
 
-// readFinalResponse reads a response, skipping interim ones.
+// readFinalResponse reads a response, skipping interim ones. The error is a headTooLongError if their
+// heads together are longer than maxResponseHead.
 func readFinalResponse(c *connection, r *http.Request) (*http.Response, error) {
+	c.head.begin()
+	defer c.head.end()
 	for {
 		response, err := http.ReadResponse(c.reader, r)
 		if err != nil {
