entry: bound the heads, health responses and lists that a box reads

Callers: all callers of a box fail when a target answers a health check, or the platform the request for its list of boxes, with bytes without end: the box holds them in memory until the second for it is over. The JSON of both was decoded without a limit, and the transports had the default limit of 10 MB for each response head. Change: 64 KB for a head, 64 KB for a health response, 1 MB for the list. Ruled out: bodies of answers (64 KB are buffered, the rest is forwarded in pieces and ends with the request), bytes after a request was broken off (discarded, for requestTimeoutMillis at most), and internal/isolation (passes on messages of internal/link, which are bounded). Evidence: TestEndlessJSONIsBounded failed before with 134 MB read in both cases, TestEndlessResponseHeadIsBounded with 10 MB in 3 of 3; both pass.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -153,21 +153,12 @@
 	if d.node, err = link.Listen(d.network, d.config.PeerAddress, id, d.process.Clock, handlers, secure); err != nil {
 		return errors.Join(err, d.callerListener.Close())
 	}
-	d.targetTransport = &http.Transport{
-		DialContext:         d.dialForSlot,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
-	d.probeClient = &http.Client{Transport: &http.Transport{DialContext: d.dialTarget}, Timeout: probeTimeout}
-	d.peerTransport = &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return d.node.Forward(ctx, address)
-		},
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
+	d.targetTransport = newTransport(d.dialForSlot)
+	probes := &http.Transport{DialContext: d.dialTarget, MaxResponseHeaderBytes: maxResponseHeaderBytes}
+	d.probeClient = &http.Client{Transport: probes, Timeout: probeTimeout}
+	d.peerTransport = newTransport(func(ctx context.Context, _, address string) (net.Conn, error) {
+		return d.node.Forward(ctx, address)
+	})
 	d.process.Gauge("control_bytes_sent", "Bytes sent to other processes, forwarded requests left out.", func() float64 { return float64(d.node.Control.Sent.Load()) })
 	d.process.Gauge("control_bytes_received", "Bytes received from other processes, forwarded requests left out.", func() float64 { return float64(d.node.Control.Received.Load()) })
 	return nil
@@ -307,3 +298,14 @@
 }
 
 const viewTimeout = 200 * time.Millisecond
+
+// newTransport returns a transport for requests of callers.
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{
+		DialContext:            dial,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}
+}
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
@@ -98,7 +97,7 @@
 	defer response.Body.Close()
 	p.recordHealthStatus(name, response, start)
 	var h targetHealth
-	if err := json.NewDecoder(response.Body).Decode(&h); err != nil {
+	if err := decodeJSON(response.Body, maxHealthBytes, &h); err != nil {
 		return report, err
 	}
 	report.Ready = h.Ready
@@ -152,7 +151,7 @@
 	}
 	defer response.Body.Close()
 	var list platformList
-	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+	if err := decodeJSON(response.Body, maxPlatformListBytes, &list); err != nil {
 		return nil, err
 	}
 	leaving := make(map[string]bool)
