entry: don't deliver a cut response to a keyed request as whole

Callers: a request with a key whose response is longer than 8 MB gets its first 8 MB as the whole one. Cause: readFully stopped at the limit without looking for more. Change: such a request ends as unknown, with the limit in the reason; a response of just 8 MB is delivered. Evidence: TestTooLongAnswerIsNotCut failed before ("ran" with 8388608 bytes), passes.

--- a/internal/entry/endlessresponse_test.go
+++ b/internal/entry/endlessresponse_test.go
@@ -8,7 +8,9 @@
 	"strings"
 	"testing"
 
-	"ledgesill.dev/ledgesill/internal/config")
+	"ledgesill.dev/ledgesill/internal/config"
+	"ledgesill.dev/ledgesill/pkg/caller"
+)
 
 const (
 	// endlessBytes is how much is written before a response counts as read without a bound.
@@ -113,3 +115,16 @@
 	_ = c.Close() // the box may have closed it
 	written <- total
 }
+
+// Guards against an answer to a keyed request that is cut at the limit and looks complete.
+func TestTooLongAnswerIsNotCut(t *testing.T) {
+	a := readFully(&answer{outcome: caller.Ran, status: http.StatusOK, stream: io.NopCloser(&endlessReader{text: "a"})})
+	if a.outcome != caller.Unknown {
+		t.Errorf("outcome %q with %d bytes, want %q", a.outcome, len(a.body), caller.Unknown)
+	}
+	whole := strings.Repeat("a", maxBody)
+	a = readFully(&answer{outcome: caller.Ran, status: http.StatusOK, stream: io.NopCloser(strings.NewReader(whole))})
+	if a.outcome != caller.Ran || len(a.body) != maxBody {
+		t.Errorf("outcome %q with %d bytes, want %d", a.outcome, len(a.body), maxBody)
+	}
+}
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -203,13 +203,16 @@
 }
 
 // readFully reads the rest of a large response, since every waiting request with the same key
-// gets the complete response.
+// gets the complete response. One that is longer than maxBody is not kept.
 func readFully(a *answer) *answer {
 	defer a.discard()
-	rest, err := io.ReadAll(io.LimitReader(a.stream, maxBody))
+	rest, err := io.ReadAll(io.LimitReader(a.stream, maxBody+1))
 	if err != nil {
 		return unknown(fmt.Sprintf("the answer broke off: %v", err))
 	}
+	if len(rest) > maxBody {
+		return unknown((&responseTooLongError{maxBody}).Error())
+	}
 	whole := *a
 	whole.stream = nil
 	whole.body = append(whole.body, rest...)
