caller: bound answers, and don't return a cut one as whole

Callers: a program that uses the client library holds what an entry box, or whatever answers in its place, writes without end; an answer of over 256 MB was returned as whole after the first 256 MB. Change: 1 MB for a lookup; an answer that is longer than Config.MaxAnswerBytes (256 MB as before) ends the request with an AnswerTooLongError and the outcome unknown, without sending it again.

--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -25,6 +26,8 @@
 	HTTP  *http.Client
 	// Nonce returns a text that is unique among all requests of all callers.
 	Nonce func() string
+	// MaxAnswerBytes bounds the body of an answer; zero means 256 MB.
+	MaxAnswerBytes int
 }
 
 // Client sends requests to one service. It is safe for concurrent use.
@@ -39,7 +42,10 @@
 }
 
 // NewClient returns a client with an empty lookup cache.
-func NewClient(c Config) *Client { return &Client{config: c} }
+func NewClient(c Config) *Client {
+	c.MaxAnswerBytes = cmp.Or(c.MaxAnswerBytes, defaultMaxAnswerBytes)
+	return &Client{config: c}
+}
 
 // Request is a request to the client's service.
 type Request struct {
@@ -83,7 +89,10 @@
 	lookupTimeout  = time.Second
 	initialBackoff = 20 * time.Millisecond
 	maxBackoff     = time.Second
-	maxAnswerBytes = 256 << 20
+
+	defaultMaxAnswerBytes = 256 << 20
+	// maxLookupBytes bounds a lookup answer, at about 60 bytes a box.
+	maxLookupBytes = 1 << 20
 )
 
 // Lookup returns the entry boxes to use, from the cache while the cached answer is
@@ -144,8 +153,12 @@
 	if response.StatusCode != http.StatusOK {
 		return LookupAnswer{}, fmt.Errorf("looking up at %s: %s", address, response.Status)
 	}
+	text, err := readAnswer(response.Body, address, maxLookupBytes)
+	if err != nil {
+		return LookupAnswer{}, fmt.Errorf("looking up at %s: %w", address, err)
+	}
 	var a LookupAnswer
-	if err := json.NewDecoder(response.Body).Decode(&a); err != nil {
+	if err := json.Unmarshal(text, &a); err != nil {
 		return LookupAnswer{}, fmt.Errorf("looking up at %s: %w", address, err)
 	}
 	return a, nil
@@ -195,6 +208,12 @@
 		if err == nil && a.Outcome == Ran {
 			return a, nil
 		}
+		var tooLong *AnswerTooLongError
+		if errors.As(err, &tooLong) {
+			out.Outcome = Unknown
+			out.Key = key
+			return out, err
+		}
 		if err == nil {
 			out = a
 		}
@@ -274,7 +293,7 @@
 		return Answer{}, fmt.Errorf("sending to %s: %w", address, err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := readAnswer(response.Body, address, c.config.MaxAnswerBytes)
 	if err != nil {
 		return Answer{}, fmt.Errorf("reading the answer of %s: %w", address, err)
 	}
@@ -298,3 +317,26 @@
 	c.pinned = address
 	c.expires = time.Time{}
 }
+
+// readAnswer reads a body of at most limit bytes. The error of a longer one is an
+// AnswerTooLongError.
+func readAnswer(body io.Reader, box string, limit int) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, int64(limit)+1))
+	if err == nil && len(text) > limit {
+		return nil, &AnswerTooLongError{Box: box, Limit: limit}
+	}
+	return text, err
+}
+
+// AnswerTooLongError is returned if the body of an answer is longer than Config.MaxAnswerBytes, or a
+// lookup answer longer than its own limit. The request may have run.
+type AnswerTooLongError struct {
+	Box string
+	// Limit is in bytes.
+	Limit int
+}
+
+// Error implements error.
+func (e *AnswerTooLongError) Error() string {
+	return fmt.Sprintf("the answer of %s is longer than %d bytes", e.Box, e.Limit)
+}
