catalog: remember departures that the state has evicted

Callers: where more than 1,024 targets leave within the time that a heartbeat may be late, requests reach targets whose end was acknowledged, whether they state their start or not. Cause: the state keeps 1,024 departures; a heartbeat of a target whose departure it has evicted registers it anew. Same class: what is stored is taken for all that happened. A scale-in of a fifth of 10,002 targets evicts within a second or two. Ruled out: a larger bound in the state (replicas of both versions would evict, and so apply, differently). Change: the index by which each replica checks updates keeps 16,384 evicted departures, at about 130 bytes each, while its process runs. Evidence: TestLateUpdateAfterEvictionIsIgnored; a trial of it on the code before failed at the first target. Left: a replica that has started since knows only the 1,024, and one of the former version too.

--- a/pkg/catalog/departure.go
+++ b/pkg/catalog/departure.go
@@ -60,6 +60,6 @@
 // mayHaveFormer reports whether another incarnation may have departed under the id of a registered
 // one. Once departures are evicted, any may.
 func (x *Index) mayHaveFormer(known *wire.Registration) bool {
-	d := x.departures[known.Id]
+	d := x.Departure(known.Id)
 	return d != nil && compareStarts(d.BornUnixMilli, known.BornUnixMilli) <= 0 || len(x.departures) >= maxDepartures
 }
--- a/pkg/catalog/departure_test.go
+++ b/pkg/catalog/departure_test.go
@@ -118,6 +118,41 @@
 	}
 }
 
+// Guards against a late heartbeat that registers a departed target again because more targets have left
+// since than the state keeps departures of.
+func TestLateUpdateAfterEvictionIsIgnored(t *testing.T) {
+	for _, started := range []int64{0, 100} {
+		var x Index
+		s := State{}
+		for n := range 4 * maxDepartures {
+			id := fmt.Sprint("i", n)
+			s = propose(&x, s, updateOf(id, started, 1))
+			s = propose(&x, s, leaveOf(id, 0))
+		}
+		x.Advance(s)
+		for n := range 4 * maxDepartures {
+			id := fmt.Sprint("i", n)
+			if x.WouldChange(updateOf(id, started, 2).Registration, false) {
+				t.Fatalf("start %d: a late update registers target %d again", started, n)
+			}
+			if !x.WouldChange(updateOf(id, 200, 1).Registration, false) {
+				t.Fatalf("start %d: the next incarnation of target %d is not registered", started, n)
+			}
+		}
+	}
+}
+
+// Guards against an index that keeps departures without a bound.
+func TestEvictedDeparturesAreBounded(t *testing.T) {
+	var x Index
+	for n := range maxEvicted + 10 {
+		x.keepEvicted(&wire.Departure{Id: fmt.Sprint("i", n)})
+	}
+	if len(x.evicted) != maxEvicted || len(x.evictedIDs) != maxEvicted || x.Departure("i9") != nil || x.Departure("i10") == nil {
+		t.Errorf("%d departures are kept, want %d", len(x.evicted), maxEvicted)
+	}
+}
+
 // Guards against replicas of two versions that apply a log to different states. The golden files hold
 // a log of each version's leader, a command a line, and the state to which the version before
 // departures were final applied it.
--- a/pkg/catalog/index.go
+++ b/pkg/catalog/index.go
@@ -67,8 +67,16 @@
 	byID       map[string]*wire.Registration
 	byAddress  map[string][]*wire.Registration
 	departures map[string]*wire.Departure
+	// evicted are the departures that the state has evicted, the oldest first in evictedIDs.
+	evicted    map[string]*wire.Departure
+	evictedIDs []string
 }
 
+// maxEvicted bounds the evicted departures that an index keeps, at about 130 bytes each. A state
+// holds 1,024, which is less than the number of targets that leave within seconds in a large
+// deployment, and their heartbeats may arrive seconds late.
+const maxEvicted = 16 * maxDepartures
+
 // Advance makes the index that of another state, which is usually a later one.
 func (x *Index) Advance(s State) {
 	if x.byID == nil {
@@ -85,14 +93,38 @@
 		x.byAddress[r.Address] = append(x.byAddress[r.Address], r)
 	}
 	if !sameBacking(s.departed, x.state.departed) {
-		x.departures = make(map[string]*wire.Departure, len(s.departed))
-		for _, d := range s.departed {
-			x.departures[d.Id] = d
-		}
+		x.advanceDepartures(s.departed)
 	}
 	x.state = s
 }
 
+func (x *Index) advanceDepartures(departed []*wire.Departure) {
+	previous := x.state.departed
+	x.departures = make(map[string]*wire.Departure, len(departed))
+	for _, d := range departed {
+		x.departures[d.Id] = d
+	}
+	for _, d := range previous {
+		if x.departures[d.Id] == nil {
+			x.keepEvicted(d)
+		}
+	}
+}
+
+func (x *Index) keepEvicted(d *wire.Departure) {
+	if x.evicted == nil {
+		x.evicted = make(map[string]*wire.Departure)
+	}
+	if x.evicted[d.Id] == nil {
+		x.evictedIDs = append(x.evictedIDs, d.Id)
+	}
+	x.evicted[d.Id] = d
+	if len(x.evictedIDs) > maxEvicted {
+		delete(x.evicted, x.evictedIDs[0])
+		x.evictedIDs = x.evictedIDs[1:]
+	}
+}
+
 func (x *Index) remove(id string) {
 	r := x.byID[id]
 	if r == nil {
@@ -113,15 +145,21 @@
 	return known != nil && IsRedundant(known, r)
 }
 
-// Departure returns the departure that is recorded for a target's id, or nil.
-func (x *Index) Departure(id string) *wire.Departure { return x.departures[id] }
+// Departure returns the last departure of a target's id, or nil if none is known.
+func (x *Index) Departure(id string) *wire.Departure {
+	if d := x.departures[id]; d != nil {
+		return d
+	}
+	return x.evicted[id]
+}
 
-// WouldChange reports whether a registration update would change the state.
+// WouldChange reports whether a registration update should be applied to the state. It differs from
+// State.WouldChange for updates of departed targets whose departure the state has evicted.
 func (x *Index) WouldChange(r *wire.Registration, leave bool) bool {
 	check := updateCheck{
 		target:    func(id string) *wire.Registration { return x.byID[id] },
 		conflicts: x.addressConflicts,
-		departure: func(id string) *wire.Departure { return x.departures[id] },
+		departure: x.Departure,
 	}
 	return check.wouldChange(r, leave)
 }
