catalog, control: count only followed targets as never restarted

Change: each replica's index follows the published states and records which targets it has seen register for the first time; only for these a leave that names no incarnation is final. A replica tells the leader so by the sequence of the leave, which no version applies. Others are asked to name the incarnation.

--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -91,6 +91,9 @@
 	if !c.Leave && d.targetIndex.isRedundant(state.Catalog(), c.Registration) {
 		return nil
 	}
+	if c.Leave && c.Registration.BornUnixMilli == 0 {
+		c = d.targetIndex.leave(state.Catalog(), c.Registration.Id)
+	}
 	r := c.Registration
 	if err := d.checkUpdate(state, c); err != nil {
 		d.RecordRejectedUpdate(r.Id, err)
@@ -128,6 +131,11 @@
 // local state: a heartbeat interval of the leader and two round trips to it, with a margin.
 const maxLocalAckAge = 500 * time.Millisecond
 
+// maxFollowedAge is the control age up to which a replica takes a target that it did not know for one
+// that never had another incarnation. One that catches up applies many commands at once, of which it
+// sees the last one of each target only.
+const maxFollowedAge = time.Second
+
 // mayLackTarget reports whether an update withdraws a target and the local state is so old that it
 // may lack the target's latest incarnation. Other updates are sent again with the next heartbeat.
 func (d *Daemon) mayLackTarget(c *wire.RegistrationCommand) bool {
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -153,6 +153,7 @@
 	d.registrations.commit = d.commitUpdates
 	d.prelude = d.targetIndex.prelude
 	d.permitIssuer = &permitIssuer{bound: d.config.LimitBound, routes: d.routes}
+	d.targetIndex.follow(r.state.Catalog(), false)
 	d.permitIssuer.setState(r.state)
 	tlsConfig, err := d.config.TLS()
 	if err != nil {
@@ -185,6 +186,7 @@
 		d.transport.send(d.addressOf(m.To), m)
 	}
 	d.replica.publish = func(s steering.State, commands []*wire.Command) {
+		d.targetIndex.follow(s.Catalog(), len(commands) > 0 && d.controlAge() <= maxFollowedAge)
 		d.permitIssuer.setState(s)
 		d.publisher.SetState(s, commands)
 	}
--- a/internal/control/departed_test.go
+++ b/internal/control/departed_test.go
@@ -380,3 +380,29 @@
 		}
 	}
 }
+
+// Guards against a target that a late DELETE of its former incarnation removes for good after replicas
+// have restored a snapshot or a log of a version that did not record former incarnations, and against
+// one that a late heartbeat registers again there.
+func TestDepartureOfRestoredTarget(t *testing.T) {
+	restored, _ := steering.State{}.Apply(&wire.Command{Registration: heartbeat(currentBorn, 1, false, 0)})
+	runSlowReplicas(t, restored, func(t *testing.T, s *slowReplicas) {
+		leader, other := s.leaderAndAnother(t)
+		for _, d := range s.daemons {
+			d.targetIndex.follow(restored.Catalog(), false) // as when a replica starts or gets a snapshot
+		}
+		if status := deleteTarget(t, other, true); status != http.StatusTemporaryRedirect || !isServing(t, leader) {
+			t.Errorf("a DELETE that may be late: status %d, serving %t", status, isServing(t, leader))
+		}
+		mustRegister(t, other, leave())
+		time.Sleep(time.Second)
+		mustRegister(t, other, heartbeat(currentBorn, 9, false, 0))
+		if !isServing(t, leader) {
+			t.Error("a target that a late leave removed does not return")
+		}
+		time.Sleep(time.Second)
+		if status := deleteTarget(t, other, false); status != http.StatusOK || isServing(t, leader) {
+			t.Errorf("status %d, serving %t", status, isServing(t, leader))
+		}
+	})
+}
--- a/internal/control/targetindex.go
+++ b/internal/control/targetindex.go
@@ -7,51 +7,71 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// targetIndex indexes the targets of the last applied state. With it, checking a registration update
-// costs the same for any number of targets and does not involve the replica's loop.
+// targetIndex indexes the targets of the last published state. With it, checking a registration update
+// costs the same for any number of targets and does not involve the replica's loop. Until it follows
+// published states, it advances to the state of each check.
 type targetIndex struct {
-	mu    sync.Mutex
-	index catalog.Index
+	mu        sync.Mutex
+	index     catalog.Index
+	following bool
+}
+
+// follow advances the index to a state that is published. isNext tells that the state follows the
+// previous one by few commands.
+func (x *targetIndex) follow(s catalog.State, isNext bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.following = true
+	if isNext {
+		x.index.Advance(s)
+		return
+	}
+	x.index.Load(s)
+}
+
+// lock locks the index for a check against a state.
+func (x *targetIndex) lock(s catalog.State) *catalog.Index {
+	x.mu.Lock()
+	if !x.following {
+		x.index.Advance(s)
+	}
+	return &x.index
 }
 
 // isRedundant reports whether a state already holds the contents of an update. Nearly all updates are
 // redundant.
 func (x *targetIndex) isRedundant(s catalog.State, r *wire.Registration) bool {
-	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.index.Advance(s)
-	return x.index.IsRedundant(r)
+	return x.lock(s).IsRedundant(r)
 }
 
 // wouldChange reports whether an update would change a state.
 func (x *targetIndex) wouldChange(s catalog.State, r *wire.Registration, leave bool) bool {
-	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.index.Advance(s)
-	return x.index.WouldChange(r, leave)
+	return x.lock(s).WouldChange(r, leave)
 }
 
-// departure returns the departure that a state holds for a target's id, or nil.
+// departure returns the last known departure of a target's id, or nil.
 func (x *targetIndex) departure(s catalog.State, id string) *wire.Departure {
-	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.index.Advance(s)
-	return x.index.Departure(id)
+	return x.lock(s).Departure(id)
+}
+
+// leave returns the command for a leave message without an incarnation.
+func (x *targetIndex) leave(s catalog.State, id string) *wire.RegistrationCommand {
+	defer x.mu.Unlock()
+	return x.lock(s).Leave(id)
 }
 
 // prelude returns the commands that must precede an update in the log.
 func (x *targetIndex) prelude(s catalog.State, c *wire.RegistrationCommand) []*wire.RegistrationCommand {
-	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.index.Advance(s)
-	return x.index.Prelude(c)
+	return x.lock(s).Prelude(c)
 }
 
 // ambiguousLeave returns the registered incarnation of a target if a leave message without an
-// incarnation may be a late one of an earlier incarnation.
+// incarnation may be a late one of another incarnation.
 func (x *targetIndex) ambiguousLeave(s catalog.State, id string) (catalog.Incarnation, bool) {
-	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.index.Advance(s)
-	return x.index.AmbiguousLeave(id)
+	return x.lock(s).AmbiguousLeave(id)
 }
--- a/pkg/catalog/departure.go
+++ b/pkg/catalog/departure.go
@@ -27,18 +27,32 @@
 		return nil
 	}
 	if !c.Leave {
-		if r.BornUnixMilli == known.BornUnixMilli {
-			return nil
-		}
-		former := &wire.Registration{Id: known.Id, BornUnixMilli: known.BornUnixMilli}
-		return []*wire.RegistrationCommand{{Registration: former, Leave: true}}
+		return leaveOfReplaced(known, r)
 	}
-	if known.Draining || r.BornUnixMilli == 0 && x.mayHaveFormer(known) {
+	if known.Draining || !x.isFinal(known, r) {
 		return nil
 	}
 	return []*wire.RegistrationCommand{{Registration: finalUpdate(known)}}
 }
 
+// leaveOfReplaced returns the leave of the known incarnation if an update replaces it.
+func leaveOfReplaced(known, r *wire.Registration) []*wire.RegistrationCommand {
+	if r.BornUnixMilli == known.BornUnixMilli {
+		return nil
+	}
+	former := &wire.Registration{Id: known.Id, BornUnixMilli: known.BornUnixMilli}
+	return []*wire.RegistrationCommand{{Registration: former, Leave: true}}
+}
+
+// isFinal reports whether a leave surely concerns the known incarnation: it names it, or there was no
+// other one, as the replica that received it or this one has followed.
+func (x *Index) isFinal(known, leave *wire.Registration) bool {
+	if leave.BornUnixMilli > 0 || x.first[known.Id] {
+		return true
+	}
+	return leave.Sequence == finalSequence && x.Departure(known.Id) == nil
+}
+
 // finalUpdate returns the last update of an incarnation.
 func finalUpdate(known *wire.Registration) *wire.Registration {
 	r := proto.CloneOf(known)
@@ -47,19 +61,23 @@
 	return r
 }
 
+// Leave returns the command that a replica submits for a leave message without an incarnation. For a
+// target that never had another incarnation it says so by its sequence, which is not applied to the
+// state.
+func (x *Index) Leave(id string) *wire.RegistrationCommand {
+	r := &wire.Registration{Id: id}
+	if x.first[id] {
+		r.Sequence = finalSequence
+	}
+	return &wire.RegistrationCommand{Registration: r, Leave: true}
+}
+
 // AmbiguousLeave returns the incarnation that is registered under an id if a leave message without an
-// incarnation may be a late one of an earlier incarnation.
+// incarnation may be a late one of another incarnation.
 func (x *Index) AmbiguousLeave(id string) (current Incarnation, ambiguous bool) {
 	known := x.byID[id]
-	if known == nil || known.BornUnixMilli == 0 || known.Draining || !x.mayHaveFormer(known) {
+	if known == nil || known.BornUnixMilli == 0 || known.Draining || x.first[id] {
 		return Incarnation{}, false
 	}
 	return IncarnationOf(known), true
 }
-
-// mayHaveFormer reports whether another incarnation may have departed under the id of a registered
-// one. Once departures are evicted, any may.
-func (x *Index) mayHaveFormer(known *wire.Registration) bool {
-	d := x.Departure(known.Id)
-	return d != nil && compareStarts(d.BornUnixMilli, known.BornUnixMilli) <= 0 || len(x.departures) >= maxDepartures
-}
--- a/pkg/catalog/departure_test.go
+++ b/pkg/catalog/departure_test.go
@@ -13,9 +13,12 @@
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
-// propose applies an update as a leader has it committed: after its prelude.
+// propose applies an update as a leader has it committed that received it itself: after its prelude.
 func propose(x *Index, s State, c *wire.RegistrationCommand) State {
 	x.Advance(s)
+	if c.Leave && c.Registration.BornUnixMilli == 0 {
+		c = x.Leave(c.Registration.Id)
+	}
 	return apply(s, append(x.Prelude(c), c)...)
 }
 
@@ -91,31 +94,56 @@
 	}
 }
 
-// Guards against a leave that is taken for one of a former incarnation although there was none, and
-// against one that is not although departures were evicted.
+// Guards against a leave that is taken for one of another incarnation although there was none, and
+// against one that is not although nobody knows.
 func TestAmbiguousLeave(t *testing.T) {
-	var x Index
-	s := propose(&x, State{}, updateOf("i", 100, 1))
-	x.Advance(s)
-	if _, ambiguous := x.AmbiguousLeave("i"); ambiguous {
-		t.Error("ambiguous without a former incarnation")
-	}
-	if _, ambiguous := x.AmbiguousLeave("unknown"); ambiguous {
-		t.Error("ambiguous for an unknown target")
-	}
-	for i := range maxDepartures {
-		s.departed = append(s.departed, &wire.Departure{Id: fmt.Sprint(i)})
-	}
-	x.Advance(s)
-	if _, ambiguous := x.AmbiguousLeave("i"); !ambiguous {
-		t.Error("not ambiguous although departures were evicted")
+	first := propose(&Index{}, State{}, updateOf("i", 100, 1))
+	restarted := propose(&Index{}, first, updateOf("i", 200, 1))
+	draining := updateOf("i", 100, 2)
+	draining.Registration.Draining = true
+	for _, c := range []struct {
+		name      string
+		advance   func(x *Index)
+		ambiguous bool
+	}{
+		{"unknown", func(x *Index) { x.Advance(State{}) }, false},
+		{"first incarnation", func(x *Index) { x.Advance(first) }, false},
+		{"changed", func(x *Index) {
+			x.Advance(first)
+			x.Advance(propose(&Index{}, first, withSlots(updateOf("i", 100, 2), 7)))
+		}, false},
+		{"restarted", func(x *Index) { x.Advance(first); x.Advance(restarted) }, true},
+		{"restarted, seen at once", func(x *Index) { x.Advance(restarted) }, true},
+		{"drains", func(x *Index) { x.Load(first); x.Advance(propose(&Index{}, first, draining)) }, false},
+		{"from a snapshot", func(x *Index) { x.Load(first) }, true},
+		{"from a snapshot, changed", func(x *Index) {
+			x.Load(first)
+			x.Advance(propose(&Index{}, first, withSlots(updateOf("i", 100, 2), 7)))
+		}, true},
+		{"known, then from a snapshot", func(x *Index) { x.Advance(first); x.Load(decoded(t, first)) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var x Index
+			c.advance(&x)
+			if _, ambiguous := x.AmbiguousLeave("i"); ambiguous != c.ambiguous {
+				t.Errorf("ambiguous %t, want %t", ambiguous, c.ambiguous)
+			}
+		})
 	}
-	s = propose(&x, s, updateOf("i", 300, 1))
-	s = propose(&x, s, func() *wire.RegistrationCommand { c := updateOf("i", 300, 2); c.Registration.Draining = true; return c }())
-	x.Advance(s)
-	if _, ambiguous := x.AmbiguousLeave("i"); ambiguous {
-		t.Error("ambiguous for a target that drains")
+}
+
+func withSlots(c *wire.RegistrationCommand, slots uint32) *wire.RegistrationCommand {
+	c.Registration.Slots = slots
+	return c
+}
+
+func decoded(t *testing.T, s State) State {
+	t.Helper()
+	out, err := Decode(s.Encode())
+	if err != nil {
+		t.Fatal(err)
 	}
+	return out
 }
 
 // Guards against a late heartbeat that registers a departed target again because more targets have left
--- a/pkg/catalog/index.go
+++ b/pkg/catalog/index.go
@@ -63,8 +63,11 @@
 // state, at a cost that depends on what has changed, and answers at a cost that does not depend on
 // the number of targets. The zero value is that of an empty state. It is not safe for concurrent use.
 type Index struct {
-	state      State
-	byID       map[string]*wire.Registration
+	state State
+	byID  map[string]*wire.Registration
+	// first holds the targets whose first registration the index has followed: no other incarnation
+	// can have left.
+	first      map[string]bool
 	byAddress  map[string][]*wire.Registration
 	departures map[string]*wire.Departure
 	// evicted are the departures that the state has evicted, the oldest first in evictedIDs.
@@ -77,13 +80,28 @@
 // deployment, and their heartbeats may arrive seconds late.
 const maxEvicted = 16 * maxDepartures
 
-// Advance makes the index that of another state, which is usually a later one.
-func (x *Index) Advance(s State) {
+// Advance makes the index that of another state, which is usually a later one that follows from it by
+// commands.
+func (x *Index) Advance(s State) { x.advance(s, true) }
+
+// Load makes the index that of a state that the index has not followed: targets that it does not know
+// may have had other incarnations.
+func (x *Index) Load(s State) { x.advance(s, false) }
+
+func (x *Index) advance(s State, followed bool) {
 	if x.byID == nil {
 		x.byID = make(map[string]*wire.Registration)
+		x.first = make(map[string]bool)
 		x.byAddress = make(map[string][]*wire.Registration)
 	}
+	if !sameBacking(s.departed, x.state.departed) {
+		x.advanceDepartures(s.departed)
+	}
 	changed, ended := s.TargetsSince(x.state)
+	previous := make(map[string]*wire.Registration, len(changed))
+	for _, r := range changed {
+		previous[r.Id] = x.byID[r.Id]
+	}
 	for _, incarnation := range ended {
 		x.remove(incarnation.ID)
 	}
@@ -91,13 +109,22 @@
 		x.remove(r.Id)
 		x.byID[r.Id] = r
 		x.byAddress[r.Address] = append(x.byAddress[r.Address], r)
+		x.recordFirst(r, previous[r.Id], followed)
 	}
-	if !sameBacking(s.departed, x.state.departed) {
-		x.advanceDepartures(s.departed)
-	}
+	x.forget(ended)
 	x.state = s
 }
 
+// recordFirst records whether a registration is of a target that never had another incarnation.
+func (x *Index) recordFirst(r, previous *wire.Registration, followed bool) {
+	switch {
+	case previous == nil:
+		x.first[r.Id] = followed && x.Departure(r.Id) == nil
+	case previous.BornUnixMilli != r.BornUnixMilli:
+		x.first[r.Id] = false
+	}
+}
+
 func (x *Index) advanceDepartures(departed []*wire.Departure) {
 	previous := x.state.departed
 	x.departures = make(map[string]*wire.Departure, len(departed))
@@ -139,6 +166,15 @@
 	x.byAddress[r.Address] = rest
 }
 
+// forget drops what was recorded of the targets that have ended.
+func (x *Index) forget(ended []Incarnation) {
+	for _, incarnation := range ended {
+		if x.byID[incarnation.ID] == nil {
+			delete(x.first, incarnation.ID)
+		}
+	}
+}
+
 // IsRedundant reports whether the state already holds the contents of an update.
 func (x *Index) IsRedundant(r *wire.Registration) bool {
 	known := x.byID[r.Id]
