catalog, control: let a target drain that was registered again

Callers: requests reach a target up to the end of its process, although it says that it drains and that was acknowledged. Cause: an update of an incarnation that has departed is ignored unless it shows that the target is alive, and one that says it drains never does. The departure of a target that was registered again stays recorded, so its draining was ignored and acknowledged like a late heartbeat. Same class: what is recorded of a departure is taken for the present. Ruled out: to apply such an update (replicas of both versions would hold different states). Change: in place of the update, the replica submits the leave of the incarnation, which all versions apply; the departure is made final by an update that the state takes from such a target.

--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -91,14 +91,12 @@
 	if !c.Leave && d.targetIndex.isRedundant(state.Catalog(), c.Registration) {
 		return nil
 	}
-	if c.Leave && c.Registration.BornUnixMilli == 0 {
-		c = d.targetIndex.leave(state.Catalog(), c.Registration.Id)
-	}
-	r := c.Registration
 	if err := d.checkUpdate(state, c); err != nil {
-		d.RecordRejectedUpdate(r.Id, err)
+		d.RecordRejectedUpdate(c.Registration.Id, err)
 		return err
 	}
+	c = d.targetIndex.commandFor(state.Catalog(), c)
+	r := c.Registration
 	departure := d.targetIndex.departure(state.Catalog(), r.Id)
 	if !d.targetIndex.wouldChange(state.Catalog(), r, c.Leave) && !d.mayLackTarget(c) {
 		d.addUpdate(d.updateLog.line(d.clock.Now(), nil), c, departure).Uint64("stateVersion", state.Version()).
--- a/internal/control/departed_test.go
+++ b/internal/control/departed_test.go
@@ -404,5 +404,40 @@
 		if status := deleteTarget(t, other, false); status != http.StatusOK || isServing(t, leader) {
 			t.Errorf("status %d, serving %t", status, isServing(t, leader))
 		}
+		time.Sleep(time.Second)
+		mustRegister(t, other, heartbeat(currentBorn, 40, false, 0))
+		if isServing(t, leader) {
+			t.Error("a late heartbeat registered the target again")
+		}
 	})
 }
+
+// Guards against requests to a target that drains and that a late leave had removed before: the state
+// ignored that it drains, which was acknowledged.
+func TestTargetThatReturnedCanDrain(t *testing.T) {
+	for _, coldMilli := range []int64{0, 1000} {
+		t.Run(fmt.Sprintf("warm-up %d ms", coldMilli), func(t *testing.T) {
+			runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
+				leader, other := s.restartTarget(t, false, 10)
+				mustRegister(t, other, leave())
+				time.Sleep(targetHeartbeat)
+				mustRegister(t, other, heartbeat(currentBorn, 11, false, coldMilli))
+				time.Sleep(targetHeartbeat)
+				if !isServing(t, leader) {
+					t.Fatal("the target did not return")
+				}
+				mustRegister(t, other, heartbeat(currentBorn, 12, true, coldMilli))
+				time.Sleep(time.Second)
+				if isServing(t, leader) {
+					t.Error("the target drains, which was acknowledged, and is listed as serving")
+				}
+				mustRegister(t, other, heartbeat(currentBorn, 40, false, coldMilli))
+				time.Sleep(time.Second)
+				if isServing(t, leader) {
+					t.Error("a late heartbeat registered the target again")
+				}
+				s.wantSameCatalogs(t)
+			})
+		})
+	}
+}
--- a/internal/control/targetindex.go
+++ b/internal/control/targetindex.go
@@ -57,10 +57,17 @@
 	return x.lock(s).Departure(id)
 }
 
-// leave returns the command for a leave message without an incarnation.
-func (x *targetIndex) leave(s catalog.State, id string) *wire.RegistrationCommand {
+// commandFor returns the command to submit for an update or a leave of a target.
+func (x *targetIndex) commandFor(s catalog.State, c *wire.RegistrationCommand) *wire.RegistrationCommand {
 	defer x.mu.Unlock()
-	return x.lock(s).Leave(id)
+	index := x.lock(s)
+	switch {
+	case c.Leave && c.Registration.BornUnixMilli == 0:
+		return index.Leave(c.Registration.Id)
+	case !c.Leave && c.Registration.Draining:
+		return index.Withdrawal(c)
+	}
+	return c
 }
 
 // prelude returns the commands that must precede an update in the log.
--- a/pkg/catalog/departure.go
+++ b/pkg/catalog/departure.go
@@ -32,7 +32,7 @@
 	if known.Draining || !x.isFinal(known, r) {
 		return nil
 	}
-	return []*wire.RegistrationCommand{{Registration: finalUpdate(known)}}
+	return []*wire.RegistrationCommand{{Registration: x.finalUpdate(known)}}
 }
 
 // leaveOfReplaced returns the leave of the known incarnation if an update replaces it.
@@ -54,13 +54,39 @@
 }
 
 // finalUpdate returns the last update of an incarnation.
-func finalUpdate(known *wire.Registration) *wire.Registration {
+func (x *Index) finalUpdate(known *wire.Registration) *wire.Registration {
 	r := proto.CloneOf(known)
-	r.Draining = true
 	r.Sequence = finalSequence
+	if !x.isReadmitted(known) {
+		r.Draining = true
+		return r
+	}
+	if r.ColdMilli > 0 { // an update must change something to be applied
+		r.ColdMilli = 0
+	} else {
+		r.ColdMilli = 1
+	}
 	return r
 }
 
+// isReadmitted reports whether a registered incarnation has departed before. The state ignores that
+// such a target drains, as it would ignore a late heartbeat of a departed one.
+func (x *Index) isReadmitted(known *wire.Registration) bool {
+	d := x.departures[known.Id]
+	return d != nil && compareStarts(known.BornUnixMilli, d.BornUnixMilli) <= 0
+}
+
+// Withdrawal returns the command that a replica submits for an update which says that a target drains:
+// the update, or a leave of the incarnation if the state would ignore the update.
+func (x *Index) Withdrawal(c *wire.RegistrationCommand) *wire.RegistrationCommand {
+	r := c.Registration
+	known := x.byID[r.Id]
+	if known == nil || known.BornUnixMilli != r.BornUnixMilli || !x.isReadmitted(known) {
+		return c
+	}
+	return &wire.RegistrationCommand{Registration: &wire.Registration{Id: r.Id, BornUnixMilli: r.BornUnixMilli}, Leave: true}
+}
+
 // Leave returns the command that a replica submits for a leave message without an incarnation. For a
 // target that never had another incarnation it says so by its sequence, which is not applied to the
 // state.
