control: have the leader confirm each leave of a target

Callers: requests reach a target that left right after it had started again, although its end was acknowledged. Cause: a replica acknowledged a leave that changes nothing from its own state if that was no older than 0.5 s. A target that had started within that time is missing there. Ruled out: draining, which is said again with each heartbeat and then submitted. Change: leaves go to the leader whatever the age of the local state. Cost: one entry of some 20 bytes for each leave that is sent again, and a round trip to the leader and its quorum for its sender.

--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -125,8 +125,8 @@
 	return line.Uint64("departedSequence", departure.Sequence).Int64("departedBorn", departure.BornUnixMilli)
 }
 
-// maxLocalAckAge is the control age up to which a target's withdrawal may be acknowledged from the
-// local state: a heartbeat interval of the leader and two round trips to it, with a margin.
+// maxLocalAckAge is the control age up to which it may be acknowledged from the local state that a
+// target drains: a heartbeat interval of the leader and two round trips to it, with a margin.
 const maxLocalAckAge = 500 * time.Millisecond
 
 // maxFollowedAge is the control age up to which a replica takes a target that it did not know for one
@@ -134,10 +134,11 @@
 // sees the last one of each target only.
 const maxFollowedAge = time.Second
 
-// mayLackTarget reports whether an update withdraws a target and the local state is so old that it
-// may lack the target's latest incarnation. Other updates are sent again with the next heartbeat.
+// mayLackTarget reports whether an update withdraws a target and the local state may lack the target's
+// latest incarnation. A leave is not repeated once it is acknowledged, and may follow the start at
+// once; that a target drains is sent with each heartbeat, as are other updates.
 func (d *Daemon) mayLackTarget(c *wire.RegistrationCommand) bool {
-	return (c.Leave || c.Registration.Draining) && d.controlAge() > maxLocalAckAge
+	return c.Leave || c.Registration.Draining && d.controlAge() > maxLocalAckAge
 }
 
 // checkUpdate rejects an update with a start time in the future or an unknown service.
--- a/internal/control/departed_test.go
+++ b/internal/control/departed_test.go
@@ -441,3 +441,32 @@
 		})
 	}
 }
+
+// Guards against requests to a target whose end was acknowledged right after it had started again: a
+// replica that did not know of the start yet acknowledged the end without effect.
+func TestEndRightAfterStartIsNotLost(t *testing.T) {
+	for _, born := range []int64{formerBorn, currentBorn} {
+		for _, pause := range []time.Duration{0, 50 * time.Millisecond, 200 * time.Millisecond} {
+			t.Run(fmt.Sprintf("started again %t, after %s", born == currentBorn, pause), func(t *testing.T) {
+				runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
+					defer s.delayMessages(100 * time.Millisecond)()
+					leader, other := s.leaderAndAnother(t)
+					if born == currentBorn {
+						mustRegister(t, leader, heartbeat(formerBorn, 1, false, 0))
+						mustRegister(t, leader, leave())
+						time.Sleep(time.Second)
+					}
+					mustRegister(t, leader, heartbeat(born, 1, false, 0))
+					time.Sleep(pause)
+					if deleteTarget(t, other, false) != http.StatusOK {
+						return // not acknowledged
+					}
+					time.Sleep(time.Second)
+					if isServing(t, leader) {
+						t.Error("the end was acknowledged and the target is still listed")
+					}
+				})
+			})
+		}
+	}
+}
