catalog: test by whose knowledge a departure is final

Two guards taken out by hand failed no test: that a leader which has restarted takes the word of the replica that received the leave, and that it does not where it knows of a restart. Both fail a test now.

--- a/pkg/catalog/departure_test.go
+++ b/pkg/catalog/departure_test.go
@@ -132,6 +132,38 @@
 	}
 }
 
+// Guards against a departure that stays correctable although the replica that received the leave, or the
+// leader, has followed the target from its first start, and against one that becomes final by the word
+// of a replica that lacks a restart.
+func TestDepartureIsFinalByReceiverOrLeader(t *testing.T) {
+	first := propose(&Index{}, State{}, updateOf("i", 100, 1))
+	restarted := propose(&Index{}, first, updateOf("i", 200, 1))
+	followed := func(s State) *Index { x := &Index{}; x.Advance(s); return x }
+	loaded := func(s State) *Index { x := &Index{}; x.Load(s); return x }
+	for _, c := range []struct {
+		name             string
+		receiver, leader *Index
+		state            State
+		final            bool
+	}{
+		{"receiver followed", followed(first), loaded(first), first, true},
+		{"leader followed", loaded(first), followed(first), first, true},
+		{"neither", loaded(first), loaded(first), first, false},
+		{"receiver lacks the restart", followed(first), loaded(restarted), restarted, false},
+		{"receiver lacks the restart, leader followed", followed(first), followed(restarted), restarted, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := c.receiver.Leave("i")
+			s := apply(c.state, append(c.leader.Prelude(l), l)...)
+			born := c.state.Targets()[0].BornUnixMilli
+			s = apply(s, updateOf("i", born, 1+readmitAfterUpdates))
+			if _, returned := s.Target("i"); returned == c.final {
+				t.Errorf("registered again: %t, want final: %t", returned, c.final)
+			}
+		})
+	}
+}
+
 func withSlots(c *wire.RegistrationCommand, slots uint32) *wire.RegistrationCommand {
 	c.Registration.Slots = slots
 	return c
