--- a/pkg/catalog/departure_test.go
+++ b/pkg/catalog/departure_test.go
@@ -190,6 +190,9 @@
 			s = propose(&x, s, leaveOf(id, 0))
 		}
 		x.Advance(s)
+		if len(x.first) > 0 {
+			t.Errorf("the index still holds %d targets that have left", len(x.first))
+		}
 		for n := range 4 * maxDepartures {
 			id := fmt.Sprint("i", n)
 			if x.WouldChange(updateOf(id, started, 2).Registration, false) {
