--- a/internal/control/departed_test.go
+++ b/internal/control/departed_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -14,7 +16,12 @@
 	"github.com/kataras/iris/v12"
 	"google.golang.org/protobuf/proto"
 
+	"ledgesill.dev/ledgesill/internal/bubble"
+	"ledgesill.dev/ledgesill/internal/config"
+	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/internal/link/linktest"
 	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -499,3 +506,84 @@
 		}
 	}
 }
+
+// Guards against a replica that takes a target for one that never had another incarnation although it
+// has not followed its registration: it knows it from its own disk, from a snapshot, or from one of many
+// commands that it applied while it caught up.
+func TestUnfollowedTargetMayHaveRestarted(t *testing.T) {
+	restored, _ := steering.State{}.Apply(&wire.Command{Registration: heartbeat(currentBorn, 1, false, 0)})
+	later, command := restored, &wire.Command{Registration: heartbeat(currentBorn, 2, false, 0)}
+	command.Registration.Registration.Slots++
+	later, _ = later.Apply(command)
+	for _, c := range []struct {
+		name    string
+		learn   func(s *slowReplicas, d *Daemon)
+		unknown bool
+	}{
+		{"followed", func(_ *slowReplicas, d *Daemon) { d.replica.publish(restored, []*wire.Command{command}) }, false},
+		{"from a snapshot", func(_ *slowReplicas, d *Daemon) { d.replica.publish(restored, nil) }, true},
+		{"from a snapshot, then changed", func(_ *slowReplicas, d *Daemon) {
+			d.replica.publish(restored, nil)
+			d.replica.publish(later, []*wire.Command{command})
+		}, true},
+		{"while it caught up", func(s *slowReplicas, d *Daemon) {
+			s.suspend(d, time.Minute)
+			d.replica.publish(restored, []*wire.Command{command})
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runSlowReplicas(t, steering.State{}, func(t *testing.T, s *slowReplicas) {
+				leader, _ := s.leaderAndAnother(t)
+				c.learn(s, leader)
+				if _, ambiguous := leader.targetIndex.ambiguousLeave(catalog.State{}, "target"); ambiguous != c.unknown {
+					t.Errorf("ambiguous %t, want %t", ambiguous, c.unknown)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a replica that has started again and takes the targets on its disk for ones that never
+// had another incarnation.
+func TestRestartedReplicaHasNotFollowedItsTargets(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		folder := t.TempDir()
+		restored, _ := steering.State{}.Apply(&wire.Command{Registration: heartbeat(currentBorn, 1, false, 0)})
+		data, err := restored.Marshal()
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := openAlone(t, folder)
+		only := &wire.Membership{Voters: []*wire.Replica{{Id: d.replica.id, Address: d.config.PeerAddress}}}
+		snapshot := &wire.Snapshot{Index: 1, Term: 1, Membership: only, Data: data}
+		if err := d.replica.handleOutput(consensus.Output{HardState: &wire.HardState{Term: 1}, Snapshot: snapshot}); err != nil {
+			t.Fatal(err)
+		}
+		closeAlone(t, d)
+		d = openAlone(t, folder)
+		defer closeAlone(t, d)
+		if _, ambiguous := d.targetIndex.ambiguousLeave(d.latest().Catalog(), "target"); !ambiguous {
+			t.Error("a leave of a target that is known from the disk is not ambiguous")
+		}
+	})
+}
+
+// openAlone opens a replica with a data directory and does not run it.
+func openAlone(t *testing.T, folder string) *Daemon {
+	t.Helper()
+	n := &linktest.Network{DownBytesPerSecond: slowLinkBytes, UpBytesPerSecond: slowLinkBytes, SocketBuffer: 1 << 16}
+	c := config.Control{DataDir: folder, ElectionTimeout: time.Second, SnapshotEvery: 1000, PeersAreSeeds: true}
+	c.Name, c.PeerAddress, c.OperatorAddress = "c0", "c0", "127.0.0.1:0"
+	d, err := openOn(link.Network{Listen: n.Listen, Dial: n.Dial}, c, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func closeAlone(t *testing.T, d *Daemon) {
+	t.Helper()
+	if err := errors.Join(d.operatorListener.Close(), d.close()); err != nil {
+		t.Error(err)
+	}
+}
--- a/pkg/targetstatus/shared_test.go
+++ b/pkg/targetstatus/shared_test.go
@@ -256,3 +256,24 @@
 		t.Errorf("relayed: %v, limit %v", relayed.IsLeaving(testTarget), relayed.Limit(testTarget))
 	}
 }
+
+// Guards against forgetting that a target is leaving once it was removed: a late heartbeat may register
+// it again. Other targets that were removed are forgotten sooner.
+func TestLeavingTargetIsRememberedAfterRemoval(t *testing.T) {
+	removed := func(string) bool { return false }
+	reported := time.Time{}.Add(time.Hour)
+	registry := NewRegistry()
+	registry.Apply(Update{Incarnation: "leaving", Limit: NoLimit, Leaving: true, Received: reported})
+	registry.Apply(Update{Incarnation: "limited", Limit: 5, Received: reported})
+	registry.Prune(reported.Add(30*time.Second), removed)
+	if since, leaving := registry.LeavingSince("leaving"); !leaving || !since.Equal(reported) {
+		t.Errorf("leaving %t since %s, want %s", leaving, since, reported)
+	}
+	if registry.HasLimit("limited") {
+		t.Error("the limit of a removed target is remembered")
+	}
+	registry.Prune(reported.Add(2*time.Minute), removed)
+	if registry.IsLeaving("leaving") {
+		t.Error("remembered for too long")
+	}
+}
