targetpath, gateway: hedge connection attempts at a learned delay within a budget

A connection attempt got another one through a peer beside it after 60 to 150 ms, where a round trip to another region alone takes 70 ms and a box may stall for 90 ms: slow links doubled the connections.

The hedged attempt is now due at the 0.99 quantile of the zone's connection times, at least 60 ms above their median and at most the dial timeout of 300 ms after the start; with fewer than 20 connections, at the dial timeout. It is charged to a budget of 0.05 of the box's own attempts in 10 s plus 5. Zones with two failures in a row or more, and those that the box is cut off from, are neither limited nor charged; a failed attempt is followed at once, as before. While the box is cut off, the next peer is asked at the lower bound (150 ms at most).

--- a/internal/gateway/connecting.go
+++ b/internal/gateway/connecting.go
@@ -13,10 +13,8 @@
 )
 
 const (
-	// dialTimeout bounds a connection attempt of the box itself: two of the longest round trips
-	// between regions, 70 ms each, and the target's handshake, with room for one lost packet on the
-	// shorter paths.
-	dialTimeout = 300 * time.Millisecond
+	// dialTimeout bounds a connection attempt of the box itself.
+	dialTimeout = targetpath.DialTimeout
 	// tunnelTimeout bounds an attempt through a peer: the connection to the peer, the request and
 	// the peer's own attempt.
 	tunnelTimeout = 2 * dialTimeout
@@ -74,11 +72,14 @@
 	// targetDown is set once a peer that connects to others of the zone did not reach the target.
 	directErr, peerErr error
 	targetDown         bool
+	// suppressed is set once the budget has held back a hedged attempt.
+	suppressed bool
 }
 
 // connect opens a connection to a target, by this box itself or through a peer.
 func (p *connectionPool) connect(ctx context.Context, target balance.Target, regions []string) (*connection, error) {
 	plan := p.paths.plan(p.clock.Now(), target.Zone, regions)
+	p.onPlan(target.Zone, plan.Delay)
 	if len(plan.Peers) == 0 && plan.Direct {
 		return p.connectDirectly(ctx, target)
 	}
@@ -100,6 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	began := p.clock.Now()
+	p.paths.recordAttempt(began)
 	conn, err := p.dial(ctx, "tcp4", target.Address)
 	p.onDial(target, err)
 	p.paths.recordDial(p.clock.Now(), target, p.clock.Since(began), err)
@@ -138,9 +140,8 @@
 				delay.Reset(c.plan.Delay)
 			}
 		case <-delay.C:
-			if c.startNext(ctx) {
-				delay.Reset(c.plan.Delay)
-			}
+			c.hedge(ctx)
+			delay.Reset(c.plan.Delay)
 		}
 	}
 	return nil, c.failure()
@@ -166,6 +167,24 @@
 	return true
 }
 
+// hedge starts the attempt through the next peer beside those that have not ended, if there is one
+// and the budget allows it. One that was suppressed is tried again after the same delay: by then the
+// box may have recorded failures that lift the limit.
+func (c *connecting) hedge(ctx context.Context) {
+	if len(c.remainingPeers()) == 0 || len(c.results) > 0 {
+		return // after a stall of the box the result and the timer are due together
+	}
+	if c.pool.paths.takeHedge(c.pool.clock.Now(), c.target.Zone) {
+		c.pool.onHedge(c.target.Zone, true)
+		c.startNext(ctx)
+		return
+	}
+	if !c.suppressed {
+		c.suppressed = true
+		c.pool.onHedge(c.target.Zone, false)
+	}
+}
+
 func (c *connecting) dial(ctx context.Context) connectResult {
 	conn, err := c.pool.dialTarget(ctx, c.target)
 	return connectResult{conn: conn, err: err}
--- a/internal/gateway/connectionpool.go
+++ b/internal/gateway/connectionpool.go
@@ -86,6 +86,10 @@
 	// with that of each attempt through a peer.
 	onDial   func(target balance.Target, err error)
 	onTunnel func(err error)
+	// onPlan is called with the delay of hedged attempts to a zone for each connection, and onHedge
+	// when one is due, with whether it was started or suppressed by the budget.
+	onPlan  func(zone string, delay time.Duration)
+	onHedge func(zone string, started bool)
 }
 
 func newConnectionPool() *connectionPool {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -135,6 +135,8 @@
 	}
 	d.connections.onDial = d.recordDial
 	d.connections.onTunnel = d.recordTunnel
+	d.connections.onPlan = d.metrics.recordHedgeDelay
+	d.connections.onHedge = d.metrics.countHedgedConnect
 	d.connections.paths = newPaths(targetpath.Config{Zone: c.Zone, Region: c.Region}, d.recordPathChange)
 	p.Gauge("cut_off_zones", "Availability zones with targets that this box reaches through other boxes only.", func() float64 { return float64(len(d.connections.paths.cutOffZones())) })
 	p.Gauge("log_lines_dropped", "Log lines that the reader did not take in time.", func() float64 { return float64(lines.Dropped()) })
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,12 @@
 	connections prometheus.Counter
 	// dials counts connection attempts by the availability zone of the target and the result.
 	dials *prometheus.CounterVec
+	// hedgedConnects counts connection attempts through another box beside one that took long,
+	// suppressedConnects those that the budget held back, both by zone, and hedgeDelay is the time
+	// after which one is due there.
+	hedgedConnects     *prometheus.CounterVec
+	suppressedConnects *prometheus.CounterVec
+	hedgeDelay         *prometheus.GaugeVec
 	// tunnels counts attempts to connect through other boxes, tunnelRequests the requests of other
 	// boxes, both by result.
 	tunnels        *prometheus.CounterVec
@@ -59,6 +65,15 @@
 	m.dials = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ledgesill_target_dials_total", Help: "Connection attempts to targets by their availability zone and the result.",
 	}, []string{"zone", "result"})
+	m.hedgedConnects = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ledgesill_hedged_connects_total", Help: "Connection attempts through another box beside one that took long, by the target's availability zone.",
+	}, []string{"zone"})
+	m.suppressedConnects = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ledgesill_hedged_connects_suppressed_total", Help: "Connections whose hedged attempt was due and was held back by the budget, by the target's availability zone.",
+	}, []string{"zone"})
+	m.hedgeDelay = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "ledgesill_hedged_connect_delay_seconds", Help: "Time after which a hedged connection attempt is due, by the target's availability zone.",
+	}, []string{"zone"})
 	m.tunnels = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ledgesill_tunnels_total", Help: "Attempts to connect to a target through another box, by result.",
 	}, []string{"result"})
@@ -96,11 +111,25 @@
 		Name: "ledgesill_targets_leaving_total", Help: "Targets that said in an answer, to this box or another, that they leave.",
 	})
 	r.MustRegister(m.backOffs, m.backOffSkips, m.targetsLeaving,
-		m.requests, m.latency, m.attempts, m.hedges, m.connections, m.dials, m.tunnels, m.tunnelRequests, m.permitCalls, m.targetProbes, m.crashedRuns, m.quarantined,
+		m.requests, m.latency, m.attempts, m.hedges, m.connections, m.dials, m.hedgedConnects, m.suppressedConnects, m.hedgeDelay, m.tunnels, m.tunnelRequests, m.permitCalls, m.targetProbes, m.crashedRuns, m.quarantined,
 		m.targetLimits, m.targetPermits, m.skippedLimited)
 	return m
 }
 
+// recordHedgeDelay records after which time hedged connection attempts to a zone are due.
+func (m *metrics) recordHedgeDelay(zone string, delay time.Duration) {
+	m.hedgeDelay.WithLabelValues(zone).Set(delay.Seconds())
+}
+
+// countHedgedConnect counts a hedged connection attempt to a zone that was due.
+func (m *metrics) countHedgedConnect(zone string, started bool) {
+	if started {
+		m.hedgedConnects.WithLabelValues(zone).Inc()
+		return
+	}
+	m.suppressedConnects.WithLabelValues(zone).Inc()
+}
+
 var statusClasses = [...]string{"", "1xx", "2xx", "3xx", "4xx", "5xx"}
 
 func (m *metrics) count(route string, status int, reason string, took time.Duration) {
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -53,6 +53,20 @@
 	return p.state.Plan(now, zone, regions)
 }
 
+// recordAttempt records that the box starts a connection attempt of its own.
+func (p *paths) recordAttempt(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.RecordAttempt(now)
+}
+
+// takeHedge reports whether a hedged attempt to a zone may be started, and charges it to the budget.
+func (p *paths) takeHedge(now time.Time, zone string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.TakeHedge(now, zone)
+}
+
 func (p *paths) setPeers(list []targetpath.Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/targetpath/paths.go
+++ b/pkg/targetpath/paths.go
@@ -55,6 +55,7 @@
 	config Config
 	zones  map[string]*zone
 	peers  []*peer
+	budget hedgeBudget
 	// turn rotates the choice among equally good peers.
 	turn int
 }
@@ -71,10 +72,9 @@
 	// lastConnect and lastResponse are the times of the last connection by the box itself and of the
 	// last response on one.
 	lastConnect, lastResponse time.Time
-	// connectTime is a moving average of the time that the box's own connections take.
-	connectTime time.Duration
-	nextProbe   time.Time
-	successes   int
+	connectTimes              connectTimes
+	nextProbe                 time.Time
+	successes                 int
 	// futile counts the attempts in a row in which a peer did not reach the zone either.
 	futile        int
 	nextPeerTrial time.Time
@@ -121,7 +121,7 @@
 func (p *Paths) RecordConnect(now time.Time, zoneName string, took time.Duration) (Change, Evidence) {
 	z := p.zone(zoneName)
 	z.lastConnect = now
-	z.connectTime = average(z.connectTime, took)
+	z.connectTimes.record(now, took)
 	if !z.cutOff {
 		z.forgetFailures()
 		return Unchanged, Evidence{}
@@ -137,16 +137,6 @@
 	return Restored, Evidence{Peers: len(p.peers), Lasted: lasted}
 }
 
-// connectTimeWeight is the weight of one connection in the moving average.
-const connectTimeWeight = 0.2
-
-func average(mean, value time.Duration) time.Duration {
-	if mean == 0 {
-		return value
-	}
-	return mean + time.Duration(connectTimeWeight*float64(value-mean))
-}
-
 // RecordConnectFailure records that the box itself failed to connect to a target.
 func (p *Paths) RecordConnectFailure(now time.Time, zoneName, target string) (Change, Evidence) {
 	z := p.zone(zoneName)
--- a/pkg/targetpath/plan.go
+++ b/pkg/targetpath/plan.go
@@ -7,11 +7,9 @@
 )
 
 const (
-	// attemptDelay bounds the time after which a connection attempt that has neither succeeded nor
-	// failed gets another one beside it. In between it is connectTimes of the usual ones.
-	minAttemptDelay = 60 * time.Millisecond
-	maxAttemptDelay = 150 * time.Millisecond
-	connectTimes    = 3
+	// maxPeerDelay bounds the time after which the next peer is asked while the box is cut off: a round
+	// trip to another region takes 70 ms, and the peer connects to the target in addition.
+	maxPeerDelay = 150 * time.Millisecond
 	// maxPlannedPeers is how many peers are asked for one connection.
 	maxPlannedPeers = 3
 	// Peers are skipped for a while if they could not be reached, are cut off from the zone
@@ -108,7 +106,8 @@
 	// Probe is set if the box, which is cut off, tries to connect itself beside that, to find out whether
 	// it still is. The request does not wait for the result.
 	Probe bool
-	// Peers are asked in this order, each when the attempt before it has failed or Delay has passed.
+	// Peers are asked in this order, each at once when the attempt before it has failed, or when Delay
+	// has passed and TakeHedge allows it.
 	Peers []Peer
 	Delay time.Duration
 }
@@ -117,7 +116,7 @@
 // request must not leave them, so only peers there are asked.
 func (p *Paths) Plan(now time.Time, zoneName string, regions []string) Plan {
 	z := p.zone(zoneName)
-	out := Plan{Direct: !z.cutOff, Delay: z.attemptDelay()}
+	out := Plan{Direct: !z.cutOff, Delay: z.hedgeDelay()}
 	if !z.cutOff {
 		if z.futile < maxFutilePeerFailures || !now.Before(z.nextPeerTrial) {
 			out.Peers = p.choosePeers(now, regions)
@@ -140,8 +139,13 @@
 	return true
 }
 
-func (z *zone) attemptDelay() time.Duration {
-	return min(max(connectTimes*z.connectTime, minAttemptDelay), maxAttemptDelay)
+// hedgeDelay returns the time after which a hedged attempt to the zone is due. While the box is cut off
+// the attempts are those of peers, and the next is due at the lower bound.
+func (z *zone) hedgeDelay() time.Duration {
+	if z.cutOff {
+		return min(z.connectTimes.quantile(0.5)+minAboveMedian, maxPeerDelay)
+	}
+	return z.connectTimes.hedgeDelay()
 }
 
 // choosePeers returns the peers to ask, nearest first and those with few connections before others. It
