--- a/pkg/targetpath/connecttimes.go
+++ b/pkg/targetpath/connecttimes.go
@@ -15,8 +15,8 @@
 	// connection in a hundred would get one if nothing changed, a fifth of hedgeShare.
 	hedgeQuantile = 0.99
 	// minAboveMedian is the least time between the median and a hedged attempt. A box without enough
-	// processor time stands still for up to 90 ms, mostly for less than 60 ms, which delays its
-	// connections as a slow link does.
+	// processor time stalls for up to 90 ms, which delays its connections as a slow link does; in a
+	// zone whose times vary by less than that, the quantile alone would be passed by each stall.
 	minAboveMedian = 60 * time.Millisecond
 	// minSamples is how many connections to a zone are needed for a learned delay. With fewer, the
 	// highest of them is below the 0.9 quantile in more than one of eight cases.
