targetstatus: accept loads with a fourth field

A load with more than three fields was dropped whole, so that its target seemed to report no load. Three fields or more are accepted; the fourth is how long work takes at the target at this moment, in percent of the usual, and counts as missing if it can't be used. Further fields are ignored.

--- a/pkg/targetstatus/parse.go
+++ b/pkg/targetstatus/parse.go
@@ -54,23 +54,44 @@
 	return n, err == nil && n >= 0 && !math.IsInf(n, 0)
 }
 
-// loadFields is the number of fields of a load: requests running, requests waiting, slots.
-const loadFields = 3
+const (
+	// minLoadFields is the number of fields that a load has at least: requests running, requests
+	// waiting, slots.
+	minLoadFields = 3
+	// workTimeField is the index of the field that tells how long work takes.
+	workTimeField = 3
+	// maxWorkTime is the longest work time that is believed, in percent of the usual.
+	maxWorkTime = 10000
+)
 
-// ParseLoad parses a load: requests running, requests waiting and slots, separated by
-// commas.
+// ParseLoad parses a load: requests running, requests waiting and slots, separated by commas. A
+// fourth field is the work time in percent of the usual; it is ignored if it can't be used, and so
+// are further fields.
 func ParseLoad(text string) (Load, bool) {
 	parts := strings.Split(text, ",")
-	if len(parts) != loadFields {
+	if len(parts) < minLoadFields {
 		return Load{}, false
 	}
-	var numbers [loadFields]int
-	for i, p := range parts {
+	var numbers [minLoadFields]int
+	for i, p := range parts[:minLoadFields] {
 		n, err := strconv.Atoi(strings.TrimSpace(p))
 		if err != nil || n < 0 {
 			return Load{}, false
 		}
 		numbers[i] = n
 	}
-	return Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
+	l := Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}
+	if len(parts) > workTimeField {
+		l.WorkTime = parseWorkTime(parts[workTimeField])
+	}
+	return l, true
+}
+
+// parseWorkTime returns zero for a work time that can't be used.
+func parseWorkTime(text string) int {
+	n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(n) || n < 1 || n > maxWorkTime {
+		return 0
+	}
+	return int(n)
 }
--- a/pkg/targetstatus/status.go
+++ b/pkg/targetstatus/status.go
@@ -19,6 +19,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// WorkTime is how long work takes there at this moment, in percent of the usual; zero if the
+	// target does not report it. It may change many times a second.
+	WorkTime int
 }
 
 // Status is what one response reports about its target.
