placement, balance, gateway: divide objects between the regions by their slots

Cause: an object had one home over all regions, so two thirds of the requests travelled 70 ms, and all regions sent to the targets of the region with the fewest. Change: each region has a home for each object; a box decides by a share which objects are local, other regions are used if they have slots to spare, a full home overflows within a bound. Only on routes whose objective is at most ten times the round trip.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -297,6 +297,7 @@
 			now := d.clock.Now()
 			d.connections.closeExpired(now, d.isRegistered)
 			d.callerServer.closeExpired(now)
+			d.setLocalShares()
 			d.permits.prune(now)
 			d.targetLimits.prune(now, d.isRegistered)
 			d.logEndedBackOffs()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"ledgesill.dev/ledgesill/pkg/balance"
 )
 
 // metrics count the requests and their outcomes.
@@ -39,6 +41,10 @@
 	backOffSkips prometheus.Counter
 	// targetsLeaving counts targets that reported in a response that they are shutting down.
 	targetsLeaving prometheus.Counter
+	// localShare is the share of a service's objects whose home is in the box's own region, and
+	// placements counts requests by whether they run in that region.
+	localShare *prometheus.GaugeVec
+	placements *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds; the objectives of the users' routes lie between 0.3 and 0.6.
@@ -62,6 +68,12 @@
 			Name: "ledgesill_target_connections_total", Help: "Connections opened to targets.",
 		}),
 	}
+	m.localShare = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "ledgesill_local_share", Help: "Share of a service's objects whose home target is in the box's own region.",
+	}, []string{"service"})
+	m.placements = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ledgesill_placements_total", Help: "Requests for objects of divided services by where they run: ownRegion, otherRegion, or overflow if the home was full.",
+	}, []string{"placement"})
 	m.dials = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ledgesill_target_dials_total", Help: "Connection attempts to targets by their availability zone and the result.",
 	}, []string{"zone", "result"})
@@ -111,8 +123,10 @@
 		Name: "ledgesill_targets_leaving_total", Help: "Targets that said in an answer, to this box or another, that they leave.",
 	})
 	r.MustRegister(m.backOffs, m.backOffSkips, m.targetsLeaving,
-		m.requests, m.latency, m.attempts, m.hedges, m.connections, m.dials, m.hedgedConnects, m.suppressedConnects, m.hedgeDelay, m.tunnels, m.tunnelRequests, m.permitCalls, m.targetProbes, m.crashedRuns, m.quarantined,
+		m.requests, m.latency, m.attempts, m.hedges, m.connections, m.dials, m.tunnels, m.tunnelRequests, m.permitCalls, m.targetProbes, m.crashedRuns, m.quarantined,
 		m.targetLimits, m.targetPermits, m.skippedLimited)
+	r.MustRegister(m.hedgedConnects, m.suppressedConnects, m.hedgeDelay)
+	r.MustRegister(m.localShare, m.placements)
 	return m
 }
 
@@ -140,3 +154,26 @@
 	m.requests.WithLabelValues(class, reason).Inc()
 	m.latency.WithLabelValues(route).Observe(took.Seconds())
 }
+
+// countPlacement counts where a request for an object of a divided service runs.
+func (m *metrics) countPlacement(c balance.Choice) {
+	switch {
+	case c.LocalShare == 0:
+	case c.Overflowed:
+		m.placements.WithLabelValues("overflow").Inc()
+	case c.Remote:
+		m.placements.WithLabelValues("otherRegion").Inc()
+	default:
+		m.placements.WithLabelValues("ownRegion").Inc()
+	}
+}
+
+// setLocalShares publishes the local shares of the services.
+func (d *Daemon) setLocalShares() {
+	d.balancing.Lock()
+	shares := d.balancing.balancer.LocalShares()
+	d.balancing.Unlock()
+	for service, share := range shares {
+		d.metrics.localShare.WithLabelValues(service).Set(share)
+	}
+}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -40,6 +40,12 @@
 		if c.lastAttempt.peer != "" {
 			line = line.Str("through", c.lastAttempt.peer)
 		}
+		if c.lastAttempt.choice.LocalShare > 0 {
+			line = line.Float64("localShare", c.lastAttempt.choice.LocalShare)
+		}
+		if c.lastAttempt.choice.Overflowed {
+			line = line.Bool("overflowed", true)
+		}
 		if c.lastAttempt.choice.Skipped != "" {
 			line = line.Str("skipped", c.lastAttempt.choice.Skipped)
 		}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -187,8 +187,12 @@
 
 func (d *Daemon) choose(r balance.Request) (balance.Choice, error) {
 	d.balancing.Lock()
-	defer d.balancing.Unlock()
-	return d.balancing.balancer.Choose(d.clock.Now(), r)
+	choice, err := d.balancing.balancer.Choose(d.clock.Now(), r)
+	d.balancing.Unlock()
+	if err == nil {
+		d.metrics.countPlacement(choice)
+	}
+	return choice, err
 }
 
 // recordOutcome counts the outcome of an attempt and reports it to the balancer.
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ledgesill.dev/ledgesill/pkg/placement"
 	"ledgesill.dev/ledgesill/pkg/rollout"
 )
 
@@ -39,6 +40,13 @@
 	retryPhase      float64
 	// splitter divides the requests between versions; nil if the service has had no roll-out.
 	splitter *rollout.Splitter
+	// division divides the objects between the regions, as of divisionAt. localTargets is the number
+	// of targets of the box's own region that can serve them.
+	division     placement.Division
+	divisionAt   time.Time
+	localTargets int
+	// spareRegions are the other regions that can serve callers of the box's region.
+	spareRegions []string
 }
 
 // Balancer chooses targets. It is not safe for concurrent use.
@@ -53,6 +61,10 @@
 	boxes   []rankedBox
 	// boxesRevision counts the calls of SetBoxes.
 	boxesRevision uint64
+	// regionBoxes and regionCount are the boxes of this box's region and the regions with boxes, as
+	// of countedRevision.
+	regionBoxes, regionCount int
+	countedRevision          uint64
 	// roundTrips holds the shortest round trip measured to each region. A region without a
 	// measurement counts as near.
 	roundTrips map[string]time.Duration
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -39,6 +39,12 @@
 // chooseAmong is Choose for a request with a key hash, among the versions that it may be sent to.
 func (b *Balancer) chooseAmong(now time.Time, s *service, r Request, key uint64) (Choice, error) {
 	times := b.timesOfRoute(r)
+	b.updateDivision(now, s)
+	if b.dividesObjects(s, r) {
+		if choice, ok, err := b.chooseDivided(now, s, r, key, times); ok {
+			return choice, err
+		}
+	}
 	chosen, skipped := b.homeTarget(now, s, r, key)
 	hasHome := chosen != nil
 	if !hasHome {
--- a/pkg/balance/report.go
+++ b/pkg/balance/report.go
@@ -99,7 +99,11 @@
 	b.observeRoundTrip(t.Region, r.Connect)
 	t.recordEnd(r.MarkedOverdue)
 	if r.Outcome == Answered || r.Outcome == TurnedAway {
-		b.service(t.Service).load.observe(b.loadPerSlot(t, r))
+		load := b.loadPerSlot(t, r)
+		b.service(t.Service).load.observe(load)
+		if t.Region == b.config.Region {
+			b.service(t.Service).division.ObserveLocalLoad(load)
+		}
 	}
 	b.recordVersionResult(now, t, r)
 	wasEjected := t.failures > 0
@@ -147,6 +151,7 @@
 		times.observe(r.Took)
 	}
 	s := b.service(t.Service)
+	s.division.ObserveRun(now, r.Took)
 	if s.meanTime == 0 {
 		s.meanTime = r.Took
 	}
--- a/pkg/balance/request.go
+++ b/pkg/balance/request.go
@@ -53,6 +53,11 @@
 	Load float64
 	// Version is the version of the state that the choice was based on.
 	Version uint64
+	// LocalShare is the share of the service's objects whose home is in the box's own region; zero if
+	// the objects are not divided between regions. Overflowed is set if the request runs in another
+	// region than its object's home because that is full.
+	LocalShare float64
+	Overflowed bool
 	// Skipped is the ID of the target that would have been chosen if it had not asked this box for
 	// a back-off; empty for none.
 	Skipped string
--- a/pkg/balance/target.go
+++ b/pkg/balance/target.go
@@ -44,6 +44,8 @@
 	// otherLoadHalfLife is the half-life of the load from other boxes: about the service time of a
 	// request.
 	otherLoadHalfLife = 600 * time.Millisecond
+	// slowdownHalfLife is the half-life of a reported slowdown. Targets report spells of some 600 ms.
+	slowdownHalfLife = 300 * time.Millisecond
 	// minEjection is how long an unreachable target is ejected. The time doubles with each
 	// consecutive failure, up to maxEjection.
 	minEjection = 250 * time.Millisecond
@@ -71,6 +73,10 @@
 	overdue     int
 	otherLoad   float64
 	otherLoadAt time.Time
+	// slowdown is how much longer work takes at the target than usually, as of slowdownAt: 1 is the
+	// usual.
+	slowdown   float64
+	slowdownAt time.Time
 	// failures counts consecutive failures. The target is ejected until ejectedUntil because of
 	// them.
 	failures     int
@@ -126,6 +132,21 @@
 	if l.Slots > 0 {
 		t.Slots = l.Slots
 	}
+	if l.WorkTime > 0 {
+		t.slowdown = float64(l.WorkTime) / usualWorkTime
+		t.slowdownAt = now
+	}
+}
+
+// usualWorkTime is the work time that targets report as the usual, in percent.
+const usualWorkTime = 100
+
+// expectedSlowdown returns how much longer work is expected to take at the target than usually.
+func (t *targetState) expectedSlowdown(now time.Time) float64 {
+	if t.slowdown == 0 {
+		return 1
+	}
+	return 1 + (t.slowdown-1)*decay(now.Sub(t.slowdownAt), slowdownHalfLife)
 }
 
 func (t *targetState) observeRelativeLatency(now time.Time, ratio float64) {
@@ -184,5 +205,5 @@
 	if ahead <= 0 {
 		return 0
 	}
-	return time.Duration(ahead / float64(slots) * float64(mean))
+	return time.Duration(ahead / float64(slots) * float64(mean) * t.expectedSlowdown(now))
 }
