gateway: start pipelined requests while one before them runs

net/http serves the requests of a connection one by one, so a pipelined request waited for the whole run of those before it. A net.Conn below http.Server now gives it one request at a time, reads what arrives behind it in the server's own background read, and starts the GET and HEAD requests that pkg/pipelining allows against a buffered response.

--- a/internal/gateway/callerserver.go
+++ b/internal/gateway/callerserver.go
@@ -7,9 +7,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"ledgesill.dev/ledgesill/pkg/pipelining"
 )
 
 const (
@@ -41,6 +44,10 @@
 	// closing holds the connections that were idle for too long and whose server has been told to
 	// read no further request.
 	closing map[net.Conn]bool
+	// early counts the requests that started early and whose responses have not been written.
+	early atomic.Int64
+	// buffers limits the responses of such requests.
+	buffers *pipelining.Budget
 }
 
 func newCallerServer(d *Daemon) (*callerServer, error) {
@@ -48,12 +55,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listening for callers")
 	}
-	c := &callerServer{gateway: d, listener: l, idle: make(map[net.Conn]time.Time), closing: make(map[net.Conn]bool)}
+	c := &callerServer{gateway: d, listener: l, idle: make(map[net.Conn]time.Time), closing: make(map[net.Conn]bool), buffers: newBufferBudget()}
 	c.server = &http.Server{
 		Handler:           d,
 		ReadHeaderTimeout: callerHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		ConnState:         c.connStateChanged,
+		ConnContext:       c.connContext,
 		ErrorLog:          log.New(io.Discard, "", 0), // disconnects are logged with their request
 	}
 	return c, nil
@@ -61,12 +69,15 @@
 
 func (c *callerServer) serve() <-chan error {
 	ended := make(chan error, 1)
-	go func() { ended <- c.server.Serve(c.listener) }()
+	go func() { ended <- c.server.Serve(callerListener{c.listener, c}) }()
 	return ended
 }
 
 // connStateChanged tracks idle connections. It is called by the HTTP server.
 func (c *callerServer) connStateChanged(conn net.Conn, s http.ConnState) {
+	if one, ok := conn.(*callerConn); ok && s == http.StateIdle {
+		one.written()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s == http.StateIdle {
@@ -109,6 +120,7 @@
 // answered, or the context ends.
 func (c *callerServer) shutdown(ctx context.Context) error {
 	c.closeAllIdle(ctx)
+	c.waitForEarly(ctx)
 	return c.server.Shutdown(ctx)
 }
 
@@ -132,6 +144,20 @@
 	}
 }
 
+// waitForEarly waits until the responses of all requests that started early have been written, because
+// Shutdown closes each connection after the response in progress. None starts once the box is stopping.
+func (c *callerServer) waitForEarly(ctx context.Context) {
+	ticker := time.NewTicker(closeIdleInterval)
+	defer ticker.Stop()
+	for c.early.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // idleCount returns how many connections are idle or closing.
 func (c *callerServer) idleCount() int {
 	c.mu.Lock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,6 +33,9 @@
 	backOffSkips prometheus.Counter
 	// targetsLeaving counts targets that reported in a response that they are shutting down.
 	targetsLeaving prometheus.Counter
+	// pipelined counts requests that arrived behind another of their connection, by whether they
+	// started early or why not.
+	pipelined *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds; the objectives of the users' routes lie between 0.3 and 0.6.
@@ -95,7 +98,10 @@
 	m.targetsLeaving = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "ledgesill_targets_leaving_total", Help: "Targets that said in an answer, to this box or another, that they leave.",
 	})
-	r.MustRegister(m.backOffs, m.backOffSkips, m.targetsLeaving,
+	m.pipelined = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ledgesill_pipelined_requests_total", Help: "Requests that arrived behind an unanswered one of their connection, by whether they started early or why not.",
+	}, []string{"started"})
+	r.MustRegister(m.pipelined, m.backOffs, m.backOffSkips, m.targetsLeaving,
 		m.requests, m.latency, m.attempts, m.hedges, m.connections, m.dials, m.tunnels, m.tunnelRequests, m.permitCalls, m.targetProbes, m.crashedRuns, m.quarantined,
 		m.targetLimits, m.targetPermits, m.skippedLimited)
 	return m
--- /dev/null
+++ b/internal/gateway/pipelining_test.go
@@ -0,0 +1,237 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// pipeRig is a box with targets and one connection of a caller, all in memory. A target responds to
+// /ROUTE/MILLISECONDS/BODY with BODY after that time.
+type pipeRig struct {
+	*rig
+	caller net.Conn
+	reader *bufio.Reader
+	served chan error
+	mu     sync.Mutex
+	// arrived are the ids of the requests that have reached a target.
+	arrived []string
+	// failing is the id of a request whose first target breaks its connection.
+	failing string
+}
+
+func newPipeRig(t *testing.T) *pipeRig {
+	t.Helper()
+	config := testConfig()
+	config.StopTime = 8 * time.Second
+	p := &pipeRig{rig: newRig(t, config, 2), served: make(chan error, 1)}
+	for _, one := range p.targets {
+		one.script = func(_ int, r *http.Request, c net.Conn) bool { return p.respond(r, c) }
+	}
+	c := p.daemon.callerServer
+	l := &memoryListener{Listener: c.listener, conns: make(chan net.Conn), ended: make(chan struct{})}
+	t.Cleanup(func() { c.listener = l.Listener })
+	c.listener = l
+	served := c.serve()
+	go func() { p.served <- <-served }()
+	near, far := net.Pipe()
+	l.conns <- far
+	p.caller, p.reader = near, bufio.NewReader(near)
+	return p
+}
+
+func (p *pipeRig) respond(r *http.Request, c net.Conn) bool {
+	_, _ = io.Copy(io.Discard, r.Body)
+	id := r.Header.Get("Test-Id")
+	p.mu.Lock()
+	p.arrived = append(p.arrived, id)
+	breaks := p.failing == id
+	if breaks {
+		p.failing = ""
+	}
+	p.mu.Unlock()
+	if breaks {
+		return false
+	}
+	parts := strings.SplitN(r.URL.Path, "/", 4)
+	millis, _ := strconv.Atoi(parts[2])
+	if p.endsWithin(time.Duration(millis)*time.Millisecond, r, c) {
+		return false
+	}
+	body := parts[3]
+	if n, err := strconv.Atoi(body); err == nil {
+		body = strings.Repeat("x", n)
+	}
+	writeResponse(c, id, body)
+	return true
+}
+
+// requests returns the heads of GET requests.
+func requests(paths ...string) string {
+	var out strings.Builder
+	for i, path := range paths {
+		fmt.Fprintf(&out, "GET %s HTTP/1.1\r\nHost: a.example\r\nTest-Id: id%d\r\nTest-Deadline: 5000\r\n\r\n", path, i+1)
+	}
+	return out.String()
+}
+
+// write writes in the background, as a pipe has no buffer.
+func (p *pipeRig) write(text string) { go func() { _, _ = io.WriteString(p.caller, text) }() }
+
+// wantResponses reads responses and checks their bodies.
+func (p *pipeRig) wantResponses(t *testing.T, bodies ...string) (last *http.Response) {
+	t.Helper()
+	for _, want := range bodies {
+		r, err := http.ReadResponse(p.reader, nil)
+		if err != nil {
+			t.Fatalf("instead of %.20q: %v", want, err)
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || string(body) != want {
+			t.Fatalf("got %d %.40q, %v, want %.40q", r.StatusCode, body, err, want)
+		}
+		last = r
+	}
+	return last
+}
+
+// wantArrived checks which requests have reached a target.
+func (p *pipeRig) wantArrived(t *testing.T, want int) {
+	t.Helper()
+	synctest.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.arrived) != want {
+		t.Fatalf("%v reached targets, want %d requests", p.arrived, want)
+	}
+}
+
+func (p *pipeRig) wantCount(t *testing.T, started string, want float64) {
+	t.Helper()
+	families, err := p.daemon.process.Metrics.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := 0.0
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == "ledgesill_pipelined_requests_total" && m.GetLabel()[0].GetValue() == started {
+				got = m.GetCounter().GetValue()
+			}
+		}
+	}
+	if got != want {
+		t.Errorf("%v pipelined requests count as %s, want %v", got, started, want)
+	}
+}
+
+// wantNothingLeft closes the connection and checks that nothing of its requests is left.
+func (p *pipeRig) wantNothingLeft(t *testing.T) {
+	t.Helper()
+	_ = p.caller.Close()
+	synctest.Wait()
+	c := p.daemon.callerServer
+	if n, used := c.early.Load(), c.buffers.Used(); n != 0 || used != 0 || p.daemon.inFlight.Load() != 0 {
+		t.Errorf("left: %d unwritten, %d bytes, %d requests in flight", n, used, p.daemon.inFlight.Load())
+	}
+	if err := c.server.Shutdown(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if err := <-p.served; err != http.ErrServerClosed {
+		t.Error(err)
+	}
+}
+
+// Guards against requests of one connection that wait for the run of those before them, and against
+// responses out of order. The load: browse requests of wpsl, 610 ms each, 8 at once.
+func TestPipelinedRequestsRunConcurrently(t *testing.T) {
+	for name, step := range map[string]int{"in one segment": 0, "byte by byte": 1, "in pieces": 50} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				p := newPipeRig(t)
+				began := time.Now()
+				text := requests("/long/610/a", "/long/10/b", "/long/300/c", "/long/610/d", "/long/0/e", "/long/1/f", "/long/2/g", "/long/600/h")
+				go func() {
+					for len(text) > 0 {
+						n := len(text)
+						if step > 0 {
+							n = min(step, n)
+						}
+						_, _ = io.WriteString(p.caller, text[:n])
+						text = text[n:]
+					}
+				}()
+				p.wantResponses(t, "a", "b", "c", "d", "e", "f", "g", "h")
+				if took := time.Since(began); took != 610*time.Millisecond {
+					t.Errorf("took %s", took)
+				}
+				p.wantCount(t, "early", 7)
+				p.wantNothingLeft(t)
+				p.wantNoneInFlight(t)
+			})
+		})
+	}
+}
+
+// Guards against more than 8 requests of a connection at once, and against losing those beyond.
+func TestPipelinedRequestsAreLimited(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		p := newPipeRig(t)
+		var paths, bodies []string
+		for i := range 60 {
+			paths = append(paths, fmt.Sprintf("/long/100/r%d", i))
+			bodies = append(bodies, fmt.Sprintf("r%d", i))
+		}
+		p.write(requests(paths...))
+		p.wantArrived(t, maxStartedRequests)
+		p.wantResponses(t, bodies...)
+		p.wantArrived(t, 60)
+		p.wantNothingLeft(t)
+	})
+}
+
+// Guards against requests that start before one that may change what they read, and behind one that
+// closes the connection.
+func TestOtherRequestsRunAlone(t *testing.T) {
+	post := "POST /long/100/p HTTP/1.1\r\nHost: a.example\r\nTest-Id: p\r\nTest-Deadline: 5000\r\n"
+	get := requests("/long/100/a", "/long/100/b")
+	for _, c := range []struct {
+		name, text string
+		early      int
+		bodies     []string
+		took       time.Duration
+	}{
+		{"post with length", get + post + "Content-Length: 3\r\n\r\nabc" + get, 2, []string{"a", "b", "p", "a", "b"}, 300},
+		{"post first", post + "Content-Length: 3\r\n\r\nabc" + get, 1, []string{"p", "a", "b"}, 200},
+		{"post without body", get + post + "Content-Length: 0\r\n\r\n" + get, 2, []string{"a", "b", "p", "a", "b"}, 300},
+		// After a chunked body the connection is served one request at a time.
+		{"chunked post", get + post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + get, 1, []string{"a", "b", "p", "a", "b"}, 400},
+		{"unrepeatable route", get + requests("/once/100/o") + get, 2, []string{"a", "b", "o", "a", "b"}, 300},
+		{"empty line after post", post + "Content-Length: 0\r\n\r\n\r\n" + get, 0, []string{"p", "a", "b"}, 300},
+		{"close", get + strings.Replace(get, "Test-Id", "Connection: close\r\nTest-Id", 1), 2, []string{"a", "b", "a"}, 100},
+		{"HTTP/1.0", get + strings.Replace(get, "HTTP/1.1", "HTTP/1.0", 1), 1, []string{"a", "b", "a"}, 200},
+		{"options", get + "OPTIONS * HTTP/1.1\r\nHost: a.example\r\n\r\n" + get, 1, []string{"a", "b", "", "a", "b"}, 300},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				p := newPipeRig(t)
+				began := time.Now()
+				p.write(c.text)
+				p.wantResponses(t, c.bodies...)
+				if took := time.Since(began); took != c.took*time.Millisecond {
+					t.Errorf("took %s, want %d ms", took, c.took)
+				}
+				p.wantCount(t, "early", float64(c.early))
+				p.wantNothingLeft(t)
+			})
+		})
+	}
+}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -17,6 +17,9 @@
 	}
 	line = line.Str("kind", "request").Str("request", c.requestID).Int("status", status).Dur("took", took).
 		Str("route", c.route.Name).Str("service", c.service).Str("key", c.affinityKey())
+	if c.pipelined > 0 {
+		line = line.Int("pipelined", c.pipelined)
+	}
 	if c.routing != nil {
 		line = line.Uint64("routes", c.routing.document.Number).Uint64("stateVersion", c.routing.version)
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -28,6 +28,8 @@
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline  time.Time
 	requestID string
+	// pipelined is how many requests of its connection were before it when it arrived.
+	pipelined int
 	routing   *routing
 	route     catalog.Route
 	// workspace is the owner of the key that the request carries, nil if there is none. regions are
@@ -105,13 +107,27 @@
 	lastError error
 }
 
-// ServeHTTP serves one request of a caller.
+// ServeHTTP serves one request of a caller, or sends the response if the request was started before
+// the server reached it.
 func (d *Daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &callerRequest{gateway: d, request: r, writer: w, startedAt: d.clock.Now(), routing: d.routing.Load()}
-	c.requestID = d.config.Protocol.requestID(r)
-	if d.stopping.Load() {
+	stopping := d.stopping.Load() // read first: none starts behind this request afterwards
+	conn := callerConnOf(r)
+	reached, early := conn.begin(r)
+	defer conn.end()
+	if stopping && !reached.StartedBehind {
 		w.Header().Set("Connection", "close")
 	}
+	if early != nil {
+		early.deliver(w, r)
+		return
+	}
+	d.serveRequest(w, r, reached.Position)
+}
+
+// serveRequest serves a request that arrived behind a number of others of its connection.
+func (d *Daemon) serveRequest(w http.ResponseWriter, r *http.Request, pipelined int) {
+	c := &callerRequest{gateway: d, request: r, writer: w, startedAt: d.clock.Now(), routing: d.routing.Load(), pipelined: pipelined}
+	c.requestID = d.config.Protocol.requestID(r)
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
 	c.serve()
