pipelining, gateway: test limits, failures and shutdown of pipelined requests

The tests cover a caller that disconnects, a target that fails the second of three requests, full buffers of a connection and of the box, malformed heads behind valid ones, and a box that stops. A gauge shows the bytes that are buffered.

--- a/internal/gateway/callerserver.go
+++ b/internal/gateway/callerserver.go
@@ -56,6 +56,7 @@
 		return nil, errors.Wrap(err, "listening for callers")
 	}
 	c := &callerServer{gateway: d, listener: l, idle: make(map[net.Conn]time.Time), closing: make(map[net.Conn]bool), buffers: newBufferBudget()}
+	d.process.Gauge("pipelined_buffered_bytes", "Bytes of responses of pipelined requests that wait for an earlier response of their connection.", func() float64 { return float64(c.buffers.Used()) })
 	c.server = &http.Server{
 		Handler:           d,
 		ReadHeaderTimeout: callerHeaderTimeout,
--- a/internal/gateway/pipelining_test.go
+++ b/internal/gateway/pipelining_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"ledgesill.dev/ledgesill/pkg/pipelining"
 )
 
 // pipeRig is a box with targets and one connection of a caller, all in memory. A target responds to
@@ -21,7 +24,9 @@
 	caller net.Conn
 	reader *bufio.Reader
 	served chan error
-	mu     sync.Mutex
+	// conn is the box's side of the connection once it has been accepted.
+	conn *callerConn
+	mu   sync.Mutex
 	// arrived are the ids of the requests that have reached a target.
 	arrived []string
 	// failing is the id of a request whose first target breaks its connection.
@@ -40,6 +45,11 @@
 	l := &memoryListener{Listener: c.listener, conns: make(chan net.Conn), ended: make(chan struct{})}
 	t.Cleanup(func() { c.listener = l.Listener })
 	c.listener = l
+	connContext := c.server.ConnContext
+	c.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		p.conn, _ = conn.(*callerConn)
+		return connContext(ctx, conn)
+	}
 	served := c.serve()
 	go func() { p.served <- <-served }()
 	near, far := net.Pipe()
@@ -235,3 +245,165 @@
 		})
 	}
 }
+
+// Guards against targets that go on running the requests of a caller that has left, and against
+// requests that are sent to a target after that.
+func TestDisconnectCancelsPipelinedRequests(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		p := newPipeRig(t)
+		p.write(requests("/long/4000/a", "/long/4000/b", "/long/4000/c") + "POST /long/0/p HTTP/1.1\r\nHost: a.example\r\nTest-Id: p\r\nContent-Length: 0\r\n\r\n")
+		p.wantArrived(t, 3)
+		_ = p.caller.Close()
+		synctest.Wait()
+		if len(p.ended) != 3 {
+			t.Errorf("%d requests ended at targets, want 3", len(p.ended))
+		}
+		p.wantArrived(t, 3)
+		p.wantNothingLeft(t)
+		p.wantNoneInFlight(t)
+	})
+}
+
+// Guards against responses that are lost, or replaced by a refusal, because they wait for longer than
+// the deadline of their request.
+func TestReadyResponseIsDeliveredLate(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		p := newPipeRig(t)
+		p.write(requests("/long/4000/a", "/long/10/20000") + strings.Replace(requests("/long/10/c"), "5000", "500", 1))
+		p.wantResponses(t, "a", strings.Repeat("x", 20000), "c")
+		p.wantNothingLeft(t)
+	})
+}
+
+// Guards against a failed target of one request that affects those beside it: the second of three is
+// repeated and the order is kept.
+func TestFailedPipelinedRequestIsRepeated(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		p := newPipeRig(t)
+		p.failing = "id2"
+		p.write(requests("/long/300/a", "/long/100/b", "/long/10/c"))
+		p.wantResponses(t, "a", "b", "c")
+		p.wantArrived(t, 4)
+		p.wantNothingLeft(t)
+	})
+}
+
+// Guards against responses that fill the memory of the box while a caller's first request runs.
+func TestBufferedResponsesAreLimited(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		p := newPipeRig(t)
+		x := strings.Repeat("x", 40000)
+		p.write(requests("/long/400/a", "/long/0/40000", "/long/0/40000", "/long/0/40000") + strings.Repeat(requests("/long/0/d"), 20))
+		synctest.Wait()
+		if used := p.daemon.callerServer.buffers.Used(); used <= 0 || used > maxBufferedResponses {
+			t.Errorf("%d bytes are buffered", used)
+		}
+		p.wantResponses(t, "a", x, x, x)
+		for range 20 {
+			p.wantResponses(t, "d")
+		}
+		p.wantNothingLeft(t)
+	})
+}
+
+// Guards against a box whose buffers are full that starts further requests early, or that no longer
+// serves them at all.
+func TestFullBoxServesOneByOne(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		p := newPipeRig(t)
+		p.daemon.callerServer.buffers = pipelining.NewBudget(0)
+		p.write(requests("/long/100/a", "/long/100/b", "/long/100/c"))
+		p.wantArrived(t, 1)
+		p.wantResponses(t, "a", "b", "c")
+		p.wantCount(t, "early", 0)
+		p.wantNothingLeft(t)
+	})
+}
+
+// Guards against framing that is refused without pipelining and accepted behind another request, and
+// against effects on the requests before it.
+func TestMalformedPipelinedRequestIsRefused(t *testing.T) {
+	for name, head := range map[string]string{
+		"two lengths":         "GET /long/0/b HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\nContent-Length: 1\r\n\r\n",
+		"chunked with length": "GET /long/0/b HTTP/1.1\r\nHost: a.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked, identity\r\n\r\n",
+		"space before colon":  "GET /long/0/b HTTP/1.1\r\nHost: a.example\r\nAccept : x\r\n\r\n",
+		"no host":             "GET /long/0/b HTTP/1.1\r\nAccept: x\r\n\r\n",
+		"two hosts":           "GET /long/0/b HTTP/1.1\r\nHost: a.example\r\nHost: a.example\r\n\r\n",
+		"bad host":            "GET /long/0/b HTTP/1.1\r\nHost: a{}<>.example\r\n\r\n",
+		"bad value":           "GET /long/0/b HTTP/1.1\r\nHost: a.example\r\nAccept: \x01\r\n\r\n",
+		"no request line":     "GET\r\nHost: a.example\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				p := newPipeRig(t)
+				p.write(requests("/long/100/a", "/long/100/a") + head + requests("/long/0/c"))
+				p.wantArrived(t, 2)
+				p.wantResponses(t, "a", "a")
+				r, err := http.ReadResponse(p.reader, nil)
+				if err != nil || r.StatusCode < 400 || !r.Close {
+					t.Fatalf("got %v, %v", r, err)
+				}
+				p.wantArrived(t, 2)
+				p.wantNothingLeft(t)
+			})
+		})
+	}
+}
+
+// Guards against a box that shuts down and closes a connection before the responses of requests that
+// it has started, or that starts requests behind them.
+func TestShutdownDeliversStartedRequests(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		p := newPipeRig(t)
+		p.write(requests("/single/4500/a", "/single/100/b", "/single/4900/c"))
+		p.wantArrived(t, 3)
+		stopped := make(chan struct{})
+		go func() { defer close(stopped); p.daemon.shutdown() }()
+		time.Sleep(time.Second)
+		p.write(requests("/long/0/d"))
+		if r := p.wantResponses(t, "a"); r.Close {
+			t.Error("the connection is announced to close before the responses of started requests")
+		}
+		p.wantResponses(t, "b")
+		if r := p.wantResponses(t, "c"); !r.Close {
+			t.Error("the last response does not announce that the connection closes")
+		}
+		if _, err := p.reader.ReadByte(); err == nil {
+			t.Error("there is a response behind the one that closes the connection")
+		}
+		<-stopped
+		p.wantArrived(t, 3)
+		p.wantNothingLeft(t)
+	})
+}
+
+// Guards against a connection without pipelining that holds a buffer, or a goroutine more than the
+// HTTP server has for it.
+func TestConnectionWithoutPipeliningHoldsNothing(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		p := newPipeRig(t)
+		for range 3 {
+			p.write(requests("/long/100/a"))
+			p.wantArrived(t, len(p.arrived)+1)
+			p.wantNoBuffer(t)
+			p.wantResponses(t, "a")
+			p.wantNoBuffer(t)
+		}
+		p.write(requests("/long/100/a", "/long/100/b"))
+		p.wantResponses(t, "a", "b")
+		p.wantNoBuffer(t)
+		p.wantCount(t, "early", 1)
+		p.wantNothingLeft(t)
+	})
+}
+
+// wantNoBuffer checks that nothing is kept of requests behind the one being served.
+func (p *pipeRig) wantNoBuffer(t *testing.T) {
+	t.Helper()
+	synctest.Wait()
+	p.conn.mu.Lock()
+	defer p.conn.mu.Unlock()
+	if p.conn.ahead != nil {
+		t.Errorf("%d bytes are read ahead", len(p.conn.ahead.data))
+	}
+}
