gateway: compare the ends of pipelined heads with net/http

200,000 random heads: where net/http accepts one, the box must see its end at the same byte. Also tested: HEAD requests, truncated responses, one log line for each request.

--- a/internal/gateway/pipelining_test.go
+++ b/internal/gateway/pipelining_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +16,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"ledgesill.dev/ledgesill/pkg/pipelining"
 )
 
@@ -80,6 +84,10 @@
 	if n, err := strconv.Atoi(body); err == nil {
 		body = strings.Repeat("x", n)
 	}
+	if body == "truncated" {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nContent-Length: 400000\r\n\r\n%s", id, strings.Repeat("t", 300_000))
+		return false
+	}
 	writeResponse(c, id, body)
 	return true
 }
@@ -407,3 +415,142 @@
 		t.Errorf("%d bytes are read ahead", len(p.conn.ahead.data))
 	}
 }
+
+// Guards against a request that is logged twice or not at all, and against a line without the
+// position of the request.
+func TestPipelinedRequestsAreLoggedOnce(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		p := newPipeRig(t)
+		var lines bytes.Buffer
+		p.daemon.log = zerolog.New(&lines)
+		p.write(requests("/long/100/a", "/long/200/b") + "POST /long/300/p HTTP/1.1\r\nHost: a.example\r\nTest-Id: id3\r\nContent-Length: 0\r\n\r\n")
+		p.wantResponses(t, "a", "b", "p")
+		p.wantNothingLeft(t)
+		for want, count := range map[string]int{`"kind":"request"`: 3, `"request":"id2"`: 1, `"pipelined":`: 2, `"pipelined":1`: 1, `"pipelined":2`: 1} {
+			if n := strings.Count(lines.String(), want); n != count {
+				t.Errorf("%d lines have %s, want %d: %s", n, want, count, lines.String())
+			}
+		}
+		p.wantCount(t, "early", 1)
+		p.wantCount(t, "notRepeatable", 1)
+	})
+}
+
+// Guards against responses behind a truncated one, which the caller would take for the rest of it.
+func TestTruncatedResponseEndsConnection(t *testing.T) {
+	for name, text := range map[string]string{
+		"first":         requests("/long/100/truncated", "/long/4000/b", "/long/4000/c"),
+		"started early": requests("/long/100/a", "/long/50/truncated", "/long/4000/c"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				p := newPipeRig(t)
+				p.write(text)
+				data, err := io.ReadAll(p.reader)
+				if err != nil {
+					t.Error(err)
+				}
+				if !strings.HasSuffix(string(data), strings.Repeat("t", 300_000)) {
+					t.Errorf("the response ends with %.40q", data[max(len(data)-40, 0):])
+				}
+				p.wantNothingLeft(t)
+				p.wantNoneInFlight(t)
+			})
+		})
+	}
+}
+
+// BenchmarkRequestsInTurn measures what it costs to serve a connection without pipelining, and what
+// a plain connection costs. The requests match no route.
+func BenchmarkRequestsInTurn(b *testing.B) {
+	for name, wrap := range map[string]bool{"plain": false, "read ahead": true} {
+		b.Run(name, func(b *testing.B) {
+			d := newDaemon(b, testConfig())
+			defer d.readyListener.Close()
+			c := d.callerServer
+			var l net.Listener = c.listener
+			if wrap {
+				l = callerListener{l, c}
+			}
+			go func() { _ = c.server.Serve(l) }() // ends with the listener
+			defer c.server.Close()
+			conn, err := net.Dial("tcp4", c.listener.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			text := []byte(strings.Replace(requests("/none/"), "\r\n\r\n", strings.Repeat("\r\nX-Header: some value of a header", 8)+"\r\n\r\n", 1))
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = conn.Write(text)
+				r, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
+		})
+	}
+}
+
+// Guards against a body in the response to a HEAD request that started early.
+func TestPipelinedHeadHasNoBody(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		p := newPipeRig(t)
+		for _, one := range p.targets {
+			one.script = func(_ int, r *http.Request, c net.Conn) bool {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nContent-Length: 1\r\n\r\n", r.Header.Get("Test-Id"))
+				if r.Method != http.MethodHead {
+					_, _ = io.WriteString(c, "x")
+				}
+				return true
+			}
+		}
+		p.write(requests("/long/") + strings.Replace(requests("/long/"), "GET", "HEAD", 1) + requests("/long/"))
+		p.wantResponses(t, "x")
+		r, err := http.ReadResponse(p.reader, &http.Request{Method: http.MethodHead})
+		if err != nil || r.ContentLength != 1 {
+			t.Fatalf("got %v, %v", r, err)
+		}
+		p.wantResponses(t, "x")
+		p.wantCount(t, "early", 2)
+		p.wantNothingLeft(t)
+	})
+}
+
+// Guards against a head whose end the box and net/http see at different bytes, so that a request could
+// be hidden in another one.
+func TestHeadScanAgreesWithParser(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	pieces := []string{"\r\n", "\n", "\r", " ", "\t", "A: b", "C:", "x", ":", "\r\n\r\n", "\r\r\n", "\x00", "GET / HTTP/1.1\r\n"}
+	agreed := 0
+	for range 200_000 {
+		text := "GET / HTTP/1.1\r\nHost: a"
+		for range random.IntN(8) {
+			text += pieces[random.IntN(len(pieces))]
+		}
+		text += "\r\n\r\nGET /next HTTP/1.1\r\n\r\n"
+		source := strings.NewReader(text)
+		reader := bufio.NewReader(source)
+		r, err := http.ReadRequest(reader)
+		if err != nil || r.ContentLength != 0 {
+			continue
+		}
+		agreed++
+		want := len(text) - reader.Buffered() - source.Len()
+		var scan headScan
+		end, complete := 0, false
+		for !complete && end < len(text) {
+			n := 0
+			n, complete = scan.next([]byte(text[end:min(end+1+random.IntN(20), len(text))]))
+			end += n
+		}
+		if !complete || scan.unclear || end != want {
+			t.Fatalf("%q ends at %d (%v, unclear %v), net/http read %d bytes", text, end, complete, scan.unclear, want)
+		}
+	}
+	if agreed < 10_000 {
+		t.Errorf("net/http accepted %d heads only", agreed)
+	}
+}
