--- a/internal/gateway/pipelining_test.go
+++ b/internal/gateway/pipelining_test.go
@@ -554,3 +554,60 @@
 		t.Errorf("net/http accepted %d heads only", agreed)
 	}
 }
+
+// Guards against an incomplete head behind another request that holds its connection, or is lost, and
+// against heads that don't fit the buffer for what is read ahead.
+func TestIncompletePipelinedHead(t *testing.T) {
+	long := strings.Replace(requests("/long/0/b"), "Test-Id", "X-Long: "+strings.Repeat("x", 2*maxReadAhead)+"\r\nTest-Id", 1)
+	for _, c := range []struct {
+		name, first, later string
+		bodies             []string
+		closesAfter        time.Duration
+	}{
+		{"completed later", requests("/long/100/a") + "GET /long/0/", strings.TrimPrefix(requests("/long/0/b"), "GET /long/0/"), []string{"a", "b"}, 0},
+		{"never completed", requests("/long/100/a") + "GET /long/0/", "", []string{"a"}, callerHeaderTimeout},
+		{"longer than the buffer", requests("/long/100/a") + long + requests("/long/0/c"), "", []string{"a", "b", "c"}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				p := newPipeRig(t)
+				p.write(c.first)
+				synctest.Wait()
+				p.wantResponses(t, c.bodies[0])
+				began := time.Now()
+				p.write(c.later)
+				p.wantResponses(t, c.bodies[1:]...)
+				if c.closesAfter > 0 {
+					data, err := io.ReadAll(p.reader)
+					if took := time.Since(began); err != nil || took != c.closesAfter || !strings.HasPrefix(string(data), "HTTP/1.1 400 ") {
+						t.Errorf("got %q, %v after %s, want 400 and EOF after %s", data, err, took, c.closesAfter)
+					}
+				}
+				p.wantNothingLeft(t)
+			})
+		})
+	}
+}
+
+// Guards against a connection that counts as busy, and is not closed as idle, after pipelined requests.
+func TestIdleConnectionClosesAfterPipelining(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		p := newPipeRig(t)
+		p.write(requests("/long/100/a", "/long/10/b", "/long/10/c"))
+		p.wantResponses(t, "a", "b", "c")
+		synctest.Wait()
+		c := p.daemon.callerServer
+		if n := c.idleCount(); n != 1 {
+			t.Errorf("%d connections are idle", n)
+		}
+		c.closeIdle(time.Now().Add(time.Second))
+		if _, err := p.reader.ReadByte(); err != io.EOF {
+			t.Errorf("the idle connection is open: %v", err)
+		}
+		synctest.Wait()
+		if n := c.idleCount(); n != 0 {
+			t.Errorf("%d connections are idle or closing", n)
+		}
+		p.wantNothingLeft(t)
+	})
+}
--- a/pkg/pipelining/head.go
+++ b/pkg/pipelining/head.go
@@ -10,9 +10,6 @@
 const (
 	// StartedEarly is the reason of a request that started early.
 	StartedEarly Reason = "early"
-	// NotReadAhead is the reason of a request whose head was not complete when the server reached
-	// it, or that was not read ahead.
-	NotReadAhead Reason = "notReadAhead"
 	// NotRepeatable is the reason of a request that may not run twice, has a body, or asks for more
 	// than a response.
 	NotRepeatable Reason = "notRepeatable"
--- a/pkg/pipelining/queue.go
+++ b/pkg/pipelining/queue.go
@@ -44,7 +44,7 @@
 // number of requests before it.
 func (q *Queue) Arrive(h Head) (sequence, position int) {
 	position = len(q.requests)
-	q.requests = append(q.requests, &request{head: h, position: position, reason: NotReadAhead})
+	q.requests = append(q.requests, &request{head: h, position: position, reason: Behind})
 	return q.first + position, position
 }
 
