pipelining, gateway: charge heads that were read ahead to the box's limit

16 KiB for each pipelining connection would be 46 MB on a box with 2,870 descriptors and 136 MB. A buffer beyond 1 KiB is now reserved from the limit on buffered responses; without room the box stops reading, as at the limit on responses.

--- a/internal/gateway/pipelining.go
+++ b/internal/gateway/pipelining.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"strings"
 	"sync"
 
@@ -87,6 +86,10 @@
 	queue   *pipelining.Queue
 	// requests are those in the queue that the server has not reached, by sequence number.
 	requests map[int]*pipelinedRequest
+	// reserved is how many bytes data may take of the box's budget, beyond minReadAhead. noRoom tells
+	// that the budget had none left.
+	reserved int
+	noRoom   bool
 	// counted is how many of the queue's requests are part of the server's count.
 	counted int
 }
@@ -248,23 +251,45 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a := c.ahead
-	if a == nil || len(a.data) == 0 {
+	if a == nil || len(a.data) == 0 || c.closed != nil {
 		return nil
 	}
+	if len(a.data) == cap(a.data) && !c.isFull() {
+		c.growAhead()
+	}
 	if c.isFull() {
 		return a.data[len(a.data):len(a.data):len(a.data)]
 	}
-	if len(a.data) == cap(a.data) {
-		a.data = slices.Grow(a.data, min(max(len(a.data), minReadAhead), maxReadAhead-len(a.data)))
-	}
 	end := min(cap(a.data), maxReadAhead)
 	return a.data[len(a.data):end:end]
 }
 
+// growAhead makes room for more bytes, unless the box has none left.
+func (c *callerConn) growAhead() {
+	a := c.ahead
+	size := min(max(2*len(a.data), minReadAhead), maxReadAhead)
+	if extra := size - minReadAhead - a.reserved; extra > 0 {
+		if !c.server.buffers.Reserve(int64(extra)) {
+			a.noRoom = true
+			return
+		}
+		a.reserved += extra
+	}
+	a.data = append(make([]byte, 0, size), a.data...)
+}
+
+// releaseAhead gives back what the buffer took of the box's budget.
+func (c *callerConn) releaseAhead() {
+	if c.ahead != nil {
+		c.server.buffers.Release(int64(c.ahead.reserved))
+		c.ahead.reserved = 0
+	}
+}
+
 // isFull reports whether nothing further must be read ahead.
 func (c *callerConn) isFull() bool {
 	a := c.ahead
-	return a != nil && len(a.data) > 0 && (len(a.data) >= maxReadAhead || a.queue != nil && a.queue.IsFull())
+	return a != nil && len(a.data) > 0 && (len(a.data) >= maxReadAhead || a.noRoom || a.queue != nil && a.queue.IsFull())
 }
 
 // advance parses the heads that have been read ahead and starts the requests that may start.
@@ -334,6 +359,7 @@
 // reach takes the request that the server has reached from the queue.
 func (c *callerConn) reach(r *http.Request) (reached pipelining.Reached, early *pipelinedRequest) {
 	a := c.ahead
+	a.noRoom = false
 	if a.parsed == 0 {
 		a.stopped = false
 	}
@@ -388,6 +414,7 @@
 		c.updateCount()
 	}
 	if len(c.ahead.data) == 0 {
+		c.releaseAhead()
 		c.ahead = nil
 	}
 }
@@ -412,6 +439,7 @@
 		c.closed = net.ErrClosed
 	}
 	c.leave()
+	c.releaseAhead()
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/internal/gateway/pipelining_test.go
+++ b/internal/gateway/pipelining_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -611,3 +612,59 @@
 		p.wantNothingLeft(t)
 	})
 }
+
+// Guards against a request that starts early from the middle of a head of which the server has already
+// got the first byte.
+func TestPartOfHeadDoesNotStart(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newRig(t, testConfig(), 1)
+		near, far := net.Pipe()
+		defer near.Close()
+		c := &callerConn{Conn: far, server: s.daemon.callerServer, ctx: t.Context(), state: headRead}
+		c.keep([]byte(strings.Repeat("x"+requests("/long/0/a"), maxReadAhead/len(requests("/long/0/a"))+1)))
+		if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil {
+			t.Fatalf("read %d bytes, %v", n, err)
+		}
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/long/0/b", nil)
+		r.Host = "a.example"
+		c.begin(r)
+		synctest.Wait()
+		if n := s.daemon.callerServer.early.Load(); n != 0 || len(s.reached) != 0 {
+			t.Errorf("%d requests started, %d reached a target", n, len(s.reached))
+		}
+		_ = c.Close()
+	})
+}
+
+// Guards against a request whose lines end in bare LF that starts before net/http has decided on it.
+func TestBareLineFeedDoesNotStartEarly(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		p := newPipeRig(t)
+		p.write(requests("/long/100/a") + strings.ReplaceAll(requests("/long/0/b"), "\r\n", "\n") + requests("/long/0/c"))
+		p.wantArrived(t, 1)
+		p.wantResponses(t, "a")
+		p.wantCount(t, "early", 0)
+		_ = p.caller.Close()
+		p.wantNothingLeft(t)
+	})
+}
+
+// Guards against many connections whose pipelined heads together fill the memory of the box, and
+// against requests that are lost because nothing more was read.
+func TestReadAheadIsLimited(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		p := newPipeRig(t)
+		const room = 2 << 10
+		p.daemon.callerServer.buffers = pipelining.NewBudget(room)
+		post := "POST /long/10/p HTTP/1.1\r\nHost: a.example\r\nTest-Id: p\r\nContent-Length: 30000\r\n\r\n" + strings.Repeat("x", 30000)
+		p.write(requests("/long/100/a") + post + requests("/long/10/b"))
+		p.wantArrived(t, 1)
+		p.conn.mu.Lock()
+		if n := len(p.conn.ahead.data); n > 4096+room { // what net/http read in one call, and the budget
+			t.Errorf("%d bytes are read ahead", n)
+		}
+		p.conn.mu.Unlock()
+		p.wantResponses(t, "a", "p", "b")
+		p.wantNothingLeft(t)
+	})
+}
--- a/pkg/pipelining/budget.go
+++ b/pkg/pipelining/budget.go
@@ -2,7 +2,7 @@
 
 import "sync/atomic"
 
-// Budget limits the bytes of buffered responses of all connections of a box. It is safe for
+// Budget limits the bytes that all connections of a box buffer: responses, and heads that were read ahead. It is safe for
 // concurrent use.
 type Budget struct {
 	limit int64
@@ -17,7 +17,8 @@
 
 func (b *Budget) full() bool { return b.used.Load() >= b.limit }
 
-func (b *Budget) reserve(bytes int64) bool {
+// Reserve takes bytes, or reports false and takes none if there are not as many left.
+func (b *Budget) Reserve(bytes int64) bool {
 	if b.used.Add(bytes) > b.limit {
 		b.used.Add(-bytes)
 		return false
@@ -25,4 +26,5 @@
 	return true
 }
 
-func (b *Budget) release(bytes int64) { b.used.Add(-bytes) }
+// Release gives bytes back.
+func (b *Budget) Release(bytes int64) { b.used.Add(-bytes) }
--- a/pkg/pipelining/queue.go
+++ b/pkg/pipelining/queue.go
@@ -110,7 +110,7 @@
 // false, and reserves none, if the response must wait until the server reaches its request.
 func (q *Queue) Buffer(sequence int, bytes int64) bool {
 	r := q.request(sequence)
-	if r == nil || r.reached || q.left || q.buffered+bytes > q.limits.Bytes || !q.budget.reserve(bytes) {
+	if r == nil || r.reached || q.left || q.buffered+bytes > q.limits.Bytes || !q.budget.Reserve(bytes) {
 		return false
 	}
 	r.buffered += bytes
@@ -190,7 +190,7 @@
 
 func (q *Queue) release(r *request) {
 	q.buffered -= r.buffered
-	q.budget.release(r.buffered)
+	q.budget.Release(r.buffered)
 	r.buffered = 0
 }
 
