gateway: count arrived requests in a test without reading them unlocked

go test -race found the unlocked read in the test of connections without pipelining. go test -race of pkg/pipelining and internal/gateway passes.

--- a/internal/gateway/pipelining_test.go
+++ b/internal/gateway/pipelining_test.go
@@ -391,9 +391,9 @@
 func TestConnectionWithoutPipeliningHoldsNothing(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		p := newPipeRig(t)
-		for range 3 {
+		for i := range 3 {
 			p.write(requests("/long/100/a"))
-			p.wantArrived(t, len(p.arrived)+1)
+			p.wantArrived(t, i+1)
 			p.wantNoBuffer(t)
 			p.wantResponses(t, "a")
 			p.wantNoBuffer(t)
