--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -45,6 +45,9 @@
 	// placements counts requests by whether they run in that region.
 	localShare *prometheus.GaugeVec
 	placements *prometheus.CounterVec
+	// pipelined counts requests that arrived behind another of their connection, by whether they
+	// started early or why not.
+	pipelined *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds; the objectives of the users' routes lie between 0.3 and 0.6.
@@ -122,11 +125,15 @@
 	m.targetsLeaving = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "ledgesill_targets_leaving_total", Help: "Targets that said in an answer, to this box or another, that they leave.",
 	})
+	m.pipelined = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ledgesill_pipelined_requests_total", Help: "Requests that arrived behind an unanswered one of their connection, by whether they started early or why not.",
+	}, []string{"started"})
 	r.MustRegister(m.backOffs, m.backOffSkips, m.targetsLeaving,
 		m.requests, m.latency, m.attempts, m.hedges, m.connections, m.dials, m.tunnels, m.tunnelRequests, m.permitCalls, m.targetProbes, m.crashedRuns, m.quarantined,
 		m.targetLimits, m.targetPermits, m.skippedLimited)
 	r.MustRegister(m.hedgedConnects, m.suppressedConnects, m.hedgeDelay)
 	r.MustRegister(m.localShare, m.placements)
+	r.MustRegister(m.pipelined)
 	return m
 }
 
