overload, gateway, balance: order requests of saturated services by what can be in time

While the targets of a service had queues on average, a caller that returned after a refusal got the whole objective again, so that requests which could no longer be in time held slots of those that could, on routes of any priority alike, and all refused callers returned when the next slot was expected. The remaining objective now counts from the caller's first attempt, as told by the deadlines stated on the route; routes below the highest priority of a service wait half as long; callers are spread over up to a third of the time they have left. Unsaturated services are as before.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -130,9 +130,9 @@
 
 // balanceRequest describes the request to the balancer.
 func (c *callerRequest) balanceRequest() balance.Request {
-	remaining := c.route.Objective - c.gateway.clock.Since(c.startedAt)
+	remaining, waitShare := c.admission.Remaining-c.gateway.clock.Since(c.startedAt), c.admission.WaitShare
 	if c.sent+len(c.pending) > 0 {
-		remaining = c.gateway.clock.Until(c.deadline) // a late response is better than none
+		remaining, waitShare = c.gateway.clock.Until(c.deadline), 0 // a late response is better than none
 	}
 	return balance.Request{
 		Service:     c.service,
@@ -142,6 +142,7 @@
 		PreferLocal: c.route.Repeat == catalog.Download,
 		Objective:   c.route.Objective,
 		Remaining:   remaining,
+		WaitShare:   waitShare,
 		Tried:       c.tried,
 		Reached:     c.reachedTargets(),
 	}
--- a/internal/gateway/callerresponse.go
+++ b/internal/gateway/callerresponse.go
@@ -26,7 +26,7 @@
 		c.fail(http.StatusBadGateway, reasonCallerLeft, cause)
 	case !c.mayHaveRun && errors.As(cause, &none):
 		c.noTarget = none
-		c.refuse(none.Reason, none.RetryAfter)
+		c.refuse(none.Reason, c.retryAfterRefusal(none))
 	case !c.mayHaveRun && errors.As(cause, &noPath):
 		c.refuse("noPath", max(noPath.RetryAfter, minRetryAfter))
 	case !c.mayHaveRun:
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -31,6 +31,8 @@
 	document catalog.Document
 	table    *catalog.Table
 	keys     *catalog.KeyTable
+	// priorities are the highest priorities of the services' routes.
+	priorities map[string]int
 	// version is the version of the replicated state.
 	version uint64
 }
@@ -55,6 +57,7 @@
 	peerListener  net.Listener
 	shaper        *shaper
 	linkQueue     *linkQueue
+	overload      *overloadControl
 	permits       *permits
 	permitStreams *permitStreams
 	// targetLimits tracks rate-limited targets.
@@ -145,6 +148,7 @@
 	d.connections.tunnels, d.tunnelServer = d.newTunnels()
 	p.Gauge("tunnels_open", "Connections to targets that this box carries for other boxes.", func() float64 { return float64(d.tunnelServer.Open()) })
 	d.linkQueue = newLinkQueue(c.LinkBytes)
+	d.overload = newOverloadControl(c.Name, p.Metrics)
 	d.controlReplicas = newReplicas(c.Seeds)
 	d.permits = newPermits(d.clock)
 	d.permitStreams = newPermitStreams(func(ctx context.Context, address string) (*link.Messages, error) { return d.node.Permits(ctx, address) })
@@ -296,6 +300,7 @@
 			d.connections.closeExpired(now, d.isRegistered)
 			d.callerServer.closeExpired(now)
 			d.permits.prune(now)
+			d.overload.prune(now)
 			d.targetLimits.prune(now, d.isRegistered)
 			d.logEndedBackOffs()
 		case <-lines.C:
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -44,6 +44,7 @@
 			line = line.Str("skipped", c.lastAttempt.choice.Skipped)
 		}
 	}
+	line = c.addAdmission(line)
 	line = c.addHedges(line)
 	line = c.addRefusal(line)
 	line = c.addQuarantine(line)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,6 +7,7 @@
 
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/overload"
 	"ledgesill.dev/ledgesill/pkg/quarantine"
 )
 
@@ -48,7 +49,9 @@
 	body             *requestBody
 	// service is the destination that the request is routed to.
 	service string
-	tried   []string
+	// admission is how long the request may wait for a slot.
+	admission overload.Verdict
+	tried     []string
 	// sent counts the targets that may have received the request; mayHaveRun is set once one of
 	// them may have run it.
 	sent       int
@@ -173,15 +176,24 @@
 		return
 	}
 	c.service = c.gateway.destination(route)
+	c.admission = c.admit()
 	c.gateway.recordFirstAttempt(c.service)
 	c.sendToTargets(ctx)
 }
 
 // callerTimeout returns how long the caller waits for its response.
 func (c *callerRequest) callerTimeout() time.Duration {
+	if stated := c.statedTimeout(); stated > 0 {
+		return stated
+	}
+	return defaultDeadline
+}
+
+// statedTimeout returns how long the caller says that it waits; zero if it does not.
+func (c *callerRequest) statedTimeout() time.Duration {
 	text := c.request.Header.Get(c.gateway.config.Protocol.Deadline)
 	if millis, err := strconv.Atoi(text); err == nil && millis > 0 {
 		return time.Duration(millis) * time.Millisecond
 	}
-	return defaultDeadline
+	return 0
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -29,7 +29,7 @@
 	}
 	previous := d.routing.Load()
 	if previous != nil && previous.document.Number == text.Number {
-		d.routing.Store(&routing{document: previous.document, table: previous.table, keys: previous.keys, version: version})
+		d.routing.Store(&routing{document: previous.document, table: previous.table, keys: previous.keys, priorities: previous.priorities, version: version})
 		return
 	}
 	document, err := d.config.DecodeRoutes(text.Text)
@@ -37,7 +37,7 @@
 		d.log.Error().Str("kind", "routes").Uint64("number", text.Number).Err(err).Msg("can't decode the routes document; the previous one stays active")
 		return
 	}
-	next := &routing{document: document, table: catalog.NewTable(document), keys: catalog.NewKeyTable(document), version: version}
+	next := &routing{document: document, table: catalog.NewTable(document), keys: catalog.NewKeyTable(document), priorities: highestPriorities(document), version: version}
 	d.setColdLimits(document.Services)
 	d.linkQueue.assumeLarge(downloadRoutes(document))
 	d.routing.Store(next)
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -187,7 +187,11 @@
 // maxWait returns how long a request may wait for a slot. One that would wait longer is refused at
 // once, because it would occupy a slot for a response that comes too late.
 func maxWait(r Request, times *serviceTimes) time.Duration {
-	return time.Duration(maxWaitShare * float64(max(r.Remaining-times.hit, 0)))
+	share := r.WaitShare
+	if share == 0 {
+		share = maxWaitShare
+	}
+	return time.Duration(max(share, 0) * float64(max(r.Remaining-times.hit, 0)))
 }
 
 func (b *Balancer) assign(now time.Time, t *targetState, wait time.Duration, times *serviceTimes) Choice {
--- a/pkg/balance/request.go
+++ b/pkg/balance/request.go
@@ -24,6 +24,9 @@
 	// Objective is the latency objective of the request, and Remaining the time left until it.
 	Objective time.Duration
 	Remaining time.Duration
+	// WaitShare is the share of the request's spare time that it may wait for a slot: zero for the
+	// usual 0.75, negative if it must not wait.
+	WaitShare float64
 	// ExcludeLimited excludes targets that report a rate limit.
 	ExcludeLimited bool
 	// Tried holds the IDs of targets that were tried before.
--- a/pkg/balance/serviceload.go
+++ b/pkg/balance/serviceload.go
@@ -22,6 +22,15 @@
 
 func (l *serviceLoad) isSaturated() bool { return l.perSlot > saturatedLoad }
 
+// ServiceLoad returns the mean load of a service's targets, in requests per slot; zero if none has
+// responded yet.
+func (b *Balancer) ServiceLoad(name string) float64 {
+	if s := b.services[name]; s != nil {
+		return s.load.perSlot
+	}
+	return 0
+}
+
 // loadPerSlot returns the requests per slot at a report's target. If the target reports no load,
 // all boxes are assumed to send as much as this one.
 func (b *Balancer) loadPerSlot(t *targetState, r Report) float64 {
