--- a/pkg/overload/model_test.go
+++ b/pkg/overload/model_test.go
@@ -34,6 +34,8 @@
 	perSecond                  func(at time.Duration) float64
 	perSecondOfFirst           func(at time.Duration) float64
 	sent, inTime, late, failed int
+	// rejected counts the attempts that targets rejected.
+	rejected int
 	// ofOthers counts the requests of all workspaces but the first, othersInTime those in time.
 	ofOthers, othersInTime int
 }
@@ -258,6 +260,7 @@
 	case len(t.waiting) < modelQueue:
 		t.waiting = append(t.waiting, run)
 	default:
+		c.class.rejected++
 		load := targetstatus.Load{Running: t.running, Waiting: len(t.waiting), Slots: modelSlots}
 		m.after(boxTrip, func() {
 			box.balancer.Done(m.time(), balance.Report{TargetID: t.id, Route: c.class.name, Outcome: balance.TurnedAway, Load: load, HasLoad: true})
@@ -300,7 +303,7 @@
 func share(part, whole int) float64 { return float64(part) / float64(max(whole, 1)) }
 
 func (c *class) String() string {
-	return fmt.Sprintf("%s: %d sent, in time %.3f, late %.3f, failed %.3f; other workspaces in time %.3f", c.name, c.sent, share(c.inTime, c.sent), share(c.late, c.sent), share(c.failed, c.sent), share(c.othersInTime, c.ofOthers))
+	return fmt.Sprintf("%s: %d sent, in time %.3f, late %.3f, failed %.3f, %d rejected; other workspaces in time %.3f", c.name, c.sent, share(c.inTime, c.sent), share(c.late, c.sent), share(c.failed, c.sent), c.rejected, share(c.othersInTime, c.ofOthers))
 }
 
 func constant(perSecond float64) func(time.Duration) float64 {
@@ -347,6 +350,7 @@
 		total[i].sent += c.sent
 		total[i].inTime += c.inTime
 		total[i].late += c.late
+		total[i].rejected += c.rejected
 		total[i].failed += c.failed
 		total[i].ofOthers += c.ofOthers
 		total[i].othersInTime += c.othersInTime
