--- a/pkg/settings/values.go
+++ b/pkg/settings/values.go
@@ -13,6 +13,7 @@
 	RetryBudgetShare   int
 	RetryAttempts      int
 	HedgeAfter         time.Duration
+	SecondAttemptShare int
 	Policy             string
 	Ramp               time.Duration
 	EjectAfterFailures int
@@ -38,6 +39,7 @@
 		RetryBudgetShare:   t.integer(p, RetryBudgetShare),
 		RetryAttempts:      t.integer(p, RetryAttempts),
 		HedgeAfter:         milliseconds(t.integer(p, HedgeAfterMillis)),
+		SecondAttemptShare: t.integer(p, SecondAttemptShare),
 		Policy:             t.Get(p, Policy),
 		Ramp:               milliseconds(t.integer(p, RampMillis)),
 		EjectAfterFailures: t.integer(p, EjectAfterFailures),
