gateway: start a second attempt after a learned run time

A request whose run is disturbed waited 700 ms or three mean run times before another target was tried. pkg/hedging learns the 0.95 quantile of run times by route and by whether the target is expected to know the object. A second attempt is due after it, within a share of the service's requests at this box and half of the earned retries, while the service has free slots. It marks no target as overdue; the hedged attempt for stuck targets stays at its own time.

The tests of the changed packages pass. The effect on latency has not been measured yet.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -16,6 +16,8 @@
 	c.ended = make(chan attemptEnd)
 	c.hedgeTimer = time.NewTimer(c.gateway.clock.Until(c.deadline))
 	defer c.hedgeTimer.Stop()
+	c.second.timer = newStoppedTimer()
+	defer c.finishSecondAttempt()
 	defer c.dropFallback()
 	for {
 		choice, err := c.chooseTarget(ctx)
@@ -78,6 +80,8 @@
 			}
 		case <-c.hedgeTimer.C:
 			c.hedge(ctx)
+		case <-c.second.timer.C:
+			c.startSecondAttempt(ctx)
 		}
 	}
 	return false
@@ -99,6 +103,7 @@
 		c.keepFallback(e)
 		return false
 	}
+	c.second.won = e.isSecond
 	c.cancelPending()
 	c.sendResponse(e.out)
 	return true
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -57,6 +57,8 @@
 	linkQueue     *linkQueue
 	permits       *permits
 	permitStreams *permitStreams
+	// secondAttempts decides on hedged attempts by the learned run times.
+	secondAttempts *secondAttempts
 	// targetLimits tracks rate-limited targets.
 	targetLimits *targetLimits
 	isolation    *isolation.Isolation
@@ -125,6 +127,7 @@
 	d.balancing.retryBudgets = make(map[string]*retry.WindowBudget)
 	d.balancing.splits = make(map[string]*balance.Split)
 	d.targetContact = newTargetContact(d.clock)
+	d.secondAttempts = newSecondAttempts(c, d.started)
 	d.connections = newConnectionPool()
 	d.connections.clock = d.clock
 	if c.TargetAddress != nil {
--- a/internal/gateway/hedging.go
+++ b/internal/gateway/hedging.go
@@ -35,6 +35,8 @@
 	cancel    context.CancelCauseFunc
 	// overdue tells that the hedge delay passed without a response.
 	overdue bool
+	// isSecond marks an attempt that was started early by startSecondAttempt.
+	isSecond bool
 }
 
 // attemptEnd is the result of an attempt.
@@ -57,6 +59,7 @@
 	c.pending = append(c.pending, p)
 	go func() { c.ended <- p.run() }()
 	c.armHedgeTimer()
+	c.armSecondTimer()
 }
 
 // earliest returns the earlier of two times; a zero time stands for none.
@@ -82,16 +85,32 @@
 	return e
 }
 
-// armHedgeTimer sets the hedge timer to when the attempt that was started last becomes overdue.
+// armHedgeTimer sets the hedge timer to when the attempt that was started last becomes overdue. A
+// second attempt that was started early does not postpone that.
 func (c *callerRequest) armHedgeTimer() {
-	if !c.canHedge() {
+	last := c.lastToBeOverdue()
+	if last == nil {
 		c.hedgeTimer.Stop()
 		return
 	}
-	last := c.pending[len(c.pending)-1]
 	c.hedgeTimer.Reset(max(c.gateway.clock.Until(last.startedAt.Add(last.choice.HedgeDelay)), minSearchInterval))
 }
 
+// lastToBeOverdue returns the attempt whose hedge delay the hedge timer runs for; nil for none. If a
+// second attempt was the last that the route allows, the attempts before it still become overdue.
+func (c *callerRequest) lastToBeOverdue() *pendingAttempt {
+	canHedge := c.canHedge()
+	for _, p := range slices.Backward(c.pending) {
+		if !p.isSecond && (canHedge || c.second.started && !p.overdue) {
+			return p
+		}
+	}
+	if canHedge && len(c.pending) > 0 {
+		return c.pending[len(c.pending)-1]
+	}
+	return nil
+}
+
 // canHedge reports whether the request may go to a further target while another may be running it.
 func (c *callerRequest) canHedge() bool {
 	if c.route.Repeat == catalog.Unrepeatable || !c.body.isBuffered() {
@@ -108,7 +127,13 @@
 // where all targets have queues no other one is faster.
 func (c *callerRequest) hedge(ctx context.Context) {
 	for _, p := range c.pending {
-		c.recordOverdue(p)
+		if !p.isSecond || c.gateway.clock.Since(p.startedAt) >= p.choice.HedgeDelay {
+			c.recordOverdue(p)
+		}
+	}
+	if !c.canHedge() {
+		c.armHedgeTimer()
+		return
 	}
 	c.startHedge(ctx)
 }
@@ -204,6 +229,7 @@
 	c.lastAttempt.outcome = report.Outcome
 	c.endedAttempts = append(c.endedAttempts, c.lastAttempt)
 	c.recordEvidence(e)
+	c.observeRun(e, report)
 	c.gateway.recordOutcome(report)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,11 +8,13 @@
 
 // metrics count the requests and their outcomes.
 type metrics struct {
-	requests    *prometheus.CounterVec
-	latency     *prometheus.HistogramVec
-	attempts    *prometheus.CounterVec
-	hedges      prometheus.Counter
-	connections prometheus.Counter
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	attempts *prometheus.CounterVec
+	hedges   prometheus.Counter
+	// secondAttempts counts the hedged attempts that a learned run time called for, by result.
+	secondAttempts *prometheus.CounterVec
+	connections    prometheus.Counter
 	// dials counts connection attempts by the availability zone of the target and the result.
 	dials *prometheus.CounterVec
 	// tunnels counts attempts to connect through other boxes, tunnelRequests the requests of other
@@ -56,6 +58,9 @@
 			Name: "ledgesill_target_connections_total", Help: "Connections opened to targets.",
 		}),
 	}
+	m.secondAttempts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ledgesill_second_attempts_total", Help: "Second attempts that were due by the learned run times, by result.",
+	}, []string{"result"})
 	m.dials = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ledgesill_target_dials_total", Help: "Connection attempts to targets by their availability zone and the result.",
 	}, []string{"zone", "result"})
@@ -95,7 +100,7 @@
 	m.targetsLeaving = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "ledgesill_targets_leaving_total", Help: "Targets that said in an answer, to this box or another, that they leave.",
 	})
-	r.MustRegister(m.backOffs, m.backOffSkips, m.targetsLeaving,
+	r.MustRegister(m.backOffs, m.backOffSkips, m.targetsLeaving, m.secondAttempts,
 		m.requests, m.latency, m.attempts, m.hedges, m.connections, m.dials, m.tunnels, m.tunnelRequests, m.permitCalls, m.targetProbes, m.crashedRuns, m.quarantined,
 		m.targetLimits, m.targetPermits, m.skippedLimited)
 	return m
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -78,6 +78,7 @@
 	if others := c.otherTargets(); len(others) > 0 {
 		line = line.Strs("otherTargets", others)
 	}
+	line = c.addSecondAttempt(line)
 	if c.hedges.count == 0 {
 		return line
 	}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -25,8 +25,8 @@
 	slowResponseTime = 2 * time.Second
 )
 
-// hedgedRoutes has the route /long/, whose requests may be repeated, /once/, whose may not, and
-// /single/, which allows one attempt.
+// hedgedRoutes has the route /long/, whose requests may be repeated, /once/, whose may not, /single/,
+// which allows one attempt, and /thrice/, which allows three.
 func hedgedRoutes([]byte) (catalog.Document, error) {
 	route := func(name string, repeat catalog.Repeat, attempts int) catalog.Route {
 		return catalog.Route{
@@ -37,7 +37,7 @@
 	return catalog.Document{
 		Number: 1,
 		Hosts: []catalog.Host{{Name: "a.example", Routes: []catalog.Route{
-			route("long", catalog.Repeatable, 2), route("once", catalog.Unrepeatable, 2), route("single", catalog.Repeatable, 1),
+			route("long", catalog.Repeatable, 2), route("once", catalog.Unrepeatable, 2), route("single", catalog.Repeatable, 1), route("thrice", catalog.Repeatable, 3),
 		}}},
 		Services: []catalog.Service{{Name: "s"}},
 	}, nil
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -63,6 +63,7 @@
 	// hedgeTimer fires when a hedged attempt is due beside the pending ones.
 	hedgeTimer *time.Timer
 	hedges     hedgeRecord
+	second     secondAttempt
 	// reservation is the link capacity reserved for the response.
 	reservation *reservation
 	// endedAttempts are the records of all attempts that have ended. fallback is a response that is
@@ -174,6 +175,7 @@
 	}
 	c.service = c.gateway.destination(route)
 	c.gateway.recordFirstAttempt(c.service)
+	c.gateway.secondAttempts.recordRequest(c.service)
 	c.sendToTargets(ctx)
 }
 
--- a/internal/gateway/splits.go
+++ b/internal/gateway/splits.go
@@ -44,6 +44,7 @@
 	}
 	if d.balancing.balancer.RouteCount() > limit {
 		d.balancing.balancer.KeepRoutes(routeNames(document))
+		d.secondAttempts.keepRoutes(routeNames(document))
 	}
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -16,6 +16,7 @@
 	if previous := d.lastState; previous == nil && len(c.Quarantined()) > 0 || previous != nil && !c.SharesQuarantined(*previous) {
 		d.applyQuarantine(c.Quarantined(), s.Version())
 	}
+	d.applySettings(s)
 	d.applyRoutes(c, s.Version())
 	d.applyRollouts(c, s.Version())
 	d.applyTargets(c, s.Version())
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -41,6 +41,7 @@
 	times := b.timesOfRoute(r)
 	chosen, skipped := b.homeTarget(now, s, r, key)
 	hasHome := chosen != nil
+	home := chosen
 	if !hasHome {
 		chosen = b.leavingTarget(now, s, r, key)
 	}
@@ -56,6 +57,7 @@
 		return Choice{}, allFullError(now, s, chosen, wait, waitLimit)
 	}
 	choice := b.assign(now, chosen, wait, times)
+	choice.Home = hasHome && chosen == home && r.AffinityKey != ""
 	if skipped != nil {
 		choice.Skipped = skipped.ID
 	}
--- a/pkg/balance/request.go
+++ b/pkg/balance/request.go
@@ -44,6 +44,9 @@
 	Limited bool
 	// Remote is set if the target is in another region.
 	Remote bool
+	// Home is set if the request has an affinity key and the target is its home, which has probably
+	// cached the object.
+	Home bool
 	// ExpectedWait is how long the request is expected to wait for a slot.
 	ExpectedWait time.Duration
 	// HedgeDelay is how long to wait for a response before the request is hedged to another target,
--- a/pkg/balance/serviceload.go
+++ b/pkg/balance/serviceload.go
@@ -22,6 +22,10 @@
 
 func (l *serviceLoad) isSaturated() bool { return l.perSlot > saturatedLoad }
 
+// ServiceLoad returns the mean load of a service's targets in requests per slot; zero if no target has
+// reported one.
+func (b *Balancer) ServiceLoad(name string) float64 { return b.service(name).load.perSlot }
+
 // loadPerSlot returns the requests per slot at a report's target. If the target reports no load,
 // all boxes are assumed to send as much as this one.
 func (b *Balancer) loadPerSlot(t *targetState, r Report) float64 {
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -18,6 +18,8 @@
 	number int64
 	// earned is how many retries the first attempts of the slot still allow.
 	earned float64
+	// granted is what they allowed at first.
+	granted float64
 	// extra is how many of the extra retries were taken in the slot.
 	extra float64
 }
@@ -61,7 +63,28 @@
 }
 
 // RecordFirst records a first attempt at a time since the start of the process.
-func (w *WindowBudget) RecordFirst(at time.Duration) { w.slotAt(at).earned += earnedMargin * w.share }
+func (w *WindowBudget) RecordFirst(at time.Duration) {
+	s := w.slotAt(at)
+	s.earned += earnedMargin * w.share
+	s.granted += earnedMargin * w.share
+}
+
+// EarnedLeft returns the part of the earned retries, of those that have not expired, that has not
+// been taken: 0 to 1, and 0 if less than one whole retry is left.
+func (w *WindowBudget) EarnedLeft(at time.Duration) float64 {
+	now := w.slotNumber(at)
+	var earned, granted float64
+	for _, s := range w.slots {
+		if now-s.number < earnedLifetime {
+			earned += s.earned
+			granted += s.granted
+		}
+	}
+	if earned < 1 {
+		return 0
+	}
+	return earned / granted
+}
 
 // Allows reports whether one more retry is allowed. Extra is this process's part of the
 // extra retries.
