--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -57,7 +57,7 @@
 		return Choice{}, allFullError(now, s, chosen, wait, waitLimit)
 	}
 	choice := b.assign(now, chosen, wait, times)
-	choice.Home = hasHome && chosen == home && r.AffinityKey != ""
+	choice.Home = hasHome && chosen == home && r.AffinityKey != "" && len(r.Tried) == 0
 	if skipped != nil {
 		choice.Skipped = skipped.ID
 	}
--- a/pkg/balance/request.go
+++ b/pkg/balance/request.go
@@ -44,8 +44,8 @@
 	Limited bool
 	// Remote is set if the target is in another region.
 	Remote bool
-	// Home is set if the request has an affinity key and the target is its home, which has probably
-	// cached the object.
+	// Home is set if the request has an affinity key, no target was tried before, and the target is its
+	// home, which has probably cached the object.
 	Home bool
 	// ExpectedWait is how long the request is expected to wait for a slot.
 	ExpectedWait time.Duration
--- a/pkg/balance/routes_test.go
+++ b/pkg/balance/routes_test.go
@@ -16,3 +16,23 @@
 		t.Errorf("%d routes are kept, want only the one named kept", f.balancer.RouteCount())
 	}
 }
+
+// Guards against a run at a target other than the object's home that is expected to be as fast as at
+// home, and against a request without an object that is.
+func TestChoiceTellsHomeTarget(t *testing.T) {
+	f := newRegionsFixture(t, 2, 0)
+	first := f.choose(f.request("a"))
+	if !first.Home {
+		t.Error("the first choice for an object is not its home target")
+	}
+	again := f.request("a")
+	again.Tried = []string{first.Target.ID}
+	if second := f.choose(again); second.Target.ID == first.Target.ID {
+		t.Error("a target that was tried was chosen again")
+	} else if second.Home {
+		t.Error("a target that was chosen because the home target was tried counts as home")
+	}
+	if f.choose(f.request("")).Home {
+		t.Error("a request without an affinity key has a home target")
+	}
+}
--- a/pkg/hedging/limit.go
+++ b/pkg/hedging/limit.go
@@ -14,8 +14,11 @@
 	// burstShare is the part of a window's attempts that may start within burstSlots. Without this
 	// bound a box would take all of a window's attempts at the start of a slowdown, when callers may
 	// be about to move to another box, which has as many of its own.
-	burstShare = 0.2
+	burstShare = 0.3
 	burstSlots = 2
+	// minBurst lets a box with few requests start what is due by chance at the same time: with 1, boxes
+	// with 15 requests per second used half of a limit of 5 percent although enough was due.
+	minBurst = 2
 )
 
 // limit bounds the hedged attempts of one box for a service to a share of the box's own requests in
@@ -62,7 +65,7 @@
 			burst += s.taken
 		}
 	}
-	return taken+1 <= earned && burst+1 <= max(burstShare*earned, 1)
+	return taken+1 <= earned && burst+1 <= max(burstShare*earned, minBurst)
 }
 
 func (l *limit) take(at time.Duration) { l.slotAt(at).taken++ }
--- a/pkg/hedging/planner.go
+++ b/pkg/hedging/planner.go
@@ -17,7 +17,10 @@
 	// maxMissShare is the largest share of runs at home targets that did not know the object with
 	// which a run there is expected to know it. A hedged attempt for a run that merely does not know
 	// its object is useless: the second target does not know it either.
-	maxMissShare = 0.1
+	maxMissShare = 0.15
+	// missShareWeight is the weight of one observation in that share. With 0.05, a share of 0.06 was
+	// taken for more than 0.1 so often that disturbed runs counted as misses and doubled their quantile.
+	missShareWeight = 0.02
 	// maxServiceLoad is the mean load in requests per slot above which a service has no slots to
 	// spare for a second run.
 	maxServiceLoad = 0.8
@@ -76,7 +79,8 @@
 	// hit and miss are the mean times of runs whose target knew the object or did not, as in
 	// pkg/balance: a run counts for the mean that it is closer to.
 	hit, miss, all time.Duration
-	// missShare is the share of the runs at home targets that were misses.
+	// missShare is the share of the runs at home targets that were misses. It starts at 1: a box that
+	// starts does not know whether home targets know their objects.
 	missShare float64
 	known     *histogram
 	unknown   *histogram
@@ -118,7 +122,7 @@
 	}
 	known := p.routes[r.Route]
 	if known == nil {
-		known = &route{hit: r.Objective / 2, miss: r.Objective * 5 / 4, all: r.Objective / 2}
+		known = &route{hit: r.Objective / 2, miss: r.Objective * 5 / 4, all: r.Objective / 2, missShare: 1}
 		p.routes[r.Route] = known
 	}
 	known.observe(at, r)
@@ -137,7 +141,7 @@
 	}
 	isMiss := run.Took > (r.hit+r.miss)/2
 	if run.Expected == Known {
-		r.missShare += meanWeight * (indicator(isMiss) - r.missShare)
+		r.missShare += missShareWeight * (indicator(isMiss) - r.missShare)
 	}
 	if !isMiss {
 		r.hit = movingAverage(r.hit, run.Took)
