hedging, retry: test canceled runs and the earned retries left

Of five faults put into the code by hand, one passed the tests: canceled runs that are not counted. The new test fails with it, with a delay of 133 ms in place of 145. Another, without the check of the route's kind in mayHaveSecond, passes because canHedge makes the same check.

--- a/pkg/hedging/planner_test.go
+++ b/pkg/hedging/planner_test.go
@@ -338,3 +338,23 @@
 		t.Errorf("a second attempt is due after %s at home targets that do not know their objects", cold)
 	}
 }
+
+// Guards against a quantile that falls with each second attempt because the runs that those replaced
+// are not counted, and against one that falls because short canceled runs are.
+func TestCanceledRunsKeepQuantile(t *testing.T) {
+	p := NewPlanner(testWindow)
+	r := rand.New(rand.NewPCG(5, 6))
+	for n := range 5000 {
+		at := time.Duration(n) * 10 * time.Millisecond
+		took := 50*time.Millisecond + time.Duration(r.Float64()*float64(100*time.Millisecond))
+		run := Run{Route: "r", Objective: time.Second, Took: took}
+		if delay, known := p.Delay("r", Alike); known && took > delay {
+			run.Took, run.Unfinished = delay+time.Millisecond, true
+			p.ObserveRun(at, Run{Route: "r", Objective: time.Second, Took: time.Millisecond, Unfinished: true})
+		}
+		p.ObserveRun(at, run)
+	}
+	if delay, _ := p.Delay("r", Alike); delay < 135*time.Millisecond || delay > 155*time.Millisecond {
+		t.Errorf("the delay is %s, want about 145 ms", delay)
+	}
+}
--- a/pkg/retry/window_test.go
+++ b/pkg/retry/window_test.go
@@ -108,3 +108,24 @@
 		t.Errorf("%d retries in a window of %d requests, allowed %v", retries, firsts, allowed)
 	}
 }
+
+// Guards against second attempts that use up what retries have earned: their share of it is judged by
+// EarnedLeft, which must not count the extra retries.
+func TestEarnedLeftFollowsTakenRetries(t *testing.T) {
+	w := NewWindowBudget(testShare, testWindow)
+	if left := w.EarnedLeft(0); left != 0 {
+		t.Errorf("%v is left before any request, want 0", left)
+	}
+	for range 40 { // earn six retries
+		w.RecordFirst(0)
+	}
+	for taken := range 6 {
+		if left, want := w.EarnedLeft(0), 1-float64(taken)/6; left < want-1e-6 || left > want+1e-6 {
+			t.Errorf("%v is left after %d retries, want %v", left, taken, want)
+		}
+		w.Take(0, 100)
+	}
+	if left := w.EarnedLeft(0); left != 0 {
+		t.Errorf("%v is left after all were taken, want 0", left)
+	}
+}
