--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -60,6 +60,8 @@
 	overload      *overloadControl
 	permits       *permits
 	permitStreams *permitStreams
+	// secondAttempts decides on hedged attempts by the learned run times.
+	secondAttempts *secondAttempts
 	// targetLimits tracks rate-limited targets.
 	targetLimits *targetLimits
 	isolation    *isolation.Isolation
@@ -128,6 +130,7 @@
 	d.balancing.retryBudgets = make(map[string]*retry.WindowBudget)
 	d.balancing.splits = make(map[string]*balance.Split)
 	d.targetContact = newTargetContact(d.clock)
+	d.secondAttempts = newSecondAttempts(c, d.started)
 	d.connections = newConnectionPool()
 	d.connections.clock = d.clock
 	if c.TargetAddress != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,11 +10,13 @@
 
 // metrics count the requests and their outcomes.
 type metrics struct {
-	requests    *prometheus.CounterVec
-	latency     *prometheus.HistogramVec
-	attempts    *prometheus.CounterVec
-	hedges      prometheus.Counter
-	connections prometheus.Counter
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	attempts *prometheus.CounterVec
+	hedges   prometheus.Counter
+	// secondAttempts counts the hedged attempts that a learned run time called for, by result.
+	secondAttempts *prometheus.CounterVec
+	connections    prometheus.Counter
 	// dials counts connection attempts by the availability zone of the target and the result.
 	dials *prometheus.CounterVec
 	// hedgedConnects counts connection attempts through another box beside one that took long,
@@ -77,6 +79,9 @@
 	m.placements = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ledgesill_placements_total", Help: "Requests for objects of divided services by where they run: ownRegion, otherRegion, or overflow if the home was full.",
 	}, []string{"placement"})
+	m.secondAttempts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ledgesill_second_attempts_total", Help: "Second attempts that were due by the learned run times, by result.",
+	}, []string{"result"})
 	m.dials = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "ledgesill_target_dials_total", Help: "Connection attempts to targets by their availability zone and the result.",
 	}, []string{"zone", "result"})
@@ -133,7 +138,7 @@
 		m.targetLimits, m.targetPermits, m.skippedLimited)
 	r.MustRegister(m.hedgedConnects, m.suppressedConnects, m.hedgeDelay)
 	r.MustRegister(m.localShare, m.placements)
-	r.MustRegister(m.pipelined)
+	r.MustRegister(m.pipelined, m.secondAttempts)
 	return m
 }
 
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -47,6 +47,7 @@
 	}
 	chosen, skipped := b.homeTarget(now, s, r, key)
 	hasHome := chosen != nil
+	home := chosen
 	if !hasHome {
 		chosen = b.leavingTarget(now, s, r, key)
 	}
@@ -62,6 +63,7 @@
 		return Choice{}, allFullError(now, s, chosen, wait, waitLimit)
 	}
 	choice := b.assign(now, chosen, wait, times)
+	choice.Home = hasHome && chosen == home && r.AffinityKey != "" && len(r.Tried) == 0
 	if skipped != nil {
 		choice.Skipped = skipped.ID
 	}
--- a/pkg/balance/division.go
+++ b/pkg/balance/division.go
@@ -188,6 +188,7 @@
 	choice = b.assign(now, chosen, wait, times)
 	choice.LocalShare = s.division.Share()
 	choice.Overflowed = overflows
+	choice.Home = chosen == first.target && len(r.Tried) == 0
 	if skipped := first.skip(); skipped != nil {
 		choice.Skipped = skipped.ID
 	}
