catalog: list all errors of a routes document

Check returned the first error only, so that an operator met the next one at the next try. Errors yields all of them in the order of the former check, with the rule that is broken and the position; Check returns the first. FoldHost tells which names of hosts a Table does not tell apart.

--- a/pkg/catalog/document.go
+++ b/pkg/catalog/document.go
@@ -6,6 +6,8 @@
 
 import (
 	"fmt"
+	"iter"
+	"math"
 	"strings"
 	"time"
 )
@@ -106,12 +108,42 @@
 // MaxTimeout is the longest timeout that a route may have, as the users require.
 const MaxTimeout = 10 * time.Minute
 
+// Rule names a rule that a valid document follows. The names are stable, so that programs
+// may go by them.
+type Rule string
+
+// The rules of a document.
+const (
+	RuleServiceName    Rule = "service-name"
+	RuleServiceTwice   Rule = "service-twice"
+	RulePrefixSlash    Rule = "prefix-slash"
+	RulePrefixTwice    Rule = "prefix-twice"
+	RuleTimeoutRange   Rule = "timeout-range"
+	RuleServiceUnknown Rule = "service-unknown"
+	RuleWeightNegative Rule = "weight-negative"
+	RuleWeightSum      Rule = "weight-sum"
+	RuleWorkspaceName  Rule = "workspace-name"
+	RuleWorkspaceText  Rule = "workspace-control-character"
+	RuleWorkspaceTwice Rule = "workspace-twice"
+	RuleRateRange      Rule = "rate-range"
+	RuleBurstRange     Rule = "burst-range"
+	RuleKeyEmpty       Rule = "key-empty"
+	RuleKeyRedacted    Rule = "key-redacted"
+	RuleKeyShared      Rule = "key-shared"
+)
+
 // InvalidError says why a document is invalid, and which route or workspace is at
 // fault.
 type InvalidError struct {
 	Route     string
 	Workspace string
 	Reason    string
+	// Rule is the rule that is broken; it is empty if a text can't be decoded.
+	Rule Rule
+	// Host is the index of the host in Document.Hosts if a route is at fault, otherwise 0.
+	Host int
+	// Index is the index in the list of services or workspaces, or in the routes of Host.
+	Index int
 }
 
 // Error implements error.
@@ -125,57 +157,83 @@
 	return "the document of routes is not valid: " + e.Reason
 }
 
-// Check validates the document on its own and returns the first error found.
+// Check validates the document on its own and returns the first error found, an
+// InvalidError.
 func (d Document) Check() error {
+	for err := range d.Errors() {
+		return err
+	}
+	return nil
+}
+
+// Errors returns all errors of the document on its own: those of services first, then
+// those of routes and of workspaces, each in the order of the document.
+func (d Document) Errors() iter.Seq[*InvalidError] {
+	return func(yield func(*InvalidError) bool) {
+		_ = d.checkServices(yield) && d.checkRoutes(yield) && d.checkWorkspaces(yield) // false: the caller needs no more
+	}
+}
+
+// checkServices passes the errors of the services to yield until that returns false.
+func (d Document) checkServices(yield func(*InvalidError) bool) bool {
 	known := make(map[string]bool, len(d.Services))
-	for _, s := range d.Services {
-		if s.Name == "" {
-			return &InvalidError{Reason: "a service has no name"}
+	for i, s := range d.Services {
+		if s.Name == "" && !yield(&InvalidError{Rule: RuleServiceName, Index: i, Reason: "a service has no name"}) {
+			return false
 		}
-		if known[s.Name] {
-			return &InvalidError{Reason: fmt.Sprintf("service %q stands twice", s.Name)}
+		if s.Name != "" && known[s.Name] &&
+			!yield(&InvalidError{Rule: RuleServiceTwice, Index: i, Reason: fmt.Sprintf("service %q stands twice", s.Name)}) {
+			return false
 		}
 		known[s.Name] = true
 	}
-	for _, h := range d.Hosts {
+	return true
+}
+
+// checkRoutes passes the errors of the routes to yield until that returns false.
+func (d Document) checkRoutes(yield func(*InvalidError) bool) bool {
+	known := make(map[string]bool, len(d.Services))
+	for _, s := range d.Services {
+		known[s.Name] = true
+	}
+	for i, h := range d.Hosts {
 		prefixes := make(map[string]bool, len(h.Routes))
-		for _, r := range h.Routes {
-			if err := r.check(known); err != nil {
-				return err
+		for j, r := range h.Routes {
+			fail := func(rule Rule, format string, args ...any) bool {
+				return yield(&InvalidError{Route: r.Name, Host: i, Index: j, Rule: rule, Reason: fmt.Sprintf(format, args...)})
+			}
+			if !r.check(known, fail) {
+				return false
 			}
-			if prefixes[r.Prefix] {
-				return &InvalidError{Route: r.Name, Reason: fmt.Sprintf("prefix %q stands twice at host %q", r.Prefix, h.Name)}
+			if prefixes[r.Prefix] && !fail(RulePrefixTwice, "prefix %q stands twice at host %q", r.Prefix, h.Name) {
+				return false
 			}
 			prefixes[r.Prefix] = true
 		}
 	}
-	return d.checkWorkspaces()
+	return true
 }
 
-func (r Route) check(services map[string]bool) error {
-	fail := func(format string, args ...any) error {
-		return &InvalidError{Route: r.Name, Reason: fmt.Sprintf(format, args...)}
-	}
-	if !strings.HasPrefix(r.Prefix, "/") {
-		return fail("prefix %q does not begin with a slash", r.Prefix)
+// check passes the errors of a route to fail until that returns false.
+func (r Route) check(services map[string]bool, fail func(rule Rule, format string, args ...any) bool) bool {
+	if !strings.HasPrefix(r.Prefix, "/") && !fail(RulePrefixSlash, "prefix %q does not begin with a slash", r.Prefix) {
+		return false
 	}
-	if r.Timeout <= 0 || r.Timeout > MaxTimeout {
-		return fail("time-out %s is not above 0 and at most %s", r.Timeout, MaxTimeout)
+	if (r.Timeout <= 0 || r.Timeout > MaxTimeout) &&
+		!fail(RuleTimeoutRange, "time-out %s is not above 0 and at most %s", r.Timeout, MaxTimeout) {
+		return false
 	}
 	sum := 0.0
 	for _, d := range r.Destinations {
-		if !services[d.Service] {
-			return fail("service %q is not known", d.Service)
+		if !services[d.Service] && !fail(RuleServiceUnknown, "service %q is not known", d.Service) {
+			return false
 		}
-		if d.Weight < 0 {
-			return fail("the weight of %s is below 0", d.Service)
+		if d.Weight < 0 && !fail(RuleWeightNegative, "the weight of %s is below 0", d.Service) {
+			return false
 		}
 		sum += d.Weight
 	}
-	if sum <= 0 {
-		return fail("the weights sum to 0")
-	}
-	return nil
+	return sum > 0 || math.IsNaN(sum) || fail(RuleWeightSum, "the weights sum to 0")
 }
 
 // Match returns the route of one request. For repeated lookups build a Table.
--- a/pkg/catalog/table.go
+++ b/pkg/catalog/table.go
@@ -100,6 +100,9 @@
 	return host[:i]
 }
 
+// FoldHost maps all names of hosts that a Table does not tell apart to the same string.
+func FoldHost(name string) string { return foldName(name) }
+
 // foldName maps all names that are equal under strings.EqualFold to the same string.
 // Names in lower-case ASCII are returned as they are.
 func foldName(name string) string {
--- a/pkg/catalog/workspace.go
+++ b/pkg/catalog/workspace.go
@@ -1,7 +1,6 @@
 package catalog
 
 import (
-	"fmt"
 	"math"
 	"slices"
 	"strings"
@@ -36,45 +35,65 @@
 // it as a key, so that a redacted text can't be activated by mistake.
 const RedactedKey = "(not shown)"
 
-// checkWorkspaces validates the workspaces and returns the first error found.
-func (d Document) checkWorkspaces() error {
+// checkWorkspaces passes the errors of the workspaces to yield until that returns false.
+func (d Document) checkWorkspaces(yield func(*InvalidError) bool) bool {
 	names := make(map[string]bool, len(d.Workspaces))
 	holders := make(map[string]string)
-	for _, w := range d.Workspaces {
-		if err := w.check(); err != nil {
-			return err
+	for i, w := range d.Workspaces {
+		fail := func(rule Rule, reason string) bool {
+			return yield(&InvalidError{Workspace: w.Name, Index: i, Rule: rule, Reason: reason})
 		}
-		if names[w.Name] {
-			return &InvalidError{Workspace: w.Name, Reason: "it stands twice"}
+		if !w.check(fail) {
+			return false
+		}
+		if w.Name != "" && names[w.Name] && !fail(RuleWorkspaceTwice, "it stands twice") {
+			return false
 		}
 		names[w.Name] = true
+		if others := w.sharers(holders); len(others) > 0 &&
+			!fail(RuleKeyShared, "it shares a key with workspace "+strings.Join(others, ", ")) {
+			return false
+		}
 		for _, k := range w.Keys {
-			if other, ok := holders[k]; ok && other != w.Name {
-				return &InvalidError{Workspace: w.Name, Reason: fmt.Sprintf("it shares a key with workspace %s", other)}
-			}
 			holders[k] = w.Name
 		}
 	}
-	return nil
+	return true
+}
+
+// sharers returns the other workspaces that hold keys of w, by the holder of each key. Keys
+// that are errors by themselves don't count.
+func (w Workspace) sharers(holders map[string]string) (others []string) {
+	for _, k := range w.Keys {
+		if k == "" || k == RedactedKey {
+			continue
+		}
+		if other, ok := holders[k]; ok && other != w.Name && !slices.Contains(others, other) {
+			others = append(others, other)
+		}
+	}
+	return others
 }
 
-func (w Workspace) check() error {
-	fail := func(reason string) error { return &InvalidError{Workspace: w.Name, Reason: reason} }
-	switch {
-	case w.Name == "":
-		return fail("a workspace has no name")
-	case strings.ContainsFunc(w.Name, unicode.IsControl):
-		return fail("its name, which targets are told in a header, has a control character")
-	case !isNonNegative(w.Limit.PerSecond):
-		return fail("its requests a second are not a number that is 0 or more")
-	case !isNonNegative(w.Limit.Burst):
-		return fail("its burst is not a number that is 0 or more")
-	case slices.Contains(w.Keys, ""):
-		return fail("one of its keys is empty")
-	case slices.Contains(w.Keys, RedactedKey):
-		return fail("one of its keys was left out when the document was shown")
+// check passes the errors of a workspace on its own to fail until that returns false.
+func (w Workspace) check(fail func(rule Rule, reason string) bool) bool {
+	for _, c := range []struct {
+		broken bool
+		rule   Rule
+		reason string
+	}{
+		{w.Name == "", RuleWorkspaceName, "a workspace has no name"},
+		{strings.ContainsFunc(w.Name, unicode.IsControl), RuleWorkspaceText, "its name, which targets are told in a header, has a control character"},
+		{!isNonNegative(w.Limit.PerSecond), RuleRateRange, "its requests a second are not a number that is 0 or more"},
+		{!isNonNegative(w.Limit.Burst), RuleBurstRange, "its burst is not a number that is 0 or more"},
+		{slices.Contains(w.Keys, ""), RuleKeyEmpty, "one of its keys is empty"},
+		{slices.Contains(w.Keys, RedactedKey), RuleKeyRedacted, "one of its keys was left out when the document was shown"},
+	} {
+		if c.broken && !fail(c.rule, c.reason) {
+			return false
+		}
 	}
-	return nil
+	return true
 }
 
 func isNonNegative(x float64) bool { return x >= 0 && !math.IsInf(x, 1) }
