command: list all findings of a routes document in check routes

check routes named the first error only. It now prints all findings with their place and what to do, compares with another file (-against) or the active document (-against-active), prints JSON with -json, and ends with 3 if control replicas would refuse the document. An unreadable text still ends with 2; a text that is cut or no JSON is named with its line, one above 16 MB, which control replicas don't accept, is refused. check platform-routes decodes the format of the users' platform by platform.DecodeRoutes and is otherwise the same.

--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -5,24 +5,23 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
 
 	"ledgesill.dev/ledgesill/internal/config"
-	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/settings"
 )
 
 func init() {
 	register(Command{
-		Name:      "check",
-		Summary:   "validate a tree file, a routes document or the settings of a daemon, without a running system",
-		Arguments: "tree.json | routes routes.json | control [flags] | entry [flags] | gateway [flags]",
-		Example:   "ledgesill check tree.json\nledgesill check entry -name fp-1 -caller-address 127.0.0.1:8001",
-		Setup:     func(*flag.FlagSet) func(context.Context, Invocation) error { return runCheck },
+		Name:        "check",
+		Summary:     "validate a tree file, a routes document or the settings of a daemon, without a running system",
+		Arguments:   "tree.json | routes [flags] routes.json | platform-routes [flags] routes.json | control [flags] | entry [flags] | gateway [flags]",
+		Example:     "ledgesill check tree.json\nledgesill check routes -against active.json routes.json\nledgesill check entry -name fp-1 -caller-address 127.0.0.1:8001",
+		Setup:       func(*flag.FlagSet) func(context.Context, Invocation) error { return runCheck },
+		Completions: func() []string { return []string{"routes", "platform-routes", "control", "entry", "gateway"} },
 	})
 }
 
-func runCheck(_ context.Context, in Invocation) error {
+func runCheck(ctx context.Context, in Invocation) error {
 	if len(in.Arguments) == 0 {
 		return usageError("check needs a tree file, routes with a routes document, or control, entry or gateway with flags")
 	}
@@ -36,8 +35,8 @@
 	case "gateway":
 		_, _, err := config.ReadGateway(in.Arguments[1:], in.Out)
 		return reportCheck(in.Out, "the settings of the gateway", err)
-	case "routes":
-		return checkRoutes(in)
+	case "routes", "platform-routes":
+		return checkRoutes(ctx, in)
 	}
 	edits, err := readTreeFile(in.Arguments[0])
 	if err != nil {
@@ -59,22 +58,3 @@
 	fmt.Fprintln(w, what, "- valid")
 	return nil
 }
-
-func checkRoutes(in Invocation) error {
-	if len(in.Arguments) != 2 {
-		return usageError("check routes needs one routes document")
-	}
-	file := in.Arguments[1]
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return usageError("reading the routes document: %w", err)
-	}
-	d, err := catalog.ParseDocument(text)
-	if err == nil {
-		err = d.Check()
-	}
-	if err != nil {
-		return &ExitError{ExitUsage, fmt.Errorf("%s: %w", file, err)}
-	}
-	return reportCheck(in.Out, fmt.Sprintf("%s: document %d, %d hosts, %d services", file, d.Number, len(d.Hosts), len(d.Services)), nil)
-}
