routecheck: say that a second's requests at once may be refused

The bound on a workspace's limit adds slack to its burst (pkg/quota), so that not every such caller is refused. go test ./pkg/routecheck ./internal/command passes.

--- a/pkg/routecheck/limits.go
+++ b/pkg/routecheck/limits.go
@@ -73,7 +73,7 @@
 func (c *checker) checkRateLimit(p Place, l catalog.RateLimit) {
 	switch {
 	case l.PerSecond > 0 && l.Burst >= 0 && l.Burst < l.PerSecond:
-		c.add(Warning, RuleBurstRate, p, "Set a burst of at least one second's rate.", "the burst of %g is below the rate of %g per second: callers that send a second's requests at once are refused", l.Burst, l.PerSecond)
+		c.add(Warning, RuleBurstRate, p, "Set a burst of at least one second's rate.", "the burst of %g is below the rate of %g per second: callers that send a second's requests at once may be refused", l.Burst, l.PerSecond)
 	case l.PerSecond == 0 && l.Burst > 0:
 		c.add(Note, RuleBurstUnused, p, "Set a rate, or remove the burst.", "the burst of %g has no effect, because a rate of 0 means no limit", l.Burst)
 	}
