soak: send pipelined requests

Callers of the soak never sent a request before the response of the one before it. One in six turns of a client sends four requests at once, the last of which must run at most once; responses must come in order with the bodies of their own requests.

--- a/contrib/soak/clients.go
+++ b/contrib/soak/clients.go
@@ -46,7 +46,11 @@
 func (c *client) run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
 		c.refreshBoxes()
-		if len(c.boxes) > 0 {
+		switch {
+		case len(c.boxes) == 0:
+		case n%pipelineOneIn == 0:
+			c.sendPipelined(n)
+		default:
 			c.send(n)
 		}
 		time.Sleep(clientPause)
