placement, balance, settings: divide objects only where the settings say so

Change: the settings key localObjects, off by default; the share rises by 0.005 a second instead of 0.03 and falls only where targets report queues.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -126,7 +126,10 @@
 		stoppedRollouts: make(map[uint64]bool),
 	}
 	p.BootClock = c.Clock
-	d.balancing.balancer = balance.New(balance.Config{Box: c.Name, Zone: c.Zone, Region: c.Region})
+	d.balancing.balancer = balance.New(balance.Config{
+		Box: c.Name, Zone: c.Zone, Region: c.Region,
+		DividesObjects: func(service string) bool { return d.secondAttempts.dividesObjects(service) },
+	})
 	d.balancing.retryBudgets = make(map[string]*retry.WindowBudget)
 	d.balancing.splits = make(map[string]*balance.Split)
 	d.targetContact = newTargetContact(d.clock)
--- a/internal/gateway/secondattempts.go
+++ b/internal/gateway/secondattempts.go
@@ -71,6 +71,15 @@
 	return share
 }
 
+// dividesObjects reports whether the settings divide the objects of a service between the regions.
+func (a *secondAttempts) dividesObjects(service string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	place := a.place
+	place.Service = service
+	return a.tree.Get(place, settings.LocalObjects) == "true"
+}
+
 // recordRequest records the first attempt of a request.
 func (a *secondAttempts) recordRequest(service string) {
 	a.mu.Lock()
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -16,6 +16,9 @@
 	Box    string
 	Zone   string
 	Region string
+	// DividesObjects reports whether the objects of a service are divided between the regions; nil if
+	// those of no service are.
+	DividesObjects func(service string) bool
 }
 
 // Box is an entry box in service.
@@ -40,8 +43,10 @@
 	retryPhase      float64
 	// splitter divides the requests between versions; nil if the service has had no roll-out.
 	splitter *rollout.Splitter
-	// division divides the objects between the regions, as of divisionAt. localTargets is the number
+	// divides is set if the objects are divided between the regions, by division, as of divisionAt.
+	// localTargets is the number
 	// of targets of the box's own region that can serve them.
+	divides      bool
 	division     placement.Division
 	divisionAt   time.Time
 	localTargets int
--- a/pkg/balance/division.go
+++ b/pkg/balance/division.go
@@ -51,7 +51,7 @@
 // dividesObjects reports whether the objects of the request's service are divided between the
 // regions.
 func (b *Balancer) dividesObjects(s *service, r Request) bool {
-	return r.AffinityKey != "" && !r.PreferLocal && s.splitter == nil && s.localTargets >= minLocalTargets && len(b.boxes) > 0 && b.isTripCostly(r)
+	return s.divides && r.AffinityKey != "" && !r.PreferLocal && s.splitter == nil && s.localTargets >= minLocalTargets && len(b.boxes) > 0 && b.isTripCostly(r)
 }
 
 // updateDivision updates the division of a service now and then.
@@ -60,6 +60,11 @@
 		return
 	}
 	s.divisionAt = now
+	s.divides = b.config.DividesObjects != nil && b.config.DividesObjects(s.name)
+	if !s.divides {
+		s.localTargets = 0
+		return
+	}
 	var capacity placement.Capacity
 	slots := make(map[string]int)
 	s.localTargets = 0
--- a/pkg/placement/division.go
+++ b/pkg/placement/division.go
@@ -13,9 +13,12 @@
 	// headroom is the share of a region's slots that the region's own callers may take. The most
 	// popular objects load their targets about twice as much as the mean.
 	headroom = 0.6
-	// maxShareRate bounds how fast the local share moves, per second. Of a region's requests at most
-	// 0.15 may change the region within 2 s; the rest of that is for overflow and chance.
-	maxShareRate = 0.03
+	// maxRise and maxFall bound how fast the local share moves, per second. Each object that moves runs
+	// slowly at its new home: at 0.03 a second that was one request in twenty. A fall is faster because
+	// targets with queues serve no object well. Of a region's requests at most 0.15 may change the region
+	// within 2 s; the rest of that is for overflow and chance.
+	maxRise = 0.005
+	maxFall = 0.03
 	// maxOverflow is the share of requests that may run in another region than their object's home
 	// because they start sooner there, maxUrgentOverflow that of those and of the requests that the
 	// home can't serve in time.
@@ -25,8 +28,8 @@
 	// seconds, and a box sees only a few requests per second.
 	demandHalfLife = 6 * time.Second
 	// maxLocalLoad is the mean load of the region's targets, in requests per slot, above which they get
-	// fewer objects: requests begin to queue at the busiest ones.
-	maxLocalLoad = 0.8
+	// fewer objects. Busy targets report more often than others, so that the mean of all is lower.
+	maxLocalLoad = 1.5
 	// spareLocalLoad is the mean load below which the region's targets may get more objects.
 	spareLocalLoad = 0.5
 	// localLoadWeight is the weight of one response in the mean load of the region's targets.
@@ -34,6 +37,8 @@
 	// minSpareSlots is the share of its equal part of all slots that a region must have to serve
 	// callers of other regions.
 	minSpareSlots = 0.5
+	// maxSlotsLeft is the part of the region's slots below which a loss of slots lowers the share at once.
+	maxSlotsLeft = 0.75
 	// minObservation is how long demand is observed before it is used.
 	minObservation = 3 * time.Second
 	// overflowHalfLife is the half-life of the share of requests that overflow: the time within which
@@ -54,6 +59,8 @@
 	share     float64
 	updatedAt time.Time
 	startedAt time.Time
+	// slots is the number of local slots that the share was adapted to.
+	slots int
 	// busy is the target time that this box's requests have taken, decaying, as of observedAt.
 	busy       float64
 	observedAt time.Time
@@ -88,11 +95,25 @@
 		d.startedAt = now
 		d.updatedAt = now
 		d.share = initialShare(c)
+		d.slots = c.LocalSlots
 		return
 	}
-	most := maxShareRate * now.Sub(d.updatedAt).Seconds()
+	d.followLoss(c)
+	elapsed := now.Sub(d.updatedAt).Seconds()
 	d.updatedAt = now
-	d.share += min(max(d.aim(now, c)-d.share, -most), most)
+	d.share += min(max(d.aim(now, c)-d.share, -maxFall*elapsed), maxRise*elapsed)
+}
+
+// followLoss lowers the share at once in proportion when the region has lost many of its slots, as by
+// an evacuated zone: the others would get the objects of those that have left and forget their own.
+func (d *Division) followLoss(c Capacity) {
+	left := float64(c.LocalSlots) / float64(d.slots)
+	if left < maxSlotsLeft {
+		d.share = max(d.share*left, c.part())
+	}
+	if left < maxSlotsLeft || c.LocalSlots > d.slots {
+		d.slots = c.LocalSlots
+	}
 }
 
 // initialShare is the share before demand is known. Targets know no object yet, so runs take several
--- a/pkg/settings/key.go
+++ b/pkg/settings/key.go
@@ -52,6 +52,7 @@
 	RetryAttempts        = "retryAttempts"
 	HedgeAfterMillis     = "hedgeAfterMillis"
 	SecondAttemptShare   = "secondAttemptShare"
+	LocalObjects         = "localObjects"
 	Policy               = "policy"
 	Slots                = "slots"
 	Connections          = "connections"
@@ -94,6 +95,7 @@
 	{Name: RetryAttempts, Kind: Integer, Unit: "attempts", Min: 1, Max: 5, Default: "3", Doc: "attempts of one repeatable request, the first included"},
 	{Name: HedgeAfterMillis, Kind: Integer, Unit: "ms", Min: 0, Max: 60_000, Default: "0", Doc: "wait before a second attempt beside the first; 0 for none"},
 	{Name: SecondAttemptShare, Kind: Integer, Unit: "percent", Min: 0, Max: 20, Default: "5", Doc: "largest share of a service's requests that boxes of kind gateway send to a second target because the first takes unusually long; 0 for none"},
+	{Name: LocalObjects, Kind: Boolean, Default: "false", Doc: "boxes of kind gateway keep the home targets of objects in their own region as far as its targets serve its callers"},
 	{Name: Policy, Kind: Choice, Choices: []string{RoundRobin, LeastLoaded}, Default: LeastLoaded, Doc: "choice of target; roundRobin is the baseline, without queue, retries and ejection"},
 	{Name: Slots, Kind: Integer, Unit: "slots", Min: 1, Max: 10_000, Default: "1", Doc: "requests a target runs at once"},
 	{Name: Connections, Kind: Integer, Unit: "connections", Min: 1, Max: 100_000, Default: "330", Doc: "connections a target holds"},
