--- a/pkg/balance/division.go
+++ b/pkg/balance/division.go
@@ -54,7 +54,7 @@
 	return s.divides && r.AffinityKey != "" && !r.PreferLocal && s.splitter == nil && s.localTargets >= minLocalTargets && len(b.boxes) > 0 && b.isTripCostly(r)
 }
 
-// updateDivision updates the division of a service now and then.
+// updateDivision updates the division of a service if divisionInterval has passed.
 func (b *Balancer) updateDivision(now time.Time, s *service) {
 	if now.Sub(s.divisionAt) < divisionInterval {
 		return
--- a/pkg/placement/division.go
+++ b/pkg/placement/division.go
@@ -13,10 +13,10 @@
 	// headroom is the share of a region's slots that the region's own callers may take. The most
 	// popular objects load their targets about twice as much as the mean.
 	headroom = 0.6
-	// maxRise and maxFall bound how fast the local share moves, per second. Each object that moves runs
-	// slowly at its new home: at 0.03 a second that was one request in twenty. A fall is faster because
-	// targets with queues serve no object well. Of a region's requests at most 0.15 may change the region
-	// within 2 s; the rest of that is for overflow and chance.
+	// maxRise and maxFall bound how fast the local share moves, per second. A rise is slow because each
+	// object that moves runs slowly at its new home at first, a fall is faster because targets with queues
+	// serve no object well. Of a region's requests at most 0.15 may change the region within 2 s, which
+	// leaves 0.09 for overflow and chance.
 	maxRise = 0.005
 	maxFall = 0.03
 	// maxOverflow is the share of requests that may run in another region than their object's home
@@ -28,7 +28,7 @@
 	// seconds, and a box sees only a few requests per second.
 	demandHalfLife = 6 * time.Second
 	// maxLocalLoad is the mean load of the region's targets, in requests per slot, above which they get
-	// fewer objects. Busy targets report more often than others, so that the mean of all is lower.
+	// fewer objects. It is above 1 because busy targets respond more often than others.
 	maxLocalLoad = 1.5
 	// spareLocalLoad is the mean load below which the region's targets may get more objects.
 	spareLocalLoad = 0.5
