--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -63,8 +63,9 @@
 	// secondAttempts decides on hedged attempts by the learned run times.
 	secondAttempts *secondAttempts
 	// targetLimits tracks rate-limited targets.
-	targetLimits *targetLimits
-	isolation    *isolation.Isolation
+	targetLimits      *targetLimits
+	unusableWorkTimes unusableWorkTimes
+	isolation         *isolation.Isolation
 	// controlReachability and permitReachability track which replicas take reports and which issue
 	// permits.
 	controlReachability reachability
@@ -311,6 +312,7 @@
 			d.permits.prune(now)
 			d.overload.prune(now)
 			d.targetLimits.prune(now, d.isRegistered)
+			d.unusableWorkTimes.prune(d.isRegistered)
 			d.logEndedBackOffs()
 		case <-lines.C:
 			d.logSuppressedLines()
--- a/internal/gateway/targetstatus.go
+++ b/internal/gateway/targetstatus.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"maps"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +23,9 @@
 	if len(status.Unparsed) > 0 {
 		d.logUnparsedHeaders(a, status.Unparsed)
 	}
+	if status.WorkTimeUnusable && d.unusableWorkTimes.isNew(a.target.ID) {
+		d.logUnusableWorkTime(a, response.Header.Get(d.config.Protocol.Status.Load))
+	}
 	if status.WarmupRemaining > 0 {
 		d.setColdLeft(a.target.ID, status.WarmupRemaining)
 	}
@@ -107,3 +112,42 @@
 			Msg("status headers of a target can't be parsed")
 	}
 }
+
+// unusableWorkTimes holds the targets whose load had a work time that can't be used, so that each is
+// logged once. It is safe for concurrent use.
+type unusableWorkTimes struct {
+	mu      sync.Mutex
+	targets map[string]bool
+}
+
+// isNew records a target and reports whether it had not been recorded before.
+func (u *unusableWorkTimes) isNew(target string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.targets[target] {
+		return false
+	}
+	if u.targets == nil {
+		u.targets = make(map[string]bool)
+	}
+	u.targets[target] = true
+	return true
+}
+
+// prune drops targets that are no longer registered.
+func (u *unusableWorkTimes) prune(registered func(target string) bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	maps.DeleteFunc(u.targets, func(target string, _ bool) bool { return !registered(target) })
+}
+
+// logUnusableWorkTime logs that the work time of a target's load is ignored; the rest of it is used.
+func (d *Daemon) logUnusableWorkTime(a *attempt, load string) {
+	if d.otherLineLimit.Allow(d.clock.Now()) {
+		d.log.Warn().Str("kind", "unreadHeaders").Str("target", a.target.ID).Str("request", a.requestID).Str("load", load[:min(len(load), maxLoggedLoad)]).
+			Msg("work time in the load of a target can't be used; the target counts as running as usual")
+	}
+}
+
+// maxLoggedLoad bounds the length of a load in a log line, in bytes.
+const maxLoggedLoad = 64
--- a/pkg/targetstatus/load_test.go
+++ b/pkg/targetstatus/load_test.go
@@ -1,6 +1,7 @@
 package targetstatus
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -35,3 +36,15 @@
 		}
 	}
 }
+
+// Guards against a work time that is ignored without a word, and against a warning about loads that
+// have none.
+func TestUnusableWorkTimeIsReported(t *testing.T) {
+	h := Headers{Load: "Load", ParseLoad: ParseLoad}
+	for text, want := range map[string]bool{"3,1,8": false, "3,1,8,250": false, "3,1,8,0": true, "3,1,8,fast,1": true, "3,1,x,fast": false} {
+		s := h.Decode(http.StatusOK, http.Header{"Load": {text}}, nil)
+		if s.WorkTimeUnusable != want {
+			t.Errorf("load %q: unusable work time %v, want %v", text, s.WorkTimeUnusable, want)
+		}
+	}
+}
--- a/pkg/targetstatus/parse.go
+++ b/pkg/targetstatus/parse.go
@@ -87,6 +87,9 @@
 	return l, true
 }
 
+// hasWorkTime reports whether a load has a work time, usable or not.
+func hasWorkTime(text string) bool { return strings.Count(text, ",") >= workTimeField }
+
 // parseWorkTime returns zero for a work time that can't be used.
 func parseWorkTime(text string) int {
 	n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
--- a/pkg/targetstatus/status.go
+++ b/pkg/targetstatus/status.go
@@ -31,6 +31,8 @@
 	// Load is valid if HasLoad. It covers all boxes and becomes outdated within seconds.
 	Load    Load
 	HasLoad bool
+	// WorkTimeUnusable is set if the load has a work time that can't be used.
+	WorkTimeUnusable bool
 	// WarmupRemaining is how much longer the target is warming up; zero if it does not
 	// report that.
 	WarmupRemaining time.Duration
@@ -92,6 +94,7 @@
 	if text := header.Get(h.Load); text != "" {
 		s.Load, s.HasLoad = h.ParseLoad(text)
 		s.recordUnparsed(h.Load, s.HasLoad)
+		s.WorkTimeUnusable = s.HasLoad && s.Load.WorkTime == 0 && hasWorkTime(text)
 	}
 	if text := header.Get(h.WarmupRemaining); text != "" {
 		left, ok := h.ParseWarmup(text)
