overload, pipelining, hedging: say what a reason is, and name the retries that are kept

A comment gave the figures of a choice, which stand in docs/design/overload.md; a type was described as the reason for not starting early and had a value for starting early; 0.5 in hedging.Planner.Decide had no name. No behaviour changes.

--- a/pkg/hedging/planner.go
+++ b/pkg/hedging/planner.go
@@ -24,6 +24,9 @@
 	// maxServiceLoad is the mean load in requests per slot above which a service has no slots to
 	// spare for a second run.
 	maxServiceLoad = 0.8
+	// minRetriesLeft is the part of the earned retries that is kept for retries: a request that failed
+	// needs one more than a slow one.
+	minRetriesLeft = 0.5
 )
 
 // Expectation is what is expected of the target that a run is sent to.
@@ -208,7 +211,7 @@
 	switch {
 	case s.ServiceLoad > maxServiceLoad:
 		return ByLoad
-	case s.Share <= 0 || s.RetriesLeft < 0.5 || !p.limit(s.Service).allows(at):
+	case s.Share <= 0 || s.RetriesLeft < minRetriesLeft || !p.limit(s.Service).allows(at):
 		return ByLimit
 	}
 	return NotSuppressed
--- a/pkg/overload/retryafter.go
+++ b/pkg/overload/retryafter.go
@@ -29,8 +29,7 @@
 // caller still waits. The callers of a service are spread over an interval that begins at expected
 // and grows with the share of requests that were refused lately. It ends where a returning request
 // could no longer be in time; for one that can't be in time anyway, at the end of the time for which
-// callers heed a Retry-After. With the later end for all, 0.660 of the requests of a saturated
-// service were in time in place of 0.701.
+// callers heed a Retry-After.
 func (c *Controller) RetryAfter(now time.Time, service string, expected, remaining, left time.Duration) time.Duration {
 	limit := maxDelay(left)
 	end := time.Duration(maxReturnShare * float64(remaining))
--- a/pkg/pipelining/head.go
+++ b/pkg/pipelining/head.go
@@ -3,12 +3,12 @@
 // responses are buffered. It does no I/O.
 package pipelining
 
-// Reason is why a pipelined request did not start early.
+// Reason tells whether a pipelined request started early, or why it did not.
 type Reason string
 
-// Reasons.
+// The reasons.
 const (
-	// StartedEarly is the reason of a request that started early.
+	// StartedEarly: the request started before the server reached it.
 	StartedEarly Reason = "early"
 	// NotRepeatable is the reason of a request that may not run twice, has a body, or asks for more
 	// than a response.
