catalog, routecheck: name rules in camel case

The rule names of check routes -json had hyphens; names in the project's own formats are in camel case. The golden file of the JSON changes in these names only; the tests of pkg/catalog, pkg/routecheck and internal/command pass.

--- a/pkg/catalog/document.go
+++ b/pkg/catalog/document.go
@@ -114,22 +114,22 @@
 
 // The rules of a document.
 const (
-	RuleServiceName    Rule = "service-name"
-	RuleServiceTwice   Rule = "service-twice"
-	RulePrefixSlash    Rule = "prefix-slash"
-	RulePrefixTwice    Rule = "prefix-twice"
-	RuleTimeoutRange   Rule = "timeout-range"
-	RuleServiceUnknown Rule = "service-unknown"
-	RuleWeightNegative Rule = "weight-negative"
-	RuleWeightSum      Rule = "weight-sum"
-	RuleWorkspaceName  Rule = "workspace-name"
-	RuleWorkspaceText  Rule = "workspace-control-character"
-	RuleWorkspaceTwice Rule = "workspace-twice"
-	RuleRateRange      Rule = "rate-range"
-	RuleBurstRange     Rule = "burst-range"
-	RuleKeyEmpty       Rule = "key-empty"
-	RuleKeyRedacted    Rule = "key-redacted"
-	RuleKeyShared      Rule = "key-shared"
+	RuleServiceName    Rule = "serviceName"
+	RuleServiceTwice   Rule = "serviceTwice"
+	RulePrefixSlash    Rule = "prefixSlash"
+	RulePrefixTwice    Rule = "prefixTwice"
+	RuleTimeoutRange   Rule = "timeoutRange"
+	RuleServiceUnknown Rule = "serviceUnknown"
+	RuleWeightNegative Rule = "weightNegative"
+	RuleWeightSum      Rule = "weightSum"
+	RuleWorkspaceName  Rule = "workspaceName"
+	RuleWorkspaceText  Rule = "workspaceControlCharacter"
+	RuleWorkspaceTwice Rule = "workspaceTwice"
+	RuleRateRange      Rule = "rateRange"
+	RuleBurstRange     Rule = "burstRange"
+	RuleKeyEmpty       Rule = "keyEmpty"
+	RuleKeyRedacted    Rule = "keyRedacted"
+	RuleKeyShared      Rule = "keyShared"
 )
 
 // InvalidError says why a document is invalid, and which route or workspace is at
--- a/pkg/routecheck/difference.go
+++ b/pkg/routecheck/difference.go
@@ -15,7 +15,7 @@
 const (
 	RuleBase           catalog.Rule = "base"
 	RuleNumber         catalog.Rule = "number"
-	RuleKeysUncompared catalog.Rule = "keys-not-compared"
+	RuleKeysUncompared catalog.Rule = "keysNotCompared"
 )
 
 // Action is what a new document does to an entry.
