review: show a common path refused for an hour after a crash

All servers of a service crash at once and come back after 4.5 s; the path that all clients read is quarantined and no server gets it again.

--- a/review/standin/crashed.go
+++ b/review/standin/crashed.go
@@ -59,6 +59,7 @@
 	for i := range 12 {
 		cl := &client{log, c.address(200 + i)}
 		running.Go(func() {
+			time.Sleep(time.Duration(i) * 75 * time.Millisecond)
 			for n := i; ; n++ {
 				select {
 				case <-stop:
@@ -98,7 +99,7 @@
 // startGeneration starts and registers four servers with ids of their own.
 func (c *cluster) startGeneration(generation int) (servers []*server, err error) {
 	for i := range 4 {
-		s, err := c.newServer(fmt.Sprintf("i-%d-%d", generation, i), "resolver", "ea", fmt.Sprintf("%s:%d", c.address(100+i), serverPort), 9, 480*time.Millisecond)
+		s, err := c.newServer(fmt.Sprintf("i-%d-%d", generation, i), "resolver", "ea", fmt.Sprintf("%s:%d", c.address(100+i), serverPort), 3, 480*time.Millisecond)
 		if err != nil {
 			return nil, err
 		}
