--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -23,7 +22,7 @@
 	peerPort      = 7660
 )
 
-// zones maps the zones of the small deployment to their regions.
+// zones are the zones of the small deployment, in one region.
 var zones = []string{"ea", "eb"}
 
 // node is one process of the system.
@@ -38,7 +37,6 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
-	state   *os.ProcessState
 	starts  int
 }
 
@@ -54,8 +52,8 @@
 	proxies  []*proxy
 }
 
-// newCluster prepares the nodes of a deployment; start starts them. With proxies, control replicas
-// reach each other through them.
+// newCluster prepares the nodes of a deployment; startAll starts them. If proxied, control replicas
+// reach each other through proxies.
 func newCluster(log *record, controls, entries int, proxied bool) (*cluster, error) {
 	binary, err := filepath.Abs("target/ledgesill")
 	if err != nil {
@@ -190,7 +188,7 @@
 		cmd.Env = append(cmd.Env, fmt.Sprintf("LEDGESILL_PEER_LISTEN=%s:%d", n.listenIP, peerPort))
 	}
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	if err := startProcess(cmd); err != nil {
 		return err
 	}
 	n.command, n.exited = cmd, make(chan struct{})
@@ -198,24 +196,43 @@
 	exited := n.exited
 	go func() {
 		_ = cmd.Wait()
-		n.mu.Lock()
-		n.state = cmd.ProcessState
-		n.mu.Unlock()
 		close(exited)
 	}()
 	c.log.add("platform: starts %s at %s", n.name, n.ip)
 	return nil
 }
 
-// signal sends a signal to a node.
-func (c *cluster) signal(n *node, s syscall.Signal) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	_ = n.command.Process.Signal(s)
-	c.log.add("platform: %s gets %s", n.name, s)
+// started are the processes of the case, so that none outlives it.
+var started struct {
+	sync.Mutex
+	processes []*os.Process
+	ended     bool
 }
 
-// startAll starts all nodes and waits until the entry boxes are ready.
+func startProcess(cmd *exec.Cmd) error {
+	started.Lock()
+	defer started.Unlock()
+	if started.ended {
+		return os.ErrProcessDone
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	started.processes = append(started.processes, cmd.Process)
+	return nil
+}
+
+// killStarted kills all processes and lets none start any more.
+func killStarted() {
+	started.Lock()
+	defer started.Unlock()
+	started.ended = true
+	for _, p := range started.processes {
+		_ = p.Kill() // it may have ended already
+	}
+}
+
+// startAll starts all nodes.
 func (c *cluster) startAll() error {
 	for _, n := range c.nodes() {
 		if err := c.start(n); err != nil {
@@ -247,7 +264,6 @@
 	for _, n := range c.nodes() {
 		n.mu.Lock()
 		if n.command != nil && n.command.Process != nil {
-			_ = n.command.Process.Signal(syscall.SIGCONT)
 			_ = n.command.Process.Kill()
 		}
 		exited := n.exited
@@ -259,9 +275,5 @@
 	for _, p := range c.proxies {
 		p.close()
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(c.dir)
-	} else {
-		fmt.Println("kept", c.dir)
-	}
+	_ = os.RemoveAll(c.dir)
 }
--- a/review/standin/failed503.go
+++ b/review/standin/failed503.go
@@ -8,6 +8,7 @@
 	"time"
 )
 
+// failed503 checks that a request which has run is not answered as if it had not.
 func failed503(log *record, trouble bool) (broken bool, err error) {
 	c, err := newCluster(log, 3, 2, false)
 	if err != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,9 +6,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
+// maxTime is how long a case may take.
+const maxTime = 118 * time.Second
+
 // cases are the cases by name. Each returns whether the rule was broken; trouble tells whether to
 // play the disruption.
 var cases = map[string]func(log *record, trouble bool) (broken bool, err error){
@@ -29,6 +35,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	go endOnSignal(log)
 	trouble := os.Getenv("TROUBLE") != "0"
 	log.add("case %s, disruption %v", os.Args[1], trouble)
 	broken, err := cases[os.Args[1]](log, trouble)
@@ -45,3 +52,16 @@
 	log.add("the rule held")
 	fmt.Println("held")
 }
+
+// endOnSignal ends the processes of the case on a signal, or when it takes too long.
+func endOnSignal(log *record) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(maxTime):
+	}
+	killStarted()
+	log.add("the case was ended before it could tell")
+	os.Exit(2)
+}
--- a/review/standin/staleorder.go
+++ b/review/standin/staleorder.go
@@ -27,6 +27,8 @@
 	return best
 }
 
+// staleOrder checks that an evacuation that was acknowledged stays in force, although an earlier
+// order to take it back was held up by a cut between control replicas.
 func staleOrder(log *record, trouble bool) (broken bool, err error) {
 	c, err := newCluster(log, 3, 2, true)
 	if err != nil {
