review: keep only the folders of cases under review

The stand-ins' sources move beside the report, and their program is a file that git ignores. No code is changed.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of review/ start.
 set -eu
 cd "$(dirname "$0")"
-CGO_ENABLED=0 GOFLAGS=-buildvcs=false GOWORK=off go build -o bin/standin ./standin
+CGO_ENABLED=0 GOFLAGS=-buildvcs=false GOWORK=off go build -o standin .
