--- a/review/cluster.go
+++ b/review/cluster.go
@@ -66,6 +66,9 @@
 	if err != nil {
 		return nil, err
 	}
+	started.Lock()
+	started.dir = dir
+	started.Unlock()
 	c := &cluster{binary: binary, dir: dir, log: log}
 	if c.network, err = freeNetwork(); err != nil {
 		return nil, err
@@ -202,10 +205,11 @@
 	return nil
 }
 
-// started are the processes of the case, so that none outlives it.
+// started are the processes of the case and its temporary folder, so that nothing outlives it.
 var started struct {
 	sync.Mutex
 	processes []*os.Process
+	dir       string
 	ended     bool
 }
 
@@ -222,14 +226,16 @@
 	return nil
 }
 
-// killStarted kills all processes and lets none start any more.
+// killStarted kills all processes, lets none start any more and removes the temporary folder.
 func killStarted() {
 	started.Lock()
 	defer started.Unlock()
 	started.ended = true
 	for _, p := range started.processes {
 		_ = p.Kill() // it may have ended already
+		_, _ = p.Wait()
 	}
+	_ = os.RemoveAll(started.dir)
 }
 
 // startAll starts all nodes.
