gateway: read the rest of a long body in one place

Callers saw: a target that responds before it has read a long chunked body got that body as a complete one with pieces missing, and the caller got the target's success; with a Content-Length the upload broke off.

Cause: the upload read the body in a goroutine that nobody waited for. The HTTP server reads up to 256 KB of the same body when the response head is written, and the exchange with the target was closed with the response. Full-duplex mode alone is ruled out by a trial: no gaps, but 23 of 24 uploads broken off behind a success.

The upload is now the only reader of what is not buffered, and the handler returns only when the body has been read to its end; if it can't be, the caller's connection is closed, as what follows would be taken for a request. A complete response is flushed, its last chunk included, and the exchange stays open until the target has the request, the caller leaves or the deadline passes. What the target does not take is discarded. Broken framing is not held against the target.

Evidence: TestUploadHasOneReader failed before in 9 of 20 uploads; the other tests of uploads_test.go hung, or failed (response after 600 ms, 502 for a broken upload). Without the close of the caller's connection TestUploadThatBreaksOffStaysIncomplete gets a smuggled request.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -175,9 +175,10 @@
 	return c.request.Header.Get(c.gateway.config.Protocol.AffinityKey)
 }
 
-// releaseAfterBody ends the attempt's context once the response has been read.
-func (c *callerRequest) releaseAfterBody(out *targetResponse, release func()) {
-	if out.rest == nil {
+// releaseAfterExchange ends the attempt's context once the response has been read and the request has
+// been sent.
+func (c *callerRequest) releaseAfterExchange(out *targetResponse, release func()) {
+	if !out.open {
 		release()
 		return
 	}
--- a/internal/gateway/callerresponse.go
+++ b/internal/gateway/callerresponse.go
@@ -19,11 +19,14 @@
 func (c *callerRequest) giveUp(cause error) {
 	var none *balance.NoTargetError
 	var noPath *noPathError
+	var broken *bodyError
 	switch {
 	case c.request.Context().Err() != nil && !c.mayHaveRun:
 		c.refuse(reasonCallerLeft, c.retryAfter())
 	case c.request.Context().Err() != nil:
 		c.fail(http.StatusBadGateway, reasonCallerLeft, cause)
+	case errors.As(cause, &broken):
+		c.fail(http.StatusBadRequest, "bodyBroken", cause)
 	case !c.mayHaveRun && errors.As(cause, &none):
 		c.noTarget = none
 		c.refuse(none.Reason, c.retryAfterRefusal(none))
@@ -82,21 +85,34 @@
 	}
 	c.writeHead(out)
 	_, err := c.writer.Write(out.body)
-	if out.rest == nil {
+	if !out.open {
 		c.logRequest(out.status, "", err)
 		return
 	}
-	if err == nil {
+	if err == nil && out.rest != nil {
 		err = c.gateway.shaper.copy(c.request.Context(), c.writer, out.rest, out.length-int64(len(out.body)))
 	}
-	out.finish(err == nil)
-	c.logRequest(out.status, "", err)
-	if err != nil {
+	if err := c.finishExchange(out, err); err != nil {
 		// The caller must not take the truncated response for a complete one.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// finishExchange logs a response and ends its exchange with the target; err is the error with which
+// writing the response ended. A complete response reaches the caller before the upload has ended.
+func (c *callerRequest) finishExchange(out *targetResponse, err error) error {
+	if err != nil || out.upload.hasEnded() {
+		out.finish(err == nil)
+		c.logRequest(out.status, "", err)
+		return err
+	}
+	err = c.endResponse(out)
+	c.logRequest(out.status, "", err)
+	c.awaitUpload(out.upload)
+	out.finish(err == nil)
+	return err
+}
+
 // replyRejected responds to a request that its last target rejected. If an earlier target may have run
 // the request, the response must not say that it has not run.
 func (c *callerRequest) replyRejected() {
@@ -127,5 +143,8 @@
 	if out.length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(out.length, 10))
 	}
+	if !out.upload.hasEnded() {
+		h.Del("Connection") // a caller that is told to close the connection stops sending the body
+	}
 	c.writer.WriteHeader(out.status)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -40,13 +40,18 @@
 	rest io.Reader
 	// length is the length of the whole body, below zero if unknown.
 	length int64
-	// finish must be called once rest has been read; whole tells whether it was read to its end.
+	// upload is the sending of the request, which may go on after the response.
+	upload *upload
+	// open tells that the exchange has not ended: rest has to be read, or the target has not got the
+	// whole request. If so, finish must be called once it has; whole tells whether rest was read to
+	// its end.
+	open   bool
 	finish func(whole bool)
 }
 
 // discard ends a response that is not forwarded.
 func (o *targetResponse) discard() {
-	if o.rest != nil {
+	if o.open {
 		o.finish(false)
 	}
 }
@@ -155,7 +160,8 @@
 		}
 		finish(whole)
 	}
-	if out.rest == nil {
+	out.open = out.rest != nil || !out.upload.hasEnded()
+	if !out.open {
 		out.finish(true)
 	}
 	return out, nil
@@ -195,8 +201,13 @@
 }
 
 // exchangeOutcome returns the outcome of an exchange that broke. It says nothing about the target if
-// this box has lost its path to it or the box that the connection leads through.
+// the caller has not sent its whole body, or if this box has lost its path to the target or to the box
+// that the connection leads through.
 func (a *attempt) exchangeOutcome(err error) balance.Outcome {
+	var broken *bodyError
+	if errors.As(err, &broken) {
+		return balance.Dropped
+	}
 	var lost *tunnel.PeerLostError
 	if errors.As(err, &lost) || a.connection.isDirect() && a.gateway.connections.paths.wasLostSince(a.target.Zone, a.chosenAt) {
 		return balance.NoPath
@@ -301,7 +312,7 @@
 
 // readResponse reads the body of the response, or its beginning.
 func (a *attempt) readResponse(c *connection, response *http.Response, status targetstatus.Status, sent *upload) (*targetResponse, error) {
-	out := &targetResponse{status: response.StatusCode, header: response.Header, targetStatus: status, length: response.ContentLength}
+	out := &targetResponse{status: response.StatusCode, header: response.Header, targetStatus: status, length: response.ContentLength, upload: sent}
 	idle := keepAliveTimeout(response.Header.Get("Keep-Alive"))
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	out.finish = func(whole bool) {
--- a/internal/gateway/hedging.go
+++ b/internal/gateway/hedging.go
@@ -224,7 +224,7 @@
 		report.Failed = report.Outcome == balance.Answered && e.out.status >= http.StatusInternalServerError
 		report.Load, report.HasLoad = e.out.targetStatus.Load, e.out.targetStatus.HasLoad
 		c.lastAttempt.leaving = e.out.targetStatus.Leaving
-		c.releaseAfterBody(e.out, func() { e.cancel(nil) })
+		c.releaseAfterExchange(e.out, func() { e.cancel(nil) })
 	}
 	c.lastAttempt.outcome = report.Outcome
 	c.endedAttempts = append(c.endedAttempts, c.lastAttempt)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -50,6 +51,9 @@
 	// pipelined counts requests that arrived behind another of their connection, by whether they
 	// started early or why not.
 	pipelined *prometheus.CounterVec
+	// lateUploads counts requests whose body was still being sent when the response was complete, by
+	// whether their target got all of it.
+	lateUploads *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds; the objectives of the users' routes lie between 0.3 and 0.6.
@@ -138,10 +142,18 @@
 		m.targetLimits, m.targetPermits, m.skippedLimited)
 	r.MustRegister(m.hedgedConnects, m.suppressedConnects, m.hedgeDelay)
 	r.MustRegister(m.localShare, m.placements)
-	r.MustRegister(m.pipelined, m.secondAttempts)
+	m.lateUploads = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "ledgesill_late_uploads_total", Help: "Requests whose body was still being sent when their answer was complete, by whether the target got all of it.",
+	}, []string{"whole"})
+	r.MustRegister(m.pipelined, m.secondAttempts, m.lateUploads)
 	return m
 }
 
+// countUpload counts the end of an upload that went on after the response.
+func (m *metrics) countUpload(u *upload) {
+	m.lateUploads.WithLabelValues(strconv.FormatBool(u.succeeded())).Inc()
+}
+
 // recordHedgeDelay records after which time hedged connection attempts to a zone are due.
 func (m *metrics) recordHedgeDelay(zone string, delay time.Duration) {
 	m.hedgeDelay.WithLabelValues(zone).Set(delay.Seconds())
--- a/internal/gateway/pipelining.go
+++ b/internal/gateway/pipelining.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"strings"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
 
 	"ledgesill.dev/ledgesill/pkg/catalog"
@@ -74,6 +76,8 @@
 	ahead *readAhead
 	// closed is the error with which the connection ended while a request was being served.
 	closed error
+	// chunksEnded tells that the last chunk of the response has been written before the server did.
+	chunksEnded bool
 }
 
 // readAhead is what has been read behind the request that is being served.
@@ -444,6 +448,33 @@
 	return c.Conn.Close()
 }
 
+// errWriteAfterChunks says that the HTTP server has written more than the last chunk of a response that
+// had ended.
+var errWriteAfterChunks = errors.New("data behind the last chunk of a response")
+
+// endChunks writes the last chunk of a response in chunks, all of which has been written. The HTTP
+// server writes it only when the handler returns; that one is dropped.
+func (c *callerConn) endChunks() error {
+	if c == nil {
+		return nil
+	}
+	c.chunksEnded = true
+	_, err := io.WriteString(c.Conn, lastChunk)
+	return errors.Wrap(err, "ending the response")
+}
+
+// Write implements net.Conn for the HTTP server, which never calls it concurrently.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if !c.chunksEnded {
+		return c.Conn.Write(p)
+	}
+	c.chunksEnded = false
+	if string(p) != lastChunk {
+		return 0, errWriteAfterChunks
+	}
+	return len(p), nil
+}
+
 // CloseWrite implements the interface by which the HTTP server closes a connection on which it has not
 // read all of a request.
 func (c *callerConn) CloseWrite() error {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"slices"
 
+	"github.com/cockroachdb/errors"
+
 	"ledgesill.dev/ledgesill/internal/isolation"
 	"ledgesill.dev/ledgesill/pkg/quarantine"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -135,8 +137,8 @@
 	return true
 }
 
-// bufferBody reads the body if that has not been done yet and reports whether it succeeded. If not,
-// the caller has been answered.
+// bufferBody reads the body, or its beginning, if that has not been done yet and reports whether it
+// succeeded. If not, the caller has been answered.
 func (c *callerRequest) bufferBody() bool {
 	if c.body != nil {
 		return true
@@ -146,6 +148,16 @@
 		c.fail(http.StatusBadRequest, "bodyBroken", err)
 		return false
 	}
+	if c.body.rest == nil {
+		return true
+	}
+	// Otherwise the HTTP server reads the rest itself when the response begins. A writer without this
+	// mode belongs to no such server.
+	err = http.NewResponseController(c.writer).EnableFullDuplex()
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		c.fail(http.StatusInternalServerError, "noFullDuplex", err)
+		return false
+	}
 	return true
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,6 +49,8 @@
 	skipCause        error
 	targetPermitWait time.Duration
 	body             *requestBody
+	// served tells that serve has returned, and not panicked.
+	served bool
 	// service is the destination that the request is routed to.
 	service string
 	// admission is how long the request may wait for a slot.
@@ -134,7 +136,9 @@
 	c.requestID = d.config.Protocol.requestID(r)
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
+	defer c.finishBody()
 	c.serve()
+	c.served = true
 }
 
 // requestID returns the id of a request. A request without one gets one if the protocol allows
