quarantine: count crashes of one moment as one

Callers saw: after all targets of a service had crashed at once, the path that all of them read got 503 with a Retry-After of an hour at all boxes, although the targets were back and idle.

Cause: the threshold counts crashed targets, and each target that runs a popular request is one more whatever crashed it. A second on probation without an answer then quarantined it; while no target can be reached there is no answer. Ruled out: that leaving out that second is enough.

Targets that crash within 0.5 s of each other are one episode now, and three episodes without an answer, one of them under a run that began on probation, quarantine a request, at control and in the box's own guard. No period of time counts. Crashes of one moment no longer displace those of earlier episodes.

--- a/pkg/quarantine/entry.go
+++ b/pkg/quarantine/entry.go
@@ -10,7 +10,7 @@
 const (
 	// probationTime is how long a request stays on probation, and quarantineTime how long it
 	// stays in quarantine. The latter bounds the harm of a wrong decision, and what a request
-	// that does crash its targets can still do: three targets in an hour. An operator may
+	// that does crash its targets can still do: three episodes in an hour. An operator may
 	// release a request earlier.
 	probationTime  = EvidenceRetention
 	quarantineTime = time.Hour
--- a/pkg/quarantine/evidencestore.go
+++ b/pkg/quarantine/evidencestore.go
@@ -7,11 +7,6 @@
 )
 
 const (
-	// clearancePeriod is how long a request on probation with enough crashed targets may
-	// still be cleared. Targets that crash at the same moment are one piece of evidence, and a
-	// request that is sent often is answered many times in this period. Informing all boxes
-	// takes 0.2 to 0.5 s.
-	clearancePeriod = time.Second
 	// maxSuspects bounds the requests of which a replica keeps evidence: 4,096 of about 400
 	// bytes each are 1.6 MB. A box with 20 requests at each of 200 targets that crash together
 	// leaves that many.
@@ -108,7 +103,7 @@
 // changes returns the changes to make for one request.
 func (s *suspect) changes(now, wall time.Time, entries []Entry) []ListChange {
 	for _, found := range s.evidence(now) {
-		if found.crashedTargets < quarantineThreshold || !s.mayQuarantine(now, found.against) || isHeld(entries, found.against) {
+		if !s.listed || !s.isConclusive(found) || isHeld(entries, found.against) {
 			continue
 		}
 		e := s.newEntry(found.against)
@@ -124,18 +119,6 @@
 	return s.releases(now, entries)
 }
 
-// mayQuarantine reports whether a request on probation has had its chance to be cleared:
-// either a target crashed in a run that began during probation, or clearancePeriod has
-// passed without an answer to anybody. If other callers were answered, this caller may
-// not have had its turn yet.
-func (s *suspect) mayQuarantine(now time.Time, against Caller) bool {
-	if !s.listed {
-		return false
-	}
-	settled := now.Sub(s.probationSince) >= clearancePeriod && !s.lastAnswer().After(s.probationSince)
-	return settled || s.crashedOnProbation(against)
-}
-
 // releases returns the releases of entries whose callers were answered.
 func (s *suspect) releases(now time.Time, entries []Entry) []ListChange {
 	var out []ListChange
@@ -158,7 +141,7 @@
 		return false
 	}
 	if e.Held {
-		return s.crashedSinceAnswer(now) < quarantineThreshold
+		return s.sinceAnswer(now).episodes < quarantineThreshold
 	}
 	return s.maxCrashedTargets(now) < probationThreshold
 }
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -49,8 +49,8 @@
 }
 
 // Guard decides at one box, from the replicated list and from what the box observed
-// itself, so that a box without contact to control sends a request to at most three
-// targets. The caller provides locking.
+// itself, so that a box without contact to control sends a request to few targets. The
+// caller provides locking.
 type Guard struct {
 	records map[Digest]*record
 	list    map[Digest][]Entry
@@ -132,8 +132,8 @@
 }
 
 // decideLocally decides from what the box observed itself. On probation a request runs
-// once at a time: either it is answered, which clears it, or it crashes another target,
-// which quarantines it.
+// once at a time: either it is answered, which clears it, or its targets crash again and
+// again, which quarantines it.
 func (g *Guard) decideLocally(now time.Time, d Digest, c Caller) Verdict {
 	r := g.records[d]
 	if r == nil {
@@ -146,7 +146,7 @@
 		}
 		v.CrashedTargets = max(v.CrashedTargets, e.crashedTargets)
 		switch {
-		case e.crashedTargets >= quarantineThreshold && r.crashedOnProbation(e.against):
+		case r.isConclusive(e):
 			return Verdict{Decision: Held, CrashedTargets: v.CrashedTargets, RetryAfter: EvidenceRetention}
 		case e.crashedTargets >= probationThreshold:
 			v.Decision = OnProbation
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -11,11 +11,14 @@
 	// probation: a box runs it once at a time and does not retry it. An innocent request gets
 	// there if two targets in a row crash while they run it.
 	probationThreshold = 2
-	// quarantineThreshold is the number of crashed targets from which a request reaches no
-	// target. If a fraction p of the targets crash within the time of a run, an innocent
-	// request that is tried three times is quarantined with probability p^3: 0.003 for
-	// p = 0.15.
+	// quarantineThreshold is the number of episodes from which a request reaches no target. If
+	// a fraction p of the targets crash within the time of a run, an innocent request that is
+	// tried three times is quarantined with probability p^3: 0.003 for p = 0.15.
 	quarantineThreshold = 3
+	// episodeLength is the time within which crashed targets belong to one episode. It covers
+	// the time by which boxes differ about the moment of a crash, and is short enough for three
+	// episodes within the time that informing all boxes may take.
+	episodeLength = 500 * time.Millisecond
 	// EvidenceRetention is how long evidence counts. A request that is sent less often
 	// crashes at most one target per EvidenceRetention.
 	EvidenceRetention = 10 * time.Minute
@@ -63,12 +66,26 @@
 	}
 	r.updatedAt = now
 	r.crashes = append(r.crashes, e)
+	slices.SortStableFunc(r.crashes, func(a, b Crash) int { return a.Ended.Compare(b.Ended) })
 	if len(r.crashes) > maxCrashes {
-		r.crashes = slices.Delete(r.crashes, 0, 1)
+		r.dropDensestCrash()
 	}
 	return true
 }
 
+// dropDensestCrash drops the earlier of the two crashes that are closest to each other, so that
+// many crashes at one moment don't displace those of other episodes.
+func (r *record) dropDensestCrash() {
+	densest := 0
+	for i := range len(r.crashes) - 1 {
+		gap := r.crashes[i+1].Ended.Sub(r.crashes[i].Ended)
+		if gap < r.crashes[densest+1].Ended.Sub(r.crashes[densest].Ended) {
+			densest = i
+		}
+	}
+	r.crashes = slices.Delete(r.crashes, densest, densest+1)
+}
+
 // addAnswer adds a complete answer to a caller. It invalidates earlier evidence against
 // that caller.
 func (r *record) addAnswer(now time.Time, c Caller, at time.Time) {
@@ -102,63 +119,88 @@
 	return at
 }
 
-// evidence is the number of targets that crashed while they ran requests of a caller.
-// AnyCaller stands for several callers none of whom was answered since.
+// evidence is what the crashes of targets that ran requests of a caller say against them. AnyCaller
+// stands for several callers none of whom was answered since.
 type evidence struct {
 	against        Caller
 	crashedTargets int
+	// episodes counts the crashed targets, those that crashed at one moment together as one. Such
+	// crashes have a common cause: either another one, as a loss of power, or the request if it
+	// ran at all of them. The more targets run a popular request, the more of them crash under it
+	// whatever the cause is.
+	episodes int
+}
+
+// newEvidence returns the evidence of a list of crashes, which is sorted by their time.
+func newEvidence(against Caller, crashes []Crash) evidence {
+	out := evidence{against: against}
+	seen := make(map[string]bool)
+	var began time.Time
+	for _, e := range crashes {
+		if seen[e.Incarnation] {
+			continue
+		}
+		seen[e.Incarnation] = true
+		if out.episodes == 0 || e.Ended.Sub(began) >= episodeLength {
+			out.episodes++
+			began = e.Ended
+		}
+	}
+	out.crashedTargets = len(seen)
+	return out
 }
 
 // evidence returns the evidence against each caller, and against all of them if there are
 // several, the strongest first. Crashes older than EvidenceRetention don't count.
 func (r *record) evidence(now time.Time) []evidence {
-	byCaller := make(map[Caller]map[string]bool)
+	byCaller := make(map[Caller][]Crash)
 	for _, e := range r.crashes {
-		if now.Sub(e.Ended) > EvidenceRetention {
-			continue
+		if now.Sub(e.Ended) <= EvidenceRetention {
+			byCaller[e.Caller] = append(byCaller[e.Caller], e)
 		}
-		if byCaller[e.Caller] == nil {
-			byCaller[e.Caller] = make(map[string]bool)
-		}
-		byCaller[e.Caller][e.Incarnation] = true
 	}
 	var out []evidence
-	for caller, incarnations := range byCaller {
-		out = append(out, evidence{caller, len(incarnations)})
+	for caller, crashes := range byCaller {
+		out = append(out, newEvidence(caller, crashes))
 	}
-	if all := r.crashedSinceAnswer(now); len(byCaller) > 1 && all > 0 {
-		out = append(out, evidence{AnyCaller, all})
+	if all := r.sinceAnswer(now); len(byCaller) > 1 && all.crashedTargets > 0 {
+		out = append(out, all)
 	}
 	slices.SortFunc(out, func(a, b evidence) int {
-		return cmp.Or(cmp.Compare(b.crashedTargets, a.crashedTargets), cmp.Compare(a.against, b.against))
+		return cmp.Or(cmp.Compare(b.episodes, a.episodes), cmp.Compare(b.crashedTargets, a.crashedTargets), cmp.Compare(a.against, b.against))
 	})
 	return out
 }
 
-// maxCrashedTargets returns the number of crashed targets of the strongest evidence.
+// maxCrashedTargets returns the largest number of crashed targets of the evidence against anybody.
 func (r *record) maxCrashedTargets(now time.Time) int {
-	if all := r.evidence(now); len(all) > 0 {
-		return all[0].crashedTargets
+	most := 0
+	for _, e := range r.evidence(now) {
+		most = max(most, e.crashedTargets)
 	}
-	return 0
+	return most
 }
 
-// crashedSinceAnswer counts the targets that crashed while they ran requests of any
-// caller, since a caller was last answered.
-func (r *record) crashedSinceAnswer(now time.Time) int {
-	incarnations := make(map[string]bool)
+// sinceAnswer returns the evidence against all callers since one of them was last answered.
+func (r *record) sinceAnswer(now time.Time) evidence {
 	last := r.lastAnswer()
+	var crashes []Crash
 	for _, e := range r.crashes {
 		if now.Sub(e.Ended) <= EvidenceRetention && e.Ended.After(last) {
-			incarnations[e.Incarnation] = true
+			crashes = append(crashes, e)
 		}
 	}
-	return len(incarnations)
+	return newEvidence(AnyCaller, crashes)
+}
+
+// isConclusive reports whether evidence suffices to quarantine the request. The passing of time
+// without an answer does not: there is none while no target can be reached.
+func (r *record) isConclusive(e evidence) bool {
+	return e.episodes >= quarantineThreshold && r.crashedOnProbation(e.against)
 }
 
-// crashedOnProbation reports whether a target crashed in a run that began when the
-// request was already on probation. Such a crash is independent of the earlier ones,
-// which may have happened at one moment.
+// crashedOnProbation reports whether a target crashed in a run that began when the request was
+// already on probation: it has had its chance to be answered.
 func (r *record) crashedOnProbation(against Caller) bool {
 	return !r.probationSince.IsZero() && slices.ContainsFunc(r.crashes, func(e Crash) bool {
 		return e.countsAgainst(against) && e.Began.After(r.probationSince)
