gateway: complete an upload whose caller disconnects after it

A caller that has the response and has sent its whole body closes the connection.

Cause: the end of the request's context set a deadline in the past on the connection to the target, and ended the wait for the upload. That the caller left before it had sent all is seen by reading its body, so once there is a response the context only ends reading from the target.

TestCallerDisconnectsAfterUpload: 160000 of 160000 bytes and an unexpected end in three of three cases before, whole now.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -153,6 +153,11 @@
 		_ = c.Close() // the state of the exchange on it is unknown
 		return nil, &attemptError{outcome: a.failureOutcome(ctx, a.exchangeOutcome(err)), sent: true, err: err}
 	}
+	uploading := !out.upload.hasEnded()
+	if uploading && stop() {
+		// The caller may disconnect when it has the response and has sent its body, which goes on.
+		stop = context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+	}
 	finish := out.finish
 	out.finish = func(whole bool) {
 		if !stop() {
@@ -160,7 +165,7 @@
 		}
 		finish(whole)
 	}
-	out.open = out.rest != nil || !out.upload.hasEnded()
+	out.open = out.rest != nil || uploading
 	if !out.open {
 		out.finish(true)
 	}
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -143,13 +143,14 @@
 }
 
 // awaitUpload waits after a complete response until the target has got the whole body: it may read on.
-// The wait ends at the deadline, and when the caller disconnects or the target takes no more.
+// The wait ends at the deadline, and when the caller stops sending or the target takes no more. It does
+// not end when the caller disconnects: it may have sent all of its body before.
 func (c *callerRequest) awaitUpload(u *upload) {
-	ctx, cancel := c.gateway.clock.WithDeadline(c.request.Context(), c.deadline)
-	defer cancel()
+	deadline := time.NewTimer(c.gateway.clock.Until(c.deadline))
+	defer deadline.Stop()
 	select {
 	case <-u.sent:
-	case <-ctx.Done():
+	case <-deadline.C:
 	}
 	c.gateway.metrics.countUpload(u)
 }
--- a/internal/gateway/uploads_test.go
+++ b/internal/gateway/uploads_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -267,6 +269,39 @@
 	}
 }
 
+// Guards against an upload that breaks off because its caller, which has the response and has sent the
+// whole body, disconnects before the target has read all of it.
+func TestCallerDisconnectsAfterUpload(t *testing.T) {
+	for response, respond := range earlyResponses {
+		t.Run(response, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				u := newUploadRig(t, nil)
+				for _, one := range u.targets {
+					one.script = func(_ int, r *http.Request, c net.Conn) bool {
+						go respond(c, r.Header.Get("Test-Id"))
+						begin := make([]byte, uploadBytes-uploadPiece/2)
+						_, err := io.ReadFull(r.Body, begin)
+						if err == nil {
+							time.Sleep(time.Second)
+						}
+						end, endErr := io.ReadAll(r.Body)
+						u.got <- gotBody{string(begin) + string(end), errors.CombineErrors(err, endErr)}
+						return false
+					}
+				}
+				sent := u.upload(inChunks, uploadBytes)
+				u.wantResponse(t, http.StatusOK, 10_000)
+				if _, ok := <-sent; !ok {
+					t.Fatal("the upload failed")
+				}
+				_ = u.caller.Close()
+				u.wantWhole(t)
+				u.wantNothingLeft(t)
+			})
+		})
+	}
+}
+
 // Guards against a response that waits for a target which reads the upload no further, and a request
 // that outlives its deadline for it.
 func TestTargetStopsReadingUpload(t *testing.T) {
