gateway: wait for the targets of a test before it ends

TestTargetGetsRequestOnlyOnce failed now and then with "main bubble goroutine has exited but blocked goroutines remain": a target still slept over an attempt that the box had canceled. Its checks are as before.

--- a/internal/gateway/repeatedtarget_test.go
+++ b/internal/gateway/repeatedtarget_test.go
@@ -50,6 +50,8 @@
 	started, sequence [faultyTargets]int64
 	// arrivals counts how often a request reached an incarnation.
 	arrivals map[string]int
+	// serving are the connections that targets serve.
+	serving sync.WaitGroup
 }
 
 func newFaultyService(t *testing.T, seed uint64) *faultyService {
@@ -71,11 +73,12 @@
 			return nil, err
 		}
 		near, far := net.Pipe()
-		go s.serve(n, far)
+		s.serving.Go(func() { s.serve(n, far) })
 		return near, nil
 	}
 	t.Cleanup(func() {
 		s.daemon.connections.close()
+		s.serving.Wait() // a target may be busy with an attempt that was canceled
 		_ = s.daemon.callerServer.listener.Close()
 		_ = s.daemon.readyListener.Close()
 	})
