--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -48,7 +48,7 @@
 	return u
 }
 
-// startUpload starts to send the rest of a body to a target. The caller of finish waits for its end.
+// startUpload starts to send the rest of a body to a target. requestBody.finish waits for its end.
 func startUpload(b *requestBody, c *connection) *upload {
 	u := &upload{sent: make(chan struct{}), read: make(chan struct{})}
 	go u.run(b, c)
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -124,10 +124,9 @@
 type evidence struct {
 	against        Caller
 	crashedTargets int
-	// episodes counts the crashed targets, those that crashed at one moment together as one. Such
-	// crashes have a common cause: either another one, as a loss of power, or the request if it
-	// ran at all of them. The more targets run a popular request, the more of them crash under it
-	// whatever the cause is.
+	// episodes counts the crashed targets, those that crashed at one moment together as one: they
+	// have a common cause, such as a loss of power, and the more targets run a popular request, the
+	// more of them crash under it whatever the cause is.
 	episodes int
 }
 
--- a/pkg/quarantine/request.go
+++ b/pkg/quarantine/request.go
@@ -8,9 +8,9 @@
 // is never answered. A box keeps what it observed itself in a Guard, which works without
 // control. Control replicas keep the reports of all boxes in an EvidenceStore, and the
 // leader puts a request on probation from the second crashed target on and in quarantine
-// from the third episode of crashes on. The list of both is replicated state: boxes that start or reconnect
-// receive it with the routes, and no loss of leaders or power releases a quarantined
-// request.
+// from the third episode of crashes on. The list of both is replicated state: boxes that
+// start or reconnect receive it with the routes, and no loss of leaders or power releases a
+// quarantined request.
 //
 // Guard and EvidenceStore are state machines without I/O. They store no path and no body.
 package quarantine
