--- a/internal/gateway/uploads_test.go
+++ b/internal/gateway/uploads_test.go
@@ -25,10 +25,10 @@
 	earlyTime = 100 * time.Millisecond
 )
 
-// uploadRig is a box with one target and one connection of a caller, all in memory.
+// uploadRig is a box with targets and one connection of a caller, all in memory.
 type uploadRig struct {
 	*pipeRig
-	// got receives each body that the target has read, with an error if it was truncated.
+	// got receives each body that a target has read, with an error if it was truncated.
 	got chan gotBody
 }
 
@@ -37,7 +37,7 @@
 	err  error
 }
 
-// newUploadRig returns a rig whose target responds by a function beside reading the body.
+// newUploadRig returns a rig whose targets read the body and meanwhile respond by a function.
 func newUploadRig(t *testing.T, respond func(c net.Conn, id string)) *uploadRig {
 	t.Helper()
 	u := &uploadRig{newPipeRig(t), make(chan gotBody, 4)}
--- a/pkg/quarantine/evidence_test.go
+++ b/pkg/quarantine/evidence_test.go
@@ -45,6 +45,10 @@
 		t.Fatalf("got %+v, want probation without turns", changes)
 	}
 	list = []Entry{changes[0].Entry}
+	now = now.Add(time.Minute)
+	if changes := store.PendingChanges(now, now, list); len(changes) != 0 {
+		t.Fatalf("a minute later: %+v", changes)
+	}
 	crashOnProbation := func(incarnations ...string) []ListChange {
 		for _, one := range incarnations {
 			crash := crashOf(alice, one, 0)
--- a/pkg/quarantine/evidencestore.go
+++ b/pkg/quarantine/evidencestore.go
@@ -123,8 +123,8 @@
 }
 
 // probationEntry returns the entry that puts the request on probation for all callers. It names the
-// targets that crashed since anybody was answered or, if those are too few, some that crashed under one
-// caller's requests: too few for turns, as others are answered.
+// targets that crashed since anybody was answered. If there is only evidence against single callers,
+// because others were answered, it names fewer than turnThreshold of the targets of one of them.
 func (s *suspect) probationEntry(now time.Time) Entry {
 	out := s.newEntry(now, AnyCaller)
 	if len(out.CrashedTargets) >= probationThreshold {
@@ -149,7 +149,11 @@
 			continue
 		}
 		next.Until = e.Until
-		return []ListChange{{Entry: next, Reason: "the number of crashed targets has changed"}}
+		reason := "somebody was answered: boxes no longer take turns"
+		if next.takesTurns() {
+			reason = "nobody was answered since three targets crashed: boxes take turns"
+		}
+		return []ListChange{{Entry: next, Reason: reason}}
 	}
 	return nil
 }
