--- a/review/second/limitedservers.go
+++ b/review/second/limitedservers.go
@@ -135,6 +135,7 @@
 // send sends one read and waits for its answer until half a second after the route's timeout.
 func (t *steadyReads) send(i int) {
 	id := newAttemptID()
+	t.client.deployment.record.Add("client: %s to %s", id, t.box.Name)
 	began := time.Now()
 	status, _, err := t.client.Send(http.MethodGet, fmt.Sprintf("%s%d", prefix, i%997), id, nil, t.box, routeTimeout+500*time.Millisecond)
 	t.client.deployment.record.Add("client: %s at %s: %d %v", id, t.box.Name, status, err)
--- a/review/second/pipelining.go
+++ b/review/second/pipelining.go
@@ -110,6 +110,7 @@
 			case <-closing:
 				return
 			}
+			p.deployment.record.Add("client: %s to %s", id, box.Name)
 			text := fmt.Sprintf("GET %s%d HTTP/1.1\r\nHost: %s\r\nX-Ledgesill-Attempt-Id: %s\r\nX-Ledgesill-Request-Deadline: 3000\r\n\r\n", prefix, rand.IntN(97), hostName, id)
 			if _, err := io.WriteString(c, text); err != nil {
 				return
