--- a/review/second/brokenahead.go
+++ b/review/second/brokenahead.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,16 +14,22 @@
 	longAnswer = 400 << 10
 	// breakShare is the share of the answers that an unsound server breaks off.
 	breakShare = 0.03
+	// slowRead is how long a client takes for 16 KiB of an answer.
+	slowRead = 8 * time.Millisecond
+	// They do so from breakStart on, counted from the start of the clients, for breakTime.
+	breakStart = 3 * time.Second
+	breakTime  = 5500 * time.Millisecond
 )
 
 // brokenAhead: a third of the servers break off a few of their answers while clients pipeline reads. A
 // request behind such an answer, which the box has passed on to a sound server, must be answered.
 func brokenAhead(e *Environment) (broken bool, err error) {
 	unsound := map[string]bool{"i-za1": true, "i-zb1": true}
+	var breaking atomic.Bool
 	d, servers, err := startSite(e, func(s *Server, w http.ResponseWriter, r *http.Request) {
 		time.Sleep(20 * time.Millisecond)
 		body := make([]byte, longAnswer)
-		if e.Trouble && unsound[s.ID] && rand.Float64() < breakShare {
+		if breaking.Load() && unsound[s.ID] && rand.Float64() < breakShare {
 			id := r.Header.Get("X-Ledgesill-Attempt-Id")
 			w.Header().Set("X-Ledgesill-Server-Seal", "seal-"+id)
 			w.Header().Set("Content-Length", fmt.Sprint(len(body)))
@@ -39,7 +46,13 @@
 		return false, err
 	}
 	p := newPipeline(d)
-	p.Start(12, 25*time.Second)()
+	p.pause = slowRead
+	wait := p.Start(48, 12*time.Second)
+	time.Sleep(breakStart)
+	breaking.Store(e.Trouble)
+	time.Sleep(breakTime)
+	breaking.Store(false)
+	wait()
 	lost, broke := 0, 0
 	for _, u := range p.unanswered {
 		s, _, whole := answeredBy(servers, u.id)
