--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +17,7 @@
 	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/config"
 	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/pkg/catalog"
@@ -73,7 +73,7 @@
 	reportedTo string
 	filter     *relay.ReportFilter
 
-	mu         sync.Mutex
+	mu         lockorder.Mutex
 	addresses  map[string]string
 	joining    map[string]*wire.Replica
 	discovered []string // addresses of replicas learned from other replicas
@@ -145,6 +145,7 @@
 	d.publisher.SetClock(d.clock)
 	d.targetLimits.clock = d.clock
 	d.routes = &routesDecoder{decode: d.decodeRoutes, onError: d.logInvalidRoutes}
+	d.serving.mu.Rank = lockorder.ServingBoxes
 	d.leadership = newLeaderWatch()
 	d.updateLog = newUpdateLog(d.process.Log)
 	d.rollouts = newRolloutTracker(d.clock.Now())
@@ -155,7 +156,7 @@
 	d.registrations.commit = d.commitUpdates
 	d.commandFor = d.targetIndex.commandFor
 	d.prelude = d.targetIndex.prelude
-	d.permitIssuer = &permitIssuer{bound: d.config.LimitBound, routes: d.routes}
+	d.permitIssuer = newPermitIssuer(d.config.LimitBound, d.routes)
 	d.targetIndex.follow(r.state.Catalog(), false)
 	d.permitIssuer.setState(r.state)
 	tlsConfig, err := d.config.TLS()
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"sync"
+
+	"ledgesill.dev/ledgesill/internal/lockorder"
 )
 
 // leaderWatch notifies waiters whenever this replica learns of a change of the leader.
 type leaderWatch struct {
-	mu      sync.Mutex
+	mu      lockorder.Mutex
 	changed chan struct{}
 }
 
--- a/internal/control/permits.go
+++ b/internal/control/permits.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -19,10 +19,14 @@
 	bound  quota.Bound
 	routes *routesDecoder
 	state  atomic.Pointer[steering.State]
-	mu     sync.Mutex
+	mu     lockorder.Mutex
 	issuer *quota.Issuer
 }
 
+func newPermitIssuer(bound quota.Bound, routes *routesDecoder) *permitIssuer {
+	return &permitIssuer{bound: bound, routes: routes, mu: lockorder.Mutex{Rank: lockorder.Permits}}
+}
+
 // setState sets the state that was applied last. It does not block.
 func (p *permitIssuer) setState(s steering.State) { p.state.Store(&s) }
 
--- a/internal/control/permits_test.go
+++ b/internal/control/permits_test.go
@@ -13,6 +13,7 @@
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/steering"
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -28,8 +29,7 @@
 		},
 		onError: func(uint64, error) {},
 	}
-	issuer := &permitIssuer{routes: document}
-	issuer.bound.Window = 5 * time.Second
+	issuer := newPermitIssuer(quota.Bound{Window: 5 * time.Second}, document)
 	state, _ := steering.State{}.Apply(&wire.Command{Routes: &wire.RoutesCommand{Document: &wire.RoutesDocument{Number: 1, Text: []byte("x")}}})
 	issuer.setState(state)
 	request := &wire.PermitRequest{Number: 1, Asks: []*wire.PermitAsk{{Workspace: "w", Count: 100}}}
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -4,11 +4,11 @@
 	"context"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/kataras/iris/v12"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/internal/operator"
 	"ledgesill.dev/ledgesill/pkg/consensus"
 	"ledgesill.dev/ledgesill/pkg/quarantine"
@@ -36,7 +36,7 @@
 	// unsupportedAt when one did not. Only the worker runQuarantine uses them.
 	supportedAt, unsupportedAt time.Time
 
-	mu      sync.Mutex
+	mu      lockorder.Mutex
 	store   *quarantine.EvidenceStore
 	pending chan struct{}
 }
--- a/internal/control/registrations.go
+++ b/internal/control/registrations.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/batch"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -65,7 +65,7 @@
 	// onExpired is called with the number of updates dropped because their callers gave up.
 	onExpired func(count int)
 
-	mu      sync.Mutex
+	mu      lockorder.Mutex
 	batcher *batch.Batcher[*pendingUpdate]
 	pending map[updateKey]*pendingUpdate
 	clock   *boottime.Clock
--- a/internal/control/rollouttracker.go
+++ b/internal/control/rollouttracker.go
@@ -3,9 +3,9 @@
 import (
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/rollout"
@@ -26,7 +26,7 @@
 	started time.Time
 	// currentAt is when this replica last had the current state.
 	currentAt time.Time
-	mu        sync.Mutex
+	mu        lockorder.Mutex
 	tracked   map[uint64]*trackedRollout
 }
 
--- a/internal/control/routesdecoder.go
+++ b/internal/control/routesdecoder.go
@@ -2,9 +2,9 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -13,7 +13,7 @@
 type routesDecoder struct {
 	decode  func(text []byte) (catalog.Document, error)
 	onError func(number uint64, err error)
-	mu      sync.Mutex
+	mu      lockorder.Mutex
 	source  *wire.RoutesDocument
 	decoded catalog.Document
 	err     error
--- a/internal/control/servingboxes.go
+++ b/internal/control/servingboxes.go
@@ -1,9 +1,9 @@
 package control
 
 import (
-	"sync"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -15,7 +15,7 @@
 
 // servingBoxes caches the list of boxes that serve callers.
 type servingBoxes struct {
-	mu       sync.Mutex
+	mu       lockorder.Mutex
 	listedAt time.Time
 	list     []lookup.BoxLocation
 	// addresses are those of the list, each with whether its box is cut off from the targets.
--- a/internal/control/targetindex.go
+++ b/internal/control/targetindex.go
@@ -1,8 +1,7 @@
 package control
 
 import (
-	"sync"
-
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -11,7 +10,7 @@
 // costs the same for any number of targets and does not involve the replica's loop. Until it follows
 // published states, it advances to the state of each check.
 type targetIndex struct {
-	mu        sync.Mutex
+	mu        lockorder.Mutex
 	index     catalog.Index
 	following bool
 }
--- a/internal/control/targetlimits.go
+++ b/internal/control/targetlimits.go
@@ -1,10 +1,10 @@
 package control
 
 import (
-	"sync"
 	"time"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/quota"
@@ -25,7 +25,7 @@
 // replica what targets reported to them, and each permit request repeats it.
 type targetLimits struct {
 	clock      *boottime.Clock
-	mu         sync.Mutex
+	mu         lockorder.Mutex
 	issuer     *quota.TargetIssuer
 	logLimiter *process.LineLimiter
 	// prunedAt is when ended incarnations were last dropped.
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -19,7 +20,7 @@
 type transport struct {
 	node     *link.Node
 	running  sync.WaitGroup
-	mu       sync.Mutex
+	mu       lockorder.Mutex
 	outboxes map[string]chan *wire.ConsensusMessage
 	ctx      context.Context
 	cancel   context.CancelFunc
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -11,7 +11,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +21,7 @@
 	"ledgesill.dev/ledgesill/internal/config"
 	"ledgesill.dev/ledgesill/internal/isolation"
 	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/pkg/lease"
@@ -66,20 +66,22 @@
 	inFlight         atomic.Int64
 
 	votes struct {
-		sync.Mutex
+		lockorder.Mutex
 		voter *lease.Voter
 	}
 	budgets struct {
-		sync.Mutex
+		lockorder.Mutex
 		byService map[string]*retry.Budget
 	}
-	pools struct {
-		sync.Mutex
+	// configuring keeps the settings that pools get in order.
+	configuring lockorder.Mutex
+	pools       struct {
+		lockorder.Mutex
 		byService  map[string]*runningPool
 		supervisor *suture.Supervisor
 	}
 	leaving struct {
-		sync.Mutex
+		lockorder.Mutex
 		addresses map[string]bool
 	}
 
@@ -116,6 +118,7 @@
 	d := &Daemon{config: c, clock: c.Clock, process: p, seed: seed.Sum64(), network: network}
 	d.votes.voter = lease.NewVoter(d.clock.Now(), c.Name, maxLease)
 	d.budgets.byService = make(map[string]*retry.Budget)
+	d.configuring.Rank = lockorder.PoolSettings
 	d.pools.byService = make(map[string]*runningPool)
 	d.leaving.addresses = make(map[string]bool)
 	d.setState(steering.State{})
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/caller"
 	"ledgesill.dev/ledgesill/pkg/requestkey"
 	"ledgesill.dev/ledgesill/pkg/settings"
@@ -27,7 +27,7 @@
 	// call sends a request to another box.
 	call func(ctx context.Context, address string, r *wire.CallRequest) (*wire.CallAnswer, error)
 
-	mu      sync.Mutex
+	mu      lockorder.Mutex
 	owner   *requestkey.Owner[*request]
 	witness *requestkey.Witness
 	token   uint64
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/settings"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -37,7 +38,7 @@
 type peers struct {
 	box *Daemon
 
-	mu         sync.Mutex
+	mu         lockorder.Mutex
 	byName     map[string]*peer
 	watchOrder []string
 }
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -79,9 +79,21 @@
 // configurePools starts a pool for each service of this zone, stops the pools of removed
 // services and passes the active settings to all remaining ones.
 func (d *Daemon) configurePools() {
+	d.configuring.Lock() // requests don't wait for the pools to take their settings
+	defer d.configuring.Unlock()
 	active := d.current.Load()
+	leaving := d.leavingAddresses()
+	for service, p := range d.startAndStopPools(active) {
+		s := active.tree.Service(active.zone.Region, active.zone.Name, service)
+		p.inbox <- poolSettings{service: s, zone: active.zone, leaving: leaving}
+	}
+}
+
+// startAndStopPools makes the pools those of the zone's services and returns them.
+func (d *Daemon) startAndStopPools(active *activeState) map[string]*pool {
 	d.pools.Lock()
 	defer d.pools.Unlock()
+	out := make(map[string]*pool)
 	for service, running := range d.pools.byService {
 		if !slices.Contains(active.zone.Services, service) {
 			_ = d.pools.supervisor.Remove(running.token) // after an error the pool ends by itself
@@ -94,9 +106,9 @@
 			running = d.startPool(service)
 			d.pools.byService[service] = running
 		}
-		s := active.tree.Service(active.zone.Region, active.zone.Name, service)
-		running.pool.inbox <- poolSettings{service: s, zone: active.zone, leaving: d.leavingAddresses()}
+		out[service] = running.pool
 	}
+	return out
 }
 
 // targetLogLinesPerSecond limits the log lines about the responses of one pool's targets.
--- a/internal/entry/slot.go
+++ b/internal/entry/slot.go
@@ -5,9 +5,11 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/admission"
 )
 
@@ -21,7 +23,7 @@
 	cancel    context.CancelFunc
 	once      sync.Once
 
-	mu sync.Mutex
+	mu lockorder.Mutex
 	// conns are the connections on which the request was sent.
 	conns []*targetConn
 	// complete is set once the whole response has been received.
@@ -70,10 +72,11 @@
 // work.
 func (s *slot) runningConns() []*targetConn {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	conns, complete := slices.Clone(s.conns), s.complete
+	s.mu.Unlock()
 	var running []*targetConn
-	for _, c := range s.conns {
-		if s.complete {
+	for _, c := range conns {
+		if complete {
 			c.release(s)
 		} else if c.breakOff(s) {
 			running = append(running, c)
--- a/internal/entry/stopping.go
+++ b/internal/entry/stopping.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/drain"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -25,7 +25,7 @@
 // gracefulStop hosts the state machine of this box's graceful stop.
 type gracefulStop struct {
 	clock *boottime.Clock
-	mu    sync.Mutex
+	mu    lockorder.Mutex
 	stop  drain.Stop
 }
 
--- a/internal/entry/targetconn.go
+++ b/internal/entry/targetconn.go
@@ -6,8 +6,9 @@
 	"io"
 	"net"
 	"os"
-	"sync"
 	"time"
+
+	"ledgesill.dev/ledgesill/internal/lockorder"
 )
 
 // targetConn is a connection to a target. While a slot holds it, closing it closes only the
@@ -20,7 +21,7 @@
 	// done is closed when closed is set.
 	done chan struct{}
 
-	mu     sync.Mutex
+	mu     lockorder.Mutex
 	holder *slot
 	closed bool
 	// targetEnded is set once the target has closed or reset the connection.
--- a/internal/entry/targetstatus.go
+++ b/internal/entry/targetstatus.go
@@ -4,9 +4,9 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/admission"
 	"ledgesill.dev/ledgesill/pkg/caller"
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
@@ -79,7 +79,7 @@
 
 // backOffs holds, by target name, when the back-offs end that targets asked this box for.
 type backOffs struct {
-	mu    sync.Mutex
+	mu    lockorder.Mutex
 	until map[string]time.Time
 }
 
--- a/internal/gateway/callerserver.go
+++ b/internal/gateway/callerserver.go
@@ -6,12 +6,12 @@
 	"log"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/pipelining"
 )
 
@@ -39,7 +39,7 @@
 	gateway  *Daemon
 	listener net.Listener
 	server   *http.Server
-	mu       sync.Mutex
+	mu       lockorder.Mutex
 	idle     map[net.Conn]time.Time
 	// closing holds the connections that were idle for too long and whose server has been told to
 	// read no further request.
--- a/internal/gateway/connectionpool.go
+++ b/internal/gateway/connectionpool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -14,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/internal/tunnel"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/targetpath"
@@ -77,7 +79,7 @@
 	paths    *paths
 	// tunnels opens connections through peers.
 	tunnels *tunnel.Dialer
-	mu      sync.Mutex
+	mu      lockorder.Mutex
 	idle    map[string][]*connection
 	// closed is set by close; running are the connection attempts that no request waits for.
 	closed  bool
@@ -133,28 +135,51 @@
 	c.used = true
 	c.idleUntil = p.clock.Now().Add(time.Duration(float64(idle) * idleFraction))
 	cutOff, _ := p.paths.stateOf(target.Zone)
+	if !c.isDirect() && !cutOff || !p.add(target.ID, c) {
+		_ = c.Close() // no request is in flight on it
+	}
+}
+
+// add adds an idle connection, unless its target has enough of them or the pool is closed.
+func (p *connectionPool) add(target string, c *connection) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[target.ID]) >= maxIdlePerTarget || !c.isDirect() && !cutOff {
-		_ = c.Close()
-		return
+	if p.closed || len(p.idle[target]) >= maxIdlePerTarget {
+		return false
 	}
-	p.idle[target.ID] = append(p.idle[target.ID], c)
+	p.idle[target] = append(p.idle[target], c)
+	return true
 }
 
 // closeExpired closes connections that have been idle for too long, those of targets that are no longer
-// registered, and those whose peer shuts down.
+// registered, and those whose peer shuts down. It calls registered without its lock.
 func (p *connectionPool) closeExpired(now time.Time, registered func(target string) bool) {
+	ended := unregistered(p.idleTargets(), registered)
+	for _, c := range p.removeExpired(now, ended) {
+		_ = c.Close() // no request is in flight on it
+	}
+}
+
+// idleTargets returns the targets that have idle connections.
+func (p *connectionPool) idleTargets() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.idle))
+}
+
+// removeExpired removes the connections to close from the pool: those that have been idle for too
+// long, those of ended targets, and those whose peer shuts down.
+func (p *connectionPool) removeExpired(now time.Time, ended map[string]bool) (removed []*connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for target, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if registered(target) && now.Before(c.idleUntil) && (c.isDirect() || p.reusable(c.Conn)) {
+			if !ended[target] && now.Before(c.idleUntil) && (c.isDirect() || p.reusable(c.Conn)) {
 				kept = append(kept, c)
 				continue
 			}
-			_ = c.Close()
+			removed = append(removed, c)
 		}
 		if len(kept) == 0 {
 			delete(p.idle, target)
@@ -162,6 +187,7 @@
 		}
 		p.idle[target] = kept
 	}
+	return removed
 }
 
 // startBackground runs a function that close waits for, unless the pool is closed.
--- a/internal/gateway/controlreplicas.go
+++ b/internal/gateway/controlreplicas.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/distribution"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -20,7 +20,7 @@
 // replicas are the known control replicas: the configured seeds and the members that those
 // reported.
 type replicas struct {
-	mu      sync.Mutex
+	mu      lockorder.Mutex
 	seeds   []string
 	members []string
 	// cursor counts the calls of next.
@@ -31,7 +31,7 @@
 
 // reachability tracks which processes did not answer the last call.
 type reachability struct {
-	mu          sync.Mutex
+	mu          lockorder.Mutex
 	unreachable map[string]bool
 }
 
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -5,7 +5,6 @@
 	"hash/fnv"
 	"io"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/isolation"
 	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/internal/relay"
 	"ledgesill.dev/ledgesill/internal/tunnel"
@@ -94,7 +94,7 @@
 
 	// balancing guards the state by which targets are chosen.
 	balancing struct {
-		sync.Mutex
+		lockorder.Mutex
 		balancer     *balance.Balancer
 		retryBudgets map[string]*retry.WindowBudget
 		splits       map[string]*balance.Split
@@ -127,6 +127,7 @@
 		stoppedRollouts: make(map[uint64]bool),
 	}
 	p.BootClock = c.Clock
+	d.balancing.Rank = lockorder.Balancing
 	d.balancing.balancer = balance.New(balance.Config{
 		Box: c.Name, Zone: c.Zone, Region: c.Region,
 		DividesObjects: func(service string) bool { return d.secondAttempts.dividesObjects(service) },
--- a/internal/gateway/linkqueue.go
+++ b/internal/gateway/linkqueue.go
@@ -1,8 +1,9 @@
 package gateway
 
 import (
-	"sync"
 	"time"
+
+	"ledgesill.dev/ledgesill/internal/lockorder"
 )
 
 const (
@@ -27,7 +28,7 @@
 // of its route's responses.
 type linkQueue struct {
 	timePerByte time.Duration
-	mu          sync.Mutex
+	mu          lockorder.Mutex
 	nextFree    time.Time
 	sizes       map[string]responseSize
 }
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -2,13 +2,13 @@
 
 import (
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/overload"
@@ -16,7 +16,7 @@
 
 // overloadControl decides how long requests of saturated services wait, and when callers return.
 type overloadControl struct {
-	mu         sync.Mutex
+	mu         lockorder.Mutex
 	controller *overload.Controller
 	// refusals counts refusals for lack of slots while the service was saturated.
 	refusals *prometheus.CounterVec
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/internal/tunnel"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/targetpath"
@@ -14,7 +14,7 @@
 
 // paths guards the state by which connections to targets are planned.
 type paths struct {
-	mu    sync.Mutex
+	mu    lockorder.Mutex
 	state *targetpath.Paths
 	// onChange is called, without the lock, when the box loses or regains its path to a zone.
 	onChange func(zone string, change targetpath.Change, evidence targetpath.Evidence)
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -37,7 +38,7 @@
 	onResult func(a quota.IssuerCall, err error)
 
 	clock *boottime.Clock
-	mu    sync.Mutex
+	mu    lockorder.Mutex
 	cache *quota.PermitCache
 	// changed is closed and replaced when waiting requests should check again.
 	changed chan struct{}
@@ -46,7 +47,7 @@
 }
 
 func newPermits(c *boottime.Clock) *permits {
-	return &permits{clock: c, cache: quota.NewPermitCache(), changed: make(chan struct{}), requestDue: make(chan struct{}, 1)}
+	return &permits{mu: lockorder.Mutex{Rank: lockorder.Permits}, clock: c, cache: quota.NewPermitCache(), changed: make(chan struct{}), requestDue: make(chan struct{}, 1)}
 }
 
 // acquire returns a permit of a workspace or target and may wait for one. The error is an
--- a/internal/gateway/permitstreams.go
+++ b/internal/gateway/permitstreams.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 
 	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
 
@@ -14,7 +14,7 @@
 // would cost more than the call.
 type permitStreams struct {
 	open func(ctx context.Context, address string) (*link.Messages, error)
-	mu   sync.Mutex
+	mu   lockorder.Mutex
 	// streams holds the open streams by address.
 	streams map[string]*permitStream
 }
@@ -24,8 +24,8 @@
 	messages *link.Messages
 	// writeMu keeps the requests on the stream in the order of pending. It is separate from mu, so
 	// that answers can be read while a request is written.
-	writeMu sync.Mutex
-	mu      sync.Mutex
+	writeMu lockorder.Mutex
+	mu      lockorder.Mutex
 	// pending are the channels for outstanding answers, oldest first.
 	pending []chan *wire.PermitAnswer
 	closed  chan struct{}
@@ -82,7 +82,7 @@
 		_ = m.Close() // another request opened one meanwhile
 		return existing, nil
 	}
-	l = &permitStream{messages: m, closed: make(chan struct{})}
+	l = &permitStream{messages: m, closed: make(chan struct{}), writeMu: lockorder.Mutex{Rank: lockorder.PermitStream}}
 	p.streams[address] = l
 	go l.read() // ends with the stream, which remove or close closes
 	return l, nil
--- a/internal/gateway/pipelining.go
+++ b/internal/gateway/pipelining.go
@@ -10,11 +10,11 @@
 	"net/http"
 	"runtime/debug"
 	"strings"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/pipelining"
 )
@@ -60,7 +60,7 @@
 	// ctx is the parent of the contexts of requests that start early.
 	ctx context.Context
 
-	mu    sync.Mutex
+	mu    lockorder.Mutex
 	state connState
 	scan  headScan
 	// opaque tells that the ends of requests are not known from here on, as after a chunked body.
@@ -517,7 +517,7 @@
 
 // parse parses a complete head.
 func (c *callerConn) parse(head []byte) *pipelinedRequest {
-	p := &pipelinedRequest{conn: c, cancel: func() {}}
+	p := &pipelinedRequest{conn: c, cancel: func() {}, mu: lockorder.Mutex{Rank: lockorder.BufferedResponse}}
 	r, err := http.ReadRequest(bufio.NewReaderSize(bytes.NewReader(head), len(head)))
 	if err != nil || !isAcceptable(r, head) {
 		p.head = pipelining.Head{Malformed: true}
--- a/internal/gateway/pipeliningresponse.go
+++ b/internal/gateway/pipeliningresponse.go
@@ -4,8 +4,8 @@
 	"context"
 	"maps"
 	"net/http"
-	"sync"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/pipelining"
 )
 
@@ -24,7 +24,7 @@
 	ended    chan struct{}
 	panicked any
 
-	mu     sync.Mutex
+	mu     lockorder.Mutex
 	header http.Header
 	status int
 	data   []byte
--- a/internal/gateway/secondattempts.go
+++ b/internal/gateway/secondattempts.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
 	"ledgesill.dev/ledgesill/pkg/hedging"
@@ -31,7 +31,7 @@
 	started time.Time
 	place   settings.Path
 
-	mu      sync.Mutex
+	mu      lockorder.Mutex
 	planner *hedging.Planner
 	tree    settings.Tree
 	// settingsVersion is the version of tree, and shares what it says of services.
--- a/internal/gateway/shaper.go
+++ b/internal/gateway/shaper.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"io"
-	"sync"
 	"time"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 )
 
 const (
@@ -26,7 +26,7 @@
 	// timePerByte is the time that one byte takes; zero means unlimited.
 	timePerByte time.Duration
 	clock       *boottime.Clock
-	mu          sync.Mutex
+	mu          lockorder.Mutex
 	nextFree    time.Time
 }
 
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -4,13 +4,13 @@
 	"context"
 	"maps"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/quota"
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
@@ -50,7 +50,7 @@
 	// limit carries no new information.
 	limited atomic.Int32
 
-	mu sync.Mutex
+	mu lockorder.Mutex
 	// registry holds what targets reported, to this box or another.
 	registry *targetstatus.Registry
 	// fallback issues permits while no replica answers.
@@ -175,17 +175,36 @@
 	l.fallback.SetBoxes(names)
 }
 
-// prune drops targets whose incarnations have ended.
+// prune drops targets whose incarnations have ended. It calls registered without its lock.
 func (l *targetLimits) prune(now time.Time, registered func(incarnation string) bool) {
 	l.permits.prune(now)
+	ended := unregistered(l.incarnations(), registered)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.registry.Prune(now, registered)
-	maps.DeleteFunc(l.pending, func(incarnation string, _ time.Time) bool { return !registered(incarnation) })
+	l.registry.Prune(now, func(incarnation string) bool { return !ended[incarnation] })
+	maps.DeleteFunc(l.pending, func(incarnation string, _ time.Time) bool { return ended[incarnation] })
 	l.fallback.Prune(func(incarnation string) bool { return l.registry.HasLimit(incarnation) })
 	l.limited.Store(int32(l.registry.LimitedCount()))
 }
 
+// incarnations returns the targets that have reported a limit or that they are shutting down.
+func (l *targetLimits) incarnations() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.AppendSeq(l.registry.Incarnations(), maps.Keys(l.pending))
+}
+
+// unregistered returns those of the targets that are not registered.
+func unregistered(targets []string, registered func(target string) bool) map[string]bool {
+	out := make(map[string]bool)
+	for _, target := range targets {
+		if !registered(target) {
+			out[target] = true
+		}
+	}
+	return out
+}
+
 // acquirePermit returns a permit to send a request to a target and may wait for one. The error
 // tells why there is none.
 func (l *targetLimits) acquirePermit(ctx context.Context, incarnation string, wait time.Duration) (until time.Time, err error) {
--- a/internal/gateway/targetstatus.go
+++ b/internal/gateway/targetstatus.go
@@ -3,11 +3,12 @@
 import (
 	"maps"
 	"net/http"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/internal/tunnel"
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
@@ -116,7 +117,7 @@
 // unusableWorkTimes holds the targets whose load had a work time that can't be used, so that each is
 // logged once. It is safe for concurrent use.
 type unusableWorkTimes struct {
-	mu      sync.Mutex
+	mu      lockorder.Mutex
 	targets map[string]bool
 }
 
@@ -134,11 +135,18 @@
 	return true
 }
 
-// prune drops targets that are no longer registered.
+// prune drops targets that are no longer registered. It calls registered without its lock.
 func (u *unusableWorkTimes) prune(registered func(target string) bool) {
+	ended := unregistered(u.names(), registered)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	maps.DeleteFunc(u.targets, func(target string, _ bool) bool { return !registered(target) })
+	maps.DeleteFunc(u.targets, func(target string, _ bool) bool { return ended[target] })
+}
+
+func (u *unusableWorkTimes) names() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Collect(maps.Keys(u.targets))
 }
 
 // logUnusableWorkTime logs that the work time of a target's load is ignored; the rest of it is used.
--- a/internal/isolation/isolation.go
+++ b/internal/isolation/isolation.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/quarantine"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -87,7 +88,7 @@
 	// idle is set while there is no evidence about any request.
 	idle atomic.Bool
 
-	mu     sync.Mutex
+	mu     lockorder.Mutex
 	guard  *quarantine.Guard
 	outbox *quarantine.Outbox
 }
--- /dev/null
+++ b/internal/link/main_test.go
@@ -0,0 +1,13 @@
+package link
+
+import (
+	"os"
+	"testing"
+
+	"ledgesill.dev/ledgesill/internal/lockorder"
+)
+
+func TestMain(m *testing.M) {
+	lockorder.Check()
+	os.Exit(m.Run())
+}
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/timeline"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -65,7 +66,7 @@
 	Control   Traffic
 	Forwarded Traffic
 
-	mu       sync.Mutex
+	mu       lockorder.Mutex
 	sessions map[sessionKey]*dialledSession
 	accepted map[*session]bool
 	closed   bool
--- a/internal/relay/publisher.go
+++ b/internal/relay/publisher.go
@@ -7,13 +7,13 @@
 	"context"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/link"
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/distribution"
 	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/steering"
@@ -23,7 +23,7 @@
 // Publisher serves subscribers from a distribution.Publisher and collects their
 // reports. Run publishes the states that SetState queues.
 type Publisher struct {
-	mu          sync.Mutex
+	mu          lockorder.Mutex
 	publisher   *distribution.Publisher
 	subscribers map[*subscriber]bool
 	reports     map[string]boxReport
@@ -39,7 +39,7 @@
 
 	// Packing a document takes milliseconds. States are therefore queued and packed
 	// by Run, so that neither consensus nor the report of its commits is delayed.
-	queueMu sync.Mutex
+	queueMu lockorder.Mutex
 	pending []publication
 	// latest is the last state given to SetState.
 	latest steering.State
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/pkg/targetpath"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -42,7 +43,7 @@
 // Server connects to targets for other boxes. It is safe for concurrent use.
 type Server struct {
 	config ServerConfig
-	mu     sync.Mutex
+	mu     lockorder.Mutex
 	// conns are the connections from boxes, with their tunnels once they have one.
 	conns    map[net.Conn]*joined
 	open     int
--- a/pkg/targetstatus/registry.go
+++ b/pkg/targetstatus/registry.go
@@ -1,6 +1,10 @@
 package targetstatus
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Registry stores what targets reported about themselves, in responses to this process
 // and to others. It is not safe for concurrent use.
@@ -122,6 +126,9 @@
 	return []Update{{Incarnation: incarnation, Limit: NoLimit}}
 }
 
+// Incarnations returns the targets that the registry knows something of, in no order.
+func (r *Registry) Incarnations() []string { return slices.Collect(maps.Keys(r.known)) }
+
 // LimitedCount returns the number of targets with limits.
 func (r *Registry) LimitedCount() (n int) {
 	for _, e := range r.known {
