gateway: let callers receive the last response before a connection is closed

Cause: the HTTP server closes a connection as soon as it has written the response with "Connection: close". What the caller has sent meanwhile is unread, or arrives at a closed connection, so the kernel resets it and drops what it has not sent yet.

Found on related paths: connections closed as idle are reset the same way, if a request arrives before the last response has been received; they linger without reading, as nothing told their callers that further requests don't count. A truncated response of unknown length ended soundly for callers of HTTP/1.0; its connection is reset now.

The tests of the package pass.

--- a/internal/gateway/callerresponse.go
+++ b/internal/gateway/callerresponse.go
@@ -94,6 +94,9 @@
 	}
 	if err := c.finishExchange(out, err); err != nil {
 		// The caller must not take the truncated response for a complete one.
+		if out.length < 0 && !c.request.ProtoAtLeast(1, 1) {
+			callerConnOf(c.request).resetOnClose()
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/gateway/callerserver.go
+++ b/internal/gateway/callerserver.go
@@ -44,6 +44,8 @@
 	// closing holds the connections that were idle for too long and whose server has been told to
 	// read no further request.
 	closing map[net.Conn]bool
+	// lingering closes connections behind their last response.
+	lingering *lingering
 	// early counts the requests that started early and whose responses have not been written.
 	early atomic.Int64
 	// buffers limits the responses of such requests.
@@ -55,8 +57,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listening for callers")
 	}
-	c := &callerServer{gateway: d, listener: l, idle: make(map[net.Conn]time.Time), closing: make(map[net.Conn]bool), buffers: newBufferBudget()}
+	c := &callerServer{gateway: d, listener: l, idle: make(map[net.Conn]time.Time), closing: make(map[net.Conn]bool), lingering: newLingering(), buffers: newBufferBudget()}
 	d.process.Gauge("pipelined_buffered_bytes", "Bytes of responses of pipelined requests that wait for an earlier response of their connection.", func() float64 { return float64(c.buffers.Used()) })
+	d.process.Gauge("lingering_connections", "Connections that wait, behind their last response, for their callers to close them.", func() float64 { return float64(c.lingering.count()) })
 	c.server = &http.Server{
 		Handler:           d,
 		ReadHeaderTimeout: callerHeaderTimeout,
@@ -76,8 +79,8 @@
 
 // connStateChanged tracks idle connections. It is called by the HTTP server.
 func (c *callerServer) connStateChanged(conn net.Conn, s http.ConnState) {
-	if one, ok := conn.(*callerConn); ok && s == http.StateIdle {
-		one.written()
+	if one, ok := conn.(*callerConn); ok {
+		one.stateChanged(s)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -122,7 +125,9 @@
 func (c *callerServer) shutdown(ctx context.Context) error {
 	c.closeAllIdle(ctx)
 	c.waitForEarly(ctx)
-	return c.server.Shutdown(ctx)
+	err := c.server.Shutdown(ctx)
+	c.lingering.close(ctx)
+	return err
 }
 
 // closeAllIdle closes the idle connections and waits for that, because Shutdown also closes a
--- a/internal/gateway/pipelining.go
+++ b/internal/gateway/pipelining.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"runtime/debug"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
@@ -76,6 +77,16 @@
 	ahead *readAhead
 	// closed is the error with which the connection ended while a request was being served.
 	closed error
+	// reading tells that the server waits for bytes, and ended that the caller has ended its
+	// direction. closing is set by the first call of Close, and lingers once the connection has been
+	// handed to the server's lingering.
+	reading, ended, closing, lingers bool
+	// received tells that bytes of a request have been read, and idleSince when the last response was
+	// written; zero while a request is being read or served.
+	received  bool
+	idleSince time.Time
+	// resets tells that the connection ends within a response whose end is that of the connection.
+	resets bool
 	// chunksEnded tells that the last chunk of the response has been written before the server did.
 	chunksEnded bool
 }
@@ -157,10 +168,17 @@
 		defer c.mu.Unlock()
 		return c.handOver(p), nil
 	}
+	c.reading = true
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
+	if c.closing {
+		return 0, net.ErrClosed
+	}
+	c.received = c.received || n > 0
+	c.ended = err != nil && !isTimeout(err)
 	return c.account(p[:n], true), err
 }
 
@@ -402,10 +420,28 @@
 	c.state, c.request = readingHead, nil
 }
 
+// stateChanged follows the state of the connection in the HTTP server.
+func (c *callerConn) stateChanged(s http.ConnState) {
+	switch s {
+	case http.StateActive:
+		c.active()
+	case http.StateIdle:
+		c.written()
+	}
+}
+
+// active records that the server has begun to read a request.
+func (c *callerConn) active() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Time{}
+}
+
 // written records that the response has been written and the connection stays open.
 func (c *callerConn) written() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.idleSince = c.server.gateway.clock.Now()
 	if c.state == headRead { // the server has answered OPTIONS * by itself
 		c.opaque, c.state = true, readingHead
 		c.leave()
@@ -436,16 +472,65 @@
 	c.ahead.queue, c.ahead.requests = nil, nil
 }
 
-// Close implements net.Conn. It cancels the requests that started early and does not wait for them.
+// Close implements net.Conn. It cancels the requests that started early and does not wait for them,
+// nor for the caller to receive the last response, which the server's lingering does. While the server
+// waits for bytes, Close ends that wait; the server then calls it again.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
+	mode := c.closeMode()
+	c.closing = true
 	if c.closed == nil {
 		c.closed = net.ErrClosed
 	}
 	c.leave()
 	c.releaseAhead()
+	reading, lingers := c.reading, c.lingers
+	c.lingers = !reading
 	c.mu.Unlock()
-	return c.Conn.Close()
+	switch {
+	case lingers:
+		return nil // it is closed already
+	case reading:
+		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+	case mode == closeByReset:
+		return resetConn(c.Conn)
+	case mode == closeAtOnce:
+		return c.Conn.Close()
+	}
+	return c.server.lingering.start(c.Conn, mode)
+}
+
+// closeMode returns how to close the connection. The caller holds the lock.
+func (c *callerConn) closeMode() closeMode {
+	switch {
+	case c.resets:
+		return closeByReset
+	case c.ended || c.closed != nil && !c.closing || !c.received:
+		return closeAtOnce
+	case c.idleSince.IsZero():
+		return closeAfterResponse
+	case c.server.gateway.clock.Since(c.idleSince) > callerCloseTimeout:
+		return closeAtOnce
+	}
+	return closeIdle
+}
+
+// resetOnClose makes Close reset the connection.
+func (c *callerConn) resetOnClose() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resets = true
+}
+
+// resetConn closes a connection so that its peer does not take the end for a sound one.
+func resetConn(conn net.Conn) error {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that has ended
+	}
+	return conn.Close()
 }
 
 // errWriteAfterChunks says that the HTTP server has written more than the last chunk of a response that
