tcpconn: take no reset for the end of a response

A target answers a long upload with a 200 without a length, sends part of its body and resets the connection. The caller got the part as a complete response.

Cause: the kernel reports the error of a connection once. If the write of the upload got the reset, the next read returned io.EOF, and such a response ends with its connection.

Change: connections to targets return io.EOF only if no write has failed before with anything but EPIPE, which follows a sound end; a write in progress is made to return first and goes on. This holds in gateway, entry and the server of tunnels. A tunnel no longer closes the connection to the box when the target stops taking the upload, and tells the end of the target's data before it closes.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -24,6 +24,7 @@
 	"ledgesill.dev/ledgesill/internal/lockorder"
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/internal/relay"
+	"ledgesill.dev/ledgesill/internal/tcpconn"
 	"ledgesill.dev/ledgesill/pkg/lease"
 	"ledgesill.dev/ledgesill/pkg/lookup"
 	"ledgesill.dev/ledgesill/pkg/retry"
@@ -170,7 +171,11 @@
 func (d *Daemon) dialTarget(ctx context.Context, _, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTargetTimeout)
 	defer cancel()
-	return d.network.Dial(ctx, address)
+	conn, err := d.network.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return tcpconn.Wrap(conn), nil // tells a reset from the end of a response
 }
 
 func (d *Daemon) registerMetrics() {
--- a/internal/gateway/connectionpool.go
+++ b/internal/gateway/connectionpool.go
@@ -16,6 +16,7 @@
 
 	"ledgesill.dev/ledgesill/internal/boottime"
 	"ledgesill.dev/ledgesill/internal/lockorder"
+	"ledgesill.dev/ledgesill/internal/tcpconn"
 	"ledgesill.dev/ledgesill/internal/tunnel"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/targetpath"
@@ -95,8 +96,17 @@
 }
 
 func newConnectionPool() *connectionPool {
-	dialer := &net.Dialer{KeepAlive: -1}
-	return &connectionPool{idle: make(map[string][]*connection), dial: dialer.DialContext, reusable: isReusable}
+	return &connectionPool{idle: make(map[string][]*connection), dial: dialTCP, reusable: isReusable}
+}
+
+// dialTCP connects to a target. The connection tells a reset from the end of a response.
+func dialTCP(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return tcpconn.Wrap(conn), nil
 }
 
 // get returns an idle connection that is still reusable, or a new one. A request with regions must
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -7,11 +7,13 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"ledgesill.dev/ledgesill/internal/lockorder"
+	"ledgesill.dev/ledgesill/internal/tcpconn"
 	"ledgesill.dev/ledgesill/pkg/targetpath"
 	"ledgesill.dev/ledgesill/pkg/wire"
 )
@@ -137,7 +139,7 @@
 	defer cancel()
 	target, err := s.config.Connect(ctx, r.Target)
 	if err == nil {
-		return target, &wire.TunnelAnswer{Result: wire.TunnelAnswer_RESULT_CONNECTED}
+		return tcpconn.Wrap(target), &wire.TunnelAnswer{Result: wire.TunnelAnswer_RESULT_CONNECTED}
 	}
 	s.free()
 	answer := &wire.TunnelAnswer{Result: wire.TunnelAnswer_RESULT_TARGET_UNREACHED}
@@ -240,6 +242,8 @@
 	// beside the data.
 	writeLock chan struct{}
 	notices   chan []byte
+	// targetEnded tells that the box has been told the end of the target's data.
+	targetEnded atomic.Bool
 }
 
 // maxNotices bounds the notices that wait for a box that does not read.
@@ -261,12 +265,18 @@
 	return err
 }
 
-// join carries data between the two connections of a tunnel until one of them ends.
+// endTimeout bounds how long a tunnel waits for a further frame of the box, or for the target to take
+// it, after the end of the target's data.
+const endTimeout = 5 * time.Second
+
+// join carries data between the two connections of a tunnel until the box ends its own. When the target
+// has ended its data the box learns that first: it closes the connection once it has read the end, and
+// the target may read on.
 func (s *Server) join(ctx context.Context, j *joined, reader *bufio.Reader) {
 	ctx, cancel := context.WithCancel(ctx)
 	ended := make(chan struct{}, 3)
 	go func() { j.carryToTarget(reader, s.config.OnBackOff); cancel(); ended <- struct{}{} }()
-	go func() { j.carryToBox(ctx, s.config.Pace); cancel(); ended <- struct{}{} }()
+	go func() { j.carryToBox(ctx, s.config.Pace); j.limitRest(); ended <- struct{}{} }()
 	go func() { j.sendNotices(ctx); ended <- struct{}{} }()
 	<-ctx.Done()
 	_ = j.target.Close() // a target that watches its connection stops its work
@@ -288,17 +298,34 @@
 	return j
 }
 
-// carryToTarget passes on what the box sends, until its connection or the target's breaks.
+// limitRest bounds the time for what the box still sends behind the end of the target's data.
+func (j *joined) limitRest() {
+	j.targetEnded.Store(true)
+	until := time.Now().Add(endTimeout) // steady clock: deadlines of connections go by it
+	_ = j.box.SetReadDeadline(until)    // on a closed connection reading fails
+	_ = j.target.SetWriteDeadline(until)
+}
+
+// carryToTarget passes on what the box sends, until its connection ends. What a target doesn't take is
+// discarded: the rest of its response may not have reached the box yet.
 func (j *joined) carryToTarget(reader *bufio.Reader, onBackOff func(string, time.Duration)) {
+	var to io.Writer = j.target
 	for {
 		kind, length, err := readHeader(reader)
 		if err != nil {
 			return // the box has closed the connection, or is lost
 		}
+		if j.targetEnded.Load() {
+			j.limitRest()
+		}
 		switch kind {
 		case dataFrame:
-			if _, err := io.CopyN(j.target, reader, int64(length)); err != nil {
-				return
+			data := &io.LimitedReader{R: reader, N: int64(length)}
+			if _, err := io.Copy(to, data); err != nil {
+				to = io.Discard
+			}
+			if _, err := io.Copy(io.Discard, data); err != nil || data.N > 0 {
+				return // the box is lost
 			}
 		case backOffFrame:
 			wait, err := readBackOff(reader)
