responsehead: one place for what counts as a response

A target that sends status 000, a name with a blank, another version or HTTP/1.0 with chunks got through: callers received what stood behind as a response, or a body with the framing in it; ledgesill entry panicked at status 000.

Cause: http.ReadResponse takes all of that, and ignores framing fields whose names have blanks.

Change: package responsehead checks heads. gateway checks the bytes of each one, interim ones included, and the names behind a body in chunks; entry and caller check what net/http has parsed. The error in the request line names the field and the byte.

Evidence: TestInvalidResponseIsNotForwarded and TestInvalidResponseIsAnError fail before the fix. A head that ends early was no success before either (TestHeadThatEndsEarlyIsNoResponse).

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -27,6 +27,7 @@
 	"ledgesill.dev/ledgesill/internal/tcpconn"
 	"ledgesill.dev/ledgesill/pkg/lease"
 	"ledgesill.dev/ledgesill/pkg/lookup"
+	"ledgesill.dev/ledgesill/pkg/responsehead"
 	"ledgesill.dev/ledgesill/pkg/retry"
 	"ledgesill.dev/ledgesill/pkg/settings"
 	"ledgesill.dev/ledgesill/pkg/steering"
@@ -55,9 +56,9 @@
 	callerListener   net.Listener
 	operatorListener net.Listener
 	forwardListener  *link.StreamListener
-	targetTransport  *http.Transport
+	targetTransport  transport
 	probeClient      *http.Client
-	peerTransport    *http.Transport
+	peerTransport    transport
 	keys             *keys
 	peers            *peers
 	stop             *gracefulStop
@@ -158,7 +159,7 @@
 		return errors.Join(err, d.callerListener.Close())
 	}
 	d.targetTransport = newTransport(d.dialForSlot)
-	probes := &http.Transport{DialContext: d.dialTarget, MaxResponseHeaderBytes: maxResponseHeaderBytes}
+	probes := transport{&http.Transport{DialContext: d.dialTarget, MaxResponseHeaderBytes: maxResponseHeaderBytes}}
 	d.probeClient = &http.Client{Transport: probes, Timeout: probeTimeout}
 	d.peerTransport = newTransport(func(ctx context.Context, _, address string) (net.Conn, error) {
 		return d.node.Forward(ctx, address)
@@ -307,13 +308,30 @@
 
 const viewTimeout = 200 * time.Millisecond
 
+// transport sends requests and returns only what counts as a response.
+type transport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper. The error is a responsehead.InvalidError if the bytes that came
+// back are no response.
+func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := responsehead.CheckParsed(response); err != nil {
+		_ = response.Body.Close() // it is no body either
+		return nil, err
+	}
+	return response, nil
+}
+
 // newTransport returns a transport for requests of callers.
-func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
-	return &http.Transport{
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) transport {
+	return transport{&http.Transport{
 		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	}}
 }
--- a/internal/gateway/connectionpool.go
+++ b/internal/gateway/connectionpool.go
@@ -40,7 +40,7 @@
 	net.Conn
 	// reader reads from the connection through head, which bounds response heads.
 	reader *bufio.Reader
-	head   *headLimiter
+	head   *headReader
 	// peer is the box that it leads through; its name is empty for a connection of this box itself.
 	peer targetpath.Peer
 	// used tells that a request was sent on it before.
@@ -64,7 +64,7 @@
 }
 
 func newConnection(conn net.Conn, peer targetpath.Peer) *connection {
-	head := &headLimiter{source: conn}
+	head := &headReader{source: conn}
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(head, readBuffer), head: head, peer: peer}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"ledgesill.dev/ledgesill/internal/process"
 	"ledgesill.dev/ledgesill/internal/tunnel"
 	"ledgesill.dev/ledgesill/pkg/balance"
+	"ledgesill.dev/ledgesill/pkg/responsehead"
 	"ledgesill.dev/ledgesill/pkg/targetstatus"
 )
 
@@ -297,15 +298,19 @@
 }
 
 // readFinalResponse reads a response, skipping interim ones. The error is a headTooLongError if their
-// heads together are longer than maxResponseHead.
+// heads together are longer than maxResponseHead, and a responsehead.InvalidError if one is none.
 func readFinalResponse(c *connection, r *http.Request) (*http.Response, error) {
-	c.head.begin()
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails for bytes that are buffered
+	c.head.begin(buffered)
 	defer c.head.end()
 	for {
 		response, err := http.ReadResponse(c.reader, r)
 		if err != nil {
 			return nil, err
 		}
+		if err := responsehead.Check(c.head.next()); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
@@ -315,6 +320,20 @@
 	}
 }
 
+// checkedBody is the body of a response. It ends with an error if the fields behind it are invalid.
+type checkedBody struct{ response *http.Response }
+
+// Read implements io.Reader.
+func (b checkedBody) Read(p []byte) (int, error) {
+	n, err := b.response.Body.Read(p)
+	if errors.Is(err, io.EOF) {
+		if invalid := responsehead.CheckFields(b.response.Trailer); invalid != nil {
+			err = errors.Wrap(invalid, "reading the trailer")
+		}
+	}
+	return n, err
+}
+
 // readResponse reads the body of the response, or its beginning.
 func (a *attempt) readResponse(c *connection, response *http.Response, status targetstatus.Status, sent *upload) (*targetResponse, error) {
 	out := &targetResponse{status: response.StatusCode, header: response.Header, targetStatus: status, length: response.ContentLength, upload: sent}
@@ -329,13 +348,14 @@
 	}
 	began := a.gateway.clock.Now()
 	slow := func() bool { return a.gateway.clock.Since(began) > maxBufferTime }
-	body, more, err := readUpTo(response.Body, response.ContentLength, maxBufferedResponse, slow)
+	from := checkedBody{response}
+	body, more, err := readUpTo(from, response.ContentLength, maxBufferedResponse, slow)
 	if err != nil {
 		return nil, errors.Wrap(err, "reading the response body")
 	}
 	out.body = body
 	if more {
-		out.rest = response.Body
+		out.rest = from
 		return out, nil
 	}
 	out.length = int64(len(body))
--- a/internal/gateway/headlimit.go
+++ b/internal/gateway/headlimit.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"sync"
 )
 
 // maxResponseHead bounds the status lines and headers of one response, interim ones included. Without
@@ -18,29 +20,75 @@
 	return fmt.Sprintf("the head of the response is longer than %d bytes", e.Limit)
 }
 
-// headLimiter reads from a connection and fails once more than maxResponseHead bytes have been read
-// while a response head is expected. One goroutine at a time uses it.
-type headLimiter struct {
+// headReader reads from a connection. While a response head is expected it keeps what it reads, and
+// fails after maxResponseHead bytes. One goroutine at a time uses it.
+type headReader struct {
 	source io.Reader
 	inHead bool
 	read   int
+	// kept are the bytes of the heads, and those read behind them; the next head begins at start. It is
+	// nil while no head is expected.
+	kept  *[]byte
+	start int
 }
 
-// begin starts to count: a response head is expected.
-func (l *headLimiter) begin() {
-	l.inHead = true
-	l.read = 0
+var keptHeads = sync.Pool{New: func() any { b := make([]byte, 0, readBuffer); return &b }}
+
+// begin starts to keep what is read: a response head is expected, which begins with bytes that have
+// been read already.
+func (h *headReader) begin(buffered []byte) {
+	h.inHead, h.read, h.start = true, 0, 0
+	h.kept = keptHeads.Get().(*[]byte)
+	*h.kept = append((*h.kept)[:0], buffered...)
+}
+
+// next returns the head that has been read. What was read behind it belongs to the next one.
+func (h *headReader) next() []byte {
+	left := (*h.kept)[h.start:]
+	head := left[:headLength(left)]
+	h.start += len(head)
+	return head
+}
+
+// headLength returns the length of the head with which a text begins: up to an empty line.
+func headLength(text []byte) int {
+	for n := 0; n < len(text); {
+		line := bytes.IndexByte(text[n:], '\n') + 1
+		if line == 0 {
+			break
+		}
+		n += line
+		if bytes.HasPrefix(text[n:], []byte("\r\n")) {
+			return n + len("\r\n")
+		}
+		if bytes.HasPrefix(text[n:], []byte("\n")) {
+			return n + len("\n")
+		}
+	}
+	return len(text)
 }
 
-// end stops counting: the head has been read.
-func (l *headLimiter) end() { l.inHead = false }
+// end stops keeping: the last head has been read. What next returned is no longer valid.
+func (h *headReader) end() {
+	h.inHead = false
+	if cap(*h.kept) <= maxKeptCapacity {
+		keptHeads.Put(h.kept)
+	}
+	h.kept = nil
+}
+
+// maxKeptCapacity is the capacity, in bytes, up to which buffers of heads are used again.
+const maxKeptCapacity = 2 * readBuffer
 
 // Read implements io.Reader.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if l.inHead && l.read >= maxResponseHead {
+func (h *headReader) Read(p []byte) (int, error) {
+	if h.inHead && h.read >= maxResponseHead {
 		return 0, &headTooLongError{maxResponseHead}
 	}
-	n, err := l.source.Read(p)
-	l.read += n
+	n, err := h.source.Read(p)
+	h.read += n
+	if h.inHead {
+		*h.kept = append(*h.kept, p[:n]...)
+	}
 	return n, err
 }
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"ledgesill.dev/ledgesill/pkg/responsehead"
 )
 
 // Config configures a Client.
@@ -150,6 +152,9 @@
 		return LookupAnswer{}, fmt.Errorf("looking up at %s: %w", address, err)
 	}
 	defer response.Body.Close()
+	if err := responsehead.CheckParsed(response); err != nil {
+		return LookupAnswer{}, fmt.Errorf("looking up at %s: %w", address, err)
+	}
 	if response.StatusCode != http.StatusOK {
 		return LookupAnswer{}, fmt.Errorf("looking up at %s: %s", address, response.Status)
 	}
@@ -293,6 +298,9 @@
 		return Answer{}, fmt.Errorf("sending to %s: %w", address, err)
 	}
 	defer response.Body.Close()
+	if err := responsehead.CheckParsed(response); err != nil {
+		return Answer{}, fmt.Errorf("reading the answer of %s: %w", address, err)
+	}
 	body, err := readAnswer(response.Body, address, c.config.MaxAnswerBytes)
 	if err != nil {
 		return Answer{}, fmt.Errorf("reading the answer of %s: %w", address, err)
