gateway: bound what all buffered bodies and heads take together

Targets that send long bodies or heads to many requests at once, or callers that read nothing, make a box hold 256 KB of each response and several copies of each head; the bound of each says nothing of all.

Change: bodies of requests and responses beyond 16 KB, and heads beyond 4 KB, reserve memory from a quarter of the soft limit. Without memory a body is streamed, so that only its repetition is given up, and a long head counts as a broken connection. The buffered part of a response is given up once it has been written.

Evidence: TestManyLongResponsesAreBoundedTogether held 13.1 MB of bodies and 3.1 MB of heads with a limit of 1 MB before, 64 requests; it passes now, and nothing stays reserved. Not tried with real processes at their limit.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"ledgesill.dev/ledgesill/pkg/pipelining"
 )
 
 // maxBufferedBody bounds the request bodies that are read completely before any of it is sent to a
@@ -18,23 +20,35 @@
 	rest io.Reader
 	// length is the length of the whole body; below zero if unknown.
 	length int64
+	// memory is what data takes.
+	memory bufferMemory
 	// upload is the only reader of rest; nil before the request is sent.
 	upload *upload
 }
 
-// readBody reads the body of a request, or its beginning.
-func readBody(r *http.Request) (*requestBody, error) {
+// readBody reads the body of a request, or its beginning. release must follow.
+func readBody(r *http.Request, limit *pipelining.Budget) (*requestBody, error) {
 	if r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
 		return &requestBody{}, nil
 	}
-	data, more, err := readUpTo(r.Body, r.ContentLength, maxBufferedBody, func() bool { return false })
+	b := &requestBody{memory: bufferMemory{limit: limit}}
+	data, more, err := readUpTo(r.Body, r.ContentLength, maxBufferedBody, func() bool { return false }, &b.memory)
 	if err != nil {
+		b.memory.release()
 		return nil, errors.Wrap(err, "reading the request body")
 	}
+	b.data, b.length = data, int64(len(data))
 	if more {
-		return &requestBody{data: data, rest: r.Body, length: r.ContentLength}, nil
+		b.rest, b.length = r.Body, r.ContentLength
+	}
+	return b, nil
+}
+
+// release gives back the memory of the body. A nil body has none.
+func (b *requestBody) release() {
+	if b != nil {
+		b.memory.release()
 	}
-	return &requestBody{data: data, length: int64(len(data))}, nil
 }
 
 // repeatable reports whether the body can be sent to another target.
--- a/internal/gateway/callerresponse.go
+++ b/internal/gateway/callerresponse.go
@@ -84,13 +84,15 @@
 		c.reservation.settle(c.gateway.clock.Now(), out.length)
 	}
 	c.writeHead(out)
+	begun := int64(len(out.body))
 	_, err := c.writer.Write(out.body)
+	out.dropBody()
 	if !out.open {
 		c.logRequest(out.status, "", err)
 		return
 	}
 	if err == nil && out.rest != nil {
-		err = c.gateway.shaper.copy(c.request.Context(), c.writer, out.rest, out.length-int64(len(out.body)))
+		err = c.gateway.shaper.copy(c.request.Context(), c.writer, out.rest, out.length-begun)
 	}
 	if err := c.finishExchange(out, err); err != nil {
 		// The caller must not take the truncated response for a complete one.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -21,6 +21,7 @@
 	"ledgesill.dev/ledgesill/internal/tunnel"
 	"ledgesill.dev/ledgesill/pkg/balance"
 	"ledgesill.dev/ledgesill/pkg/catalog"
+	"ledgesill.dev/ledgesill/pkg/pipelining"
 	"ledgesill.dev/ledgesill/pkg/retry"
 	"ledgesill.dev/ledgesill/pkg/targetpath"
 	"ledgesill.dev/ledgesill/pkg/wire"
@@ -53,8 +54,10 @@
 	connections     *connectionPool
 	targetContact   *targetContact
 	// tunnelServer connects to targets for other boxes, which reach it at peerListener.
-	tunnelServer  *tunnel.Server
-	peerListener  net.Listener
+	tunnelServer *tunnel.Server
+	peerListener net.Listener
+	// bufferMemory limits the bodies and response heads that are buffered.
+	bufferMemory  *pipelining.Budget
 	shaper        *shaper
 	linkQueue     *linkQueue
 	overload      *overloadControl
@@ -153,6 +156,8 @@
 	p.Gauge("log_lines_dropped", "Log lines that the reader did not take in time.", func() float64 { return float64(lines.Dropped()) })
 	p.Gauge("control_age_seconds", "Age of the word of control.", func() float64 { return d.follower.ControlAge().Seconds() })
 	p.Gauge("target_contact_age_seconds", "Time since a target last answered this box or accepted a connection.", func() float64 { return d.targetContact.age().Seconds() })
+	d.bufferMemory = newBufferMemory()
+	p.Gauge("buffered_bytes", "Bytes reserved for bodies of requests and responses, and for long response heads.", func() float64 { return float64(d.bufferMemory.Used()) })
 	d.shaper = newShaper(c.LinkBytes)
 	d.shaper.clock = d.clock
 	d.connections.tunnels, d.tunnelServer = d.newTunnels()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -36,9 +36,10 @@
 	header http.Header
 	// targetStatus is what the header reports of the target.
 	targetStatus targetstatus.Status
-	// body is the whole body, or its beginning if rest is not nil.
-	body []byte
-	rest io.Reader
+	// body is the whole body, or its beginning if rest is not nil. memory is what it takes.
+	body   []byte
+	memory bufferMemory
+	rest   io.Reader
 	// length is the length of the whole body, below zero if unknown.
 	length int64
 	// upload is the sending of the request, which may go on after the response.
@@ -50,8 +51,15 @@
 	finish func(whole bool)
 }
 
+// dropBody gives up the buffered part of the body, which has been written or is not needed.
+func (o *targetResponse) dropBody() {
+	o.body = nil
+	o.memory.release()
+}
+
 // discard ends a response that is not forwarded.
 func (o *targetResponse) discard() {
+	o.dropBody()
 	if o.open {
 		o.finish(false)
 	}
@@ -246,6 +254,7 @@
 // exchange sends the request on a connection and reads the response.
 func (a *attempt) exchange(c *connection) (*targetResponse, error) {
 	headers := targetHeaders{target: a.target.Name, workspace: a.workspace, timeout: a.gateway.clock.Until(a.deadline), bodyLength: a.body.length}
+	c.head.memory.limit = a.gateway.bufferMemory
 	sent := a.body.send(c, a.gateway.config.Protocol.requestHead(a.request, headers))
 	for range maxStaleResponses {
 		response, err := readFinalResponse(c, a.request)
@@ -298,7 +307,7 @@
 }
 
 // readFinalResponse reads a response, skipping interim ones. The error is a headTooLongError if their
-// heads together are longer than maxResponseHead, and a responsehead.InvalidError if one is none.
+// heads together are longer than maxResponseHead or than there is memory for, and a responsehead.InvalidError if one is none.
 func readFinalResponse(c *connection, r *http.Request) (*http.Response, error) {
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails for bytes that are buffered
 	c.head.begin(buffered)
@@ -337,6 +346,7 @@
 // readResponse reads the body of the response, or its beginning.
 func (a *attempt) readResponse(c *connection, response *http.Response, status targetstatus.Status, sent *upload) (*targetResponse, error) {
 	out := &targetResponse{status: response.StatusCode, header: response.Header, targetStatus: status, length: response.ContentLength, upload: sent}
+	out.memory.limit = a.gateway.bufferMemory
 	idle := keepAliveTimeout(response.Header.Get("Keep-Alive"))
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	out.finish = func(whole bool) {
@@ -349,8 +359,9 @@
 	began := a.gateway.clock.Now()
 	slow := func() bool { return a.gateway.clock.Since(began) > maxBufferTime }
 	from := checkedBody{response}
-	body, more, err := readUpTo(from, response.ContentLength, maxBufferedResponse, slow)
+	body, more, err := readUpTo(from, response.ContentLength, maxBufferedResponse, slow, &out.memory)
 	if err != nil {
+		out.memory.release()
 		return nil, errors.Wrap(err, "reading the response body")
 	}
 	out.body = body
@@ -365,18 +376,25 @@
 	return out, nil
 }
 
-// readUpTo reads a body until its end, until limit bytes have been read, or until enough returns
-// true after a read.
-func readUpTo(body io.Reader, length int64, limit int, enough func() bool) (data []byte, more bool, err error) {
+// readUpTo reads a body until its end, until limit bytes have been read, until enough returns true after
+// a read, or until there is no memory for more. The caller releases the memory.
+func readUpTo(body io.Reader, length int64, limit int, enough func() bool, memory *bufferMemory) (data []byte, more bool, err error) {
 	const first = 512
 	size := first
 	if length >= 0 {
 		size = int(min(length, int64(limit))) + 1
 	}
+	if !memory.grow(size, unreservedBuffer) {
+		size = unreservedBuffer
+	}
 	data = make([]byte, 0, size)
 	for {
 		if len(data) == cap(data) {
-			data = append(data, 0)[:len(data)]
+			size = min(2*cap(data), limit+1)
+			if !memory.grow(size, unreservedBuffer) {
+				return data, true, nil
+			}
+			data = append(make([]byte, 0, size), data...)
 		}
 		n, err := body.Read(data[len(data):min(cap(data), limit+1)])
 		data = data[:len(data)+n]
--- a/internal/gateway/headlimit.go
+++ b/internal/gateway/headlimit.go
@@ -11,8 +11,8 @@
 // it a target that writes a header without end takes all memory of the box.
 const maxResponseHead = 64 << 10
 
-// headTooLongError says that a target sent a response head that is longer than the limit, or interim
-// responses of that length.
+// headTooLongError says that a target sent a response head that is longer than the limit, in bytes, or
+// interim responses of that length. The limit is lower while the box has no memory for long heads.
 type headTooLongError struct{ Limit int }
 
 // Error implements error.
@@ -30,6 +30,8 @@
 	// nil while no head is expected.
 	kept  *[]byte
 	start int
+	// memory is what a long head takes.
+	memory bufferMemory
 }
 
 var keptHeads = sync.Pool{New: func() any { b := make([]byte, 0, readBuffer); return &b }}
@@ -71,6 +73,7 @@
 // end stops keeping: the last head has been read. What next returned is no longer valid.
 func (h *headReader) end() {
 	h.inHead = false
+	h.memory.release()
 	if cap(*h.kept) <= maxKeptCapacity {
 		keptHeads.Put(h.kept)
 	}
@@ -85,6 +88,9 @@
 	if h.inHead && h.read >= maxResponseHead {
 		return 0, &headTooLongError{maxResponseHead}
 	}
+	if h.inHead && h.read > unreservedHead && !h.memory.grow(headCopies*h.read, 0) {
+		return 0, &headTooLongError{h.read}
+	}
 	n, err := h.source.Read(p)
 	h.read += n
 	if h.inHead {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -144,7 +144,7 @@
 		return true
 	}
 	var err error
-	if c.body, err = readBody(c.request); err != nil {
+	if c.body, err = readBody(c.request, c.gateway.bufferMemory); err != nil {
 		c.fail(http.StatusBadRequest, "bodyBroken", err)
 		return false
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -136,6 +136,7 @@
 	c.requestID = d.config.Protocol.requestID(r)
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
+	defer func() { c.body.release() }()
 	defer c.finishBody()
 	c.serve()
 	c.served = true
