gateway: limit requests that arrive in a stop to its end

A box that shuts down took requests for up to three seconds with the deadlines of their callers and routes, and cut those off without a response that ran longer than the box.

Change: the deadline of a request that arrives during a stop is at most 0.1 s before requests are cut off. Its target learns of it, and the caller gets 504 at the latest.

--- a/internal/gateway/callerserver.go
+++ b/internal/gateway/callerserver.go
@@ -32,6 +32,8 @@
 	closeIdleInterval = 5 * time.Millisecond
 	// shutdownReserve is the part of the stop time that is left for closing.
 	shutdownReserve = 400 * time.Millisecond
+	// answerReserve is the part before that in which requests that take too long are answered.
+	answerReserve = 100 * time.Millisecond
 )
 
 // callerServer serves the connections of callers.
@@ -176,13 +178,15 @@
 // has read.
 func (d *Daemon) shutdown() {
 	began := d.clock.Now()
+	total := d.config.StopTime - shutdownReserve
+	end := began.Add(total)
+	d.stopEnd.Store(&end)
 	d.stopping.Store(true)
 	d.log.Info().Str("kind", "stopping").Int64("inFlight", d.inFlight.Load()).Msg("shutting down; withdrawing from lookups")
 	d.tunnelServer.Drain()
 	d.reportToAll(context.Background())
-	total := d.config.StopTime - shutdownReserve
 	time.Sleep(min(shutdownAcceptTime, total/2))
-	ctx, cancel := d.clock.WithDeadline(context.Background(), began.Add(total))
+	ctx, cancel := d.clock.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := d.callerServer.shutdown(ctx); err != nil {
 		d.log.Warn().Str("kind", "stopping").Err(err).Int64("inFlight", d.inFlight.Load()).Msg("stop time exceeded; cutting off requests in flight")
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -93,7 +93,9 @@
 	// sendReports uses it.
 	stoppedRollouts map[uint64]bool
 	stopping        atomic.Bool
-	inFlight        atomic.Int64
+	// stopEnd is when requests in flight are cut off; nil until the box shuts down.
+	stopEnd  atomic.Pointer[time.Time]
+	inFlight atomic.Int64
 
 	// balancing guards the state by which targets are chosen.
 	balancing struct {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -174,6 +174,9 @@
 		return
 	}
 	c.deadline = c.startedAt.Add(min(c.callerTimeout(), route.Timeout))
+	if end := c.gateway.stopEnd.Load(); end != nil {
+		c.deadline = earlier(c.deadline, end.Add(-answerReserve)) // its target learns of it
+	}
 	ctx, cancel := c.gateway.clock.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
 	if !c.checkQuarantine() {
@@ -204,6 +207,13 @@
 	c.sendToTargets(ctx)
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // callerTimeout returns how long the caller waits for its response.
 func (c *callerRequest) callerTimeout() time.Duration {
 	if stated := c.statedTimeout(); stated > 0 {
