gateway: wait for idle callers for a second, and for none once the stop ends

A connection that the HTTP server closes twice could begin to wait for its caller while the stop waits for those that do, which sync.WaitGroup doesn't allow. Connections without a request hold up a stop for 1 s at most.

--- a/internal/gateway/callerclose.go
+++ b/internal/gateway/callerclose.go
@@ -8,12 +8,15 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"ledgesill.dev/ledgesill/internal/lockorder"
 )
 
 const (
 	// callerCloseTimeout bounds how long a connection that the box has closed waits for its caller to
-	// close it as well.
+	// close it as well, and idleCloseTimeout that of a connection without a request.
 	callerCloseTimeout = 5 * time.Second
+	idleCloseTimeout   = time.Second
 	// maxLingering bounds the connections that wait for their caller at once.
 	maxLingering = 1024
 	// maxDiscarded bounds the bytes that are read from a caller behind its last response.
@@ -43,9 +46,13 @@
 // arrives at a closed connection, or was not read before, resets it, and the caller then loses what
 // it has not received.
 type lingering struct {
-	ctx     context.Context
-	cancel  context.CancelFunc
-	places  chan struct{}
+	ctx    context.Context
+	cancel context.CancelFunc
+	// places holds a token for each connection that waits.
+	places chan struct{}
+
+	mu      lockorder.Mutex
+	closed  bool
 	running sync.WaitGroup
 }
 
@@ -58,28 +65,42 @@
 func (l *lingering) count() int { return len(l.places) }
 
 // start ends the box's direction of a connection. The connection is closed when the caller has closed
-// its own, or after callerCloseTimeout; at once if too many connections wait for that.
+// its own, or after a time; at once if too many connections wait for that or the box ends.
 func (l *lingering) start(conn net.Conn, mode closeMode) error {
 	half, ok := conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
+	if !ok || half.CloseWrite() != nil || !l.run(func() { l.awaitEnd(conn, mode) }) {
 		return conn.Close()
 	}
+	return nil
+}
+
+// run runs a function that close waits for, unless there is no place for it.
+func (l *lingering) run(wait func()) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
 	select {
 	case l.places <- struct{}{}:
 	default:
-		return conn.Close()
+		return false
 	}
 	l.running.Go(func() {
 		defer func() { <-l.places }()
-		defer conn.Close()
-		l.awaitEnd(conn, mode)
+		wait()
 	})
-	return nil
+	return true
 }
 
-// awaitEnd waits until the caller has closed its direction.
+// awaitEnd waits until the caller has closed its direction, and closes the connection.
 func (l *lingering) awaitEnd(conn net.Conn, mode closeMode) {
-	_ = conn.SetReadDeadline(time.Now().Add(callerCloseTimeout)) // steady clock: deadlines of connections go by it; on a closed one reading fails
+	defer conn.Close()
+	timeout := callerCloseTimeout
+	if mode == closeIdle {
+		timeout = idleCloseTimeout
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(timeout)) // steady clock: deadlines of connections go by it; on a closed one reading fails
 	stop := context.AfterFunc(l.ctx, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if mode == closeAfterResponse {
@@ -89,7 +110,7 @@
 	if awaitReadable(conn) == errUnreadData {
 		select {
 		case <-l.ctx.Done():
-		case <-time.After(callerCloseTimeout):
+		case <-time.After(timeout):
 		}
 	}
 }
@@ -135,6 +156,9 @@
 
 // close waits until no connection waits for its caller, or closes them when the context ends.
 func (l *lingering) close(ctx context.Context) {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
 	stop := context.AfterFunc(ctx, l.cancel)
 	defer stop()
 	l.running.Wait()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -307,7 +307,8 @@
 }
 
 // readFinalResponse reads a response, skipping interim ones. The error is a headTooLongError if their
-// heads together are longer than maxResponseHead or than there is memory for, and a responsehead.InvalidError if one is none.
+// heads together are longer than maxResponseHead or than there is memory for, and an InvalidError of
+// package responsehead if one of them is no head.
 func readFinalResponse(c *connection, r *http.Request) (*http.Response, error) {
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails for bytes that are buffered
 	c.head.begin(buffered)
