gateway, lockorder: name what errors and fields mean

A violation of the order of locks named ranks by number, and a head for which there was no memory read like one over the fixed limit. Both errors say it now. headlimit.go is headreader.go, as its type; closeMode was a type and a method, and lingers a field beside the type lingering. Comments on tests no longer tell what was before the fix. No change of behaviour; the tests of closing, stops, heads and locks pass.

--- a/internal/entry/resetresponse_test.go
+++ b/internal/entry/resetresponse_test.go
@@ -11,7 +11,7 @@
 	"ledgesill.dev/ledgesill/internal/link"
 )
 
-// resetRounds is how often a response is reset. Before the fix one in four looked complete.
+// resetRounds is how often a response is reset: whether a read or a write gets the error differs.
 const resetRounds = 60
 
 // Guards against a response that is reset while its request is still being sent, and that the box
--- a/internal/gateway/callerclose.go
+++ b/internal/gateway/callerclose.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// callerCloseTimeout bounds how long a connection that the box has closed waits for its caller to
-	// close it as well, and idleCloseTimeout that of a connection without a request.
+	// callerCloseTimeout is how long the box waits for a caller to close a connection that the box has
+	// ended, and idleCloseTimeout how long if no request was in flight on it.
 	callerCloseTimeout = 5 * time.Second
 	idleCloseTimeout   = time.Second
 	// maxLingering bounds the connections that wait for their caller at once.
@@ -38,7 +38,8 @@
 	// closeIdle: as closeAfterResponse, but the response did not say that the connection ends. What
 	// arrives is not read, which tells the caller that it has not run.
 	closeIdle
-	// closeByReset: the caller would take the end of the connection for that of a truncated response.
+	// closeByReset: a response has broken off, and its caller would take the end of the connection for
+	// the end of the response.
 	closeByReset
 )
 
--- a/internal/gateway/callerserver.go
+++ b/internal/gateway/callerserver.go
@@ -32,7 +32,7 @@
 	closeIdleInterval = 5 * time.Millisecond
 	// shutdownReserve is the part of the stop time that is left for closing.
 	shutdownReserve = 400 * time.Millisecond
-	// answerReserve is the part before that in which requests that take too long are answered.
+	// answerReserve is how long before requests are cut off those that arrived in the stop are answered.
 	answerReserve = 100 * time.Millisecond
 )
 
--- a/internal/gateway/headlimit.go
+++ b/internal/gateway/headreader.go
@@ -11,13 +11,21 @@
 // it a target that writes a header without end takes all memory of the box.
 const maxResponseHead = 64 << 10
 
-// headTooLongError says that a target sent a response head that is longer than the limit, in bytes, or
-// interim responses of that length. The limit is lower while the box has no memory for long heads.
-type headTooLongError struct{ Limit int }
+// headTooLongError says that a target sent a response head, or interim responses, of more than Limit
+// bytes. NoMemory tells that the limit was lower than maxResponseHead, because all memory for buffers
+// was taken.
+type headTooLongError struct {
+	Limit    int
+	NoMemory bool
+}
 
 // Error implements error.
 func (e *headTooLongError) Error() string {
-	return fmt.Sprintf("the head of the response is longer than %d bytes", e.Limit)
+	text := fmt.Sprintf("the head of the response is longer than %d bytes", e.Limit)
+	if e.NoMemory {
+		text += ", and all memory for buffers is taken"
+	}
+	return text
 }
 
 // headReader reads from a connection. While a response head is expected it keeps what it reads, and
@@ -86,10 +94,10 @@
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (int, error) {
 	if h.inHead && h.read >= maxResponseHead {
-		return 0, &headTooLongError{maxResponseHead}
+		return 0, &headTooLongError{Limit: maxResponseHead}
 	}
 	if h.inHead && h.read > unreservedHead && !h.memory.grow(headCopies*h.read, 0) {
-		return 0, &headTooLongError{h.read}
+		return 0, &headTooLongError{Limit: h.read, NoMemory: true}
 	}
 	n, err := h.source.Read(p)
 	h.read += n
--- a/internal/gateway/pipelining.go
+++ b/internal/gateway/pipelining.go
@@ -78,9 +78,11 @@
 	// closed is the error with which the connection ended while a request was being served.
 	closed error
 	// reading tells that the server waits for bytes, and ended that the caller has ended its
-	// direction. closing is set by the first call of Close, and lingers once the connection has been
-	// handed to the server's lingering.
-	reading, ended, closing, lingers bool
+	// direction.
+	reading, ended bool
+	// closing is set by the first call of Close, and closedByBox by the one that ends the box's
+	// direction.
+	closing, closedByBox bool
 	// received tells that bytes of a request have been read, and idleSince when the last response was
 	// written; zero while a request is being read or served.
 	received  bool
@@ -477,19 +479,19 @@
 // waits for bytes, Close ends that wait; the server then calls it again.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
-	mode := c.closeMode()
+	mode := c.chooseCloseMode()
 	c.closing = true
 	if c.closed == nil {
 		c.closed = net.ErrClosed
 	}
 	c.leave()
 	c.releaseAhead()
-	reading, lingers := c.reading, c.lingers
-	c.lingers = !reading
+	reading, done := c.reading, c.closedByBox
+	c.closedByBox = !reading
 	c.mu.Unlock()
 	switch {
-	case lingers:
-		return nil // it is closed already
+	case done:
+		return nil
 	case reading:
 		return c.Conn.SetReadDeadline(time.Unix(1, 0))
 	case mode == closeByReset:
@@ -500,8 +502,8 @@
 	return c.server.lingering.start(c.Conn, mode)
 }
 
-// closeMode returns how to close the connection. The caller holds the lock.
-func (c *callerConn) closeMode() closeMode {
+// chooseCloseMode returns how to close the connection. The lock is held.
+func (c *callerConn) chooseCloseMode() closeMode {
 	switch {
 	case c.resets:
 		return closeByReset
--- a/internal/gateway/resetresponse_test.go
+++ b/internal/gateway/resetresponse_test.go
@@ -9,7 +9,7 @@
 	"testing"
 )
 
-// resetRounds is how often a response is reset. Before the fix one in five looked complete.
+// resetRounds is how often a response is reset: whether a read or a write gets the error differs.
 const resetRounds = 60
 
 // slowUpload is a body of unknown length that is read in small pieces.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -175,7 +175,7 @@
 	}
 	c.deadline = c.startedAt.Add(min(c.callerTimeout(), route.Timeout))
 	if end := c.gateway.stopEnd.Load(); end != nil {
-		c.deadline = earlier(c.deadline, end.Add(-answerReserve)) // its target learns of it
+		c.deadline = earlier(c.deadline, end.Add(-answerReserve)) // the target is told how much time is left
 	}
 	ctx, cancel := c.gateway.clock.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
--- a/internal/lockorder/check.go
+++ b/internal/lockorder/check.go
@@ -18,7 +18,7 @@
 
 // Error implements error.
 func (e *OrderError) Error() string {
-	return fmt.Sprintf("lock of rank %d acquired by the holder of one of rank %d", e.Acquired, e.Held)
+	return fmt.Sprintf("lock of rank %s acquired while one of rank %s is held", e.Acquired, e.Held)
 }
 
 // maxHeld bounds the locks that a goroutine may hold at once, which saves allocations.
--- a/internal/lockorder/mutex.go
+++ b/internal/lockorder/mutex.go
@@ -32,6 +32,14 @@
 	Balancing
 )
 
+var rankNames = [...]string{
+	Leaf: "Leaf", PermitStream: "PermitStream", BufferedResponse: "BufferedResponse", Permits: "Permits",
+	ServingBoxes: "ServingBoxes", PoolSettings: "PoolSettings", Balancing: "Balancing",
+}
+
+// String implements fmt.Stringer.
+func (r Rank) String() string { return rankNames[r] }
+
 // Mutex is a sync.Mutex with a rank. The zero value is an unlocked Leaf.
 type Mutex struct {
 	// Rank must not change once the mutex is in use.
--- a/internal/tunnel/reset_test.go
+++ b/internal/tunnel/reset_test.go
@@ -8,7 +8,7 @@
 	"testing"
 )
 
-// resetRounds is how often a connection is reset. Before the fix one in ten looked soundly ended.
+// resetRounds is how often a connection is reset: whether a read or a write gets the error differs.
 const resetRounds = 100
 
 // tcpTarget makes a peer connect to a target over TCP, whose end the target gets.
