--- a/internal/entry/resetresponse_test.go
+++ b/internal/entry/resetresponse_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,9 +15,10 @@
 // resetRounds is how often a response is reset: whether a read or a write gets the error differs.
 const resetRounds = 60
 
-// Guards against a response that is reset while its request is still being sent, and that the box
-// takes for a complete one.
-func TestResetDuringUploadIsNoCompleteResponse(t *testing.T) {
+// uploadOften sends uploads to a target over TCP, which a function plays once it has read their
+// beginning, and checks what a box reads of each response.
+func uploadOften(t *testing.T, respond func(c *net.TCPConn), check func(body []byte, err error) error) {
+	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -29,8 +31,7 @@
 				return
 			}
 			_, _ = c.Read(make([]byte, 4<<10))
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
-			_ = c.(*net.TCPConn).SetLinger(0)
+			respond(c.(*net.TCPConn))
 			_ = c.Close()
 		}
 	}()
@@ -43,14 +44,44 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		var body []byte
 		response, err := transport.RoundTrip(r)
-		if err != nil {
-			continue
+		if err == nil {
+			body, err = io.ReadAll(response.Body)
+			_ = response.Body.Close()
+		}
+		if err := check(body, err); err != nil {
+			t.Fatalf("round %d: %v", n, err)
 		}
-		body, err := io.ReadAll(response.Body)
-		_ = response.Body.Close()
+	}
+}
+
+// Guards against a response that is reset while its request is still being sent, and that the box
+// takes for a complete one.
+func TestResetDuringUploadIsNoCompleteResponse(t *testing.T) {
+	respond := func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = c.SetLinger(0)
+	}
+	uploadOften(t, respond, func(body []byte, err error) error {
 		if err == nil {
-			t.Fatalf("round %d: %q is a complete response", n, body)
+			return fmt.Errorf("%q is a complete response", body)
 		}
+		return nil
+	})
+}
+
+// A target may end its response soundly before it has read the whole request.
+func TestSoundEndDuringUploadIsCompleteResponse(t *testing.T) {
+	respond := func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nwhole")
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
 	}
+	uploadOften(t, respond, func(body []byte, err error) error {
+		if err != nil || string(body) != "whole" {
+			return fmt.Errorf("got %q, %w", body, err)
+		}
+		return nil
+	})
 }
--- a/internal/gateway/callerclose_test.go
+++ b/internal/gateway/callerclose_test.go
@@ -160,3 +160,60 @@
 		t.Errorf("%d connections wait for their callers after the stop", n)
 	}
 }
+
+// Guards against a response that breaks off and takes the whole one before it along: the connection was
+// reset while its caller was still receiving that one.
+func TestBrokenResponseLeavesTheOneBeforeItWhole(t *testing.T) {
+	r := newCloseRig(t, newTarget(t, func(n int, q *http.Request, c net.Conn) bool {
+		if q.Header.Get("Test-Id") == "id1" {
+			return respondBig(n, q, c)
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTest-Id: %s\r\nContent-Length: %d\r\n\r\n", q.Header.Get("Test-Id"), 2*maxBufferedResponse)
+		_, _ = io.WriteString(c, strings.Repeat("x", maxBufferedResponse+50_000))
+		return false
+	}))
+	r.send(t, "id1", "HTTP/1.1")
+	r.await(http.StateIdle)
+	r.send(t, "id2", "HTTP/1.1")
+	r.await(http.StateClosed)
+	r.send(t, "id3", "HTTP/1.1")
+	response, err := http.ReadResponse(r.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil || string(body) != bigBody {
+		t.Fatalf("got %d of %d bytes, %v", len(body), len(bigBody), err)
+	}
+	response, err = http.ReadResponse(r.reader, nil)
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+	}
+	if err == nil {
+		t.Error("the response that broke off looks complete")
+	}
+}
+
+// A caller that is told that its request is too large, or that it is no request, receives that although
+// it goes on sending.
+func TestRejectionReachesCallerThatGoesOnSending(t *testing.T) {
+	for request, want := range map[string]int{
+		"POST /safe/ HTTP/1.1\r\nHost: a.example\r\nTest-Id: id1\r\nContent-Length: x\r\n\r\n":                                http.StatusBadRequest,
+		"GET /safe/ HTTP/1.1\r\nHost: a.example\r\nX: " + strings.Repeat("a", http.DefaultMaxHeaderBytes+10_000) + "\r\n\r\n": http.StatusRequestHeaderFieldsTooLarge,
+	} {
+		r := newCloseRig(t, newTarget(t, respondBig))
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			_, _ = io.WriteString(r.caller, request+strings.Repeat("b", 100_000)) // the box may close before it has all
+		}()
+		response, err := http.ReadResponse(r.reader, nil)
+		if err != nil {
+			t.Errorf("instead of %d: %v", want, err)
+		} else if response.StatusCode != want {
+			t.Errorf("got %d, want %d", response.StatusCode, want)
+		}
+		_ = r.caller.Close()
+		<-sent
+	}
+}
